Lay out the workspace, the protocol types and the shared core

Cause: the repository is empty; every part needs one set of messages, identifiers and result codes to be built against side by side.

Considered: hand-written message types (rejected: the files under proto are what other languages and readers start from).

--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millford-agent` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/api/src/json/mod.rs
@@ -0,0 +1,6 @@
+//! JSON forms of fields that the protocol types keep as numbers or bytes.
+
+pub mod backend_state;
+pub mod hexadecimal;
+pub mod replica_state;
+pub mod resume;
--- /dev/null
+++ b/crates/api/src/json/replica_state.rs
@@ -0,0 +1,15 @@
+//! JSON form of [`crate::state::ReplicaState`]: its name in snake case.
+
+use crate::state::ReplicaState;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Writes the name of the value; an unknown number is an error.
+pub fn serialize<S: Serializer>(value: &i32, serializer: S) -> Result<S::Ok, S::Error> {
+    let value = ReplicaState::try_from(*value).map_err(serde::ser::Error::custom)?;
+    value.serialize(serializer)
+}
+
+/// Reads the name of the value; an unknown name is an error that lists the known ones.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<i32, D::Error> {
+    Ok(ReplicaState::deserialize(deserializer)? as i32)
+}
--- /dev/null
+++ b/crates/api/src/json/resume.rs
@@ -0,0 +1,15 @@
+//! JSON form of [`crate::config::Resume`]: its name in snake case.
+
+use crate::config::Resume;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Writes the name of the value; an unknown number is an error.
+pub fn serialize<S: Serializer>(value: &i32, serializer: S) -> Result<S::Ok, S::Error> {
+    let value = Resume::try_from(*value).map_err(serde::ser::Error::custom)?;
+    value.serialize(serializer)
+}
+
+/// Reads the name of the value; an unknown name is an error that lists the known ones.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<i32, D::Error> {
+    Ok(Resume::deserialize(deserializer)? as i32)
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control node: shard replicas, sessions, feed, operator interface.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millford-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command: apply, get, plan, status, check.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millfordctl` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/experiments/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments under simulated time: routing, placement, transitions, retries, with reports and plots.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Developers' laboratory: stand-ins, demonstration fleet, chaos, experiments, scale runs, reports.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millford-lab` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sessions of agents and control nodes, and the members of the control cluster.
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millford-proxy` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scale runs: hollow nodes beside real control nodes, and the slopes they give.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files and flags, structured logs and metrics of the daemons.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Segmented log with checksums and the snapshots beside it.
--- /dev/null
+++ b/crates/transport/src/connection.rs
@@ -0,0 +1,40 @@
+//! Connections that carry one message type.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::codec::{MessageCodec, TransportError};
+
+/// Receiving half of a connection.
+pub type FramedReader<M> = FramedRead<OwnedReadHalf, MessageCodec<M>>;
+
+/// Sending half of a connection.
+pub type FramedWriter<M> = FramedWrite<OwnedWriteHalf, MessageCodec<M>>;
+
+/// Opens a connection within `timeout`.
+pub async fn connect<M: prost::Message + Default>(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<(FramedReader<M>, FramedWriter<M>), TransportError> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    accept(stream)
+}
+
+/// Wraps a socket that a listener accepted.
+pub fn accept<M: prost::Message + Default>(
+    stream: TcpStream,
+) -> Result<(FramedReader<M>, FramedWriter<M>), TransportError> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    Ok((
+        FramedRead::new(reader, MessageCodec::default()),
+        FramedWrite::new(writer, MessageCodec::default()),
+    ))
+}
