--- /dev/null
+++ b/crates/feed/src/publisher.rs
@@ -0,0 +1,240 @@
+//! Sending side of a shard's feed.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::{
+    FeedMessage, FeedProgress, FeedStale, StateChange, StateSnapshot, Subscribe, feed_message,
+};
+use millford_api::state::{StateItem, StateValue};
+use millford_core::ShardId;
+
+use crate::change_ring::ChangeRing;
+use crate::delivery::{FeedDelivery, SubscriberId};
+use crate::follower::Follower;
+use crate::position::FeedPosition;
+use crate::term_history::TermHistory;
+
+/// Turns the applied entries of one shard's replica into messages for its subscribers.
+///
+/// The owner calls it for committed entries only and serves a [`Subscribe`] only while the replica
+/// is in touch with a quorum and has applied everything that was committed when the subscription
+/// came in (a confirmed read). The publisher itself judges neither.
+#[derive(Clone, Debug)]
+pub struct FeedPublisher {
+    shard: ShardId,
+    position: FeedPosition,
+    items: BTreeMap<String, StateValue>,
+    recent: ChangeRing,
+    terms: TermHistory,
+    subscribers: BTreeMap<SubscriberId, Follower>,
+}
+
+impl FeedPublisher {
+    /// A publisher of an empty shard.
+    #[must_use]
+    pub fn new(shard: ShardId) -> Self {
+        Self {
+            shard,
+            position: FeedPosition::START,
+            items: BTreeMap::new(),
+            recent: ChangeRing::default(),
+            terms: TermHistory::starting_at(FeedPosition::START),
+            subscribers: BTreeMap::new(),
+        }
+    }
+
+    /// Position of the last applied entry.
+    #[must_use]
+    pub fn position(&self) -> FeedPosition {
+        self.position
+    }
+
+    /// The public state at [`Self::position`].
+    #[must_use]
+    pub fn items(&self) -> &BTreeMap<String, StateValue> {
+        &self.items
+    }
+
+    /// The present subscribers.
+    pub fn subscribers(&self) -> impl Iterator<Item = SubscriberId> {
+        self.subscribers.keys().copied()
+    }
+
+    /// Takes over the whole public state after the replica restored a snapshot at `position`.
+    ///
+    /// Every subscriber gets the new state whole.
+    pub fn restore(
+        &mut self,
+        position: FeedPosition,
+        items: impl IntoIterator<Item = StateItem>,
+    ) -> Vec<FeedDelivery> {
+        self.position = position;
+        self.items.clear();
+        self.store(items);
+        self.recent = ChangeRing::starting_at(position.offset);
+        self.terms = TermHistory::starting_at(position);
+        let mut deliveries = self.deliver(&self.snapshot());
+        deliveries.append(&mut self.release_waiting());
+        deliveries
+    }
+
+    /// Takes the entry applied at `position` and the items that it changed, often none.
+    ///
+    /// To be called for every applied entry, in order. An entry at or before the present position
+    /// (delivered again after a restart) is ignored.
+    pub fn apply(&mut self, position: FeedPosition, changed: Vec<StateItem>) -> Vec<FeedDelivery> {
+        if position.offset <= self.position.offset {
+            return Vec::new();
+        }
+        self.position = position;
+        self.terms.record(position);
+        if changed.is_empty() {
+            return self.release_waiting();
+        }
+        let change = StateChange {
+            previous_offset: self.recent.last_offset(),
+            term: position.term,
+            offset: position.offset,
+            items: changed.clone(),
+        };
+        self.store(changed);
+        self.recent.push(change.clone());
+        self.terms.trim(self.recent.floor());
+        let message = self.message(feed_message::Kind::Change(change));
+        let mut deliveries = self.deliver(&message);
+        deliveries.append(&mut self.release_waiting());
+        deliveries
+    }
+
+    /// Adds a subscriber, or moves it, and returns what brings it up to date.
+    ///
+    /// A subscriber that has shown more than this replica applied gets nothing until the replica
+    /// has caught up: an older state is never sent.
+    pub fn subscribe(
+        &mut self,
+        subscriber: SubscriberId,
+        subscribe: &Subscribe,
+    ) -> Vec<FeedMessage> {
+        let from = FeedPosition::from(subscribe);
+        if from > self.position {
+            self.subscribers.insert(subscriber, Follower::Waiting(from));
+            return Vec::new();
+        }
+        self.subscribers.insert(subscriber, Follower::Following);
+        self.catch_up(from)
+    }
+
+    /// Removes a subscriber.
+    pub fn unsubscribe(&mut self, subscriber: SubscriberId) {
+        self.subscribers.remove(&subscriber);
+    }
+
+    /// Confirms the present position to every subscriber that is not ahead of it.
+    ///
+    /// To be called only while in touch with a quorum.
+    #[must_use]
+    pub fn progress(&self) -> Vec<FeedDelivery> {
+        self.deliver(&self.progress_message())
+    }
+
+    /// Tells every subscriber that the quorum is lost, and forgets them.
+    pub fn stale(&mut self) -> Vec<FeedDelivery> {
+        let message = self.message(feed_message::Kind::Stale(FeedStale {}));
+        let subscribers = std::mem::take(&mut self.subscribers);
+        subscribers
+            .into_keys()
+            .map(|subscriber| FeedDelivery {
+                subscriber,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
+    /// The whole public state.
+    #[must_use]
+    pub fn state(&self) -> StateSnapshot {
+        let items = self.items.iter();
+        StateSnapshot {
+            shard: self.shard.0,
+            term: self.position.term,
+            offset: self.position.offset,
+            items: items
+                .map(|(key, value)| StateItem {
+                    key: key.clone(),
+                    value: Some(value.clone()),
+                })
+                .collect(),
+        }
+    }
+
+    fn catch_up(&self, from: FeedPosition) -> Vec<FeedMessage> {
+        let known = from == FeedPosition::START || self.terms.contains(from);
+        let changes = self.recent.after(from.offset).filter(|_| known);
+        let Some(changes) = changes else {
+            return vec![self.snapshot()];
+        };
+        let mut messages: Vec<FeedMessage> = changes
+            .map(|change| self.message(feed_message::Kind::Change(change.clone())))
+            .collect();
+        messages.push(self.progress_message());
+        messages
+    }
+
+    /// Brings up to date the subscribers that were ahead of this replica until now.
+    fn release_waiting(&mut self) -> Vec<FeedDelivery> {
+        let position = self.position;
+        let waiting = self.subscribers.iter();
+        let released: Vec<(SubscriberId, FeedPosition)> = waiting
+            .filter_map(|(subscriber, state)| Some((*subscriber, state.reached(position)?)))
+            .collect();
+        let mut deliveries = Vec::new();
+        for (subscriber, from) in released {
+            self.subscribers.insert(subscriber, Follower::Following);
+            let messages = self.catch_up(from);
+            deliveries.extend(messages.into_iter().map(|message| FeedDelivery {
+                subscriber,
+                message,
+            }));
+        }
+        deliveries
+    }
+
+    fn deliver(&self, message: &FeedMessage) -> Vec<FeedDelivery> {
+        let present = self.subscribers.iter();
+        present
+            .filter(|(_, state)| **state == Follower::Following)
+            .map(|(subscriber, _)| FeedDelivery {
+                subscriber: *subscriber,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
+    fn store(&mut self, items: impl IntoIterator<Item = StateItem>) {
+        for item in items {
+            match item.value {
+                Some(value) => self.items.insert(item.key, value),
+                None => self.items.remove(&item.key),
+            };
+        }
+    }
+
+    fn snapshot(&self) -> FeedMessage {
+        self.message(feed_message::Kind::Snapshot(self.state()))
+    }
+
+    fn progress_message(&self) -> FeedMessage {
+        self.message(feed_message::Kind::Progress(FeedProgress {
+            term: self.position.term,
+            offset: self.position.offset,
+            last_change_offset: self.recent.last_offset(),
+        }))
+    }
+
+    fn message(&self, kind: feed_message::Kind) -> FeedMessage {
+        FeedMessage {
+            shard: self.shard.0,
+            kind: Some(kind),
+        }
+    }
+}
