Name the shard in a state change

An agent passes changes of every shard to its proxy on one connection, and the message had no shard.

--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -96,6 +96,7 @@
             term: position.term,
             offset: position.offset,
             items: changed.clone(),
+            shard: self.shard.0,
         };
         self.store(changed);
         self.recent.push(change.clone());
--- a/crates/feed/tests/view_properties.rs
+++ b/crates/feed/tests/view_properties.rs
@@ -308,6 +308,7 @@
         term: 1,
         offset: 1,
         items: vec![item(1, 3)],
+        shard: 1,
     };
     assert_eq!(
         view.apply_change(amendment),
