--- /dev/null
+++ b/crates/agent/src/agent_core/control.rs
@@ -0,0 +1,180 @@
+//! What the control node sends.
+
+use millford_api::internal::{
+    FeedMessage, Frame, HeartbeatReply, QuotaReply, ShardReply, feed_message, frame,
+};
+use millford_api::local::local_frame;
+use millford_core::{MonotonicTime, ResultCode, ShardId};
+use millford_feed::FeedOutcome;
+
+use super::{AgentCore, CONFIG_HEAD_KEY, head_revision, send_proxy};
+use crate::feeds::FeedEvent;
+use crate::input::ControlLinkId;
+use crate::output::AgentOutput;
+
+impl AgentCore {
+    pub(super) fn link_up(
+        &mut self,
+        now: MonotonicTime,
+        link: ControlLinkId,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if !self.link.connected(now, link) {
+            out.push(AgentOutput::CloseControl { link });
+            return;
+        }
+        self.counters.links_up += 1;
+        self.heartbeat_at = now;
+        self.session.link_up(now);
+        self.feeds.link_up(now);
+        self.quota.link_up(now);
+        self.claims.link_up(now);
+        self.settles.link_up(now);
+    }
+
+    pub(super) fn link_down(&mut self, now: MonotonicTime, link: ControlLinkId) {
+        if self.link.is_up(link) {
+            self.counters.fail_overs += 1;
+        }
+        self.link.lost(now, link);
+    }
+
+    pub(super) fn control_frame(
+        &mut self,
+        now: MonotonicTime,
+        frame: Frame,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        self.link.heard(now);
+        match frame.body {
+            Some(frame::Body::HeartbeatReply(reply)) => self.heartbeat_reply(now, &reply, out),
+            Some(frame::Body::Feed(message)) => self.feed(now, message, out),
+            Some(frame::Body::ShardReply(reply)) => self.shard_reply(now, &reply, out),
+            Some(frame::Body::QuotaReply(reply)) => self.quota_reply(now, &reply, out),
+            Some(frame::Body::QuotaRecall(recall)) => self.quota.recall(now, &recall),
+            Some(frame::Body::LoadPicture(picture)) => {
+                if self.proxy.greeted() {
+                    send_proxy(local_frame::Body::LoadPicture(picture), out);
+                }
+            }
+            Some(frame::Body::HelloReply(reply)) => {
+                self.feeds.set_data_shards(now, reply.data_shards);
+            }
+            // Frames between control nodes are nothing to an agent; a newer control node may send
+            // kinds that this agent does not know.
+            _ => {}
+        }
+    }
+
+    fn heartbeat_reply(
+        &mut self,
+        now: MonotonicTime,
+        reply: &HeartbeatReply,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        self.feeds.set_data_shards(now, reply.data_shards);
+        // A node that is out of touch may know an old list of members, and may not know sessions.
+        if !self.link.confirmed(now, reply.in_touch) {
+            self.leave(now, out);
+            return;
+        }
+        if self.link.learn(&reply.members) {
+            out.push(AgentOutput::SaveMembers(reply.members.clone()));
+        }
+        if !reply.session_alive && reply.sequence >= self.session_sequence {
+            self.session.gone(now);
+        }
+    }
+
+    fn feed(&mut self, now: MonotonicTime, message: FeedMessage, out: &mut Vec<AgentOutput>) {
+        let shard = ShardId(message.shard);
+        let says_stale = matches!(message.kind, Some(feed_message::Kind::Stale(_)));
+        if self.shows_older_revision(&message) {
+            self.counters.feed_stale += 1;
+            self.leave(now, out);
+            return;
+        }
+        let Some(event) = self.feeds.apply(now, message) else {
+            return;
+        };
+        match &event.outcome {
+            FeedOutcome::Stale => {
+                self.counters.feed_stale += 1;
+                if says_stale && self.feeds.may_move(now, shard) {
+                    self.leave(now, out);
+                }
+            }
+            FeedOutcome::Resubscribe => self.counters.feed_gaps += 1,
+            FeedOutcome::Changed(_) => self.counters.feed_changes += 1,
+            FeedOutcome::Unchanged => {}
+        }
+        self.pass_on(event, out);
+    }
+
+    /// Whether a snapshot holds an older configuration than the proxy has shown: after a restart
+    /// the agent itself remembers nothing, but its proxy does.
+    fn shows_older_revision(&self, message: &FeedMessage) -> bool {
+        let Some(feed_message::Kind::Snapshot(snapshot)) = &message.kind else {
+            return false;
+        };
+        if ShardId(message.shard) != ShardId::CONFIGURATION {
+            return false;
+        }
+        let mut items = snapshot.items.iter();
+        let head = items.find(|item| item.key == CONFIG_HEAD_KEY);
+        let value = head.and_then(|item| item.value.as_ref());
+        value.map_or(0, head_revision) < self.proxy.shown_revision()
+    }
+
+    fn pass_on(&mut self, event: FeedEvent, out: &mut Vec<AgentOutput>) {
+        let Some(view) = self.feeds.view(event.shard) else {
+            return;
+        };
+        let frame = match event.outcome {
+            _ if event.first_confirmation => self.proxy.whole(view, &self.overlay),
+            FeedOutcome::Changed(items) => self.proxy.change(view, items, &self.overlay),
+            _ => None,
+        };
+        out.extend(frame.map(|frame| AgentOutput::SendProxy(Box::new(frame))));
+    }
+
+    fn shard_reply(
+        &mut self,
+        now: MonotonicTime,
+        reply: &ShardReply,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if self.is_close_reply(reply) {
+            out.push(AgentOutput::Stopped);
+            return;
+        }
+        if self.session.reply(now, reply) {
+            self.counters.sessions_opened += 1;
+            self.session_sequence = self.heartbeat_sequence + 1;
+            self.quota.session_changed(now);
+        }
+        if let Some(answer) = self.claims.reply(now, reply) {
+            self.counters.claims_answered += 1;
+            send_proxy(local_frame::Body::ClaimReply(answer), out);
+        }
+        let acknowledged = &mut self.counters.settles_acknowledged;
+        if let Some(answer) = self.settles.reply(now, reply, acknowledged) {
+            send_proxy(local_frame::Body::SettleReply(answer), out);
+        }
+    }
+
+    fn quota_reply(&mut self, now: MonotonicTime, reply: &QuotaReply, out: &mut Vec<AgentOutput>) {
+        let fenced = [ResultCode::EpochFenced, ResultCode::SessionClosed];
+        if fenced.iter().any(|code| reply.code == code.number()) {
+            self.heartbeat_at = now;
+        }
+        for answer in self.quota.reply(now, reply) {
+            send_proxy(local_frame::Body::QuotaReply(answer), out);
+        }
+    }
+
+    fn is_close_reply(&self, reply: &ShardReply) -> bool {
+        self.stopping
+            .is_some_and(|stopping| stopping.request == reply.request_id)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! Drives the agent.
--- /dev/null
+++ b/crates/agent/src/link/control_link.rs
@@ -0,0 +1,216 @@
+//! Keeps a connection to one control node and moves on when that node fails.
+
+use millford_api::state::ControlMember;
+use millford_core::MonotonicTime;
+use millford_core::backoff::Backoff;
+
+use crate::input::ControlLinkId;
+use crate::link::address_book::AddressBook;
+use crate::timing::{CONNECT_TIMEOUT, CONTROL_SILENCE, RETRY_CEILING, RETRY_FIRST};
+
+/// What the link wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkAction {
+    /// Connect to the address under this number.
+    Connect(ControlLinkId, String),
+    /// Close the connection with this number.
+    Close(ControlLinkId),
+}
+
+#[derive(Clone, Debug)]
+enum LinkState {
+    Down {
+        retry_at: MonotonicTime,
+    },
+    Dialing {
+        link: ControlLinkId,
+        since: MonotonicTime,
+    },
+    Up {
+        link: ControlLinkId,
+        address: String,
+        last_heard: MonotonicTime,
+    },
+}
+
+/// State of the agent's connection to the control plane.
+#[derive(Clone, Debug)]
+pub struct ControlLink {
+    book: AddressBook,
+    state: LinkState,
+    dialed: String,
+    next_link: ControlLinkId,
+    backoff: Backoff,
+    in_touch_since: Option<MonotonicTime>,
+    out_of_touch_since: Option<MonotonicTime>,
+}
+
+impl ControlLink {
+    /// A link that is down and connects at the first tick.
+    #[must_use]
+    pub fn new(book: AddressBook, now: MonotonicTime) -> Self {
+        Self {
+            book,
+            state: LinkState::Down { retry_at: now },
+            dialed: String::new(),
+            next_link: 1,
+            backoff: Backoff::new(RETRY_FIRST, RETRY_CEILING),
+            in_touch_since: None,
+            out_of_touch_since: Some(now),
+        }
+    }
+
+    /// Number of the connection while it is up.
+    #[must_use]
+    pub fn up(&self) -> Option<ControlLinkId> {
+        match self.state {
+            LinkState::Up { link, .. } => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Whether this is the connection that is up.
+    #[must_use]
+    pub fn is_up(&self, link: ControlLinkId) -> bool {
+        self.up() == Some(link)
+    }
+
+    /// Since when the control node has said that it is in touch with the quorum.
+    #[must_use]
+    pub fn in_touch_since(&self) -> Option<MonotonicTime> {
+        self.in_touch_since
+    }
+
+    /// Since when no control node has said so.
+    #[must_use]
+    pub fn out_of_touch_since(&self) -> Option<MonotonicTime> {
+        self.out_of_touch_since
+    }
+
+    /// The present control nodes, as last learned.
+    #[must_use]
+    pub fn members(&self) -> &[ControlMember] {
+        self.book.members()
+    }
+
+    /// Takes the list of present members; returns whether it changed.
+    pub fn learn(&mut self, members: &[ControlMember]) -> bool {
+        self.book.learn(members)
+    }
+
+    /// The connection is up. Returns whether it is the one that was being made.
+    pub fn connected(&mut self, now: MonotonicTime, link: ControlLinkId) -> bool {
+        let LinkState::Dialing { link: dialed, .. } = self.state else {
+            return false;
+        };
+        if dialed != link {
+            return false;
+        }
+        self.state = LinkState::Up {
+            link,
+            address: self.dialed.clone(),
+            last_heard: now,
+        };
+        true
+    }
+
+    /// The connection failed. Returns whether it was the present one.
+    pub fn lost(&mut self, now: MonotonicTime, link: ControlLinkId) -> bool {
+        let present = match self.state {
+            LinkState::Up { link: present, .. } | LinkState::Dialing { link: present, .. } => {
+                present == link
+            }
+            LinkState::Down { .. } => false,
+        };
+        if present {
+            self.fall(now);
+        }
+        present
+    }
+
+    /// The control node sent something.
+    pub fn heard(&mut self, now: MonotonicTime) {
+        if let LinkState::Up { last_heard, .. } = &mut self.state {
+            *last_heard = now;
+        }
+    }
+
+    /// The control node says whether it is in touch. Returns whether the agent should stay.
+    pub fn confirmed(&mut self, now: MonotonicTime, touch: bool) -> bool {
+        let LinkState::Up { address, .. } = &self.state else {
+            return true;
+        };
+        if touch {
+            if self.in_touch_since.is_none() {
+                self.book.begin_round(Some(address));
+            }
+            self.in_touch_since.get_or_insert(now);
+            self.out_of_touch_since = None;
+            self.backoff.reset();
+        } else {
+            self.out_of_touch(now);
+        }
+        touch
+    }
+
+    /// Leaves the present node for the next one.
+    pub fn leave(&mut self, now: MonotonicTime) -> Option<LinkAction> {
+        let link = match self.state {
+            LinkState::Up { link, .. } | LinkState::Dialing { link, .. } => link,
+            LinkState::Down { .. } => return None,
+        };
+        self.fall(now);
+        Some(LinkAction::Close(link))
+    }
+
+    /// Leaves a silent node, or connects to the next one when it is time.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<LinkAction> {
+        let mut actions = Vec::new();
+        let overdue = match self.state {
+            LinkState::Up { last_heard, .. } => now.since(last_heard) > CONTROL_SILENCE,
+            LinkState::Dialing { since, .. } => now.since(since) > CONNECT_TIMEOUT,
+            LinkState::Down { .. } => false,
+        };
+        if overdue {
+            actions.extend(self.leave(now));
+        }
+        actions.extend(self.dial(now));
+        actions
+    }
+
+    fn dial(&mut self, now: MonotonicTime) -> Option<LinkAction> {
+        let LinkState::Down { retry_at } = self.state else {
+            return None;
+        };
+        if now < retry_at {
+            return None;
+        }
+        let address = self.book.next_address().or_else(|| {
+            self.book.begin_round(None);
+            self.book.next_address()
+        })?;
+        let link = self.next_link;
+        self.next_link += 1;
+        self.dialed.clone_from(&address);
+        self.state = LinkState::Dialing { link, since: now };
+        Some(LinkAction::Connect(link, address))
+    }
+
+    /// The connection is gone: the next address at once, or a new round after a delay.
+    fn fall(&mut self, now: MonotonicTime) {
+        self.out_of_touch(now);
+        let delay = if self.book.round_ended() {
+            self.backoff.next_delay()
+        } else {
+            std::time::Duration::ZERO
+        };
+        self.state = LinkState::Down {
+            retry_at: now + delay,
+        };
+    }
+
+    fn out_of_touch(&mut self, now: MonotonicTime) {
+        self.in_touch_since = None;
+        self.out_of_touch_since.get_or_insert(now);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/quota/desk.rs
@@ -0,0 +1,246 @@
+//! Answers the proxy's asks from the slices, and asks the shards' leaders for more.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_api::internal::{QuotaRecall, QuotaReply, QuotaRequest};
+use millford_api::local::{LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply};
+use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout, tenant_key};
+
+use crate::quota::request_book::RequestBook;
+use crate::quota::tenant_slice::{SliceAnswer, TenantSlice};
+use crate::quota::waiter::Waiter;
+use crate::timing::QUOTA_BATCH;
+
+/// How many asks were answered in which way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QuotaTally {
+    /// Granted.
+    pub granted: u64,
+    /// Refused: the quota is used up.
+    pub refused: u64,
+    /// Refused: no decision in time.
+    pub unavailable: u64,
+}
+
+/// The slices of every tenant with work on this node.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaDesk {
+    slices: BTreeMap<String, TenantSlice>,
+    /// Tenants whose slice may have something to do at a tick.
+    active: BTreeSet<String>,
+    requests: RequestBook,
+    last_sent: BTreeMap<ShardId, MonotonicTime>,
+    tally: QuotaTally,
+}
+
+impl QuotaDesk {
+    /// How asks were answered so far.
+    #[must_use]
+    pub fn tally(&self) -> QuotaTally {
+        self.tally
+    }
+
+    /// Stream slots in use over all tenants.
+    #[must_use]
+    pub fn slots_in_use(&self) -> u32 {
+        self.slices.values().map(TenantSlice::slots_in_use).sum()
+    }
+
+    /// A call wants to be admitted. `limited_streams`: the tenant's streams are limited.
+    pub fn ask(
+        &mut self,
+        now: MonotonicTime,
+        ask: &LocalQuotaAsk,
+        limited_streams: bool,
+    ) -> Vec<LocalQuotaReply> {
+        let waiter = Waiter {
+            request_id: ask.request_id,
+            needs_slot: ask.stream && limited_streams,
+            deadline: now + Duration::from_millis(u64::from(ask.timeout_ms)),
+        };
+        let slice = self.slice(now, &ask.tenant);
+        slice.enqueue(waiter);
+        let answers = slice.serve(now);
+        self.replies(answers)
+    }
+
+    /// An admitted call ended.
+    pub fn release(
+        &mut self,
+        now: MonotonicTime,
+        release: &LocalQuotaRelease,
+        limited_streams: bool,
+    ) -> Vec<LocalQuotaReply> {
+        let holds_slot = release.stream && limited_streams;
+        let slice = self.slice(now, &release.tenant);
+        slice.release(holds_slot, release.unused);
+        let answers = slice.serve(now);
+        self.replies(answers)
+    }
+
+    /// A leader wants a tenant's idle slice back.
+    pub fn recall(&mut self, now: MonotonicTime, recall: &QuotaRecall) {
+        self.slice(now, &recall.tenant).recall();
+    }
+
+    /// Takes a leader's answer.
+    pub fn reply(&mut self, now: MonotonicTime, reply: &QuotaReply) -> Vec<LocalQuotaReply> {
+        if reply.code != ResultCode::Ok.number() {
+            self.requests.postpone(now, reply.request_id);
+            return Vec::new();
+        }
+        let Some(sent) = self.requests.take(reply.request_id) else {
+            return Vec::new();
+        };
+        let mut answers = Vec::new();
+        for ask in &sent.request.asks {
+            let grant = reply.grants.iter().find(|grant| grant.tenant == ask.tenant);
+            let slice = self.slice(now, &ask.tenant);
+            match grant {
+                Some(grant) => answers.extend(slice.granted(now, sent.sent_at, ask, grant)),
+                None => slice.lost(ask),
+            }
+        }
+        self.replies(answers)
+    }
+
+    /// A new connection to a control node.
+    pub fn link_up(&mut self, now: MonotonicTime) {
+        self.requests.link_up(now);
+    }
+
+    /// The session was replaced: requests under its epoch are void.
+    pub fn session_changed(&mut self, now: MonotonicTime) {
+        let void = self.requests.take_all();
+        for sent in void {
+            self.forget(now, &sent.request);
+        }
+    }
+
+    /// Answers the calls whose time is over, and gives up requests that are too old.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<LocalQuotaReply> {
+        for sent in self.requests.given_up(now) {
+            self.forget(now, &sent.request);
+        }
+        let mut answers = Vec::new();
+        let mut idle = Vec::new();
+        for tenant in &self.active {
+            let Some(slice) = self.slices.get_mut(tenant) else {
+                idle.push(tenant.clone());
+                continue;
+            };
+            answers.extend(slice.expire(now));
+            slice.return_old(now);
+            if slice.is_idle() {
+                idle.push(tenant.clone());
+            }
+        }
+        for tenant in idle {
+            self.active.remove(&tenant);
+            self.slices.remove(&tenant);
+        }
+        self.replies(answers)
+    }
+
+    /// Requests to send now for the session `member` with `epoch`, one at most for a shard.
+    pub fn requests(
+        &mut self,
+        now: MonotonicTime,
+        layout: ShardLayout,
+        member: &str,
+        epoch: u64,
+        next_id: &mut u64,
+    ) -> Vec<QuotaRequest> {
+        let mut requests = self.requests.due(now);
+        for (shard, tenants) in self.due_tenants(now, layout) {
+            *next_id += 1;
+            let mut request = QuotaRequest {
+                shard: shard.0,
+                request_id: *next_id,
+                member: member.to_owned(),
+                epoch,
+                asks: Vec::with_capacity(tenants.len()),
+            };
+            for tenant in tenants {
+                let ask = self.slice(now, &tenant).ask(now, &tenant);
+                request.asks.push(ask);
+            }
+            self.last_sent.insert(shard, now);
+            self.requests.sent(now, request.clone());
+            requests.push(request);
+        }
+        requests
+    }
+
+    /// When [`Self::tick`] and [`Self::requests`] next have something to do.
+    #[must_use]
+    pub fn next_wakeup(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let slices = self.active.iter().filter_map(|name| self.slices.get(name));
+        let last_sent = self.last_sent.values().max().copied();
+        let batch_end = last_sent.map_or(now, |sent| sent + QUOTA_BATCH);
+        let times = slices.flat_map(|slice| {
+            let ask = slice.due(now).map(|due| due.max(batch_end));
+            [slice.first_deadline(), ask]
+        });
+        times.flatten().min()
+    }
+
+    fn due_tenants(
+        &self,
+        now: MonotonicTime,
+        layout: ShardLayout,
+    ) -> BTreeMap<ShardId, Vec<String>> {
+        let mut due: BTreeMap<ShardId, Vec<String>> = BTreeMap::new();
+        for tenant in &self.active {
+            let slice = self.slices.get(tenant);
+            if !slice.is_some_and(|slice| slice.due(now).is_some_and(|at| at <= now)) {
+                continue;
+            }
+            let shard = layout.shard_of(&tenant_key(tenant));
+            let last = self.last_sent.get(&shard);
+            if last.is_none_or(|sent| now.since(*sent) >= QUOTA_BATCH) {
+                due.entry(shard).or_default().push(tenant.clone());
+            }
+        }
+        due
+    }
+
+    fn forget(&mut self, now: MonotonicTime, request: &QuotaRequest) {
+        for ask in &request.asks {
+            self.slice(now, &ask.tenant).lost(ask);
+        }
+    }
+
+    fn slice(&mut self, now: MonotonicTime, tenant: &str) -> &mut TenantSlice {
+        if !self.active.contains(tenant) {
+            self.active.insert(tenant.to_owned());
+        }
+        let slices = &mut self.slices;
+        slices
+            .entry(tenant.to_owned())
+            .or_insert_with(|| TenantSlice::new(now))
+    }
+
+    fn replies(&mut self, answers: Vec<SliceAnswer>) -> Vec<LocalQuotaReply> {
+        answers
+            .into_iter()
+            .map(|answer| {
+                self.count(answer.code);
+                LocalQuotaReply {
+                    request_id: answer.request_id,
+                    granted: answer.code == ResultCode::Ok,
+                    code: answer.code.number(),
+                    retry_after_ms: answer.retry_after_ms,
+                }
+            })
+            .collect()
+    }
+
+    fn count(&mut self, code: ResultCode) {
+        match code {
+            ResultCode::Ok => self.tally.granted += 1,
+            ResultCode::QuotaUnavailable => self.tally.unavailable += 1,
+            _ => self.tally.refused += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -0,0 +1,317 @@
+//! One tenant's slice on this node.
+
+use std::collections::VecDeque;
+
+use millford_api::internal::{QuotaAsk, QuotaGrant};
+use millford_core::{Duration, MonotonicTime, ResultCode};
+
+use crate::quota::lease::TokenLease;
+use crate::quota::waiter::Waiter;
+use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, SLOT_RENEWAL};
+
+/// Answer to one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SliceAnswer {
+    /// Number that the proxy gave to its ask.
+    pub request_id: u64,
+    /// `Ok`, or why the call is refused.
+    pub code: ResultCode,
+    /// When asking again may help.
+    pub retry_after_ms: u32,
+}
+
+/// Tokens, stream slots and waiting calls of one tenant.
+#[derive(Clone, Debug)]
+pub struct TenantSlice {
+    leases: Vec<TokenLease>,
+    slots_lent: u32,
+    slots_until: MonotonicTime,
+    slots_in_use: u32,
+    slots_told_at: MonotonicTime,
+    waiters: VecDeque<Waiter>,
+    /// Tokens asked for by requests that are not answered yet.
+    outstanding: u32,
+    /// Requests that are not answered yet.
+    under_way: u32,
+    /// Tokens to give back with the next request.
+    to_return: u32,
+    recalled: bool,
+    ask_after: MonotonicTime,
+}
+
+impl TenantSlice {
+    /// A slice that holds nothing.
+    #[must_use]
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            leases: Vec::new(),
+            slots_lent: 0,
+            slots_until: now,
+            slots_in_use: 0,
+            slots_told_at: now,
+            waiters: VecDeque::new(),
+            outstanding: 0,
+            under_way: 0,
+            to_return: 0,
+            recalled: false,
+            ask_after: now,
+        }
+    }
+
+    /// Whether the slice holds nothing worth keeping.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let holds = !self.leases.is_empty() || self.slots_in_use > 0 || self.to_return > 0;
+        !holds && self.waiters.is_empty() && self.under_way == 0 && !self.recalled
+    }
+
+    /// Whether calls wait.
+    #[must_use]
+    pub fn has_waiters(&self) -> bool {
+        !self.waiters.is_empty()
+    }
+
+    /// Stream slots in use now.
+    #[must_use]
+    pub fn slots_in_use(&self) -> u32 {
+        self.slots_in_use
+    }
+
+    /// Tokens that may be spent now.
+    #[must_use]
+    pub fn tokens(&self, now: MonotonicTime) -> u32 {
+        let alive = self.leases.iter().filter(|lease| now < lease.until);
+        alive.map(|lease| lease.tokens).sum()
+    }
+
+    /// A call wants to be admitted.
+    pub fn enqueue(&mut self, waiter: Waiter) {
+        self.waiters.push_back(waiter);
+    }
+
+    /// Admits every waiting call that the slice can pay for.
+    pub fn serve(&mut self, now: MonotonicTime) -> Vec<SliceAnswer> {
+        let mut answers = Vec::new();
+        let mut still_waiting = VecDeque::new();
+        while let Some(waiter) = self.waiters.pop_front() {
+            if self.admit(now, &waiter) {
+                answers.push(answer(&waiter, ResultCode::Ok, 0));
+            } else {
+                still_waiting.push_back(waiter);
+            }
+        }
+        self.waiters = still_waiting;
+        answers
+    }
+
+    fn admit(&mut self, now: MonotonicTime, waiter: &Waiter) -> bool {
+        if waiter.needs_slot && !self.slot_free(now) {
+            return false;
+        }
+        if !self.spend(now) {
+            return false;
+        }
+        self.slots_in_use += u32::from(waiter.needs_slot);
+        true
+    }
+
+    /// Spends one token of the lease that ends first.
+    fn spend(&mut self, now: MonotonicTime) -> bool {
+        let alive = self.leases.iter_mut();
+        let first = alive
+            .filter(|lease| now < lease.until && lease.tokens > 0)
+            .min_by_key(|lease| lease.until);
+        let Some(lease) = first else {
+            return false;
+        };
+        lease.tokens -= 1;
+        self.leases.retain(|lease| lease.tokens > 0);
+        true
+    }
+
+    /// Refuses the calls whose time is over.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<SliceAnswer> {
+        let mut answers = Vec::new();
+        self.waiters.retain(|waiter| {
+            let over = waiter.deadline <= now;
+            if over {
+                answers.push(answer(waiter, ResultCode::QuotaUnavailable, 0));
+            }
+            !over
+        });
+        self.leases.retain(|lease| now < lease.until);
+        answers
+    }
+
+    /// Earliest time at which a waiting call is given up.
+    #[must_use]
+    pub fn first_deadline(&self) -> Option<MonotonicTime> {
+        self.waiters.iter().map(|waiter| waiter.deadline).min()
+    }
+
+    /// An admitted call ended, or was never sent (`unused`).
+    pub fn release(&mut self, holds_slot: bool, unused: bool) {
+        self.slots_in_use = self.slots_in_use.saturating_sub(u32::from(holds_slot));
+        self.to_return += u32::from(unused);
+    }
+
+    /// The leader wants back what is idle.
+    pub fn recall(&mut self) {
+        self.recalled = true;
+    }
+
+    /// Prepares idle tokens whose lease soon ends to be given back.
+    pub fn return_old(&mut self, now: MonotonicTime) {
+        let limit = now + LEASE_RETURN_BEFORE;
+        let mut returned = 0;
+        self.leases.retain(|lease| {
+            let old = lease.until <= limit && now < lease.until;
+            returned += if old { lease.tokens } else { 0 };
+            !old
+        });
+        self.to_return += returned;
+    }
+
+    /// When the slice has something to ask or to say, if it has.
+    #[must_use]
+    pub fn due(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        if self.recalled || self.to_return > 0 {
+            return Some(now);
+        }
+        if self.tokens_missing(now) > 0 || self.slots_missing(now) {
+            return Some(self.ask_after);
+        }
+        (self.slots_in_use > 0).then(|| self.slots_told_at + SLOT_RENEWAL)
+    }
+
+    fn tokens_missing(&self, now: MonotonicTime) -> u32 {
+        let waiting = u32::try_from(self.waiters.len()).unwrap_or(u32::MAX);
+        let coming = self.outstanding.saturating_add(self.tokens(now));
+        waiting.saturating_sub(coming)
+    }
+
+    fn slots_missing(&self, now: MonotonicTime) -> bool {
+        let waiting = self.slots_wanted() > self.slots_in_use;
+        waiting && self.under_way == 0 && !self.slot_free(now)
+    }
+
+    fn slot_free(&self, now: MonotonicTime) -> bool {
+        now < self.slots_until && self.slots_in_use < self.slots_lent
+    }
+
+    fn slots_wanted(&self) -> u32 {
+        let waiting = self.waiters.iter().filter(|waiter| waiter.needs_slot);
+        self.slots_in_use + u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
+    /// The ask to send now. What it gives back is gone from here.
+    pub fn ask(&mut self, now: MonotonicTime, tenant: &str) -> QuotaAsk {
+        if self.recalled {
+            self.to_return += self.tokens(now).saturating_sub(self.tokens_kept());
+            self.drop_tokens(now);
+            self.recalled = false;
+        }
+        let tokens = self.tokens_missing(now);
+        self.outstanding += tokens;
+        self.under_way += 1;
+        self.slots_told_at = now;
+        QuotaAsk {
+            tenant: tenant.to_owned(),
+            tokens,
+            returned_tokens: std::mem::take(&mut self.to_return),
+            slots_wanted: self.slots_wanted(),
+            slots_in_use: self.slots_in_use,
+        }
+    }
+
+    /// Tokens that waiting calls need although they are lent: those calls wait for a slot.
+    fn tokens_kept(&self) -> u32 {
+        u32::try_from(self.waiters.len()).unwrap_or(u32::MAX)
+    }
+
+    fn drop_tokens(&mut self, now: MonotonicTime) {
+        let mut keep = self.tokens_kept();
+        for lease in &mut self.leases {
+            let kept = if now < lease.until { lease.tokens.min(keep) } else { 0 };
+            lease.tokens = kept;
+            keep -= kept;
+        }
+        self.leases.retain(|lease| lease.tokens > 0);
+    }
+
+    /// Takes the leader's answer to an ask that was sent at `sent_at`.
+    pub fn granted(
+        &mut self,
+        now: MonotonicTime,
+        sent_at: MonotonicTime,
+        ask: &QuotaAsk,
+        grant: &QuotaGrant,
+    ) -> Vec<SliceAnswer> {
+        self.answered(ask);
+        // Safety: the lease counts from the sending, which is before the leader granted it, so it
+        // ends here before the leader counts the tokens as returned.
+        let until = sent_at + Duration::from_millis(u64::from(grant.lease_ms));
+        if grant.tokens > 0 && now < until {
+            let tokens = grant.tokens;
+            self.leases.push(TokenLease { tokens, until });
+        }
+        if until >= self.slots_until {
+            self.slots_lent = grant.slots;
+            self.slots_until = until;
+        }
+        let pause = Duration::from_millis(u64::from(grant.retry_after_ms));
+        self.ask_after = now + pause.max(QUOTA_RECALL_PAUSE);
+        let mut answers = self.serve(now);
+        if grant.refused {
+            let missing = ask.tokens.saturating_sub(grant.tokens);
+            let code = ResultCode::QuotaExceeded;
+            answers.extend(self.refuse(missing, code, grant.retry_after_ms, |_| true));
+        }
+        if grant.slots_refused {
+            let missing = ask.slots_wanted.saturating_sub(grant.slots);
+            let code = ResultCode::StreamLimit;
+            answers.extend(self.refuse(missing, code, grant.retry_after_ms, |waiter| {
+                waiter.needs_slot
+            }));
+        }
+        answers
+    }
+
+    /// An ask is given up: its answer would come too late to be used.
+    pub fn lost(&mut self, ask: &QuotaAsk) {
+        self.answered(ask);
+    }
+
+    fn answered(&mut self, ask: &QuotaAsk) {
+        self.outstanding = self.outstanding.saturating_sub(ask.tokens);
+        self.under_way = self.under_way.saturating_sub(1);
+    }
+
+    fn refuse(
+        &mut self,
+        count: u32,
+        code: ResultCode,
+        retry_after_ms: u32,
+        concerns: impl Fn(&Waiter) -> bool,
+    ) -> Vec<SliceAnswer> {
+        let mut left = count;
+        let mut answers = Vec::new();
+        self.waiters.retain(|waiter| {
+            let refused = left > 0 && concerns(waiter);
+            if refused {
+                left -= 1;
+                answers.push(answer(waiter, code, retry_after_ms));
+            }
+            !refused
+        });
+        answers
+    }
+}
+
+fn answer(waiter: &Waiter, code: ResultCode, retry_after_ms: u32) -> SliceAnswer {
+    SliceAnswer {
+        request_id: waiter.request_id,
+        code,
+        retry_after_ms,
+    }
+}
