Add the shards' state machines, document checks and the quota ledger

Aim: what the control nodes need first, with the interface that they are built on.

The document is read with the path of each fault and checked as a whole. The quota ledger lends tokens and stream slots.

Considered: checking the document again inside the machine. Left out, because replicas of two releases could judge it differently and come apart. Considered: a drain order as a state of the backend only.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -4,6 +4,7 @@
 //! they are committed, so that a build needs no generator.
 
 pub mod json;
+pub mod operator;
 
 /// The operators' document.
 #[allow(clippy::all)]
--- /dev/null
+++ b/crates/api/src/operator/plan_body.rs
@@ -0,0 +1,24 @@
+//! Bodies of `POST /v1/plan`.
+
+use serde::{Deserialize, Serialize};
+
+use super::plan_change::Plan;
+use crate::config::Document;
+
+/// Body of `POST /v1/plan`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanBody {
+    /// The configuration that would replace the one in force.
+    pub document: Document,
+}
+
+/// Answer to `POST /v1/plan`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanReply {
+    /// Revision that the plan was worked out against; use it as `base_revision`.
+    pub revision: u64,
+    /// What the change would move.
+    pub plan: Plan,
+}
--- /dev/null
+++ b/crates/control-state/src/document/check_route.rs
@@ -0,0 +1,182 @@
+//! Rules of routes.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::{Pool, Resume, Route, RouteMatch, Selector};
+
+use super::check::{check_label, check_name};
+use super::fault_list::FaultList;
+use super::limits;
+
+/// Checks every route, alone and against the others and the pools.
+pub(super) fn check_routes<'document>(
+    routes: &'document [Route],
+    pools: &BTreeMap<&str, &Pool>,
+    faults: &mut FaultList,
+) {
+    faults.count("routes", routes.len(), limits::MAX_ROUTES);
+    let mut names = BTreeMap::new();
+    let mut matches: BTreeMap<Vec<&str>, usize> = BTreeMap::new();
+    for (index, route) in routes.iter().enumerate() {
+        let path = format!("routes[{index}]");
+        check_name(format!("{path}.name"), &route.name, &mut names, faults);
+        check_match(&path, route.r#match.as_ref(), faults);
+        check_reached(&path, index, route, &mut matches, faults);
+        check_pool_of(&path, route, pools, faults);
+        check_times(&path, route, faults);
+        check_second_sends(&path, route, faults);
+    }
+}
+
+fn check_match(path: &str, route_match: Option<&RouteMatch>, faults: &mut FaultList) {
+    let Some(route_match) = route_match else {
+        return;
+    };
+    let labels = [
+        ("model", &route_match.model),
+        ("version", &route_match.version),
+        ("stage", &route_match.stage),
+        ("adapter", &route_match.adapter),
+    ];
+    let is_lookup = !route_match.path_prefix.is_empty();
+    for (field, label) in labels {
+        let field_path = format!("{path}.match.{field}");
+        if is_lookup && !label.is_empty() {
+            faults.add(field_path, format!("a lookup route has no {field}"));
+        } else {
+            check_label(field_path, label, faults);
+        }
+    }
+    if is_lookup {
+        check_path_prefix(path, &route_match.path_prefix, faults);
+    }
+}
+
+fn check_path_prefix(path: &str, prefix: &str, faults: &mut FaultList) {
+    let field_path = format!("{path}.match.path_prefix");
+    if !prefix.starts_with('/') {
+        faults.add(field_path, "a path prefix begins with '/'");
+    } else if prefix.len() > limits::MAX_PATH_LENGTH {
+        let text = format!("longer than {} bytes", limits::MAX_PATH_LENGTH);
+        faults.add(field_path, text);
+    } else if !prefix.bytes().all(is_path_byte) {
+        faults.add(
+            field_path,
+            "a path prefix has no spaces, control characters, '?' or '#'",
+        );
+    } else if limits::RESERVED_PATHS.contains(&prefix) {
+        faults.add(field_path, "the proxy serves this path itself");
+    }
+}
+
+/// Of two routes with the same match the second would never be reached.
+fn check_reached<'document>(
+    path: &str,
+    index: usize,
+    route: &'document Route,
+    matches: &mut BTreeMap<Vec<&'document str>, usize>,
+    faults: &mut FaultList,
+) {
+    let key = match_key(route.r#match.as_ref());
+    match matches.get(&key) {
+        Some(first) => faults.add(
+            format!("{path}.match"),
+            format!("never reached: routes[{first}] has the same match"),
+        ),
+        None => {
+            matches.insert(key, index);
+        }
+    }
+}
+
+fn match_key(route_match: Option<&RouteMatch>) -> Vec<&str> {
+    let Some(route_match) = route_match else {
+        return vec![""; 5];
+    };
+    vec![
+        &route_match.model,
+        &route_match.version,
+        &route_match.stage,
+        &route_match.adapter,
+        &route_match.path_prefix,
+    ]
+}
+
+fn check_pool_of(path: &str, route: &Route, pools: &BTreeMap<&str, &Pool>, faults: &mut FaultList) {
+    let field_path = format!("{path}.pool");
+    if route.pool.is_empty() {
+        faults.add(field_path, "a route names its pool");
+        return;
+    }
+    let Some(pool) = pools.get(route.pool.as_str()) else {
+        faults.add(field_path, format!("no pool is named \"{}\"", route.pool));
+        return;
+    };
+    let (Some(route_match), Some(selector)) = (route.r#match.as_ref(), pool.selector.as_ref())
+    else {
+        return;
+    };
+    check_served(field_path, route_match, selector, faults);
+}
+
+/// A route whose pool selects another model, version or stage could never be served.
+fn check_served(
+    path: String,
+    route_match: &RouteMatch,
+    selector: &Selector,
+    faults: &mut FaultList,
+) {
+    let pairs = [
+        ("model", &route_match.model, &selector.model),
+        ("version", &route_match.version, &selector.version),
+        ("stage", &route_match.stage, &selector.stage),
+    ];
+    for (field, wanted, selected) in pairs {
+        if !wanted.is_empty() && !selected.is_empty() && wanted != selected {
+            let text =
+                format!("the pool selects {field} \"{selected}\", the route takes \"{wanted}\"");
+            faults.add(path.clone(), text);
+        }
+    }
+}
+
+fn check_times(path: &str, route: &Route, faults: &mut FaultList) {
+    let deadline_path = format!("{path}.deadline_ms");
+    faults.range(deadline_path, route.deadline_ms, limits::DEADLINE_MS, " ms");
+    let Some(hedge) = &route.hedge else {
+        return;
+    };
+    let delay_path = format!("{path}.hedge.delay_ms");
+    if limits::HEDGE_DELAY_MS.contains(&hedge.delay_ms) && hedge.delay_ms >= route.deadline_ms {
+        faults.add(delay_path, "the hedge comes after the deadline");
+    } else {
+        faults.range(delay_path, hedge.delay_ms, limits::HEDGE_DELAY_MS, " ms");
+    }
+}
+
+/// A request that may not be repeated is sent once: neither hedged nor resumed elsewhere.
+fn check_second_sends(path: &str, route: &Route, faults: &mut FaultList) {
+    if route.hedge.is_some() && !route.repeatable {
+        let text = "a route that is not repeatable cannot be hedged";
+        faults.add(format!("{path}.hedge"), text);
+    }
+    if route.resume() == Resume::Never {
+        return;
+    }
+    if is_lookup(route) {
+        let text = "a lookup is no stream and cannot be resumed";
+        faults.add(format!("{path}.resume"), text);
+    } else if !route.repeatable {
+        let text = "a route that is not repeatable cannot be resumed elsewhere";
+        faults.add(format!("{path}.resume"), text);
+    }
+}
+
+fn is_lookup(route: &Route) -> bool {
+    let route_match = route.r#match.as_ref();
+    route_match.is_some_and(|found| !found.path_prefix.is_empty())
+}
+
+fn is_path_byte(byte: u8) -> bool {
+    byte.is_ascii_graphic() && byte != b'?' && byte != b'#'
+}
--- /dev/null
+++ b/crates/control-state/src/document/items.rs
@@ -0,0 +1,41 @@
+//! The document as items of the public state, and back.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::Document;
+use millford_api::state::{StateValue, state_value::Kind};
+
+use super::canonical::normalized;
+use crate::keys;
+
+/// One item for each route, pool and tenant, by key.
+#[must_use]
+pub fn items(document: &Document) -> BTreeMap<String, Kind> {
+    let document = normalized(document);
+    let mut items = BTreeMap::new();
+    for route in document.routes {
+        items.insert(keys::route(&route.name), Kind::Route(route));
+    }
+    for pool in document.pools {
+        items.insert(keys::pool(&pool.name), Kind::Pool(pool));
+    }
+    for tenant in document.tenants {
+        items.insert(keys::tenant(&tenant.name), Kind::Tenant(tenant));
+    }
+    items
+}
+
+/// The document that these items of the public state hold; other items are passed over.
+#[must_use]
+pub fn document_of<'items>(values: impl IntoIterator<Item = &'items StateValue>) -> Document {
+    let mut document = Document::default();
+    for value in values {
+        match &value.kind {
+            Some(Kind::Route(route)) => document.routes.push(route.clone()),
+            Some(Kind::Pool(pool)) => document.pools.push(pool.clone()),
+            Some(Kind::Tenant(tenant)) => document.tenants.push(tenant.clone()),
+            _ => {}
+        }
+    }
+    normalized(&document)
+}
--- /dev/null
+++ b/crates/control-state/src/document/parse.rs
@@ -0,0 +1,105 @@
+//! Reads a document from JSON. Unknown fields are refused with their path.
+
+use millford_api::config::{Document, Pool, Route, Tenant};
+use millford_core::ResultCode;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::fault::Fault;
+
+/// Reads a document. It is not checked yet: see [`super::check`].
+///
+/// # Errors
+/// Every route, pool and tenant that cannot be read is reported, each with its first fault.
+pub fn parse(json: &[u8]) -> Result<Document, Vec<Fault>> {
+    read(json, "").map_err(|first| {
+        let all = match serde_json::from_slice::<Value>(json) {
+            Ok(value) => faults_of(&value, ""),
+            Err(_) => Vec::new(),
+        };
+        // A fault that a second look does not find, such as a field given twice, stands alone.
+        if all.is_empty() { vec![first] } else { all }
+    })
+}
+
+/// Reads any type from JSON text; `prefix` is put before the path of a fault.
+pub(super) fn read<T: DeserializeOwned>(json: &[u8], prefix: &str) -> Result<T, Fault> {
+    let mut reader = serde_json::Deserializer::from_slice(json);
+    let value =
+        serde_path_to_error::deserialize(&mut reader).map_err(|error| fault(prefix, &error))?;
+    reader.end().map_err(|error| Fault {
+        path: prefix.to_owned(),
+        code: ResultCode::BadJson,
+        text: error.to_string(),
+    })?;
+    Ok(value)
+}
+
+/// Every entry of a document that cannot be read; `prefix` is put before the paths.
+pub(super) fn faults_of(document: &Value, prefix: &str) -> Vec<Fault> {
+    let Value::Object(fields) = document else {
+        return vec![bad_field(prefix, "expected an object")];
+    };
+    let mut faults = Vec::new();
+    for (field, value) in fields {
+        let path = join(prefix, field);
+        match field.as_str() {
+            "routes" => faults.extend(list_faults::<Route>(&path, value)),
+            "pools" => faults.extend(list_faults::<Pool>(&path, value)),
+            "tenants" => faults.extend(list_faults::<Tenant>(&path, value)),
+            _ => faults.push(bad_field(
+                &path,
+                "unknown field, expected one of `routes`, `pools`, `tenants`",
+            )),
+        }
+    }
+    faults
+}
+
+fn list_faults<T: DeserializeOwned>(path: &str, value: &Value) -> Vec<Fault> {
+    let Value::Array(entries) = value else {
+        return vec![bad_field(path, "expected a list")];
+    };
+    let mut faults = Vec::new();
+    for (index, entry) in entries.iter().enumerate() {
+        let entry_path = format!("{path}[{index}]");
+        if let Err(error) = serde_path_to_error::deserialize::<_, T>(entry) {
+            faults.push(fault(&entry_path, &error));
+        }
+    }
+    faults
+}
+
+fn fault(prefix: &str, error: &serde_path_to_error::Error<serde_json::Error>) -> Fault {
+    let inner = error.inner();
+    let code = if inner.is_data() {
+        ResultCode::BadField
+    } else {
+        ResultCode::BadJson
+    };
+    let relative = error.path().to_string();
+    let path = match relative.as_str() {
+        "." => prefix.to_owned(),
+        _ => join(prefix, &relative),
+    };
+    Fault {
+        path,
+        code,
+        text: inner.to_string(),
+    }
+}
+
+fn bad_field(path: &str, text: &str) -> Fault {
+    Fault {
+        path: path.to_owned(),
+        code: ResultCode::BadField,
+        text: text.to_owned(),
+    }
+}
+
+fn join(prefix: &str, field: &str) -> String {
+    if prefix.is_empty() || field.starts_with('[') {
+        return format!("{prefix}{field}");
+    }
+    format!("{prefix}.{field}")
+}
--- /dev/null
+++ b/crates/control-state/src/keys.rs
@@ -0,0 +1,54 @@
+//! Keys of the public state that the feed carries.
+
+/// Key of the number and digest of the configuration in force.
+pub const CONFIG_HEAD: &str = "config/head";
+/// Prefix of every key of the configuration.
+pub const CONFIG_PREFIX: &str = "config/";
+/// Prefix of the control members' keys.
+pub const CONTROL_PREFIX: &str = "control/";
+/// Prefix of the backends' keys.
+pub const BACKEND_PREFIX: &str = "backend/";
+/// Prefix of the placements' keys.
+pub const PLACEMENT_PREFIX: &str = "placement/";
+
+/// Key of the route with this name.
+#[must_use]
+pub fn route(name: &str) -> String {
+    format!("config/route/{name}")
+}
+
+/// Key of the pool with this name.
+#[must_use]
+pub fn pool(name: &str) -> String {
+    format!("config/pool/{name}")
+}
+
+/// Key of the tenant with this name.
+#[must_use]
+pub fn tenant(name: &str) -> String {
+    format!("config/tenant/{name}")
+}
+
+/// Key of a control member; the number is written in hexadecimal, as logs show it.
+#[must_use]
+pub fn control_member(node_id: u64) -> String {
+    format!("control/{node_id:016x}")
+}
+
+/// Prefix of the keys of one service's backends.
+#[must_use]
+pub fn service_backends(service: &str) -> String {
+    format!("backend/{service}/")
+}
+
+/// Key of one backend of a service.
+#[must_use]
+pub fn backend(service: &str, backend_id: &str) -> String {
+    format!("backend/{service}/{backend_id}")
+}
+
+/// Key of a pool's placement.
+#[must_use]
+pub fn placement(pool: &str) -> String {
+    format!("placement/{pool}")
+}
--- /dev/null
+++ b/crates/control-state/src/machine/applied.rs
@@ -0,0 +1,64 @@
+//! What one committed command did.
+
+use millford_api::command::{
+    ClaimResult, CommandResult, OpenSessionResult, PutConfigResult, command_result,
+};
+use millford_api::state::StateItem;
+use millford_core::ResultCode;
+
+/// Result for the proposer and the items of the public state that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied {
+    /// Answer to the proposer.
+    pub result: CommandResult,
+    /// Changed items only, in the order of their keys; an absent value is a deletion.
+    pub changes: Vec<StateItem>,
+}
+
+impl Applied {
+    /// A result that carries a code only.
+    pub(crate) fn code(code: ResultCode) -> Self {
+        Self::with_kind(code, None)
+    }
+
+    /// Success with these changes.
+    pub(crate) fn changed(changes: Vec<StateItem>) -> Self {
+        let mut applied = Self::code(ResultCode::Ok);
+        applied.changes = changes;
+        applied
+    }
+
+    /// Answer to an order.
+    pub(crate) fn order(code: ResultCode, revision: u64, repeated_order: bool) -> Self {
+        let result = PutConfigResult {
+            revision,
+            repeated_order,
+        };
+        Self::with_kind(code, Some(command_result::Kind::PutConfig(result)))
+    }
+
+    /// Answer to a claim.
+    pub(crate) fn claim(code: ResultCode, result: ClaimResult) -> Self {
+        Self::with_kind(code, Some(command_result::Kind::Claim(result)))
+    }
+
+    /// Answer to an opened session.
+    pub(crate) fn session(epoch: u64) -> Self {
+        let result = OpenSessionResult { epoch };
+        Self::with_kind(
+            ResultCode::Ok,
+            Some(command_result::Kind::OpenSession(result)),
+        )
+    }
+
+    fn with_kind(code: ResultCode, kind: Option<command_result::Kind>) -> Self {
+        let result = CommandResult {
+            code: code.number(),
+            kind,
+        };
+        Self {
+            result,
+            changes: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-state/src/machine/catalogue.rs
@@ -0,0 +1,110 @@
+//! The catalogue: backends of the shard's services, with the operators' drain orders.
+
+use std::collections::BTreeMap;
+
+use millford_api::command::{DrainBackend, DrainOrder, UpdateBackends};
+use millford_api::state::{Backend, BackendState, StateItem, state_value::Kind};
+use millford_core::ResultCode;
+
+use super::applied::Applied;
+use super::public_state::PublicState;
+use crate::keys;
+
+/// Standing drain orders by the backend's key; the backends themselves are public items.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Catalogue {
+    drains: BTreeMap<String, DrainOrder>,
+}
+
+impl Catalogue {
+    /// Takes over what the service registry shows.
+    pub(crate) fn update(&mut self, state: &mut PublicState, update: &UpdateBackends) -> Applied {
+        let mut changes = Vec::new();
+        for backend in &update.upserts {
+            changes.extend(self.upsert(state, &update.service, backend));
+        }
+        for backend_id in &update.removals {
+            let key = keys::backend(&update.service, backend_id);
+            // A replacement has a new id, so a drain order ends with its backend.
+            self.drains.remove(&key);
+            changes.extend(state.delete(&key));
+        }
+        Applied::changed(changes)
+    }
+
+    /// Puts a drain order on a backend or lifts it.
+    pub(crate) fn drain(&mut self, state: &mut PublicState, order: &DrainBackend) -> Applied {
+        let key = keys::backend(&order.service, &order.backend_id);
+        let Some(Kind::Backend(present)) = state.get(&key) else {
+            return Applied::code(ResultCode::BackendUnknown);
+        };
+        let mut backend = present.clone();
+        if order.drain {
+            let drain = self
+                .drains
+                .entry(key.clone())
+                .or_insert_with(|| DrainOrder {
+                    service: order.service.clone(),
+                    backend_id: order.backend_id.clone(),
+                    declared_state: backend.state,
+                });
+            backend.state = drained_state(drain.declared_state);
+        } else if let Some(lifted) = self.drains.remove(&key) {
+            backend.state = lifted.declared_state;
+        }
+        let change = state.set(key, Kind::Backend(backend));
+        Applied::changed(change.into_iter().collect())
+    }
+
+    /// The backends of a service as the registry last declared them, drain orders left out.
+    pub(crate) fn declared(&self, state: &PublicState, service: &str) -> BTreeMap<String, Backend> {
+        let mut backends = BTreeMap::new();
+        for key in state.keys_under(&keys::service_backends(service)) {
+            let Some(Kind::Backend(backend)) = state.get(&key) else {
+                continue;
+            };
+            let mut backend = backend.clone();
+            if let Some(drain) = self.drains.get(&key) {
+                backend.state = drain.declared_state;
+            }
+            backends.insert(backend.id.clone(), backend);
+        }
+        backends
+    }
+
+    /// The drain orders in the order of their keys.
+    pub(crate) fn drains(&self) -> impl Iterator<Item = &DrainOrder> {
+        self.drains.values()
+    }
+
+    /// Replaces the drain orders, for a restore.
+    pub(crate) fn replace(&mut self, drains: Vec<DrainOrder>) {
+        self.drains = drains
+            .into_iter()
+            .map(|drain| (keys::backend(&drain.service, &drain.backend_id), drain))
+            .collect();
+    }
+
+    fn upsert(
+        &mut self,
+        state: &mut PublicState,
+        service: &str,
+        backend: &Backend,
+    ) -> Option<StateItem> {
+        let key = keys::backend(service, &backend.id);
+        let mut backend = backend.clone();
+        if let Some(drain) = self.drains.get_mut(&key) {
+            drain.declared_state = backend.state;
+            backend.state = drained_state(drain.declared_state);
+        }
+        state.set(key, Kind::Backend(backend))
+    }
+}
+
+/// State of a backend under a drain order: never more available than the registry says.
+fn drained_state(declared: i32) -> i32 {
+    if declared == i32::from(BackendState::BackendGone) {
+        return declared;
+    }
+    BackendState::BackendDraining.into()
+}
--- /dev/null
+++ b/crates/control-state/src/machine/configuration.rs
@@ -0,0 +1,86 @@
+//! Orders of operators: one winner for each base revision.
+//!
+//! The machine does not check the document again: replicas of two releases might judge it
+//! differently and so come apart. The node that takes the order checks it before it proposes it.
+
+use std::collections::BTreeSet;
+
+use millford_api::command::{AcceptedOrder, PutConfig};
+use millford_api::config::Document;
+use millford_api::state::{ConfigHead, StateItem, state_value::Kind};
+use millford_core::ResultCode;
+
+use super::applied::Applied;
+use super::order_record::{OrderFate, OrderRecord};
+use super::public_state::PublicState;
+use crate::document;
+use crate::keys;
+
+/// Revision in force; 0 before the first order.
+pub(crate) fn present_revision(state: &PublicState) -> u64 {
+    match state.get(keys::CONFIG_HEAD) {
+        Some(Kind::ConfigHead(head)) => head.revision,
+        _ => 0,
+    }
+}
+
+/// Accepts, acknowledges again or refuses an order.
+pub(crate) fn put(state: &mut PublicState, record: &mut OrderRecord, order: &PutConfig) -> Applied {
+    let present = present_revision(state);
+    match record.fate(order) {
+        OrderFate::Repeated { revision } => Applied::order(ResultCode::Ok, revision, true),
+        OrderFate::IdReused => Applied::order(ResultCode::OrderIdReused, present, false),
+        // Replicas apply orders one after the other, so of two on one base the second finds the
+        // base used: exactly one wins.
+        OrderFate::New if order.base_revision != present => {
+            Applied::order(ResultCode::RevisionConflict, present, false)
+        }
+        OrderFate::New => accept(state, record, order, present + 1),
+    }
+}
+
+fn accept(
+    state: &mut PublicState,
+    record: &mut OrderRecord,
+    order: &PutConfig,
+    revision: u64,
+) -> Applied {
+    let empty = Document::default();
+    let wanted = order.document.as_ref().unwrap_or(&empty);
+    let mut applied = Applied::order(ResultCode::Ok, revision, false);
+    applied.changes = replace(state, wanted, revision, &order.digest);
+    record.add(AcceptedOrder {
+        order_id: order.order_id.clone(),
+        base_revision: order.base_revision,
+        digest: order.digest.clone(),
+        revision,
+    });
+    applied
+}
+
+/// Brings the items to the wanted document; gives only what differs.
+fn replace(
+    state: &mut PublicState,
+    wanted: &Document,
+    revision: u64,
+    digest: &[u8],
+) -> Vec<StateItem> {
+    let mut items = document::items(wanted);
+    let head = ConfigHead {
+        revision,
+        digest: digest.to_vec(),
+    };
+    items.insert(keys::CONFIG_HEAD.to_owned(), Kind::ConfigHead(head));
+    let kept: BTreeSet<&String> = items.keys().collect();
+    let mut changes = Vec::new();
+    for key in state.keys_under(keys::CONFIG_PREFIX) {
+        if !kept.contains(&key) {
+            changes.extend(state.delete(&key));
+        }
+    }
+    for (key, kind) in items {
+        changes.extend(state.set(key, kind));
+    }
+    changes.sort_by(|left, right| left.key.cmp(&right.key));
+    changes
+}
--- /dev/null
+++ b/crates/control-state/src/machine/order_record.rs
@@ -0,0 +1,100 @@
+//! Accepted orders, so that a resent one is acknowledged again.
+
+use std::collections::BTreeMap;
+
+use millford_api::command::{AcceptedOrder, PutConfig};
+
+/// Accepted orders that are remembered. At the planned 710 changes a day that is more than five days.
+///
+/// An order that is resent after as many later ones is no longer known. It is refused then as a
+/// conflict, because its base is used; it is never accepted a second time.
+pub const ORDER_RECORD_LIMIT: usize = 4096;
+
+/// What the record says about an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderFate {
+    /// Not seen before.
+    New,
+    /// Accepted before as this revision.
+    Repeated { revision: u64 },
+    /// Its id was used for another order.
+    IdReused,
+}
+
+/// Bounded record, by the revision that each order got.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OrderRecord {
+    by_revision: BTreeMap<u64, AcceptedOrder>,
+    revision_by_id: BTreeMap<String, u64>,
+    revision_by_base: BTreeMap<u64, u64>,
+}
+
+impl OrderRecord {
+    /// Looks the order up. One without an id is the same as the accepted order on its base when
+    /// their digests agree; a base has at most one accepted order.
+    pub(crate) fn fate(&self, order: &PutConfig) -> OrderFate {
+        if order.order_id.is_empty() {
+            return self.fate_by_base(order);
+        }
+        let Some(revision) = self.revision_by_id.get(&order.order_id) else {
+            return OrderFate::New;
+        };
+        let same = self
+            .by_revision
+            .get(revision)
+            .is_some_and(|known| is_same(known, order));
+        if same {
+            OrderFate::Repeated {
+                revision: *revision,
+            }
+        } else {
+            OrderFate::IdReused
+        }
+    }
+
+    /// Adds an accepted order and drops the oldest beyond the limit.
+    pub(crate) fn add(&mut self, order: AcceptedOrder) {
+        if !order.order_id.is_empty() {
+            self.revision_by_id
+                .insert(order.order_id.clone(), order.revision);
+        }
+        self.revision_by_base
+            .insert(order.base_revision, order.revision);
+        self.by_revision.insert(order.revision, order);
+        while self.by_revision.len() > ORDER_RECORD_LIMIT {
+            self.drop_oldest();
+        }
+    }
+
+    /// The remembered orders, oldest first.
+    pub(crate) fn orders(&self) -> impl Iterator<Item = &AcceptedOrder> {
+        self.by_revision.values()
+    }
+
+    fn fate_by_base(&self, order: &PutConfig) -> OrderFate {
+        let known = self
+            .revision_by_base
+            .get(&order.base_revision)
+            .and_then(|revision| self.by_revision.get(revision));
+        match known {
+            Some(known) if known.digest == order.digest => OrderFate::Repeated {
+                revision: known.revision,
+            },
+            _ => OrderFate::New,
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, order)) = self.by_revision.pop_first() else {
+            return;
+        };
+        self.revision_by_base.remove(&order.base_revision);
+        if self.revision_by_id.get(&order.order_id) == Some(&order.revision) {
+            self.revision_by_id.remove(&order.order_id);
+        }
+    }
+}
+
+fn is_same(known: &AcceptedOrder, order: &PutConfig) -> bool {
+    known.base_revision == order.base_revision && known.digest == order.digest
+}
--- /dev/null
+++ b/crates/control-state/src/machine/restore_error.rs
@@ -0,0 +1,17 @@
+//! Why a snapshot could not be restored.
+
+use thiserror::Error;
+
+/// The bytes are not a snapshot of this kind of machine.
+#[derive(Debug, Error)]
+pub enum RestoreError {
+    /// The bytes cannot be decoded.
+    #[error("the snapshot cannot be decoded: {0}")]
+    Undecodable(#[from] prost::DecodeError),
+    /// An item of the public state has no value.
+    #[error("the snapshot's item {key} has no value")]
+    ItemWithoutValue {
+        /// Key of the item.
+        key: String,
+    },
+}
--- /dev/null
+++ b/crates/control-state/src/machine/snapshot.rs
@@ -0,0 +1,75 @@
+//! Snapshots of the machine: the same state always gives the same bytes.
+
+use std::collections::BTreeMap;
+
+use millford_api::command::MachineSnapshot;
+use millford_api::state::{StateItem, StateValue};
+use prost::Message;
+
+use super::order_record::OrderRecord;
+use super::restore_error::RestoreError;
+use super::shard_machine::ShardMachine;
+use crate::machine::claim_table::ClaimTable;
+
+impl ShardMachine {
+    /// The whole state as bytes. All collections are ordered, so replicas with the same state
+    /// write the same bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        let snapshot = MachineSnapshot {
+            applied_index: self.applied_index,
+            applied_term: self.applied_term,
+            public_state: self.public.items().iter().map(item).collect(),
+            orders: self.orders.orders().cloned().collect(),
+            claims: self.claims.records().cloned().collect(),
+            sessions: self.sessions.sessions().values().cloned().collect(),
+            shard_time_ms: self.shard_time_ms,
+            next_epoch: self.sessions.last_epoch() + 1,
+            drains: self.catalogue.drains().cloned().collect(),
+        };
+        snapshot.encode_to_vec()
+    }
+
+    /// Replaces the whole state by that of a snapshot; on an error nothing changes.
+    ///
+    /// # Errors
+    /// [`RestoreError`] when the bytes are not a snapshot.
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        let snapshot = MachineSnapshot::decode(data)?;
+        let items = decode_items(snapshot.public_state)?;
+        self.applied_index = snapshot.applied_index;
+        self.applied_term = snapshot.applied_term;
+        self.shard_time_ms = snapshot.shard_time_ms;
+        self.public.replace(items);
+        self.orders = OrderRecord::default();
+        for order in snapshot.orders {
+            self.orders.add(order);
+        }
+        self.claims = ClaimTable::default();
+        for record in snapshot.claims {
+            self.claims.restore(record);
+        }
+        let last_epoch = snapshot.next_epoch.saturating_sub(1);
+        self.sessions.replace(snapshot.sessions, last_epoch);
+        self.catalogue.replace(snapshot.drains);
+        Ok(())
+    }
+}
+
+fn item((key, value): (&String, &StateValue)) -> StateItem {
+    StateItem {
+        key: key.clone(),
+        value: Some(value.clone()),
+    }
+}
+
+fn decode_items(items: Vec<StateItem>) -> Result<BTreeMap<String, StateValue>, RestoreError> {
+    let mut decoded = BTreeMap::new();
+    for item in items {
+        let Some(value) = item.value else {
+            return Err(RestoreError::ItemWithoutValue { key: item.key });
+        };
+        decoded.insert(item.key, value);
+    }
+    Ok(decoded)
+}
--- /dev/null
+++ b/crates/control-state/src/quota/account.rs
@@ -0,0 +1,226 @@
+//! Tokens of one tenant at the shard's leader.
+//!
+//! # Why the quota holds under one leader
+//! Let L be the free tokens and the spare tokens at the nodes (an upper bound: a spare token counts
+//! until it is returned or its lease has certainly ended). L never exceeds the burst, because
+//! refilling stops there. Lending for a waiting request lowers L at that moment; spending a spare
+//! token lowers the true value of L at that moment; a lease that ends lowers L without any
+//! spending. Only time raises L, by the rate. So what is spent in a window is at most
+//! L at its start and what the rate gave: burst + rate * window.
+//!
+//! A node's lease ends before the leader takes it to have ended: the node counts from when it sent
+//! the ask, the leader from when it answered, and adds [`LEASE_MARGIN`] for unequal clocks.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::Quota;
+use millford_core::{Duration, MonotonicTime};
+
+use super::bucket::{Bucket, MICRO, Takeover, spare_limit};
+use super::member_slice::MemberSlice;
+use super::options::QuotaOptions;
+
+/// Added to a lease by the leader, for clocks that do not run equally fast.
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(50);
+
+/// Part of a node's demand in the previous lease time that it is lent beyond what it asks for.
+const SPARE_DEMAND_DIVISOR: u64 = 4;
+/// Part of the free tokens that one answer may lend as spare ones.
+const SPARE_FREE_DIVISOR: u64 = 8;
+
+/// A node's ask, as far as tokens go.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TokenAsk<'ask> {
+    pub(super) member: &'ask str,
+    pub(super) epoch: u64,
+    pub(super) wanted: u64,
+    pub(super) returned: u64,
+}
+
+/// What the node gets.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TokenAnswer {
+    pub(super) tokens: u64,
+    pub(super) refused: bool,
+    pub(super) retry_after: Duration,
+    /// Idle slices of other nodes are to be called back.
+    pub(super) recall: bool,
+}
+
+/// Bucket and slices of one tenant.
+#[derive(Clone, Debug)]
+pub(super) struct TokenAccount {
+    burst: u32,
+    bucket: Bucket,
+    slices: BTreeMap<String, MemberSlice>,
+}
+
+impl TokenAccount {
+    /// The account of a tenant that holds nothing yet.
+    pub(super) fn new(quota: &Quota, takeover: Takeover, now: MonotonicTime) -> Self {
+        Self {
+            burst: quota.burst,
+            bucket: Bucket::new(quota, takeover, now),
+            slices: BTreeMap::new(),
+        }
+    }
+
+    /// Takes back what is returned and lends what is wanted, as far as it is there.
+    pub(super) fn ask(
+        &mut self,
+        now: MonotonicTime,
+        ask: TokenAsk<'_>,
+        options: &QuotaOptions,
+    ) -> TokenAnswer {
+        self.advance(now, options);
+        self.take_back(now, ask, options);
+        let asked = ask.wanted.min(self.bucket.lendable());
+        self.bucket.lend(asked);
+        let spare = if asked == ask.wanted && ask.wanted > 0 {
+            self.spare_for(ask.member)
+        } else {
+            0
+        };
+        self.bucket.lend(spare);
+        let slice = self.slice(now, ask);
+        slice.note_demand(ask.wanted);
+        slice.lend(now, asked, spare);
+        let mut answer = TokenAnswer {
+            tokens: asked + spare,
+            ..TokenAnswer::default()
+        };
+        let missing = ask.wanted - asked;
+        if missing > 0 {
+            self.judge_missing(now, ask.member, missing, options, &mut answer);
+        }
+        let waiting = if answer.refused { 0 } else { missing };
+        self.slice(now, ask).set_waiting(waiting);
+        answer
+    }
+
+    /// Members whose idle spare tokens are to be called back now, with their epochs.
+    pub(super) fn recall(
+        &mut self,
+        now: MonotonicTime,
+        again_after: Duration,
+    ) -> Vec<super::slots::Holder> {
+        let mut holders = Vec::new();
+        for (member, slice) in &mut self.slices {
+            if slice.is_idle_possible() && slice.recall(now, again_after) {
+                holders.push(super::slots::Holder {
+                    member: member.clone(),
+                    epoch: slice.epoch,
+                });
+            }
+        }
+        holders
+    }
+
+    /// Brings the account to `now`: leases that ended, then the bucket.
+    ///
+    /// The bucket is refilled before slices are dropped, with the spare tokens that were out
+    /// during that time.
+    pub(super) fn advance(&mut self, now: MonotonicTime, options: &QuotaOptions) {
+        let spare = self.spare();
+        self.bucket.refill(now, spare);
+        let lease = options.lease + LEASE_MARGIN;
+        let mut unknown = 0;
+        for slice in self.slices.values_mut() {
+            unknown += slice.expire(now, lease);
+        }
+        self.bucket.doubt(unknown);
+        self.slices.retain(|_, slice| !slice.is_empty());
+    }
+
+    /// Goes over to another quota.
+    pub(super) fn change(&mut self, now: MonotonicTime, quota: &Quota, options: &QuotaOptions) {
+        self.advance(now, options);
+        let spare = self.spare();
+        self.burst = quota.burst;
+        self.bucket.change(quota, spare);
+    }
+
+    /// Whether a fresh account would be the same.
+    pub(super) fn is_idle(&self) -> bool {
+        self.slices.is_empty() && self.bucket.is_full()
+    }
+
+    fn take_back(&mut self, now: MonotonicTime, ask: TokenAsk<'_>, options: &QuotaOptions) {
+        let Some(slice) = self.slices.get_mut(ask.member) else {
+            return;
+        };
+        if slice.epoch != ask.epoch {
+            // Another process of the member: what the former one held is not returned by this one.
+            return;
+        }
+        let returned = slice.take_back(now, ask.returned);
+        // A node that answers a recall, or that asks for more some time after it was lent spare
+        // tokens, holds none.
+        if ask.wanted == 0 || slice.is_recalled() || options.recall_wait.is_zero() {
+            slice.resolve();
+        }
+        for part in returned {
+            let spare = self.spare();
+            self.bucket.return_spare(part.spare, spare);
+            self.bucket.return_asked(part.asked, part.age, spare);
+        }
+    }
+
+    /// Nothing is refused while idle slices may come back, nor while tokens of unknown fate would
+    /// do for it and for all that waits already.
+    ///
+    /// The optimistic count is never below what a single exact bucket would have, the waiting
+    /// requests not yet taken out. A tenant under its quota therefore never has more waiting than
+    /// the optimistic count, and is not refused.
+    fn judge_missing(
+        &self,
+        now: MonotonicTime,
+        member: &str,
+        missing: u64,
+        options: &QuotaOptions,
+        answer: &mut TokenAnswer,
+    ) {
+        answer.retry_after = self.bucket.until_next(now);
+        if self.slices.values().any(MemberSlice::is_idle_possible) {
+            answer.recall = true;
+            answer.retry_after = answer.retry_after.min(options.recall_wait);
+        } else {
+            let waiting = missing + self.waiting_elsewhere(member);
+            answer.refused = waiting > self.bucket.optimistic_tokens();
+        }
+    }
+
+    fn waiting_elsewhere(&self, member: &str) -> u64 {
+        let others = self.slices.iter().filter(|(name, _)| *name != member);
+        others.map(|(_, slice)| slice.waiting()).sum()
+    }
+
+    /// Spare tokens follow the node's own demand, and only while the bucket is at least half full,
+    /// so that near the limit nothing lies idle at the nodes.
+    fn spare_for(&self, member: &str) -> u64 {
+        let free = self.bucket.lendable();
+        if free * 2 < u64::from(self.burst) {
+            return 0;
+        }
+        let demand = self.slices.get(member).map_or(0, MemberSlice::demand);
+        let room = spare_limit(self.burst).saturating_sub(self.spare() / MICRO);
+        (demand / SPARE_DEMAND_DIVISOR)
+            .min(free / SPARE_FREE_DIVISOR)
+            .min(room)
+    }
+
+    /// Upper bound of spare tokens at the nodes, in millionths.
+    fn spare(&self) -> u64 {
+        let tokens: u64 = self.slices.values().map(MemberSlice::spare).sum();
+        tokens * MICRO
+    }
+
+    fn slice(&mut self, now: MonotonicTime, ask: TokenAsk<'_>) -> &mut MemberSlice {
+        let slice = self
+            .slices
+            .entry(ask.member.to_owned())
+            .or_insert_with(|| MemberSlice::new(ask.epoch, now));
+        slice.epoch = ask.epoch;
+        slice
+    }
+}
