--- a/crates/agent/src/agent_core/control.rs
+++ b/crates/agent/src/agent_core/control.rs
@@ -52,10 +52,8 @@
             Some(frame::Body::ShardReply(reply)) => self.shard_reply(now, &reply, out),
             Some(frame::Body::QuotaReply(reply)) => self.quota_reply(now, &reply, out),
             Some(frame::Body::QuotaRecall(recall)) => self.quota.recall(now, &recall),
-            Some(frame::Body::LoadPicture(picture)) => {
-                if self.proxy.greeted() {
-                    send_proxy(local_frame::Body::LoadPicture(picture), out);
-                }
+            Some(frame::Body::LoadPicture(picture)) if self.proxy.greeted() => {
+                send_proxy(local_frame::Body::LoadPicture(picture), out);
             }
             Some(frame::Body::HelloReply(reply)) => {
                 self.feeds.set_data_shards(now, reply.data_shards);
@@ -138,12 +136,7 @@
         out.extend(frame.map(|frame| AgentOutput::SendProxy(Box::new(frame))));
     }
 
-    fn shard_reply(
-        &mut self,
-        now: MonotonicTime,
-        reply: &ShardReply,
-        out: &mut Vec<AgentOutput>,
-    ) {
+    fn shard_reply(&mut self, now: MonotonicTime, reply: &ShardReply, out: &mut Vec<AgentOutput>) {
         if self.is_close_reply(reply) {
             out.push(AgentOutput::Stopped);
             return;
--- a/crates/agent/src/forward/answer.rs
+++ b/crates/agent/src/forward/answer.rs
@@ -1,7 +1,7 @@
 //! What a shard's answer to a forwarded command means.
 
-use millford_api::command::{CommandResult, command_result};
 use millford_api::command::{ClaimResult, Command, command};
+use millford_api::command::{CommandResult, command_result};
 use millford_api::internal::{ShardReply, ShardRequest, shard_reply, shard_request};
 use millford_core::{ResultCode, ShardId};
 
--- a/crates/agent/src/forward/settles.rs
+++ b/crates/agent/src/forward/settles.rs
@@ -70,7 +70,11 @@
         due.map(|(id, pending)| {
             pending.send_at = now + CLAIM_RESEND;
             let shard = layout.shard_of(&tenant_key(&pending.settle.tenant));
-            propose(shard, *id, command::Kind::SettleClaim(pending.settle.clone()))
+            propose(
+                shard,
+                *id,
+                command::Kind::SettleClaim(pending.settle.clone()),
+            )
         })
         .collect()
     }
--- a/crates/agent/src/proxy_link.rs
+++ b/crates/agent/src/proxy_link.rs
@@ -83,7 +83,13 @@
             // A forced recovery cut the shard's history: only a whole state can follow.
             return self.whole(view, overlay);
         }
-        Some(change_frame(view.shard(), sent.offset, position, items, overlay))
+        Some(change_frame(
+            view.shard(),
+            sent.offset,
+            position,
+            items,
+            overlay,
+        ))
     }
 
     /// Items whose backends the registry retires or no longer retires, at the position sent.
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -7,7 +7,7 @@
 use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout, tenant_key};
 
 use crate::quota::request_book::RequestBook;
-use crate::quota::tenant_slice::{SliceAnswer, TenantSlice};
+use crate::quota::tenant_slice::{AskSent, SliceAnswer, TenantSlice};
 use crate::quota::waiter::Waiter;
 use crate::timing::QUOTA_BATCH;
 
@@ -92,12 +92,16 @@
         let Some(sent) = self.requests.take(reply.request_id) else {
             return Vec::new();
         };
+        let ask_sent = AskSent {
+            at: sent.sent_at,
+            request_id: reply.request_id,
+        };
         let mut answers = Vec::new();
         for ask in &sent.request.asks {
             let grant = reply.grants.iter().find(|grant| grant.tenant == ask.tenant);
             let slice = self.slice(now, &ask.tenant);
             match grant {
-                Some(grant) => answers.extend(slice.granted(now, sent.sent_at, ask, grant)),
+                Some(grant) => answers.extend(slice.granted(now, ask_sent, ask, grant)),
                 None => slice.lost(ask),
             }
         }
@@ -162,7 +166,7 @@
                 asks: Vec::with_capacity(tenants.len()),
             };
             for tenant in tenants {
-                let ask = self.slice(now, &tenant).ask(now, &tenant);
+                let ask = self.slice(now, &tenant).ask(now, &tenant, *next_id);
                 request.asks.push(ask);
             }
             self.last_sent.insert(shard, now);
@@ -193,7 +197,8 @@
         let mut due: BTreeMap<ShardId, Vec<String>> = BTreeMap::new();
         for tenant in &self.active {
             let slice = self.slices.get(tenant);
-            if !slice.is_some_and(|slice| slice.due(now).is_some_and(|at| at <= now)) {
+            let due_at = slice.and_then(|slice| slice.due(now));
+            if due_at.is_none_or(|at| at > now) {
                 continue;
             }
             let shard = layout.shard_of(&tenant_key(tenant));
--- a/crates/agent/src/quota/mod.rs
+++ b/crates/agent/src/quota/mod.rs
@@ -3,6 +3,7 @@
 pub mod desk;
 pub mod lease;
 pub mod request_book;
+pub mod slot_hold;
 pub mod tenant_slice;
 pub mod waiter;
 
--- /dev/null
+++ b/crates/agent/src/quota/slot_hold.rs
@@ -0,0 +1,75 @@
+//! Stream slots of one tenant on this node.
+
+use millford_core::MonotonicTime;
+
+use crate::timing::SLOT_RENEWAL;
+
+/// Slots lent and in use.
+#[derive(Clone, Debug)]
+pub struct SlotHold {
+    lent: u32,
+    until: MonotonicTime,
+    in_use: u32,
+    told_at: MonotonicTime,
+    /// Request that carried the last ask.
+    last_request: u64,
+}
+
+impl SlotHold {
+    /// Nothing lent, nothing in use.
+    #[must_use]
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            lent: 0,
+            until: now,
+            in_use: 0,
+            told_at: now,
+            last_request: 0,
+        }
+    }
+
+    /// Slots in use now.
+    #[must_use]
+    pub fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// Whether one more stream may start.
+    #[must_use]
+    pub fn is_free(&self, now: MonotonicTime) -> bool {
+        now < self.until && self.in_use < self.lent
+    }
+
+    /// A stream starts.
+    pub fn take(&mut self) {
+        self.in_use += 1;
+    }
+
+    /// A stream ended.
+    pub fn release(&mut self) {
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+
+    /// When the slots in use are to be reported again.
+    #[must_use]
+    pub fn renewal(&self) -> Option<MonotonicTime> {
+        (self.in_use > 0).then(|| self.told_at + SLOT_RENEWAL)
+    }
+
+    /// An ask for `wanted` slots goes out in request `request_id`.
+    pub fn asked(&mut self, now: MonotonicTime, wanted: u32, request_id: u64) {
+        self.told_at = now;
+        self.last_request = request_id;
+        // Safety: the leader may lend what the ask does not want to others as soon as it reads it.
+        self.lent = self.lent.min(wanted);
+    }
+
+    /// The leader answered the ask of request `request_id`.
+    pub fn granted(&mut self, slots: u32, until: MonotonicTime, request_id: u64) {
+        // Safety: a later ask may have given up what this answer still grants.
+        if request_id == self.last_request {
+            self.lent = slots;
+            self.until = until;
+        }
+    }
+}
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -6,8 +6,9 @@
 use millford_core::{Duration, MonotonicTime, ResultCode};
 
 use crate::quota::lease::TokenLease;
+use crate::quota::slot_hold::SlotHold;
 use crate::quota::waiter::Waiter;
-use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, SLOT_RENEWAL};
+use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE};
 
 /// Answer to one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,14 +21,20 @@
     pub retry_after_ms: u32,
 }
 
+/// When an ask was sent, and in which request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AskSent {
+    /// When it was first sent.
+    pub at: MonotonicTime,
+    /// Number of the request.
+    pub request_id: u64,
+}
+
 /// Tokens, stream slots and waiting calls of one tenant.
 #[derive(Clone, Debug)]
 pub struct TenantSlice {
     leases: Vec<TokenLease>,
-    slots_lent: u32,
-    slots_until: MonotonicTime,
-    slots_in_use: u32,
-    slots_told_at: MonotonicTime,
+    slots: SlotHold,
     waiters: VecDeque<Waiter>,
     /// Tokens asked for by requests that are not answered yet.
     outstanding: u32,
@@ -45,10 +52,7 @@
     pub fn new(now: MonotonicTime) -> Self {
         Self {
             leases: Vec::new(),
-            slots_lent: 0,
-            slots_until: now,
-            slots_in_use: 0,
-            slots_told_at: now,
+            slots: SlotHold::new(now),
             waiters: VecDeque::new(),
             outstanding: 0,
             under_way: 0,
@@ -61,7 +65,7 @@
     /// Whether the slice holds nothing worth keeping.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        let holds = !self.leases.is_empty() || self.slots_in_use > 0 || self.to_return > 0;
+        let holds = !self.leases.is_empty() || self.slots.in_use() > 0 || self.to_return > 0;
         !holds && self.waiters.is_empty() && self.under_way == 0 && !self.recalled
     }
 
@@ -74,7 +78,7 @@
     /// Stream slots in use now.
     #[must_use]
     pub fn slots_in_use(&self) -> u32 {
-        self.slots_in_use
+        self.slots.in_use()
     }
 
     /// Tokens that may be spent now.
@@ -105,13 +109,15 @@
     }
 
     fn admit(&mut self, now: MonotonicTime, waiter: &Waiter) -> bool {
-        if waiter.needs_slot && !self.slot_free(now) {
+        if waiter.needs_slot && !self.slots.is_free(now) {
             return false;
         }
         if !self.spend(now) {
             return false;
         }
-        self.slots_in_use += u32::from(waiter.needs_slot);
+        if waiter.needs_slot {
+            self.slots.take();
+        }
         true
     }
 
@@ -151,7 +157,9 @@
 
     /// An admitted call ended, or was never sent (`unused`).
     pub fn release(&mut self, holds_slot: bool, unused: bool) {
-        self.slots_in_use = self.slots_in_use.saturating_sub(u32::from(holds_slot));
+        if holds_slot {
+            self.slots.release();
+        }
         self.to_return += u32::from(unused);
     }
 
@@ -181,7 +189,7 @@
         if self.tokens_missing(now) > 0 || self.slots_missing(now) {
             return Some(self.ask_after);
         }
-        (self.slots_in_use > 0).then(|| self.slots_told_at + SLOT_RENEWAL)
+        self.slots.renewal()
     }
 
     fn tokens_missing(&self, now: MonotonicTime) -> u32 {
@@ -191,21 +199,17 @@
     }
 
     fn slots_missing(&self, now: MonotonicTime) -> bool {
-        let waiting = self.slots_wanted() > self.slots_in_use;
-        waiting && self.under_way == 0 && !self.slot_free(now)
-    }
-
-    fn slot_free(&self, now: MonotonicTime) -> bool {
-        now < self.slots_until && self.slots_in_use < self.slots_lent
+        let waiting = self.slots_wanted() > self.slots.in_use();
+        waiting && self.under_way == 0 && !self.slots.is_free(now)
     }
 
     fn slots_wanted(&self) -> u32 {
         let waiting = self.waiters.iter().filter(|waiter| waiter.needs_slot);
-        self.slots_in_use + u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+        self.slots.in_use() + u32::try_from(waiting.count()).unwrap_or(u32::MAX)
     }
 
-    /// The ask to send now. What it gives back is gone from here.
-    pub fn ask(&mut self, now: MonotonicTime, tenant: &str) -> QuotaAsk {
+    /// The ask to send now in request `request_id`. What it gives back is gone from here.
+    pub fn ask(&mut self, now: MonotonicTime, tenant: &str, request_id: u64) -> QuotaAsk {
         if self.recalled {
             self.to_return += self.tokens(now).saturating_sub(self.tokens_kept());
             self.drop_tokens(now);
@@ -214,13 +218,14 @@
         let tokens = self.tokens_missing(now);
         self.outstanding += tokens;
         self.under_way += 1;
-        self.slots_told_at = now;
+        let slots_wanted = self.slots_wanted();
+        self.slots.asked(now, slots_wanted, request_id);
         QuotaAsk {
             tenant: tenant.to_owned(),
             tokens,
             returned_tokens: std::mem::take(&mut self.to_return),
-            slots_wanted: self.slots_wanted(),
-            slots_in_use: self.slots_in_use,
+            slots_wanted,
+            slots_in_use: self.slots.in_use(),
         }
     }
 
@@ -232,7 +237,11 @@
     fn drop_tokens(&mut self, now: MonotonicTime) {
         let mut keep = self.tokens_kept();
         for lease in &mut self.leases {
-            let kept = if now < lease.until { lease.tokens.min(keep) } else { 0 };
+            let kept = if now < lease.until {
+                lease.tokens.min(keep)
+            } else {
+                0
+            };
             lease.tokens = kept;
             keep -= kept;
         }
@@ -243,22 +252,19 @@
     pub fn granted(
         &mut self,
         now: MonotonicTime,
-        sent_at: MonotonicTime,
+        sent: AskSent,
         ask: &QuotaAsk,
         grant: &QuotaGrant,
     ) -> Vec<SliceAnswer> {
         self.answered(ask);
         // Safety: the lease counts from the sending, which is before the leader granted it, so it
         // ends here before the leader counts the tokens as returned.
-        let until = sent_at + Duration::from_millis(u64::from(grant.lease_ms));
+        let until = sent.at + Duration::from_millis(u64::from(grant.lease_ms));
         if grant.tokens > 0 && now < until {
             let tokens = grant.tokens;
             self.leases.push(TokenLease { tokens, until });
         }
-        if until >= self.slots_until {
-            self.slots_lent = grant.slots;
-            self.slots_until = until;
-        }
+        self.slots.granted(grant.slots, until, sent.request_id);
         let pause = Duration::from_millis(u64::from(grant.retry_after_ms));
         self.ask_after = now + pause.max(QUOTA_RECALL_PAUSE);
         let mut answers = self.serve(now);
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -54,8 +54,9 @@
 /// Shortest pause before asking again while the leader calls idle slices back.
 pub const QUOTA_RECALL_PAUSE: Duration = Duration::from_millis(5);
 
-/// Period at which held stream slots are confirmed.
-pub const SLOT_RENEWAL: Duration = Duration::from_millis(400);
+/// Period at which slots in use are reported. A new leader lends no slot before each node in touch
+/// had the time to report (one and a half seconds), so it must be shorter than that.
+pub const SLOT_RENEWAL: Duration = Duration::from_millis(900);
 
 /// Remaining time of a lease at which its unspent tokens are given back.
 pub const LEASE_RETURN_BEFORE: Duration = Duration::from_millis(400);
