Add sessions, member directory and cluster formation as pure decisions

Aim: the control node needs liveness of sessions, the list of control nodes and the first-start decision without I/O, so that the daemon and the simulator share them. Considered: replicating heartbeats (too much log traffic) against leader-local liveness with a full grace after election; the latter is kept. Change: SessionTable, MemberDirectory, Formation.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,11 @@
-//! Sessions of agents and control nodes, and the members of the control cluster.
+//! Membership: sessions of agents and control nodes, and the members of the control cluster.
+//!
+//! Everything here is pure: time and messages come in, decisions go out.
+
+pub mod formation;
+pub mod member_directory;
+pub mod session_table;
+
+pub use formation::{Formation, FormationDecision, SeedAnswer};
+pub use member_directory::MemberDirectory;
+pub use session_table::{ExpiredSession, SessionTable};
