Route, balance and budget as pure decisions

Aim: the request path needs one place for every decision that is not I/O. Change: routing table, affinity with bounded load, power of two choices, load board in shards, cost fit, admission, fair turns, health.

--- /dev/null
+++ b/crates/routing/src/admission.rs
@@ -0,0 +1,31 @@
+//! Admission by the estimated time to the first token.
+
+use millford_core::Duration;
+
+use crate::cost_book::CostBook;
+
+/// What admission knows about the backend that a request would go to.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionEstimate {
+    /// Uncached prompt tokens in flight on the backend for the model.
+    pub queued_tokens: u64,
+    /// Uncached prompt tokens of the request itself.
+    pub own_tokens: u64,
+}
+
+impl AdmissionEstimate {
+    /// Estimated time to the first token.
+    #[must_use]
+    pub fn first_token(&self, model: &str, costs: &CostBook) -> Duration {
+        let tokens = self.queued_tokens.saturating_add(self.own_tokens);
+        let millis = costs.first_token_ms(model, tokens);
+        Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+    }
+
+    /// Whether the first token would come within `limit`. An idle backend always admits:
+    /// refusing there would not make the next attempt any faster.
+    #[must_use]
+    pub fn admits(&self, model: &str, costs: &CostBook, limit: Duration) -> bool {
+        self.queued_tokens == 0 || self.first_token(model, costs) <= limit
+    }
+}
--- /dev/null
+++ b/crates/routing/src/backend_health.rs
@@ -0,0 +1,165 @@
+//! Which backends are ejected, from what this node itself sees of them.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use millford_core::{Duration, MonotonicTime};
+
+/// Probes in a row that must succeed before an ejected backend is used again.
+pub const PROBES_TO_READMIT: u32 = 2;
+
+/// Failed probes in a row that eject a backend.
+pub const PROBES_TO_EJECT: u32 = 2;
+
+/// Backends used within this time are watched.
+pub const WATCH_AFTER_USE: Duration = Duration::from_secs(60);
+
+/// Why a backend was ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EjectionReason {
+    /// No connection could be opened.
+    ConnectFailed,
+    /// A connection broke with a request on it.
+    ConnectionLost,
+    /// Nothing was heard on a stream or a probe for too long.
+    Silent,
+}
+
+impl EjectionReason {
+    /// Name for metrics and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            EjectionReason::ConnectFailed => "connect_failed",
+            EjectionReason::ConnectionLost => "connection_lost",
+            EjectionReason::Silent => "silent",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    ejected: Option<EjectionReason>,
+    good_probes: u32,
+    bad_probes: u32,
+    last_used: Option<MonotonicTime>,
+    last_heard: Option<MonotonicTime>,
+}
+
+/// Health of the backends by id.
+///
+/// The registry trails reality, so a vanished backend is ejected by connect errors, by silence
+/// and by failed probes. Only successful probes bring it back.
+#[derive(Debug, Default)]
+pub struct BackendHealth {
+    backends: Mutex<BTreeMap<String, Health>>,
+}
+
+impl BackendHealth {
+    /// Work was sent to the backend.
+    pub fn used(&self, id: &str, now: MonotonicTime) {
+        self.entry(id, |health| health.last_used = Some(now));
+    }
+
+    /// Bytes came from the backend.
+    pub fn heard(&self, id: &str, now: MonotonicTime) {
+        self.entry(id, |health| {
+            health.last_heard = Some(now);
+            health.bad_probes = 0;
+        });
+    }
+
+    /// Takes the backend out of use. Answers whether it was in use before.
+    pub fn eject(&self, id: &str, reason: EjectionReason) -> bool {
+        self.entry(id, |health| {
+            let newly = health.ejected.is_none();
+            health.ejected = Some(reason);
+            health.good_probes = 0;
+            newly
+        })
+    }
+
+    /// Whether new work may go to the backend.
+    #[must_use]
+    pub fn is_usable(&self, id: &str) -> bool {
+        let backends = self.lock();
+        backends
+            .get(id)
+            .is_none_or(|health| health.ejected.is_none())
+    }
+
+    /// A probe was answered. Answers whether it brought the backend back.
+    pub fn probe_succeeded(&self, id: &str, now: MonotonicTime) -> bool {
+        self.entry(id, |health| {
+            health.last_heard = Some(now);
+            health.bad_probes = 0;
+            health.good_probes += 1;
+            let readmitted = health.ejected.is_some() && health.good_probes >= PROBES_TO_READMIT;
+            if readmitted {
+                health.ejected = None;
+            }
+            readmitted
+        })
+    }
+
+    /// A probe failed. Answers whether it ejected the backend.
+    pub fn probe_failed(&self, id: &str) -> bool {
+        self.entry(id, |health| {
+            health.good_probes = 0;
+            health.bad_probes += 1;
+            let ejects = health.ejected.is_none() && health.bad_probes >= PROBES_TO_EJECT;
+            if ejects {
+                health.ejected = Some(EjectionReason::Silent);
+            }
+            ejects
+        })
+    }
+
+    /// Backends to probe now: the ejected ones, and those in recent use that are quiet.
+    #[must_use]
+    pub fn to_probe(&self, now: MonotonicTime, quiet: Duration) -> Vec<String> {
+        let backends = self.lock();
+        let due = backends.iter().filter(|(_, health)| {
+            let recently = |at: MonotonicTime| now.since(at) < WATCH_AFTER_USE;
+            let in_use = health.last_used.is_some_and(recently);
+            let is_quiet = health.last_heard.is_none_or(|at| now.since(at) >= quiet);
+            health.ejected.is_some() || (in_use && is_quiet)
+        });
+        due.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether any other backend was heard within `span`.
+    #[must_use]
+    pub fn others_heard(&self, id: &str, now: MonotonicTime, span: Duration) -> bool {
+        let backends = self.lock();
+        let mut others = backends.iter().filter(|(other, _)| other.as_str() != id);
+        others.any(|(_, health)| health.last_heard.is_some_and(|at| now.since(at) < span))
+    }
+
+    /// Forgets backends that the feed no longer shows.
+    pub fn keep_only(&self, known: impl Fn(&str) -> bool) {
+        self.lock().retain(|id, _| known(id));
+    }
+
+    /// Number of ejected backends.
+    #[must_use]
+    pub fn ejected(&self) -> usize {
+        let backends = self.lock();
+        backends
+            .values()
+            .filter(|health| health.ejected.is_some())
+            .count()
+    }
+
+    fn entry<R>(&self, id: &str, change: impl FnOnce(&mut Health) -> R) -> R {
+        let mut backends = self.lock();
+        match backends.get_mut(id) {
+            Some(health) => change(health),
+            None => change(backends.entry(id.to_owned()).or_default()),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Health>> {
+        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/cost_book.rs
@@ -0,0 +1,103 @@
+//! Cost of each model, learned from the traffic that this node carries.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use crate::linear_fit::LinearFit;
+
+/// First token of an unknown model: fixed part, in milliseconds.
+const PRIOR_FIRST_TOKEN_MS: f64 = 40.0;
+/// First token of an unknown model: part per uncached prompt token, in milliseconds.
+const PRIOR_PREFILL_MS_PER_TOKEN: f64 = 0.1;
+/// Time between tokens of an unknown model, in milliseconds.
+const PRIOR_INTER_TOKEN_MS: f64 = 20.0;
+/// What each further stream adds to the time between tokens, in milliseconds.
+const PRIOR_INTER_TOKEN_MS_PER_STREAM: f64 = 0.5;
+/// Tokens that a stream is expected to have left.
+const EXPECTED_TOKENS_LEFT: f64 = 32.0;
+/// Weight of a new sample in the share of cached prompt tokens.
+const CACHED_SHARE_SMOOTHING: f64 = 0.1;
+
+/// What was learned about one model.
+#[derive(Clone, Copy, Debug)]
+struct ModelCost {
+    first_token: LinearFit,
+    inter_token: LinearFit,
+    cached_share_at_home: f64,
+}
+
+impl Default for ModelCost {
+    fn default() -> Self {
+        Self {
+            first_token: LinearFit::with_prior(PRIOR_FIRST_TOKEN_MS, PRIOR_PREFILL_MS_PER_TOKEN),
+            inter_token: LinearFit::with_prior(
+                PRIOR_INTER_TOKEN_MS,
+                PRIOR_INTER_TOKEN_MS_PER_STREAM,
+            ),
+            cached_share_at_home: 0.0,
+        }
+    }
+}
+
+/// The costs of all models seen by this node.
+#[derive(Debug, Default)]
+pub struct CostBook {
+    models: Mutex<BTreeMap<String, ModelCost>>,
+}
+
+impl CostBook {
+    /// A first token came `first_token_ms` after a request with this many uncached prompt tokens,
+    /// its own and those queued before it on the backend.
+    pub fn add_first_token(&self, model: &str, uncached_tokens: u64, first_token_ms: f64) {
+        self.change(model, |cost| {
+            cost.first_token.add(uncached_tokens as f64, first_token_ms);
+        });
+    }
+
+    /// Tokens came `inter_token_ms` apart while the backend carried this many streams.
+    pub fn add_inter_token(&self, model: &str, streams: u32, inter_token_ms: f64) {
+        self.change(model, |cost| {
+            cost.inter_token.add(f64::from(streams), inter_token_ms);
+        });
+    }
+
+    /// A request sent to its home found this share of its prompt cached.
+    pub fn add_cached_share(&self, model: &str, share: f64) {
+        self.change(model, |cost| {
+            let gap = share.clamp(0.0, 1.0) - cost.cached_share_at_home;
+            cost.cached_share_at_home += gap * CACHED_SHARE_SMOOTHING;
+        });
+    }
+
+    /// Time to the first token with this many uncached tokens to prefill, in milliseconds.
+    #[must_use]
+    pub fn first_token_ms(&self, model: &str, uncached_tokens: u64) -> f64 {
+        self.read(model).first_token.at(uncached_tokens as f64)
+    }
+
+    /// Uncached tokens to expect of a prompt that is sent to its home.
+    #[must_use]
+    pub fn uncached_tokens_at_home(&self, model: &str, prompt_tokens: u64) -> u64 {
+        let share = 1.0 - self.read(model).cached_share_at_home;
+        (prompt_tokens as f64 * share).ceil() as u64
+    }
+
+    /// Estimated processor time of work in flight, in milliseconds.
+    #[must_use]
+    pub fn work_ms(&self, model: &str, prefill_tokens: u64, decode_streams: u32) -> f64 {
+        let cost = self.read(model);
+        let prefill = cost.first_token.slope() * prefill_tokens as f64;
+        let token = cost.inter_token.at(f64::from(decode_streams));
+        prefill + token * f64::from(decode_streams) * EXPECTED_TOKENS_LEFT
+    }
+
+    fn change(&self, model: &str, change: impl FnOnce(&mut ModelCost)) {
+        let mut models = self.models.lock().unwrap_or_else(PoisonError::into_inner);
+        change(models.entry(model.to_owned()).or_default());
+    }
+
+    fn read(&self, model: &str) -> ModelCost {
+        let models = self.models.lock().unwrap_or_else(PoisonError::into_inner);
+        models.get(model).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/fair_queue.rs
@@ -0,0 +1,128 @@
+//! Fair turns among tenants while the backends are too busy.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Number of a waiting request.
+pub type WaiterId = u64;
+
+#[derive(Debug, Default)]
+struct TenantQueue {
+    /// Uncached prompt tokens of the tenant's admitted requests.
+    in_flight: u64,
+    waiting: VecDeque<WaiterId>,
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    tenants: BTreeMap<String, TenantQueue>,
+    next_id: WaiterId,
+}
+
+/// Work in flight per tenant and the requests that wait for their turn.
+///
+/// While there is no room, tenants over their share are refused at once and the others wait;
+/// the tenant with the least work in flight goes first.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    state: Mutex<QueueState>,
+}
+
+impl FairQueue {
+    /// Counts an admitted request of this many tokens, until [`FairQueue::finish`].
+    pub fn begin(&self, tenant: &str, tokens: u64) {
+        let mut state = self.lock();
+        state
+            .tenants
+            .entry(tenant.to_owned())
+            .or_default()
+            .in_flight += tokens;
+    }
+
+    /// The admitted request is past its prefill or has ended.
+    pub fn finish(&self, tenant: &str, tokens: u64) {
+        let mut state = self.lock();
+        if let Some(queue) = state.tenants.get_mut(tenant) {
+            queue.in_flight = queue.in_flight.saturating_sub(tokens);
+        }
+        state.forget_if_idle(tenant);
+    }
+
+    /// Whether the tenant has more than an equal share of the work in flight.
+    #[must_use]
+    pub fn is_over_share(&self, tenant: &str) -> bool {
+        let state = self.lock();
+        let total: u64 = state.tenants.values().map(|queue| queue.in_flight).sum();
+        let others = state
+            .tenants
+            .iter()
+            .filter(|(name, _)| name.as_str() != tenant);
+        let competing = others.filter(|(_, queue)| queue.is_active()).count() as u64;
+        let own = state.tenants.get(tenant).map_or(0, |queue| queue.in_flight);
+        competing > 0 && own > total / (competing + 1)
+    }
+
+    /// Lines a request up behind those of its tenant.
+    #[must_use]
+    pub fn join(&self, tenant: &str) -> WaiterId {
+        let mut state = self.lock();
+        state.next_id += 1;
+        let id = state.next_id;
+        let queue = state.tenants.entry(tenant.to_owned()).or_default();
+        queue.waiting.push_back(id);
+        id
+    }
+
+    /// Whether it is this request's turn.
+    #[must_use]
+    pub fn is_next(&self, tenant: &str, id: WaiterId) -> bool {
+        let state = self.lock();
+        let waiting = state
+            .tenants
+            .iter()
+            .filter(|(_, queue)| !queue.waiting.is_empty());
+        let next = waiting.min_by_key(|(_, queue)| queue.in_flight);
+        next.is_some_and(|(name, queue)| name == tenant && queue.waiting.front() == Some(&id))
+    }
+
+    /// The request stops waiting, admitted or not.
+    pub fn leave(&self, tenant: &str, id: WaiterId) {
+        let mut state = self.lock();
+        if let Some(queue) = state.tenants.get_mut(tenant) {
+            queue.waiting.retain(|waiting| *waiting != id);
+        }
+        state.forget_if_idle(tenant);
+    }
+
+    /// Whether anyone waits: then newcomers line up too.
+    #[must_use]
+    pub fn has_waiters(&self) -> bool {
+        let state = self.lock();
+        state
+            .tenants
+            .values()
+            .any(|queue| !queue.waiting.is_empty())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TenantQueue {
+    fn is_active(&self) -> bool {
+        self.in_flight > 0 || !self.waiting.is_empty()
+    }
+}
+
+impl QueueState {
+    fn forget_if_idle(&mut self, tenant: &str) {
+        let idle = self
+            .tenants
+            .get(tenant)
+            .is_some_and(|queue| !queue.is_active());
+        if idle {
+            self.tenants.remove(tenant);
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,35 @@
 //! Pure routing decisions: matching, affinity, choice of a backend, admission, retry budget.
+//!
+//! Nothing here reads a clock or a socket: time comes in as
+//! [`millford_core::MonotonicTime`], random numbers as arguments.
+
+pub mod admission;
+pub mod backend_health;
+pub mod choice;
+pub mod cost_book;
+pub mod fair_queue;
+pub mod linear_fit;
+pub mod load_board;
+pub mod load_ticket;
+pub mod model_request;
+pub mod prefix;
+pub mod rendezvous;
+pub mod replica_key;
+pub mod retry_budget;
+pub mod route_entry;
+pub mod routing_table;
+pub mod serving_pool;
+
+pub use admission::AdmissionEstimate;
+pub use backend_health::{BackendHealth, EjectionReason};
+pub use choice::{Candidate, Choice, choose};
+pub use cost_book::CostBook;
+pub use fair_queue::FairQueue;
+pub use load_board::LoadBoard;
+pub use load_ticket::LoadTicket;
+pub use model_request::ModelRequest;
+pub use replica_key::ReplicaKey;
+pub use retry_budget::RetryBudget;
+pub use route_entry::RouteEntry;
+pub use routing_table::RoutingTable;
+pub use serving_pool::{ServingPool, ServingReplica};
--- /dev/null
+++ b/crates/routing/src/rendezvous.rs
@@ -0,0 +1,20 @@
+//! Weighted rendezvous hashing: a lost backend moves only its own keys.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Score of a backend for a key; the highest score is the key's home.
+///
+/// A backend of twice the weight is the home of twice the keys.
+#[must_use]
+pub fn score(key: u64, backend_id: &str, weight_milli: u32) -> f64 {
+    let hash = xxh3_64_with_seed(backend_id.as_bytes(), key);
+    let uniform = uniform_open(hash);
+    -f64::from(weight_milli) / uniform.ln()
+}
+
+/// A number strictly between 0 and 1.
+fn uniform_open(hash: u64) -> f64 {
+    const MANTISSA_BITS: u32 = 53;
+    let mantissa = hash >> (u64::BITS - MANTISSA_BITS);
+    (mantissa as f64 + 0.5) / (1u64 << MANTISSA_BITS) as f64
+}
