Lab: emulated backend, registry stand-in and caller library

Aim: the pieces that the demonstration fleet and the checks stand on. Considered: a raw TCP server for the faults; hyper over a wrapped connection keeps the protocol in the library and still allows stray bytes and cut bodies. Change: emulator (attempts, execution log kept on disk, fault switches, a minimal cost model), registry stand-in that trails reality, callers with a reader of server-sent events.

--- /dev/null
+++ b/crates/lab/src/answer_text.rs
@@ -0,0 +1,83 @@
+//! Text of an emulated answer: a pure function of the prompt's marker, the run and the sequence
+//! number, so that a caller can tell whose answer each piece is.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Opens the marker that a caller puts into its prompt or lookup path.
+pub const MARKER_START: &str = "[request:";
+const MARKER_END: char = ']';
+const WORDS: [&str; 32] = [
+    "morgunn", "fjall", "alda", "ljós", "vindur", "steinn", "bátur", "vegur", "hraun", "jökull",
+    "skip", "bók", "eldur", "haf", "ský", "regn", "pluie", "saison", "fleuve", "savane", "orage",
+    "mil", "vent", "station", "semis", "lac", "sable", "ciel", "aube", "marée", "crue", "soir",
+];
+
+/// One emulated answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerText {
+    marker: String,
+    run: String,
+}
+
+impl AnswerText {
+    /// The answer of `run` to the prompt that carries `marker`.
+    #[must_use]
+    pub fn new(marker: &str, run: &str) -> Self {
+        Self {
+            marker: marker.to_owned(),
+            run: run.to_owned(),
+        }
+    }
+
+    /// Text of the piece `sequence`. The first one names the marker and the run.
+    #[must_use]
+    pub fn piece(&self, sequence: u64) -> String {
+        if sequence == 0 {
+            return format!("{{{} {}}} ", self.marker, self.run);
+        }
+        let hash = xxh3_64(format!("{}/{}/{sequence}", self.marker, self.run).as_bytes());
+        let first = WORDS[usize::try_from(hash % 32).unwrap_or(0)];
+        let second = WORDS[usize::try_from((hash >> 8) % 32).unwrap_or(0)];
+        format!("{first} {second} ")
+    }
+
+    /// The whole answer of `pieces` pieces.
+    #[must_use]
+    pub fn whole(&self, pieces: u64) -> String {
+        (0..pieces).map(|sequence| self.piece(sequence)).collect()
+    }
+
+    /// The answer that a first piece announces.
+    #[must_use]
+    pub fn announced_by(first_piece: &str) -> Option<Self> {
+        let inner = first_piece.trim_end().strip_prefix('{')?.split_once('}')?.0;
+        let (marker, run) = inner.split_once(' ')?;
+        Some(Self::new(marker, run))
+    }
+
+    /// Marker of the prompt.
+    #[must_use]
+    pub fn marker(&self) -> &str {
+        &self.marker
+    }
+
+    /// The run that wrote the answer.
+    #[must_use]
+    pub fn run(&self) -> &str {
+        &self.run
+    }
+}
+
+/// The marker inside `text`, the last one if there are several.
+#[must_use]
+pub fn find_marker(text: &str) -> Option<&str> {
+    let start = text.rfind(MARKER_START)? + MARKER_START.len();
+    let length = text[start..].find(MARKER_END)?;
+    Some(&text[start..start + length])
+}
+
+/// `marker` as it stands in a prompt.
+#[must_use]
+pub fn marker_text(marker: &str) -> String {
+    format!("{MARKER_START}{marker}{MARKER_END}")
+}
--- /dev/null
+++ b/crates/lab/src/caller/sse.rs
@@ -0,0 +1,49 @@
+//! Reader of server-sent events.
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SseEvent {
+    /// Value of the `id` field.
+    pub id: Option<String>,
+    /// Value of the `event` field.
+    pub event: Option<String>,
+    /// Lines of the `data` fields, joined.
+    pub data: String,
+}
+
+/// Collects bytes and gives out whole events.
+#[derive(Debug, Default)]
+pub struct SseReader {
+    buffer: Vec<u8>,
+}
+
+impl SseReader {
+    /// Takes bytes and returns the events that they complete.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<SseEvent> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
+            let block: Vec<u8> = self.buffer.drain(..end + 2).collect();
+            events.push(parse(&String::from_utf8_lossy(&block)));
+        }
+        events
+    }
+}
+
+fn parse(block: &str) -> SseEvent {
+    let mut event = SseEvent::default();
+    for line in block.lines() {
+        let Some((field, value)) = line.split_once(':') else {
+            continue;
+        };
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => event.id = Some(value.to_owned()),
+            "event" => event.event = Some(value.to_owned()),
+            "data" if event.data.is_empty() => value.clone_into(&mut event.data),
+            "data" => event.data.push_str(value),
+            _ => {}
+        }
+    }
+    event
+}
--- /dev/null
+++ b/crates/lab/src/emulator/mod.rs
@@ -0,0 +1,20 @@
+//! Emulated backends: an HTTP server that speaks the backend protocol and costs time as a model
+//! server does.
+
+pub mod attempts;
+pub mod completion;
+pub mod cost;
+pub mod execution;
+pub mod execution_log;
+pub mod faults;
+pub mod http;
+pub mod lookup;
+pub mod options;
+pub mod prompt;
+pub mod registration;
+pub mod server;
+pub mod shared_stream;
+pub mod state;
+
+pub use options::{BackendKind, BackendOptions};
+pub use server::BackendServer;
--- /dev/null
+++ b/crates/lab/src/emulator/server.rs
@@ -0,0 +1,165 @@
+//! HTTP server of one emulated backend.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use super::completion::complete;
+use super::faults::FaultSwitches;
+use super::http::{EmulatorBody, json_answer};
+use super::lookup::look_up;
+use super::options::BackendOptions;
+use super::shared_stream::{SharedStream, StraySwitch};
+use super::state::BackendState;
+
+/// Largest body taken, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Exit status of a crash on command.
+const CRASH_STATUS: i32 = 101;
+
+/// A running emulated backend. Dropping it ends the server and its connections.
+#[derive(Debug)]
+pub struct BackendServer {
+    state: Arc<BackendState>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl BackendServer {
+    /// Binds the address and serves.
+    pub async fn start(options: BackendOptions) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(options.address).await?;
+        let address = listener.local_addr()?;
+        let state = BackendState::new(options)?;
+        let task = tokio::spawn(accept(listener, Arc::clone(&state)));
+        Ok(Self {
+            state,
+            address,
+            task,
+        })
+    }
+
+    /// Address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// State shared by its connections.
+    #[must_use]
+    pub fn state(&self) -> &Arc<BackendState> {
+        &self.state
+    }
+}
+
+impl Drop for BackendServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<BackendState>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        connections.spawn(serve(stream, Arc::clone(&state)));
+    }
+}
+
+async fn serve(stream: TcpStream, state: Arc<BackendState>) {
+    let _ = stream.set_nodelay(true);
+    let stray = StraySwitch::default();
+    let io = TokioIo::new(SharedStream::new(stream, stray.clone()));
+    let service = service_fn(move |request| answer(request, Arc::clone(&state), stray.clone()));
+    // An error here is a caller that went away or a fault that was asked for.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(io, service)
+        .await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    state: Arc<BackendState>,
+    stray: StraySwitch,
+) -> Result<Response<EmulatorBody>, Infallible> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    if path.starts_with("/admin/") {
+        return Ok(administer(&head.method, &path, body, &state).await);
+    }
+    if (&head.method, path.as_str()) == (&Method::GET, "/v1/executions") {
+        return Ok(json_answer(StatusCode::OK, &state.executions()));
+    }
+    wait_until_lit(&state).await;
+    Ok(match (&head.method, path.as_str()) {
+        (&Method::GET, "/v1/health") => json_answer(StatusCode::OK, &json!({"load": state.load()})),
+        (&Method::POST, "/v1/chat/completions") => match read(body).await {
+            Some(bytes) => complete(state, head.headers, bytes, stray).await,
+            None => json_answer(
+                StatusCode::BAD_REQUEST,
+                &json!({"error": "body incomplete"}),
+            ),
+        },
+        (&Method::DELETE, path) if path.starts_with("/v1/attempts/") => withdraw(path, &state),
+        (&Method::GET, _) => look_up(state, head.headers, head.uri).await,
+        _ => json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such path"})),
+    })
+}
+
+/// A dark backend takes requests and never answers them.
+async fn wait_until_lit(state: &BackendState) {
+    let mut faults = state.faults.subscribe();
+    let _ = faults.wait_for(|faults| !faults.dark).await;
+}
+
+fn withdraw(path: &str, state: &BackendState) -> Response<EmulatorBody> {
+    let attempt = path.trim_start_matches("/v1/attempts/");
+    let attempt_state = state.withdraw(attempt);
+    json_answer(StatusCode::OK, &json!({"state": attempt_state}))
+}
+
+async fn administer(
+    method: &Method,
+    path: &str,
+    body: Incoming,
+    state: &BackendState,
+) -> Response<EmulatorBody> {
+    match (method, path) {
+        (&Method::PUT, "/admin/faults") => set_faults(body, state).await,
+        (&Method::POST, "/admin/crash") => std::process::exit(CRASH_STATUS),
+        _ => json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such path"})),
+    }
+}
+
+async fn set_faults(body: Incoming, state: &BackendState) -> Response<EmulatorBody> {
+    let bytes = read(body).await.unwrap_or_default();
+    match serde_json::from_slice::<FaultSwitches>(&bytes) {
+        Ok(faults) => {
+            state.faults.send_replace(faults.clone());
+            json_answer(StatusCode::OK, &faults)
+        }
+        Err(error) => json_answer(
+            StatusCode::BAD_REQUEST,
+            &json!({"error": error.to_string()}),
+        ),
+    }
+}
+
+async fn read(body: Incoming) -> Option<Bytes> {
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
--- /dev/null
+++ b/crates/lab/src/emulator/state.rs
@@ -0,0 +1,145 @@
+//! Everything that the connections of one backend share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::attempts::Attempts;
+use super::cost::BackendCost;
+use super::execution::{Execution, ExecutionEnd};
+use super::execution_log::{ExecutionIndex, ExecutionLog};
+use super::faults::FaultSwitches;
+use super::options::BackendOptions;
+
+/// Everything that the connections of one backend share.
+#[derive(Debug)]
+pub struct BackendState {
+    /// What the backend is.
+    pub options: BackendOptions,
+    /// Fault switches; open streams watch them.
+    pub faults: watch::Sender<FaultSwitches>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    attempts: Attempts,
+    executions: ExecutionLog,
+    cost: BackendCost,
+}
+
+impl BackendState {
+    /// The state of a fresh backend.
+    pub fn new(options: BackendOptions) -> std::io::Result<Arc<Self>> {
+        let executions = match &options.execution_log {
+            Some(path) => ExecutionLog::with_file(path)?,
+            None => ExecutionLog::default(),
+        };
+        let inner = Inner {
+            attempts: Attempts::default(),
+            executions,
+            cost: BackendCost::default(),
+        };
+        Ok(Arc::new(Self {
+            options,
+            faults: watch::Sender::new(FaultSwitches::default()),
+            inner: Mutex::new(inner),
+        }))
+    }
+
+    /// Begins an execution unless its attempt was withdrawn or has run.
+    pub fn begin(self: &Arc<Self>, execution: Execution) -> Option<RunningExecution> {
+        let mut inner = self.lock();
+        if !inner.attempts.begin(&execution.attempt) {
+            return None;
+        }
+        let attempt = execution.attempt.clone();
+        let index = inner.executions.start(execution);
+        drop(inner);
+        Some(RunningExecution {
+            state: Arc::clone(self),
+            index,
+            attempt,
+            end: None,
+            decoding: false,
+        })
+    }
+
+    /// Withdraws an attempt.
+    pub fn withdraw(&self, attempt: &str) -> super::attempts::AttemptState {
+        self.lock().attempts.withdraw(attempt)
+    }
+
+    /// A copy of the execution log.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.lock().executions.executions().to_vec()
+    }
+
+    /// Takes a prompt into the prefix cache and says what its prefill costs.
+    #[must_use]
+    pub fn prefill(&self, model: &str, text: &str) -> super::cost::PrefillCost {
+        self.lock().cost.prefill(model, text)
+    }
+
+    /// Time to the next token now.
+    #[must_use]
+    pub fn decode_interval(&self) -> Duration {
+        self.lock().cost.decode_interval()
+    }
+
+    /// Share of the bandwidth in use.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        self.lock().cost.load()
+    }
+
+    /// `duration` of the cost model as it passes here, with the speed and the slow fault.
+    #[must_use]
+    pub fn scaled(&self, duration: Duration) -> Duration {
+        let slow_factor = self.faults.borrow().slow_factor;
+        duration.mul_f64((slow_factor / self.options.speed).max(0.0))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An execution that has begun. Dropping it records its end.
+#[derive(Debug)]
+pub struct RunningExecution {
+    state: Arc<BackendState>,
+    index: ExecutionIndex,
+    attempt: String,
+    end: Option<ExecutionEnd>,
+    decoding: bool,
+}
+
+impl RunningExecution {
+    /// The prefill is over: the stream takes bandwidth from now on.
+    pub fn start_decoding(&mut self) {
+        if !self.decoding {
+            self.decoding = true;
+            self.state.lock().cost.open_stream();
+        }
+    }
+
+    /// Every piece was handed to the connection.
+    pub fn complete(&mut self) {
+        self.end = Some(ExecutionEnd::Completed);
+    }
+}
+
+impl Drop for RunningExecution {
+    fn drop(&mut self) {
+        let end = self.end.unwrap_or(ExecutionEnd::Cancelled);
+        let mut inner = self.state.lock();
+        if self.decoding {
+            inner.cost.close_stream();
+        }
+        inner.executions.end(self.index, end);
+        inner.attempts.finish(&self.attempt);
+    }
+}
