Add the cost model of an emulated backend

Aim: experiments and the laboratory's HTTP emulator need one backend whose costs behave like a real one's.

--- /dev/null
+++ b/crates/backend-model/src/bandwidth.rs
@@ -0,0 +1,42 @@
+//! How memory latency rises with the use of the memory bandwidth.
+
+/// Use of the memory bandwidth past which latency rises steeply, as a share of the whole.
+pub const DEFAULT_KNEE: f64 = 0.67;
+/// Growth of the exponent past the knee, per unit of bandwidth use.
+pub const DEFAULT_STEEPNESS: f64 = 7.0;
+/// Growth of latency below the knee, per unit of bandwidth use.
+pub const DEFAULT_GENTLE_SLOPE: f64 = 0.1;
+/// Largest slowdown that the curve gives.
+pub const MAX_SLOWDOWN: f64 = 40.0;
+
+/// Factor on the time of memory-bound work as a function of bandwidth use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LatencyCurve {
+    /// Bandwidth use at which the steep part starts, as a share of the whole.
+    pub knee: f64,
+    /// Exponent per unit of bandwidth use past the knee.
+    pub steepness: f64,
+    /// Linear growth per unit of bandwidth use, everywhere.
+    pub gentle_slope: f64,
+}
+
+impl Default for LatencyCurve {
+    fn default() -> Self {
+        Self {
+            knee: DEFAULT_KNEE,
+            steepness: DEFAULT_STEEPNESS,
+            gentle_slope: DEFAULT_GENTLE_SLOPE,
+        }
+    }
+}
+
+impl LatencyCurve {
+    /// Slowdown at a bandwidth use (1.0 is the whole bandwidth); at least 1 and never falling.
+    #[must_use]
+    pub fn slowdown(&self, utilization: f64) -> f64 {
+        let gentle = 1.0 + self.gentle_slope * utilization.max(0.0);
+        let past_knee = (utilization - self.knee).max(0.0);
+        let steep = (self.steepness * past_knee).exp();
+        (gentle * steep).min(MAX_SLOWDOWN)
+    }
+}
