Add the placer: load picture, learned costs, packing in two dimensions, transition gate

Considered: one global optimisation per tick (moves too much, hard to explain) and separate loops per concern (they undo one another). Chosen: ordered steps on one draft - retirements, wanted replicas, bandwidth, transitions, weights - with hysteresis in each, and at most one class of our own moves a tick. Change: Placer, CostModel, LineFit, BandwidthAttribution, LoadPicture and the steps under plan/. Conclusion: API stable from here: new, observe, plan, picture.

--- /dev/null
+++ b/crates/placement/src/cost/cost_model.rs
@@ -0,0 +1,78 @@
+//! Costs of every model, for routing, admission and placement.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::CostSample;
+
+use crate::cost::model_cost::ModelCost;
+use crate::load::ReplicaWork;
+
+/// Learned costs by model name; versions of one model share them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CostModel {
+    models: BTreeMap<String, ModelCost>,
+}
+
+impl CostModel {
+    /// Takes in an answered request of `model`.
+    pub fn observe(&mut self, model: &str, sample: &CostSample, cores: f64, streams: u32) {
+        let cost = self.models.entry(model.to_owned()).or_default();
+        cost.observe(sample, cores, streams);
+    }
+
+    /// The cost of a model; the prior when nothing was learned yet.
+    #[must_use]
+    pub fn model(&self, model: &str) -> ModelCost {
+        self.models.get(model).copied().unwrap_or_default()
+    }
+
+    /// Estimated processor time of the work in flight over cores, in seconds.
+    #[must_use]
+    pub fn outstanding_seconds(&self, model: &str, work: &ReplicaWork, cores: f64) -> f64 {
+        let cost = self.model(model);
+        let streams = f64::from(work.decode_streams + work.held_requests);
+        let core_ms =
+            cost.prefill_core_ms(work.prefill_tokens as f64) + streams * cost.stream_core_ms(cores);
+        core_ms / cores.max(1.0) / 1000.0
+    }
+
+    /// Estimated time to the first token, in seconds, behind `backlog_tokens` of prefill of the same model
+    /// and `other_seconds` of other models' outstanding prefill.
+    #[must_use]
+    pub fn first_token_seconds(
+        &self,
+        model: &str,
+        uncached_tokens: u32,
+        backlog_tokens: u64,
+        other_seconds: f64,
+        cores: f64,
+    ) -> f64 {
+        let cost = self.model(model);
+        let tokens = f64::from(uncached_tokens) + backlog_tokens as f64;
+        cost.prefill.value(tokens / cores.max(1.0)) / 1000.0 + other_seconds
+    }
+
+    /// Estimated time between tokens with `streams` streams on the replica, in milliseconds.
+    #[must_use]
+    pub fn inter_token_ms(&self, model: &str, streams: u32) -> f64 {
+        self.model(model).decode.value(f64::from(streams.max(1)))
+    }
+
+    /// Share of a backend that the work keeps busy: 1 is all of it. Derived from counts in flight only.
+    ///
+    /// Decode: streams over the streams that double a step. Prefill: with N prompts in service on a shared
+    /// processor, the busy share is N / (1 + N) of what decode leaves.
+    #[must_use]
+    pub fn utilization(&self, work: &[(&str, ReplicaWork)]) -> f64 {
+        let mut decode = 0.0;
+        let mut prompts = 0.0;
+        for (model, work) in work {
+            let cost = self.model(model);
+            let streams = f64::from(work.decode_streams + work.held_requests);
+            decode += streams / cost.stream_capacity();
+            prompts += work.prefill_tokens as f64 / cost.mean_prompt_tokens();
+        }
+        let left = (1.0 - decode).max(0.0);
+        decode + left * prompts / (1.0 + prompts)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/load/mod.rs
@@ -0,0 +1,7 @@
+//! Work in flight, per replica, over all nodes.
+
+pub mod load_picture;
+pub mod replica_work;
+
+pub use load_picture::LoadPicture;
+pub use replica_work::ReplicaWork;
--- /dev/null
+++ b/crates/placement/src/options.rs
@@ -0,0 +1,74 @@
+//! Options of the placement role.
+
+use std::collections::BTreeMap;
+
+use millford_core::Duration;
+
+/// Bandwidth ceiling when the pool names none, in percent.
+pub const DEFAULT_BANDWIDTH_CEILING_PERCENT: u32 = 65;
+/// Transition threshold when the pool names none, in percent of utilization.
+pub const DEFAULT_TRANSITION_BUDGET_PERCENT: u32 = 70;
+/// Time to drain when the pool names none, in milliseconds.
+pub const DEFAULT_DRAIN_MS: u32 = 30_000;
+/// Longest deferral of a transition when the pool names none, in milliseconds: ten minutes.
+pub const DEFAULT_LONGEST_DEFERRAL_MS: u32 = 600_000;
+
+/// Figures that the pool's configuration does not carry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacerOptions {
+    /// A member's load report counts for so long.
+    pub member_stale_after: Duration,
+    /// Fewest replicas of a model, as far as enough backends declare it.
+    pub fewest_replicas: usize,
+    /// Utilization that replicas on shared backends are sized for.
+    pub target_utilization: f64,
+    /// A surplus replica is withdrawn only after it was surplus for so long.
+    pub scale_down_hold: Duration,
+    /// Least time between two steps of a transition or of scaling down.
+    pub step_interval: Duration,
+    /// Least time between two forced steps of a transition.
+    pub forced_step_interval: Duration,
+    /// Share of a model's backends that one step may touch, at least one backend.
+    pub step_share: f64,
+    /// Weights change at most so often.
+    pub balance_interval: Duration,
+    /// Smallest change of a weight worth publishing, in thousandths.
+    pub balance_difference_milli: u32,
+    /// A backend above the bandwidth ceiling is relieved after so long.
+    pub bandwidth_hold: Duration,
+    /// Time constant of the smoothed work.
+    pub smoothing: Duration,
+    /// A draining replica stays at least so long, so that nodes have reported what they sent it.
+    pub least_drain: Duration,
+    /// Bandwidth use of a stream of an unknown model, in GB/s.
+    pub prior_stream_gbps: f64,
+    /// Known bandwidth use per stream by model, in GB/s; it is not learned then.
+    pub declared_stream_gbps: BTreeMap<String, f64>,
+    /// Whether memory bandwidth is a packing dimension. Off only for comparison.
+    pub bandwidth_dimension: bool,
+    /// Whether transitions wait for the budget. Off only for comparison.
+    pub transition_gate: bool,
+}
+
+impl Default for PlacerOptions {
+    fn default() -> Self {
+        Self {
+            member_stale_after: Duration::from_secs(3),
+            fewest_replicas: 2,
+            target_utilization: 0.6,
+            scale_down_hold: Duration::from_secs(60),
+            step_interval: Duration::from_secs(2),
+            forced_step_interval: Duration::from_secs(5),
+            step_share: 0.1,
+            balance_interval: Duration::from_secs(10),
+            balance_difference_milli: 200,
+            bandwidth_hold: Duration::from_secs(3),
+            smoothing: Duration::from_secs(2),
+            least_drain: Duration::from_secs(1),
+            prior_stream_gbps: 1.0,
+            declared_stream_gbps: BTreeMap::new(),
+            bandwidth_dimension: true,
+            transition_gate: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/placer.rs
@@ -0,0 +1,298 @@
+//! The placement role of one pool.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::Pool;
+use millford_api::internal::{CostSample, ReplicaLoad};
+use millford_api::state::{Backend, PoolPlacement};
+use millford_core::MonotonicTime;
+
+use crate::cost::{BandwidthAttribution, BandwidthObservation, CostModel};
+use crate::load::{LoadPicture, ReplicaWork};
+use crate::options::PlacerOptions;
+use crate::plan::balance::{BalanceClock, balance};
+use crate::plan::bandwidth::{ExcessClock, relieve};
+use crate::plan::draft::Draft;
+use crate::plan::moves::{Move, MoveReason, PlanOutcome};
+use crate::plan::pool_view::{PoolLoad, PoolView};
+use crate::plan::retire::{DrainClock, remove_drained, retire};
+use crate::plan::scale::{SurplusClock, scale};
+use crate::plan::transition::{TransitionClock, transition};
+use crate::replica_key::ReplicaKey;
+
+/// Samples kept until the next tick knows the backends' cores.
+const MOST_PENDING_SAMPLES: usize = 4096;
+
+/// Plans the placement of one pool. Holds only what can be learned again after a change of leader.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    options: PlacerOptions,
+    picture: LoadPicture,
+    costs: CostModel,
+    bandwidth: BandwidthAttribution,
+    pending: Vec<PendingSample>,
+    smoothed: BTreeMap<ReplicaKey, SmoothedWork>,
+    last_tick: Option<MonotonicTime>,
+    drains: DrainClock,
+    surplus: SurplusClock,
+    excess: ExcessClock,
+    transitions: TransitionClock,
+    balance: BalanceClock,
+    last_withdrawal: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Debug)]
+struct PendingSample {
+    replica: ReplicaKey,
+    sample: CostSample,
+    streams: u32,
+}
+
+/// Moving means of a replica's work.
+#[derive(Clone, Copy, Debug, Default)]
+struct SmoothedWork {
+    prefill_tokens: f64,
+    decode_streams: f64,
+    held_requests: f64,
+}
+
+impl Placer {
+    /// A placer that knows nothing yet.
+    #[must_use]
+    pub fn new(options: PlacerOptions) -> Self {
+        Self {
+            picture: LoadPicture::new(options.member_stale_after),
+            costs: CostModel::default(),
+            bandwidth: BandwidthAttribution::new(
+                options.prior_stream_gbps,
+                options.declared_stream_gbps.clone(),
+            ),
+            pending: Vec::new(),
+            smoothed: BTreeMap::new(),
+            last_tick: None,
+            drains: DrainClock::default(),
+            surplus: SurplusClock::default(),
+            excess: ExcessClock::default(),
+            transitions: TransitionClock::default(),
+            balance: BalanceClock::default(),
+            last_withdrawal: None,
+            options,
+        }
+    }
+
+    /// Takes a member's report: what it has in flight in the pool, whole, and its new cost samples.
+    pub fn observe(&mut self, now: MonotonicTime, member: &str, loads: &[ReplicaLoad]) {
+        self.picture.observe(now, member, loads);
+        if loads.iter().all(|load| load.samples.is_empty()) {
+            return;
+        }
+        let totals = self.picture.totals(now);
+        for load in loads {
+            let replica = ReplicaKey::from(load);
+            let on_replica = totals.get(&replica).map_or(0, |work| work.decode_streams);
+            for sample in &load.samples {
+                if self.pending.len() >= MOST_PENDING_SAMPLES {
+                    return;
+                }
+                self.pending.push(PendingSample {
+                    replica: replica.clone(),
+                    sample: *sample,
+                    streams: on_replica.max(sample.streams_at_start),
+                });
+            }
+        }
+    }
+
+    /// What all members together have in flight, without stale ones; sent back to the nodes.
+    #[must_use]
+    pub fn picture(&self, now: MonotonicTime) -> Vec<ReplicaLoad> {
+        self.picture.to_loads(now)
+    }
+
+    /// Learned costs.
+    #[must_use]
+    pub fn costs(&self) -> &CostModel {
+        &self.costs
+    }
+
+    /// Learned bandwidth use.
+    #[must_use]
+    pub fn bandwidth(&self) -> &BandwidthAttribution {
+        &self.bandwidth
+    }
+
+    /// Plans one tick. The caller publishes the placement under `epoch` through its shard's log.
+    ///
+    /// Order of the steps: retirements, wanted replicas, bandwidth, transitions, weights. After the first of
+    /// the last three that changes something the rest waits for the next tick.
+    pub fn plan(
+        &mut self,
+        now: MonotonicTime,
+        epoch: u64,
+        pool: &Pool,
+        backends: &BTreeMap<String, Backend>,
+        current: Option<&PoolPlacement>,
+    ) -> PlanOutcome {
+        self.picture.expire(now);
+        self.learn(backends);
+        let work = self.picture.totals(now);
+        let smoothed = self.smooth(now, &work);
+        // A placer whose epoch is behind was replaced: it must not publish over its successor.
+        if let Some(current) = current.filter(|current| current.epoch > epoch) {
+            return fenced(current);
+        }
+        let costs = self.costs.clone();
+        self.bandwidth
+            .keep_backends(|backend| backends.contains_key(backend));
+        let bandwidth = self.bandwidth.clone();
+        let options = self.options.clone();
+        let load = PoolLoad {
+            costs: &costs,
+            bandwidth: &bandwidth,
+            work: &work,
+            smoothed: &smoothed,
+        };
+        let view = PoolView::new(now, &options, pool, backends, load);
+        let mut draft = Draft::new(current);
+        self.run_steps(&view, &mut draft);
+        self.drains.follow(&draft, now);
+        let placement = (draft.changes() > 0).then(|| draft.to_placement(&pool.name, epoch));
+        PlanOutcome {
+            placement,
+            reasons: draft.moves,
+        }
+    }
+
+    fn run_steps(&mut self, view: &PoolView, draft: &mut Draft) {
+        self.drains.follow(draft, view.now);
+        retire(view, draft);
+        remove_drained(view, &self.drains, draft);
+        let before = draft.changes();
+        let interval = view.options.step_interval;
+        let may_withdraw = self
+            .last_withdrawal
+            .is_none_or(|last| view.now.since(last) >= interval);
+        scale(view, &mut self.surplus, may_withdraw, draft);
+        if draft
+            .moves
+            .iter()
+            .any(|step| step.reason == MoveReason::ScaledDown)
+        {
+            self.last_withdrawal = Some(view.now);
+        }
+        relieve(view, &mut self.excess, draft);
+        if draft.changes() > before {
+            return;
+        }
+        transition(view, &mut self.transitions, draft);
+        if draft.changes() > before {
+            return;
+        }
+        balance(view, &mut self.balance, draft);
+    }
+
+    /// Learns costs from the pending samples; those of unknown backends are dropped.
+    fn learn(&mut self, backends: &BTreeMap<String, Backend>) {
+        for pending in std::mem::take(&mut self.pending) {
+            let Some(backend) = backends.get(&pending.replica.backend) else {
+                continue;
+            };
+            let cores = f64::from(backend.cores.max(1));
+            self.inflations(&pending, backend);
+            self.costs.observe(
+                &pending.replica.model,
+                &pending.sample,
+                cores,
+                pending.streams,
+            );
+        }
+    }
+
+    /// Learns bandwidth use from a sample's inter-token time, before the fit takes the sample in.
+    fn inflations(&mut self, pending: &PendingSample, backend: &Backend) {
+        let cost = self.costs.model(&pending.replica.model);
+        if pending.sample.output_tokens < 2 || !cost.decode.is_trusted() {
+            return;
+        }
+        let intervals = f64::from(pending.sample.output_tokens - 1);
+        let seen_ms = f64::from(pending.sample.decode_ms) / intervals;
+        let explained_ms = cost.decode.value(f64::from(pending.streams.max(1)));
+        if explained_ms <= 0.0 || backend.bandwidth_gbps <= 0.0 {
+            return;
+        }
+        let observation = BandwidthObservation {
+            backend: backend.id.clone(),
+            bandwidth_gbps: backend.bandwidth_gbps,
+            streams: self.smoothed_streams(&backend.id),
+            inflation: seen_ms / explained_ms,
+        };
+        self.bandwidth.observe(&observation);
+    }
+
+    fn smoothed_streams(&self, backend: &str) -> BTreeMap<String, f64> {
+        let mut streams = BTreeMap::new();
+        for (key, work) in &self.smoothed {
+            if key.backend == backend {
+                let count = work.decode_streams + work.held_requests;
+                *streams.entry(key.model.clone()).or_insert(0.0) += count;
+            }
+        }
+        streams
+    }
+
+    /// Moving means of the work, so that one tick's burst moves nothing.
+    fn smooth(
+        &mut self,
+        now: MonotonicTime,
+        work: &BTreeMap<ReplicaKey, ReplicaWork>,
+    ) -> BTreeMap<ReplicaKey, ReplicaWork> {
+        let passed = self.last_tick.map(|last| now.since(last).as_secs_f64());
+        self.last_tick = Some(now);
+        let constant = self.options.smoothing.as_secs_f64().max(f64::MIN_POSITIVE);
+        let share = passed.map_or(1.0, |passed| 1.0 - (-passed / constant).exp());
+        for key in work.keys() {
+            self.smoothed.entry(key.clone()).or_default();
+        }
+        for (key, mean) in &mut self.smoothed {
+            let present = work.get(key).copied().unwrap_or_default();
+            mean.approach(&present, share);
+        }
+        self.smoothed.retain(|_, mean| !mean.is_faded());
+        self.smoothed
+            .iter()
+            .map(|(key, mean)| (key.clone(), mean.rounded()))
+            .collect()
+    }
+}
+
+impl SmoothedWork {
+    fn approach(&mut self, present: &ReplicaWork, share: f64) {
+        self.prefill_tokens += share * (present.prefill_tokens as f64 - self.prefill_tokens);
+        self.decode_streams += share * (f64::from(present.decode_streams) - self.decode_streams);
+        self.held_requests += share * (f64::from(present.held_requests) - self.held_requests);
+    }
+
+    fn is_faded(&self) -> bool {
+        self.prefill_tokens < 0.5 && self.decode_streams < 0.01 && self.held_requests < 0.01
+    }
+
+    fn rounded(&self) -> ReplicaWork {
+        ReplicaWork {
+            prefill_tokens: self.prefill_tokens.round() as u64,
+            decode_streams: self.decode_streams.round() as u32,
+            held_requests: self.held_requests.round() as u32,
+            failures: 0,
+        }
+    }
+}
+
+fn fenced(current: &PoolPlacement) -> PlanOutcome {
+    let replica = ReplicaKey::new("", &current.pool, "");
+    PlanOutcome {
+        placement: None,
+        reasons: vec![Move {
+            replica,
+            reason: MoveReason::Fenced,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/placement/src/plan/pool_view.rs
@@ -0,0 +1,288 @@
+//! What one planning tick sees: the pool, its backends, and the estimated use of both dimensions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_api::config::{Pool, Selector};
+use millford_api::state::{Backend, BackendState, Declaration};
+use millford_core::MonotonicTime;
+
+use crate::cost::{BandwidthAttribution, CostModel};
+use crate::load::ReplicaWork;
+use crate::options::PlacerOptions;
+use crate::plan::pool_limits::PoolLimits;
+use crate::replica_key::ReplicaKey;
+use crate::version::compare_versions;
+
+/// What is known of the pool's load.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLoad<'a> {
+    /// Learned costs.
+    pub costs: &'a CostModel,
+    /// Learned bandwidth use.
+    pub bandwidth: &'a BandwidthAttribution,
+    /// Work in flight now.
+    pub work: &'a BTreeMap<ReplicaKey, ReplicaWork>,
+    /// Work in flight, smoothed over some seconds.
+    pub smoothed: &'a BTreeMap<ReplicaKey, ReplicaWork>,
+}
+
+/// Input of the planning steps.
+pub struct PoolView<'a> {
+    /// Time of the tick.
+    pub now: MonotonicTime,
+    /// Options of the placer.
+    pub options: &'a PlacerOptions,
+    /// The pool's limits.
+    pub limits: PoolLimits,
+    /// The pool's backends.
+    pub backends: &'a BTreeMap<String, Backend>,
+    /// Learned costs and work in flight.
+    pub load: PoolLoad<'a>,
+    /// Versions by model with the active backends that declare them.
+    pub declared: BTreeMap<String, BTreeMap<String, BTreeSet<String>>>,
+    target_version: String,
+}
+
+impl<'a> PoolView<'a> {
+    /// Gathers the view of a pool.
+    #[must_use]
+    pub fn new(
+        now: MonotonicTime,
+        options: &'a PlacerOptions,
+        pool: &Pool,
+        backends: &'a BTreeMap<String, Backend>,
+        load: PoolLoad<'a>,
+    ) -> Self {
+        let selector = pool.selector.clone().unwrap_or_default();
+        Self {
+            now,
+            options,
+            limits: PoolLimits::from(pool),
+            backends,
+            load,
+            declared: declared(backends, &selector),
+            target_version: pool.target_version.clone(),
+        }
+    }
+
+    /// The version of the model that the pool should serve.
+    ///
+    /// It is the pool's target version where a backend declares it, else the highest declared.
+    #[must_use]
+    pub fn target_version(&self, model: &str) -> Option<&str> {
+        let versions = self.declared.get(model)?;
+        if let Some((version, _)) = versions.get_key_value(&self.target_version) {
+            return Some(version);
+        }
+        versions
+            .keys()
+            .max_by(|left, right| compare_versions(left, right))
+            .map(String::as_str)
+    }
+
+    /// Active backends that declare any version of the model.
+    #[must_use]
+    pub fn backends_of_model(&self, model: &str) -> BTreeSet<&str> {
+        let versions = self.declared.get(model);
+        versions
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .flatten()
+            .map(String::as_str)
+            .collect()
+    }
+
+    /// Active backends that declare the model's target version.
+    #[must_use]
+    pub fn backends_of_target(&self, model: &str) -> BTreeSet<&str> {
+        let target = self.target_version(model).unwrap_or_default();
+        let versions = self.declared.get(model);
+        versions
+            .and_then(|versions| versions.get(target))
+            .into_iter()
+            .flatten()
+            .map(String::as_str)
+            .collect()
+    }
+
+    /// Whether new work may go to this replica as far as the catalogue is concerned.
+    #[must_use]
+    pub fn is_declared(&self, key: &ReplicaKey) -> bool {
+        self.declared
+            .get(&key.model)
+            .and_then(|versions| versions.get(&key.version))
+            .is_some_and(|backends| backends.contains(&key.backend))
+    }
+
+    /// Number of models that an active backend declares for this pool.
+    #[must_use]
+    pub fn models_on(&self, backend: &str) -> usize {
+        self.declared
+            .values()
+            .filter(|versions| versions.values().any(|backends| backends.contains(backend)))
+            .count()
+    }
+
+    /// Whether the backend takes new work.
+    #[must_use]
+    pub fn is_active(&self, backend: &str) -> bool {
+        self.backends
+            .get(backend)
+            .is_some_and(|backend| backend.state() == BackendState::BackendActive)
+    }
+
+    /// Active backends of the pool.
+    pub fn active_backends(&self) -> impl Iterator<Item = &'a Backend> {
+        self.backends
+            .values()
+            .filter(|backend| backend.state() == BackendState::BackendActive)
+    }
+
+    /// Share of a backend that all the work on it keeps busy, smoothed.
+    #[must_use]
+    pub fn utilization(&self, backend: &str) -> f64 {
+        self.load
+            .costs
+            .utilization(&self.work_on(backend, |_| true))
+    }
+
+    /// Share of a backend that one model's work keeps busy, smoothed.
+    #[must_use]
+    pub fn model_utilization(&self, backend: &str, model: &str) -> f64 {
+        self.load
+            .costs
+            .utilization(&self.work_on(backend, |name| name == model))
+    }
+
+    /// Utilization of one model summed over the backends: how many whole backends it keeps busy.
+    #[must_use]
+    pub fn model_backends_busy(&self, model: &str) -> f64 {
+        let backends: BTreeSet<&str> = self
+            .load
+            .smoothed
+            .keys()
+            .filter(|key| key.model == model)
+            .map(|key| key.backend.as_str())
+            .collect();
+        backends
+            .into_iter()
+            .map(|backend| self.model_utilization(backend, model))
+            .sum()
+    }
+
+    /// Whether any work of the model was seen.
+    #[must_use]
+    pub fn has_load(&self, model: &str) -> bool {
+        self.load
+            .smoothed
+            .iter()
+            .any(|(key, work)| key.model == model && !work.is_idle())
+    }
+
+    /// Mean utilization of the active backends, the work that draining ones must still move included.
+    #[must_use]
+    pub fn pool_utilization(&self) -> f64 {
+        let busy: f64 = self
+            .backends
+            .keys()
+            .map(|backend| self.utilization(backend))
+            .sum();
+        busy / self.active_backends().count().max(1) as f64
+    }
+
+    /// Estimated bandwidth use of a backend, in GB/s.
+    #[must_use]
+    pub fn bandwidth_use(&self, backend: &str) -> f64 {
+        self.load
+            .bandwidth
+            .use_gbps(backend, &self.streams_on(backend))
+    }
+
+    /// Bandwidth that a backend may use under the pool's ceiling, in GB/s.
+    #[must_use]
+    pub fn bandwidth_limit(&self, backend: &str) -> f64 {
+        let whole = self
+            .backends
+            .get(backend)
+            .map_or(0.0, |backend| backend.bandwidth_gbps);
+        whole * self.limits.bandwidth_ceiling
+    }
+
+    /// Whether a backend has room for `gbps` more under its ceiling. A backend of unknown bandwidth has.
+    #[must_use]
+    pub fn bandwidth_fits(&self, backend: &str, gbps: f64) -> bool {
+        let limit = self.bandwidth_limit(backend);
+        let bounded = self.options.bandwidth_dimension && limit > 0.0;
+        !bounded || self.bandwidth_use(backend) + gbps <= limit
+    }
+
+    /// Streams on a backend by model, smoothed.
+    #[must_use]
+    pub fn streams_on(&self, backend: &str) -> BTreeMap<String, f64> {
+        let mut streams = BTreeMap::new();
+        for (key, work) in self
+            .load
+            .smoothed
+            .iter()
+            .filter(|(key, _)| key.backend == backend)
+        {
+            let count = f64::from(work.decode_streams + work.held_requests);
+            *streams.entry(key.model.clone()).or_insert(0.0) += count;
+        }
+        streams
+    }
+
+    /// Smoothed streams of a model over all backends.
+    #[must_use]
+    pub fn streams_of_model(&self, model: &str) -> f64 {
+        self.load
+            .smoothed
+            .iter()
+            .filter(|(key, _)| key.model == model)
+            .map(|(_, work)| f64::from(work.decode_streams + work.held_requests))
+            .sum()
+    }
+
+    fn work_on(&self, backend: &str, wanted: impl Fn(&str) -> bool) -> Vec<(&str, ReplicaWork)> {
+        self.load
+            .smoothed
+            .iter()
+            .filter(|(key, _)| key.backend == backend && wanted(&key.model))
+            .map(|(key, work)| (key.model.as_str(), *work))
+            .collect()
+    }
+}
+
+/// Declarations of the active backends that the selector takes.
+fn declared(
+    backends: &BTreeMap<String, Backend>,
+    selector: &Selector,
+) -> BTreeMap<String, BTreeMap<String, BTreeSet<String>>> {
+    let mut declared: BTreeMap<String, BTreeMap<String, BTreeSet<String>>> = BTreeMap::new();
+    for backend in backends.values() {
+        if backend.state() != BackendState::BackendActive {
+            continue;
+        }
+        for declaration in &backend.declarations {
+            if selects(selector, declaration) {
+                let versions = declared.entry(declaration.model.clone()).or_default();
+                let holders = versions.entry(declaration.version.clone()).or_default();
+                holders.insert(backend.id.clone());
+            }
+        }
+    }
+    declared
+}
+
+/// Whether a selector takes a declaration. Empty fields take everything.
+#[must_use]
+pub fn selects(selector: &Selector, declaration: &Declaration) -> bool {
+    let takes = |wanted: &str, declared: &str| wanted.is_empty() || wanted == declared;
+    takes(&selector.model, &declaration.model)
+        && takes(&selector.version, &declaration.version)
+        && takes(&selector.stage, &declaration.stage)
+        && selector
+            .adapters
+            .iter()
+            .all(|adapter| declaration.adapters.contains(adapter))
+}
--- /dev/null
+++ b/crates/placement/src/plan/retire.rs
@@ -0,0 +1,64 @@
+//! First step: replicas that may take no new work, and drained ones that go.
+
+use std::collections::BTreeMap;
+
+use millford_core::MonotonicTime;
+
+use crate::plan::draft::Draft;
+use crate::plan::moves::MoveReason;
+use crate::plan::pool_view::PoolView;
+use crate::replica_key::ReplicaKey;
+
+/// Since when each replica drains, as this placer knows it.
+///
+/// A new placer counts from its first tick: what drains then may take up to `drain_ms` more.
+#[derive(Clone, Debug, Default)]
+pub struct DrainClock {
+    since: BTreeMap<ReplicaKey, MonotonicTime>,
+}
+
+impl DrainClock {
+    /// Starts the clock of what drains and forgets the rest.
+    pub fn follow(&mut self, draft: &Draft, now: MonotonicTime) {
+        let mut since = BTreeMap::new();
+        for key in draft.draining() {
+            let start = self.since.get(key).copied().unwrap_or(now);
+            since.insert(key.clone(), start);
+        }
+        self.since = since;
+    }
+
+    fn start(&self, key: &ReplicaKey) -> Option<MonotonicTime> {
+        self.since.get(key).copied()
+    }
+}
+
+/// Drains what the platform retires: no gate, no pacing.
+pub fn retire(view: &PoolView, draft: &mut Draft) {
+    let retired: Vec<ReplicaKey> = draft
+        .active()
+        .filter(|key| !view.is_declared(key))
+        .cloned()
+        .collect();
+    for key in retired {
+        draft.drain(&key, MoveReason::Retired);
+    }
+}
+
+/// Removes draining replicas that are empty or past `drain_ms`.
+pub fn remove_drained(view: &PoolView, clock: &DrainClock, draft: &mut Draft) {
+    let draining: Vec<ReplicaKey> = draft.draining().cloned().collect();
+    for key in draining {
+        let Some(start) = clock.start(&key) else {
+            continue;
+        };
+        let drained_for = view.now.since(start);
+        let idle = view.load.work.get(&key).is_none_or(|work| work.is_idle());
+        // A node may have sent work just before it saw the drain: wait until it has reported.
+        if idle && drained_for >= view.options.least_drain.min(view.limits.drain) {
+            draft.remove(&key, MoveReason::Drained);
+        } else if drained_for >= view.limits.drain {
+            draft.remove(&key, MoveReason::DrainTimedOut);
+        }
+    }
+}
