Add the simulator's kernel, disks, network tables, scenario format and checkers

Aim: run the fleet's own code under simulated time, with faults and checks over the whole history. Considered: checking at the end only; checkers that watch every record find a fault at its moment and let a run stop there. Change: event queue, process clocks, trace hash, disk files that lose and tear what is not synced, TCP connections that keep their order, the scenario parser, the history and fifteen checkers.

--- /dev/null
+++ b/crates/simulation/src/checkers/durability.rs
@@ -0,0 +1,84 @@
+//! Acknowledged revisions survive, and no control node serves an older one.
+
+use std::collections::BTreeMap;
+
+use millford_core::MonotonicTime;
+
+use crate::checkers::checker::Checker;
+use crate::checkers::promise::Promise;
+use crate::checkers::verdict::Verdict;
+use crate::history::{OrderAnswer, Record};
+
+/// Holds confirmed reads against acknowledged orders.
+#[derive(Default)]
+pub struct DurabilityChecker {
+    /// Highest acknowledged revision from each time on.
+    acknowledged: BTreeMap<MonotonicTime, u64>,
+    documents: BTreeMap<u64, u64>,
+    reads: u64,
+}
+
+impl Checker for DurabilityChecker {
+    fn observe(&mut self, at: MonotonicTime, record: &Record, verdict: &mut Verdict) {
+        match record {
+            Record::OrderAnswered {
+                answer: OrderAnswer::Accepted { revision, .. },
+                ..
+            } => self.acknowledge(at, *revision),
+            Record::RevisionWritten { revision, digest } => {
+                self.documents.insert(*revision, *digest);
+            }
+            Record::RevisionRead {
+                revision,
+                digest,
+                sent,
+            } => {
+                self.reads += 1;
+                self.check_age(at, *revision, *sent, verdict);
+                self.check_document(at, *revision, *digest, verdict);
+            }
+            _ => {}
+        }
+    }
+
+    fn finish(&mut self, at: MonotonicTime, verdict: &mut Verdict) {
+        if self.reads == 0 {
+            let text = "no confirmed read succeeded by the end".to_string();
+            verdict.broken(at, Promise::Durability, text);
+        }
+    }
+}
+
+impl DurabilityChecker {
+    fn acknowledge(&mut self, at: MonotonicTime, revision: u64) {
+        let highest = self.acknowledged_by(at).max(revision);
+        self.acknowledged.insert(at, highest);
+    }
+
+    fn acknowledged_by(&self, at: MonotonicTime) -> u64 {
+        let latest = self.acknowledged.range(..=at).next_back();
+        latest.map_or(0, |(_, revision)| *revision)
+    }
+
+    fn check_age(
+        &self,
+        at: MonotonicTime,
+        revision: u64,
+        sent: MonotonicTime,
+        verdict: &mut Verdict,
+    ) {
+        let floor = self.acknowledged_by(sent);
+        if revision < floor {
+            let text = format!("a read sent after {floor} was acknowledged shows {revision}");
+            verdict.broken(at, Promise::Durability, text);
+        }
+    }
+
+    fn check_document(&self, at: MonotonicTime, revision: u64, digest: u64, verdict: &mut Verdict) {
+        let wanted = self.documents.get(&revision);
+        if wanted.is_some_and(|wanted| *wanted != digest) {
+            let text = format!("revision {revision} reads back as another document");
+            verdict.broken(at, Promise::Durability, text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/checkers/key_secrecy.rs
@@ -0,0 +1,26 @@
+//! Backends never see a tenant key.
+
+use millford_core::MonotonicTime;
+
+use crate::checkers::checker::Checker;
+use crate::checkers::promise::Promise;
+use crate::checkers::verdict::Verdict;
+use crate::history::Record;
+
+/// Watches what reaches backends.
+#[derive(Default)]
+pub struct KeySecrecyChecker;
+
+impl Checker for KeySecrecyChecker {
+    fn observe(&mut self, at: MonotonicTime, record: &Record, verdict: &mut Verdict) {
+        if let Record::BackendReceived {
+            backend,
+            attempt,
+            key_seen: true,
+        } = record
+        {
+            let text = format!("{backend:?} saw a tenant key in {attempt:?}");
+            verdict.broken(at, Promise::KeySecrecy, text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/checkers/panel.rs
@@ -0,0 +1,77 @@
+//! All checkers together.
+
+use millford_core::MonotonicTime;
+
+use crate::checkers::adoption::AdoptionChecker;
+use crate::checkers::answer_identity::AnswerIdentityChecker;
+use crate::checkers::at_most_once::AtMostOnceChecker;
+use crate::checkers::checker::Checker;
+use crate::checkers::complete_answers::CompleteAnswersChecker;
+use crate::checkers::drain::DrainChecker;
+use crate::checkers::durability::DurabilityChecker;
+use crate::checkers::key_secrecy::KeySecrecyChecker;
+use crate::checkers::not_run_truth::NotRunTruthChecker;
+use crate::checkers::one_winner::OneWinnerChecker;
+use crate::checkers::quota::QuotaChecker;
+use crate::checkers::recovery::RecoveryChecker;
+use crate::checkers::revision_order::RevisionOrderChecker;
+use crate::checkers::revocation::RevocationChecker;
+use crate::checkers::second_sends::SecondSendsChecker;
+use crate::checkers::stream_continuity::StreamContinuityChecker;
+use crate::checkers::verdict::Verdict;
+use crate::history::Record;
+
+/// Every checker, fed record by record.
+pub struct Checkers {
+    checkers: Vec<Box<dyn Checker>>,
+    verdict: Verdict,
+}
+
+impl Default for Checkers {
+    fn default() -> Self {
+        let checkers: Vec<Box<dyn Checker>> = vec![
+            Box::<AtMostOnceChecker>::default(),
+            Box::<NotRunTruthChecker>::default(),
+            Box::<AnswerIdentityChecker>::default(),
+            Box::<CompleteAnswersChecker>::default(),
+            Box::<StreamContinuityChecker>::default(),
+            Box::<RevisionOrderChecker>::default(),
+            Box::<AdoptionChecker>::default(),
+            Box::<OneWinnerChecker>::default(),
+            Box::<RevocationChecker>::default(),
+            Box::<KeySecrecyChecker>::default(),
+            Box::<QuotaChecker>::default(),
+            Box::<SecondSendsChecker>::default(),
+            Box::<DrainChecker>::default(),
+            Box::<DurabilityChecker>::default(),
+            Box::<RecoveryChecker>::default(),
+        ];
+        Self {
+            checkers,
+            verdict: Verdict::default(),
+        }
+    }
+}
+
+impl Checkers {
+    /// Takes the next record.
+    pub fn observe(&mut self, at: MonotonicTime, record: &Record) {
+        for checker in &mut self.checkers {
+            checker.observe(at, record, &mut self.verdict);
+        }
+    }
+
+    /// Ends the run and gives the verdict.
+    pub fn finish(&mut self, at: MonotonicTime) -> Verdict {
+        for checker in &mut self.checkers {
+            checker.finish(at, &mut self.verdict);
+        }
+        std::mem::take(&mut self.verdict)
+    }
+
+    /// What was found so far.
+    #[must_use]
+    pub fn verdict(&self) -> &Verdict {
+        &self.verdict
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/disk/condition.rs
@@ -0,0 +1,15 @@
+//! How a disk behaves for the moment.
+
+/// Behaviour of a simulated disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DiskCondition {
+    /// Syncs take a fraction of a millisecond.
+    #[default]
+    Healthy,
+    /// Each sync takes this many microseconds.
+    Slow(u64),
+    /// Writes fail for want of space.
+    Full,
+    /// Syncs fail; the unsynced bytes may be lost.
+    FailingSync,
+}
--- /dev/null
+++ b/crates/simulation/src/disk/platter.rs
@@ -0,0 +1,99 @@
+//! The files of one machine's disk, apart from the process that uses them.
+
+use std::collections::BTreeMap;
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::disk::condition::DiskCondition;
+use crate::disk::file::DiskFile;
+
+/// Microseconds of a sync on a healthy disk.
+pub const HEALTHY_SYNC_MICROS: u64 = 300;
+
+/// State of a disk; it outlives the process, but not a wipe.
+#[derive(Debug, Default)]
+pub struct Platter {
+    files: BTreeMap<String, DiskFile>,
+    condition: DiskCondition,
+    busy_micros: u64,
+    syncs: u64,
+}
+
+impl Platter {
+    /// Changes how the disk behaves.
+    pub fn set_condition(&mut self, condition: DiskCondition) {
+        self.condition = condition;
+    }
+
+    /// How the disk behaves now.
+    #[must_use]
+    pub fn condition(&self) -> DiskCondition {
+        self.condition
+    }
+
+    /// Time that operations took since the last call, in microseconds.
+    pub fn take_busy_micros(&mut self) -> u64 {
+        std::mem::take(&mut self.busy_micros)
+    }
+
+    /// Syncs done so far.
+    #[must_use]
+    pub fn syncs(&self) -> u64 {
+        self.syncs
+    }
+
+    /// Forgets every file.
+    pub fn wipe(&mut self) {
+        self.files.clear();
+    }
+
+    /// What a kill of the machine leaves: synced bytes, and perhaps a torn part of the others.
+    pub fn lose_power(&mut self, random: &mut ChaCha8Rng) {
+        for file in self.files.values_mut() {
+            file.lose_power(random);
+        }
+        self.drop_gone();
+        self.busy_micros = 0;
+    }
+
+    /// Names under `prefix` that a reader sees.
+    #[must_use]
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        let visible = self
+            .files
+            .iter()
+            .filter(|(_, file)| file.current().is_some());
+        let names = visible.filter_map(|(name, _)| name.strip_prefix(prefix));
+        names.map(str::to_string).collect()
+    }
+
+    /// Bytes of a file that a reader sees.
+    #[must_use]
+    pub fn read(&self, name: &str) -> Option<Vec<u8>> {
+        self.files
+            .get(name)
+            .and_then(|file| file.current().cloned())
+    }
+
+    /// The file, made if it does not exist.
+    pub fn file(&mut self, name: &str) -> &mut DiskFile {
+        self.files.entry(name.to_string()).or_default()
+    }
+
+    /// Syncs a file and counts the time it takes.
+    pub fn sync(&mut self, name: &str) {
+        self.syncs += 1;
+        self.busy_micros += match self.condition {
+            DiskCondition::Slow(micros) => micros,
+            _ => HEALTHY_SYNC_MICROS,
+        };
+        if let Some(file) = self.files.get_mut(name) {
+            file.sync();
+        }
+        self.drop_gone();
+    }
+
+    fn drop_gone(&mut self) {
+        self.files.retain(|_, file| !file.is_gone());
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/history/identifiers.rs
@@ -0,0 +1,21 @@
+//! Numbers that the history uses for what it speaks of.
+
+/// One send of a caller; a resend is another call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNumber(pub u64);
+
+/// What a caller wants done: a resend has the same content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ContentNumber(pub u64);
+
+/// One send of a proxy to a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptNumber(pub u64);
+
+/// A front machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FrontNumber(pub u16);
+
+/// A backend; a replacement has another number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackendNumber(pub u16);
--- /dev/null
+++ b/crates/simulation/src/kernel/clock.rs
@@ -0,0 +1,51 @@
+//! The monotonic clock of one simulated process.
+
+use millford_core::MonotonicTime;
+
+const MILLION: i128 = 1_000_000;
+
+/// A clock that starts anywhere, runs a little fast or slow and may jump ahead.
+///
+/// It never steps back: the cores under test use the monotonic clock only, and that is its
+/// promise. Wall clocks jump both ways, but nothing in the cores can see one.
+#[derive(Clone, Debug)]
+pub struct ProcessClock {
+    base_true: MonotonicTime,
+    base_local: MonotonicTime,
+    drift_ppm: i32,
+}
+
+impl ProcessClock {
+    /// A clock that shows `local` at true time `now` and drifts by `drift_ppm` parts per million.
+    #[must_use]
+    pub fn new(now: MonotonicTime, local: MonotonicTime, drift_ppm: i32) -> Self {
+        Self {
+            base_true: now,
+            base_local: local,
+            drift_ppm,
+        }
+    }
+
+    /// What the clock shows at true time `now`.
+    #[must_use]
+    pub fn local(&self, now: MonotonicTime) -> MonotonicTime {
+        let elapsed = i128::from(now.as_micros()) - i128::from(self.base_true.as_micros());
+        let shown = elapsed + elapsed * i128::from(self.drift_ppm) / MILLION;
+        let local = i128::from(self.base_local.as_micros()) + shown.max(0);
+        MonotonicTime::from_micros(u64::try_from(local).unwrap_or(u64::MAX))
+    }
+
+    /// Moves the clock ahead by `micros` microseconds at true time `now`.
+    pub fn jump(&mut self, now: MonotonicTime, micros: u64) {
+        let local = self.local(now).as_micros().saturating_add(micros);
+        self.base_local = MonotonicTime::from_micros(local);
+        self.base_true = now;
+    }
+
+    /// Changes the drift at true time `now`; what the clock shows does not step.
+    pub fn set_drift(&mut self, now: MonotonicTime, drift_ppm: i32) {
+        self.base_local = self.local(now);
+        self.base_true = now;
+        self.drift_ppm = drift_ppm;
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,1 +1,11 @@
-//! Whole fleet under simulated time: network, disk, callers, backends, checkers, scenarios.
+//! A whole fleet under simulated time, with simulated network and disks.
+//!
+//! The control nodes, agents and the request path are the daemons' own code. Callers, backends,
+//! the service registry and operators are stand-ins that exchange messages with them.
+
+pub mod checkers;
+pub mod disk;
+pub mod history;
+pub mod kernel;
+pub mod network;
+pub mod scenario;
--- /dev/null
+++ b/crates/simulation/src/network/link.rs
@@ -0,0 +1,104 @@
+//! One simulated TCP connection.
+
+use std::collections::VecDeque;
+
+use millford_core::MonotonicTime;
+
+use crate::network::process_id::ProcessId;
+
+/// Number of a connection, unique in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkNumber(pub u64);
+
+/// One of the two directions of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Direction {
+    /// From the side that connected.
+    Forward,
+    /// Towards the side that connected.
+    Backward,
+}
+
+impl Direction {
+    /// The other direction.
+    #[must_use]
+    pub fn reversed(self) -> Self {
+        match self {
+            Direction::Forward => Direction::Backward,
+            Direction::Backward => Direction::Forward,
+        }
+    }
+}
+
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkState {
+    /// The connecting side waits for the answer.
+    Connecting,
+    /// Both sides may send.
+    Open,
+    /// Gone for both sides, or about to be.
+    Closed,
+}
+
+/// What travels on a connection, in order.
+#[derive(Clone, Debug)]
+pub enum Packet {
+    /// An encoded message.
+    Bytes(Vec<u8>),
+    /// The other side closed or its process died.
+    End,
+}
+
+/// A connection with its packets in flight.
+pub struct Link {
+    /// The side that connected.
+    pub connector: ProcessId,
+    /// Incarnation of the connecting process.
+    pub connector_boot: u64,
+    /// The side that accepted.
+    pub acceptor: ProcessId,
+    /// Incarnation of the accepting process, once open.
+    pub acceptor_boot: u64,
+    /// How far it has come.
+    pub state: LinkState,
+    /// Packets in flight, per direction.
+    pub in_flight: [VecDeque<Packet>; 2],
+    /// Earliest arrival of the next packet, per direction: TCP never reorders.
+    pub last_arrival: [MonotonicTime; 2],
+}
+
+impl Link {
+    /// Index of a direction in the arrays.
+    #[must_use]
+    pub fn index(direction: Direction) -> usize {
+        match direction {
+            Direction::Forward => 0,
+            Direction::Backward => 1,
+        }
+    }
+
+    /// The process that sends in a direction.
+    #[must_use]
+    pub fn sender(&self, direction: Direction) -> ProcessId {
+        match direction {
+            Direction::Forward => self.connector,
+            Direction::Backward => self.acceptor,
+        }
+    }
+
+    /// The process that receives in a direction.
+    #[must_use]
+    pub fn receiver(&self, direction: Direction) -> ProcessId {
+        self.sender(direction.reversed())
+    }
+
+    /// Incarnation of the process that receives in a direction.
+    #[must_use]
+    pub fn receiver_boot(&self, direction: Direction) -> u64 {
+        match direction {
+            Direction::Forward => self.acceptor_boot,
+            Direction::Backward => self.connector_boot,
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/scenario/expectation.rs
@@ -0,0 +1,64 @@
+//! What a scenario expects beyond the checkers, which always run.
+
+/// A measured figure of a run. Times are in milliseconds, shares in percent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Figure {
+    /// Longest time from a backend's draining or death to its last new work.
+    Drain,
+    /// Longest time from an acknowledged revision to its rule over every node in touch.
+    Adoption,
+    /// Longest time from an acknowledged revocation to the last use of the key.
+    Revocation,
+    /// Longest time without service after the machines were back.
+    Recovery,
+    /// Second sends per hundred first sends, fleet-wide.
+    SecondSends,
+    /// Calls answered in full, per hundred calls.
+    Served,
+    /// Orders acknowledged, counted.
+    Orders,
+}
+
+impl Figure {
+    /// Every figure.
+    pub const ALL: [Figure; 7] = [
+        Figure::Drain,
+        Figure::Adoption,
+        Figure::Revocation,
+        Figure::Recovery,
+        Figure::SecondSends,
+        Figure::Served,
+        Figure::Orders,
+    ];
+
+    /// The word for the figure in scenario files and reports.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Figure::Drain => "drain",
+            Figure::Adoption => "adoption",
+            Figure::Revocation => "revocation",
+            Figure::Recovery => "recovery",
+            Figure::SecondSends => "second-sends",
+            Figure::Served => "served",
+            Figure::Orders => "orders",
+        }
+    }
+
+    /// The figure with this word.
+    #[must_use]
+    pub fn from_word(word: &str) -> Option<Self> {
+        Figure::ALL.into_iter().find(|figure| figure.word() == word)
+    }
+}
+
+/// A bound on a figure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expectation {
+    /// The figure.
+    pub figure: Figure,
+    /// Whether the figure must be at least (true) or at most (false) the value.
+    pub at_least: bool,
+    /// Milliseconds, percent or a count.
+    pub value: u64,
+}
--- /dev/null
+++ b/crates/simulation/src/scenario/target.rs
@@ -0,0 +1,51 @@
+//! What a fault strikes.
+
+/// Kind of machine or process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetKind {
+    /// A core machine and its control node.
+    Core,
+    /// A front machine: agent and proxy.
+    Front,
+    /// The agent of a front machine.
+    Agent,
+    /// The proxy of a front machine.
+    Proxy,
+    /// A model backend.
+    Model,
+    /// A lookup backend.
+    Lookup,
+}
+
+/// Which of a kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The one with this number, from 1.
+    Number(u16),
+    /// One drawn by the seed when the fault comes.
+    Any,
+    /// The core machine that leads the configuration shard when the fault comes.
+    Leader,
+    /// Every one.
+    All,
+}
+
+/// Target of a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Kind of machine or process.
+    pub kind: TargetKind,
+    /// Which of the kind.
+    pub choice: Choice,
+}
+
+impl Target {
+    /// One of a kind, drawn by the seed.
+    #[must_use]
+    pub fn any(kind: TargetKind) -> Self {
+        Self {
+            kind,
+            choice: Choice::Any,
+        }
+    }
+}
