--- a/crates/simulation/src/checkers/quota.rs
+++ b/crates/simulation/src/checkers/quota.rs
@@ -73,15 +73,15 @@
                 self.calls.insert(sent.call, (*sent, at));
             }
             Record::Admitted { call } => self.admit(at, *call, verdict),
-            Record::CallEnded { call, end, .. } => {
-                if let CallEnd::Refused {
-                    code: ResultCode::QuotaExceeded,
-                    ..
-                } = end
-                {
-                    self.check_refusal(at, *call, verdict);
-                }
-            }
+            Record::CallEnded {
+                call,
+                end:
+                    CallEnd::Refused {
+                        code: ResultCode::QuotaExceeded,
+                        ..
+                    },
+                ..
+            } => self.check_refusal(at, *call, verdict),
             _ => {}
         }
     }
