--- a/crates/agent/src/agent_core/control.rs
+++ b/crates/agent/src/agent_core/control.rs
@@ -7,7 +7,7 @@
 use millford_core::{MonotonicTime, ResultCode, ShardId};
 use millford_feed::FeedOutcome;
 
-use super::{AgentCore, CONFIG_HEAD_KEY, head_revision, send_proxy};
+use super::{AgentCore, send_proxy};
 use crate::feeds::FeedEvent;
 use crate::input::ControlLinkId;
 use crate::output::AgentOutput;
@@ -86,42 +86,37 @@
 
     fn feed(&mut self, now: MonotonicTime, message: FeedMessage, out: &mut Vec<AgentOutput>) {
         let shard = ShardId(message.shard);
-        let says_stale = matches!(message.kind, Some(feed_message::Kind::Stale(_)));
-        if self.shows_older_revision(&message) {
-            self.counters.feed_stale += 1;
-            self.leave(now, out);
-            return;
-        }
+        let ends_catch_up = !matches!(message.kind, Some(feed_message::Kind::Change(_)));
         let Some(event) = self.feeds.apply(now, message) else {
             return;
         };
         match &event.outcome {
             FeedOutcome::Stale => {
                 self.counters.feed_stale += 1;
-                if says_stale && self.feeds.may_move(now, shard) {
+                if self.feeds.may_move(now, shard) {
                     self.leave(now, out);
                 }
+                return;
             }
             FeedOutcome::Resubscribe => self.counters.feed_gaps += 1,
             FeedOutcome::Changed(_) => self.counters.feed_changes += 1,
             FeedOutcome::Unchanged => {}
         }
+        if shard == ShardId::CONFIGURATION && self.is_behind_proxy() {
+            self.feeds.deny(now, shard);
+            if ends_catch_up {
+                self.counters.feed_stale += 1;
+                self.leave(now, out);
+            }
+            return;
+        }
         self.pass_on(event, out);
     }
 
-    /// Whether a snapshot holds an older configuration than the proxy has shown: after a restart
-    /// the agent itself remembers nothing, but its proxy does.
-    fn shows_older_revision(&self, message: &FeedMessage) -> bool {
-        let Some(feed_message::Kind::Snapshot(snapshot)) = &message.kind else {
-            return false;
-        };
-        if ShardId(message.shard) != ShardId::CONFIGURATION {
-            return false;
-        }
-        let mut items = snapshot.items.iter();
-        let head = items.find(|item| item.key == CONFIG_HEAD_KEY);
-        let value = head.and_then(|item| item.value.as_ref());
-        value.map_or(0, head_revision) < self.proxy.shown_revision()
+    /// Whether the configuration is older than what the proxy has shown: after a restart the agent
+    /// itself remembers nothing, but its proxy does.
+    fn is_behind_proxy(&self) -> bool {
+        self.revision() < self.proxy.shown_revision()
     }
 
     fn pass_on(&mut self, event: FeedEvent, out: &mut Vec<AgentOutput>) {
--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Quota tokens lent to this node and not spent, over all tenants.
+    #[must_use]
+    pub fn quota_tokens_held(&self, now: MonotonicTime) -> u32 {
+        self.quota.tokens_held(now)
+    }
+
     /// Settlements that wait to be recorded.
     #[must_use]
     pub fn settles_waiting(&self) -> usize {
--- a/crates/agent/src/feeds.rs
+++ b/crates/agent/src/feeds.rs
@@ -119,6 +119,15 @@
         })
     }
 
+    /// Takes a confirmation back: the node knows less than what was shown before.
+    pub fn deny(&mut self, now: MonotonicTime, shard: ShardId) {
+        if let Some(feed) = self.shards.get_mut(&shard) {
+            feed.confirmed = false;
+            feed.confirmed_on_link = false;
+            feed.subscribe_at = Some(now + SUBSCRIBE_AGAIN);
+        }
+    }
+
     /// Whether a shard that the node cannot confirm may make the agent move now.
     pub fn may_move(&mut self, now: MonotonicTime, shard: ShardId) -> bool {
         let Some(feed) = self.shards.get_mut(&shard) else {
--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -6,7 +6,7 @@
 
 use crate::input::ControlLinkId;
 use crate::link::address_book::AddressBook;
-use crate::timing::{CONNECT_TIMEOUT, CONTROL_SILENCE, RETRY_CEILING, RETRY_FIRST};
+use crate::timing::{CONNECT_TIMEOUT, CONTROL_SILENCE, RETRY_CEILING, RETRY_FIRST, SETTLED_AFTER};
 
 /// What the link wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +30,8 @@
         link: ControlLinkId,
         address: String,
         last_heard: MonotonicTime,
+        /// In touch for long enough to start a new round over the other nodes.
+        settled: bool,
     },
 }
 
@@ -110,6 +112,7 @@
             link,
             address: self.dialed.clone(),
             last_heard: now,
+            settled: false,
         };
         true
     }
@@ -137,16 +140,12 @@
 
     /// The control node says whether it is in touch. Returns whether the agent should stay.
     pub fn confirmed(&mut self, now: MonotonicTime, touch: bool) -> bool {
-        let LinkState::Up { address, .. } = &self.state else {
+        let LinkState::Up { .. } = self.state else {
             return true;
         };
         if touch {
-            if self.in_touch_since.is_none() {
-                self.book.begin_round(Some(address));
-            }
             self.in_touch_since.get_or_insert(now);
             self.out_of_touch_since = None;
-            self.backoff.reset();
         } else {
             self.out_of_touch(now);
         }
@@ -174,10 +173,28 @@
         if overdue {
             actions.extend(self.leave(now));
         }
+        self.settle(now);
         actions.extend(self.dial(now));
         actions
     }
 
+    /// A node that proved good for a while makes every other one worth a try again. Before that the
+    /// round goes on, so that nodes which fail one after the other are not tried without a pause.
+    fn settle(&mut self, now: MonotonicTime) {
+        let LinkState::Up {
+            address, settled, ..
+        } = &mut self.state
+        else {
+            return;
+        };
+        let since = self.in_touch_since;
+        if !*settled && since.is_some_and(|since| now.since(since) >= SETTLED_AFTER) {
+            *settled = true;
+            self.book.begin_round(Some(address));
+            self.backoff.reset();
+        }
+    }
+
     fn dial(&mut self, now: MonotonicTime) -> Option<LinkAction> {
         let LinkState::Down { retry_at } = self.state else {
             return None;
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -46,6 +46,12 @@
         self.slices.values().map(TenantSlice::slots_in_use).sum()
     }
 
+    /// Tokens lent to this node and not spent, over all tenants.
+    #[must_use]
+    pub fn tokens_held(&self, now: MonotonicTime) -> u32 {
+        self.slices.values().map(|slice| slice.tokens(now)).sum()
+    }
+
     /// A call wants to be admitted. `limited_streams`: the tenant's streams are limited.
     pub fn ask(
         &mut self,
@@ -86,7 +92,7 @@
     /// Takes a leader's answer.
     pub fn reply(&mut self, now: MonotonicTime, reply: &QuotaReply) -> Vec<LocalQuotaReply> {
         if reply.code != ResultCode::Ok.number() {
-            self.requests.postpone(now, reply.request_id);
+            self.unanswered(now, reply.request_id);
             return Vec::new();
         }
         let Some(sent) = self.requests.take(reply.request_id) else {
@@ -210,6 +216,21 @@
         due
     }
 
+    /// The leader could not answer. A request that returns nothing is given up for a new one, whose
+    /// lease counts from later; one that returns tokens keeps its id, so that they count once.
+    fn unanswered(&mut self, now: MonotonicTime, request_id: u64) {
+        if self.requests.returns_tokens(request_id) {
+            self.requests.postpone(now, request_id);
+            return;
+        }
+        let Some(sent) = self.requests.take(request_id) else {
+            return;
+        };
+        for ask in &sent.request.asks {
+            self.slice(now, &ask.tenant).unanswered(now, ask);
+        }
+    }
+
     fn forget(&mut self, now: MonotonicTime, request: &QuotaRequest) {
         for ask in &request.asks {
             self.slice(now, &ask.tenant).lost(ask);
--- a/crates/agent/src/quota/request_book.rs
+++ b/crates/agent/src/quota/request_book.rs
@@ -40,6 +40,14 @@
         self.requests.remove(&request_id)
     }
 
+    /// Whether a request gives tokens back.
+    #[must_use]
+    pub fn returns_tokens(&self, request_id: u64) -> bool {
+        let entry = self.requests.get(&request_id);
+        let mut asks = entry.into_iter().flat_map(|entry| &entry.request.asks);
+        asks.any(|ask| ask.returned_tokens > 0)
+    }
+
     /// The leader could not answer: the request is sent again soon.
     pub fn postpone(&mut self, now: MonotonicTime, request_id: u64) {
         if let Some(entry) = self.requests.get_mut(&request_id) {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -8,7 +8,7 @@
 use crate::quota::lease::TokenLease;
 use crate::quota::slot_hold::SlotHold;
 use crate::quota::waiter::Waiter;
-use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE};
+use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, QUOTA_RETRY};
 
 /// Answer to one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -288,6 +288,12 @@
         self.answered(ask);
     }
 
+    /// An ask was not processed: the next one waits a moment.
+    pub fn unanswered(&mut self, now: MonotonicTime, ask: &QuotaAsk) {
+        self.answered(ask);
+        self.ask_after = now + QUOTA_RETRY;
+    }
+
     fn answered(&mut self, ask: &QuotaAsk) {
         self.outstanding = self.outstanding.saturating_sub(ask.tokens);
         self.under_way = self.under_way.saturating_sub(1);
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -17,6 +17,9 @@
 /// Longest delay between two rounds over the known control nodes.
 pub const RETRY_CEILING: Duration = Duration::from_millis(1000);
 
+/// Time in touch with one node after which the others may be tried again at once when it fails.
+pub const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
 /// A shard whose subscription was not confirmed for this long is subscribed again.
 pub const SUBSCRIBE_AGAIN: Duration = Duration::from_millis(1000);
 
--- /dev/null
+++ b/crates/agent/tests/quota_and_claims.rs
@@ -0,0 +1,309 @@
+//! Quota slices, claims and settlements through vacancies, recalls and time-outs.
+
+mod support;
+
+use millford_api::command::{Claim, RunOutcome, SettleClaim};
+use millford_api::config::Quota;
+use millford_api::internal::{QuotaRecall, frame};
+use millford_api::local::{
+    LocalClaim, LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply, LocalSettle, local_frame,
+};
+use millford_core::ResultCode;
+use support::{Fleet, tenant};
+
+const ADDRESSES: [&str; 2] = ["c1", "c2"];
+
+fn quota(requests_per_second: u32, burst: u32, concurrent_streams: u32) -> Quota {
+    Quota {
+        requests_per_second,
+        burst,
+        concurrent_streams,
+    }
+}
+
+/// A started fleet with one tenant, old enough that its bucket is full.
+fn fleet_with(quota: Quota) -> Fleet {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    fleet.publish(0, 2, vec![tenant("t", quota)]);
+    let now = fleet.now;
+    fleet.shared.set_quota(now, "t", quota);
+    fleet.run(3_000);
+    fleet.take_proxy_frames();
+    fleet
+}
+
+fn ask(fleet: &mut Fleet, request_id: u64, stream: bool, timeout_ms: u32) {
+    fleet.from_proxy(local_frame::Body::QuotaAsk(LocalQuotaAsk {
+        request_id,
+        tenant: "t".to_owned(),
+        stream,
+        timeout_ms,
+    }));
+}
+
+fn replies(fleet: &mut Fleet) -> Vec<LocalQuotaReply> {
+    let bodies = fleet.take_proxy_frames().into_iter();
+    bodies
+        .filter_map(|body| match body {
+            local_frame::Body::QuotaReply(reply) => Some(reply),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_call_under_its_quota_is_granted_within_one_round_trip() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    ask(&mut fleet, 1, false, 500);
+    fleet.run(8);
+    let replies = replies(&mut fleet);
+    assert_eq!(replies.len(), 1);
+    assert!(replies[0].granted);
+}
+
+#[test]
+fn calls_over_the_quota_are_refused_at_once_with_a_time() {
+    let mut fleet = fleet_with(quota(1, 4, 0));
+    for id in 0..10 {
+        ask(&mut fleet, id, false, 5_000);
+    }
+    fleet.run(60);
+    let replies = replies(&mut fleet);
+    let granted = replies.iter().filter(|reply| reply.granted).count();
+    assert_eq!(granted, 4);
+    let refused: Vec<_> = replies.iter().filter(|reply| !reply.granted).collect();
+    assert_eq!(refused.len(), 6, "no refusal is held back");
+    for reply in refused {
+        assert_eq!(reply.code, ResultCode::QuotaExceeded.number());
+        assert!(reply.retry_after_ms > 0);
+    }
+}
+
+#[test]
+fn a_call_waits_through_a_vacancy_and_is_then_granted() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    fleet.shared.lose_leaders();
+    ask(&mut fleet, 1, false, 5_000);
+    fleet.run(800);
+    assert!(
+        replies(&mut fleet).is_empty(),
+        "neither granted nor refused yet"
+    );
+    let now = fleet.now;
+    fleet.shared.elect(now, 2);
+    fleet.run(1_000);
+    let replies = replies(&mut fleet);
+    assert_eq!(replies.len(), 1);
+    assert!(replies[0].granted);
+}
+
+#[test]
+fn a_call_without_a_decision_is_refused_when_its_time_is_over() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    fleet.shared.lose_leaders();
+    ask(&mut fleet, 1, false, 300);
+    fleet.run(298);
+    assert!(replies(&mut fleet).is_empty());
+    fleet.run(4);
+    let replies = replies(&mut fleet);
+    assert_eq!(replies.len(), 1);
+    assert_eq!(replies[0].code, ResultCode::QuotaUnavailable.number());
+}
+
+/// Steady demand makes the leader lend spare tokens beside those asked for; ends with some held.
+fn hold_spare_tokens(fleet: &mut Fleet) {
+    for id in 1_000..1_400 {
+        ask(fleet, id, false, 1_000);
+        fleet.run(10);
+        replies(fleet);
+        if fleet.core.quota_tokens_held(fleet.now) >= 2 {
+            return;
+        }
+    }
+    panic!("no spare tokens were lent");
+}
+
+#[test]
+fn out_of_touch_the_leases_held_are_spent_and_nothing_more() {
+    let mut fleet = fleet_with(quota(200, 200, 0));
+    hold_spare_tokens(&mut fleet);
+    for control in &mut fleet.controls {
+        control.silent = true;
+    }
+    for id in 100..160 {
+        ask(&mut fleet, id, false, 400);
+    }
+    let held = replies(&mut fleet).len();
+    assert!(held > 0, "a lease was held");
+    fleet.run(500);
+    let later = replies(&mut fleet);
+    assert_eq!(held + later.len(), 60);
+    assert!(
+        later
+            .iter()
+            .all(|reply| reply.code == ResultCode::QuotaUnavailable.number())
+    );
+    fleet.run(2_000);
+    ask(&mut fleet, 200, false, 100);
+    assert!(replies(&mut fleet).is_empty(), "the leases have run out");
+}
+
+#[test]
+fn a_recall_is_answered_at_once_with_what_is_idle() {
+    let mut fleet = fleet_with(quota(200, 200, 0));
+    hold_spare_tokens(&mut fleet);
+    let index = fleet.at();
+    let shard = millford_core::ShardLayout::new(support::DATA_SHARDS)
+        .shard_of(&millford_core::tenant_key("t"));
+    let recall = QuotaRecall {
+        shard: shard.0,
+        tenant: "t".to_owned(),
+    };
+    fleet.from_control(index, vec![frame::Body::QuotaRecall(recall)]);
+    fleet.run(8);
+    assert_eq!(fleet.core.quota_tokens_held(fleet.now), 0);
+    // Nothing idle is left here: the next call needs a round trip.
+    ask(&mut fleet, 500, false, 1_000);
+    assert!(replies(&mut fleet).is_empty());
+    fleet.run(8);
+    assert!(replies(&mut fleet)[0].granted);
+}
+
+#[test]
+fn streams_are_limited_and_a_released_slot_is_used_again() {
+    let mut fleet = fleet_with(quota(100, 100, 2));
+    for id in 0..3 {
+        ask(&mut fleet, id, true, 1_000);
+    }
+    fleet.run(50);
+    let first = replies(&mut fleet);
+    assert_eq!(first.iter().filter(|reply| reply.granted).count(), 2);
+    let refused = first.iter().find(|reply| !reply.granted).expect("refusal");
+    assert_eq!(refused.code, ResultCode::StreamLimit.number());
+    fleet.from_proxy(local_frame::Body::QuotaRelease(LocalQuotaRelease {
+        tenant: "t".to_owned(),
+        stream: true,
+        unused: false,
+    }));
+    ask(&mut fleet, 10, true, 1_000);
+    fleet.run(50);
+    let second = replies(&mut fleet);
+    assert!(second.len() == 1 && second[0].granted);
+}
+
+#[test]
+fn streams_outlive_a_change_of_leader_and_still_count() {
+    let mut fleet = fleet_with(quota(100, 100, 2));
+    ask(&mut fleet, 1, true, 1_000);
+    ask(&mut fleet, 2, true, 1_000);
+    fleet.run(50);
+    assert_eq!(replies(&mut fleet).len(), 2);
+    fleet.shared.lose_leaders();
+    fleet.run(700);
+    let now = fleet.now;
+    fleet.shared.elect(now, 2);
+    fleet.run(2_500);
+    ask(&mut fleet, 3, true, 1_000);
+    fleet.run(100);
+    let answered = replies(&mut fleet);
+    assert_eq!(answered.len(), 1);
+    assert_eq!(answered[0].code, ResultCode::StreamLimit.number());
+}
+
+fn claim(attempt: &str) -> Claim {
+    Claim {
+        tenant: "t".to_owned(),
+        request_id: "order-1".to_owned(),
+        attempt_id: attempt.to_owned(),
+        digest: vec![1],
+    }
+}
+
+#[test]
+fn a_claim_is_sent_again_under_its_attempt_until_it_is_answered() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    fleet.shared.lose_leaders();
+    fleet.from_proxy(local_frame::Body::Claim(LocalClaim {
+        request_id: 5,
+        claim: Some(claim("attempt-1")),
+        timeout_ms: 3_000,
+    }));
+    fleet.run(700);
+    let now = fleet.now;
+    fleet.shared.elect(now, 2);
+    fleet.run(100);
+    let bodies = fleet.take_proxy_frames();
+    let answer = bodies.iter().find_map(|body| match body {
+        local_frame::Body::ClaimReply(reply) => Some(reply),
+        _ => None,
+    });
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.request_id, 5);
+    assert!(answer.result.expect("result").granted);
+    assert!(
+        fleet
+            .shared
+            .claims
+            .iter()
+            .all(|claim| claim.attempt_id == "attempt-1")
+    );
+}
+
+#[test]
+fn a_claim_out_of_time_is_refused_and_set_free() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    fleet.shared.lose_leaders();
+    fleet.from_proxy(local_frame::Body::Claim(LocalClaim {
+        request_id: 5,
+        claim: Some(claim("attempt-1")),
+        timeout_ms: 300,
+    }));
+    fleet.run(310);
+    let bodies = fleet.take_proxy_frames();
+    assert!(bodies.iter().any(|body| matches!(body,
+        local_frame::Body::ClaimReply(reply)
+            if reply.code == ResultCode::ClaimUnavailable.number())));
+    let now = fleet.now;
+    fleet.shared.elect(now, 2);
+    fleet.run(100);
+    assert_eq!(fleet.shared.settles.len(), 1);
+    assert_eq!(
+        fleet.shared.settles[0].outcome,
+        RunOutcome::RunNotRun as i32
+    );
+}
+
+#[test]
+fn settlements_are_kept_until_they_are_acknowledged() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    for control in &mut fleet.controls {
+        control.silent = true;
+    }
+    for id in 0..20 {
+        fleet.from_proxy(local_frame::Body::Settle(LocalSettle {
+            request_id: id,
+            settle: Some(SettleClaim {
+                tenant: "t".to_owned(),
+                request_id: format!("order-{id}"),
+                attempt_id: "attempt".to_owned(),
+                outcome: RunOutcome::RunCompleted as i32,
+            }),
+        }));
+    }
+    fleet.run(5_000);
+    assert_eq!(fleet.core.settles_waiting(), 20);
+    for control in &mut fleet.controls {
+        control.silent = false;
+    }
+    fleet.run(2_500);
+    assert_eq!(fleet.core.settles_waiting(), 0);
+    let mut recorded: Vec<&str> = fleet
+        .shared
+        .settles
+        .iter()
+        .map(|settle| settle.request_id.as_str())
+        .collect();
+    recorded.sort_unstable();
+    recorded.dedup();
+    assert_eq!(recorded.len(), 20);
+}
