--- a/crates/agent/src/agent_core/control.rs
+++ b/crates/agent/src/agent_core/control.rs
@@ -51,7 +51,7 @@
             Some(frame::Body::Feed(message)) => self.feed(now, message, out),
             Some(frame::Body::ShardReply(reply)) => self.shard_reply(now, &reply, out),
             Some(frame::Body::QuotaReply(reply)) => self.quota_reply(now, &reply, out),
-            Some(frame::Body::QuotaRecall(recall)) => self.quota.recall(now, &recall),
+            Some(frame::Body::QuotaRecall(recall)) => self.quota.recall(&recall),
             Some(frame::Body::LoadPicture(picture)) if self.proxy.greeted() => {
                 send_proxy(local_frame::Body::LoadPicture(picture), out);
             }
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -84,9 +84,12 @@
         self.replies(answers)
     }
 
-    /// A leader wants a tenant's idle slice back.
-    pub fn recall(&mut self, now: MonotonicTime, recall: &QuotaRecall) {
-        self.slice(now, &recall.tenant).recall();
+    /// A leader wants a tenant's idle slice back. A node that has not asked for the tenant within
+    /// the last lease holds nothing and says nothing: recalls go to every node.
+    pub fn recall(&mut self, recall: &QuotaRecall) {
+        if let Some(slice) = self.slices.get_mut(&recall.tenant) {
+            slice.recall();
+        }
     }
 
     /// Takes a leader's answer.
@@ -141,7 +144,7 @@
             };
             answers.extend(slice.expire(now));
             slice.return_old(now);
-            if slice.is_idle() {
+            if slice.is_idle(now) {
                 idle.push(tenant.clone());
             }
         }
--- a/crates/agent/src/quota/slot_hold.rs
+++ b/crates/agent/src/quota/slot_hold.rs
@@ -40,6 +40,12 @@
         now < self.until && self.in_use < self.lent
     }
 
+    /// When the last ask was sent.
+    #[must_use]
+    pub fn told_at(&self) -> MonotonicTime {
+        self.told_at
+    }
+
     /// A stream starts.
     pub fn take(&mut self) {
         self.in_use += 1;
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -10,6 +10,10 @@
 use crate::quota::waiter::Waiter;
 use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, QUOTA_RETRY};
 
+/// Time after the last ask for which the leader may take the node to hold something: a lease and
+/// what a request may be under way.
+const KEPT_AFTER_ASK: Duration = Duration::from_millis(2_000);
+
 /// Answer to one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SliceAnswer {
@@ -62,9 +66,12 @@
         }
     }
 
-    /// Whether the slice holds nothing worth keeping.
+    /// Whether the slice holds nothing, and its leader knows that without being told.
     #[must_use]
-    pub fn is_idle(&self) -> bool {
+    pub fn is_idle(&self, now: MonotonicTime) -> bool {
+        if now.since(self.slots.told_at()) < KEPT_AFTER_ASK {
+            return false;
+        }
         let holds = !self.leases.is_empty() || self.slots.in_use() > 0 || self.to_return > 0;
         !holds && self.waiters.is_empty() && self.under_way == 0 && !self.recalled
     }
