Add the scale rig: hollow nodes against real control processes

Aim: slopes of what nodes, tenants and backends cost, for docs/CAPACITY.md. Hollow nodes run the agent's driver; a generator stands in the proxy's place, with the real load board. Sizes grow together and in single directions, so that a fit by least squares tells them apart.

--- /dev/null
+++ b/crates/scale/src/hollow/hollow_node.rs
@@ -0,0 +1,106 @@
+//! One hollow node.
+
+use std::sync::Arc;
+
+use millford_agent::AgentOptions;
+use millford_agent::daemon::report::SharedReport;
+use millford_agent::daemon::{
+    AgentReport, Driver, DriverParts, EventQueues, ProxyOutlet, TrafficMeter,
+};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::hollow::hollow_proxy::HollowProxy;
+use crate::hollow::shown_board::ShownBoard;
+use crate::hollow::traffic::{TrafficCounts, TrafficShape};
+
+/// The two runtimes of the rig: their threads' names tell the agents' processor time from the rest.
+#[derive(Clone, Debug)]
+pub struct RigRuntimes {
+    /// Agents only.
+    pub agents: Handle,
+    /// Hollow proxies and the registry.
+    pub load: Handle,
+}
+
+/// An agent at work and its hollow proxy. Dropping it ends both.
+#[derive(Debug)]
+pub struct HollowNode {
+    meter: Arc<TrafficMeter>,
+    report: SharedReport,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl HollowNode {
+    /// Starts node number `number`.
+    #[must_use]
+    pub fn start(
+        number: u32,
+        seeds: &[String],
+        shape: TrafficShape,
+        runtimes: &RigRuntimes,
+        board: Arc<ShownBoard>,
+        counts: Arc<TrafficCounts>,
+    ) -> Self {
+        let (queues, sources) = EventQueues::new();
+        let (outlet, frames) = ProxyOutlet::new();
+        let (outlet_sender, outlets) = mpsc::channel(1);
+        let meter = Arc::new(TrafficMeter::default());
+        let report = SharedReport::default();
+        let parts = DriverParts {
+            options: options(number, seeds, shape.seed),
+            queues: queues.clone(),
+            sources,
+            outlets,
+            registry_address: String::new(),
+            saved_members: None,
+            meter: Arc::clone(&meter),
+            report: report.clone(),
+        };
+        let agent = runtimes.agents.spawn(async move {
+            // The sender stays with the task, so that the driver's channel stays open.
+            let _ = outlet_sender.send(Some(outlet)).await;
+            Driver::new(parts).run().await;
+            drop(outlet_sender);
+        });
+        let proxy = HollowProxy::new(shape, queues, board, counts);
+        let proxy = runtimes.load.spawn(proxy.run(frames));
+        Self {
+            meter,
+            report,
+            tasks: [agent, proxy],
+        }
+    }
+
+    /// The agent's present state.
+    #[must_use]
+    pub fn report(&self) -> AgentReport {
+        self.report.get()
+    }
+
+    /// Traffic on the agent's link to control.
+    #[must_use]
+    pub fn meter(&self) -> &TrafficMeter {
+        &self.meter
+    }
+}
+
+impl Drop for HollowNode {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn options(number: u32, seeds: &[String], seed: u64) -> AgentOptions {
+    AgentOptions {
+        name: format!("node-{number:03}"),
+        zone: format!("zone-{}", number % 9),
+        address: format!("10.200.{}.{}:1", number / 250, number % 250),
+        boot_id: rand::random(),
+        control_addresses: seeds.to_vec(),
+        random_seed: seed ^ u64::from(number),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/hollow_proxy.rs
@@ -0,0 +1,277 @@
+//! A generator of traffic in a proxy's place.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use millford_agent::AgentInput;
+use millford_agent::daemon::EventQueues;
+use millford_agent::daemon::proxy_outlet::ProxyFrames;
+use millford_api::command::{Claim, RunOutcome, SettleClaim};
+use millford_api::local::{
+    LocalClaim, LocalFrame, LocalQuotaAsk, LocalQuotaRelease, LocalSettle, ProxyHello, ProxyShown,
+    local_frame,
+};
+use millford_api::state::{StateItem, state_value};
+use millford_routing::load_board::LoadBoard;
+use millford_routing::load_ticket::LoadTicket;
+use millford_routing::replica_key::ReplicaKey;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::hollow::shown_board::ShownBoard;
+use crate::hollow::traffic::{
+    ASK_TIMEOUT, CLAIMED_SHARE, MEAN_STREAM_SECONDS, TrafficCounts, TrafficShape,
+};
+use crate::rig::document::{MODELS, backend_name, model_name, tenant_name};
+
+/// Time between two load reports, as the proxy has it.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time from dispatch to the first piece.
+const FIRST_PIECE: Duration = Duration::from_millis(600);
+
+struct OpenStream {
+    tenant: String,
+    ticket: LoadTicket,
+    first_piece_at: Instant,
+    ends_at: Instant,
+}
+
+/// Makes requests, holds streams, reports load; keeps nothing of the state it is sent.
+pub struct HollowProxy {
+    shape: TrafficShape,
+    queues: EventQueues,
+    board: Arc<ShownBoard>,
+    counts: Arc<TrafficCounts>,
+    load: Arc<LoadBoard>,
+    random: SmallRng,
+    asked: BTreeMap<u64, (Instant, String)>,
+    streams: Vec<OpenStream>,
+    next_id: u64,
+    shown: u64,
+}
+
+impl HollowProxy {
+    /// A proxy that begins with [`Self::run`].
+    #[must_use]
+    pub fn new(
+        shape: TrafficShape,
+        queues: EventQueues,
+        board: Arc<ShownBoard>,
+        counts: Arc<TrafficCounts>,
+    ) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(shape.seed),
+            shape,
+            queues,
+            board,
+            counts,
+            load: Arc::new(LoadBoard::default()),
+            asked: BTreeMap::new(),
+            streams: Vec::new(),
+            next_id: 0,
+            shown: 0,
+        }
+    }
+
+    /// Works until it is aborted.
+    pub async fn run(mut self, mut frames: ProxyFrames) {
+        self.queues.state(AgentInput::ProxyUp).await;
+        let boot_id = self.random.random();
+        self.send(local_frame::Body::ProxyHello(ProxyHello {
+            boot_id,
+            caller_address: String::new(),
+        }))
+        .await;
+        let mut next_request = Instant::now();
+        let mut next_report = Instant::now() + REPORT_PERIOD.mul_f64(self.random.random());
+        loop {
+            let wake = next_request.min(next_report).min(self.next_stream_event());
+            tokio::select! {
+                frame = frames.next() => match frame {
+                    Some(frame) => self.take(frame).await,
+                    None => return,
+                },
+                () = tokio::time::sleep_until(wake.into()) => {}
+            }
+            let now = Instant::now();
+            if now >= next_request && self.shown > 0 {
+                self.request(now).await;
+                next_request = now + self.pause();
+            } else if self.shown == 0 {
+                next_request = now + Duration::from_millis(100);
+            }
+            if now >= next_report {
+                next_report = now + REPORT_PERIOD;
+                self.report().await;
+            }
+            self.advance_streams(now).await;
+        }
+    }
+
+    async fn take(&mut self, frame: LocalFrame) {
+        match frame.body {
+            Some(local_frame::Body::Snapshot(snapshot)) => self.show(&snapshot.items).await,
+            Some(local_frame::Body::Change(change)) => self.show(&change.items).await,
+            Some(local_frame::Body::QuotaReply(reply)) => {
+                let Some((asked_at, tenant)) = self.asked.remove(&reply.request_id) else {
+                    return;
+                };
+                let millis = asked_at.elapsed().as_secs_f64() * 1e3;
+                self.counts.quota_answered(reply.granted, millis);
+                if reply.granted {
+                    self.admitted(tenant).await;
+                }
+            }
+            Some(local_frame::Body::ClaimReply(reply)) => {
+                let granted = reply.result.is_some_and(|result| result.granted);
+                self.counts.claim_answered(granted);
+            }
+            Some(local_frame::Body::LoadPicture(picture)) => self.load.merge_picture(&picture),
+            _ => {}
+        }
+    }
+
+    async fn show(&mut self, items: &[StateItem]) {
+        let heads = items
+            .iter()
+            .filter_map(|item| match &item.value.as_ref()?.kind {
+                Some(state_value::Kind::ConfigHead(head)) => Some(head.revision),
+                _ => None,
+            });
+        let Some(revision) = heads.max() else { return };
+        self.board.arrived(revision);
+        let first = self.shown == 0;
+        self.shown = revision;
+        self.send(local_frame::Body::Shown(ProxyShown { revision }))
+            .await;
+        if first {
+            // The streams that would be open had the traffic been steady for long.
+            for _ in 0..self.shape.steady_streams() as u32 {
+                self.request(Instant::now()).await;
+            }
+        }
+    }
+
+    async fn request(&mut self, now: Instant) {
+        let tenant = self.draw_tenant();
+        self.next_id += 1;
+        self.asked.insert(self.next_id, (now, tenant.clone()));
+        let ask = LocalQuotaAsk {
+            request_id: self.next_id,
+            tenant,
+            stream: true,
+            timeout_ms: millis(ASK_TIMEOUT),
+        };
+        self.send(local_frame::Body::QuotaAsk(ask)).await;
+    }
+
+    /// A few large tenants dominate: the square of an even number falls low most often.
+    fn draw_tenant(&mut self) -> String {
+        let even: f64 = self.random.random();
+        let number = (even * even * f64::from(self.shape.tenants)) as u32;
+        tenant_name(number.min(self.shape.tenants - 1))
+    }
+
+    async fn admitted(&mut self, tenant: String) {
+        if self.random.random_bool(CLAIMED_SHARE) {
+            self.claim(&tenant).await;
+        }
+        let backend = self.random.random_range(0..self.shape.backends.max(1));
+        let key = ReplicaKey {
+            pool: model_name(backend % MODELS),
+            backend_id: backend_name(backend),
+            model: model_name(backend % MODELS),
+            version: "1".to_owned(),
+        };
+        let now = Instant::now();
+        let length = MEAN_STREAM_SECONDS * exponential(&mut self.random);
+        self.streams.push(OpenStream {
+            tenant,
+            ticket: self.load.start(key, 2_000),
+            first_piece_at: now + FIRST_PIECE,
+            ends_at: now + FIRST_PIECE + Duration::from_secs_f64(length),
+        });
+    }
+
+    async fn claim(&mut self, tenant: &str) {
+        self.next_id += 1;
+        let request_id = format!("{:x}-{}", self.random.random::<u64>(), self.next_id);
+        let claim = Claim {
+            tenant: tenant.to_owned(),
+            request_id: request_id.clone(),
+            attempt_id: request_id.clone(),
+            digest: vec![7; 32],
+        };
+        self.send(local_frame::Body::Claim(LocalClaim {
+            request_id: self.next_id,
+            claim: Some(claim),
+            timeout_ms: millis(ASK_TIMEOUT),
+        }))
+        .await;
+        self.next_id += 1;
+        let settle = SettleClaim {
+            tenant: tenant.to_owned(),
+            request_id: request_id.clone(),
+            attempt_id: request_id,
+            outcome: RunOutcome::RunCompleted.into(),
+        };
+        self.send(local_frame::Body::Settle(LocalSettle {
+            request_id: self.next_id,
+            settle: Some(settle),
+        }))
+        .await;
+    }
+
+    async fn advance_streams(&mut self, now: Instant) {
+        for stream in &mut self.streams {
+            if stream.first_piece_at <= now {
+                stream.ticket.first_piece();
+            }
+        }
+        let (ended, open): (Vec<OpenStream>, Vec<OpenStream>) = std::mem::take(&mut self.streams)
+            .into_iter()
+            .partition(|stream| stream.ends_at <= now);
+        self.streams = open;
+        for stream in ended {
+            let release = LocalQuotaRelease {
+                tenant: stream.tenant,
+                stream: true,
+                unused: false,
+            };
+            self.send(local_frame::Body::QuotaRelease(release)).await;
+        }
+    }
+
+    fn next_stream_event(&self) -> Instant {
+        let ends = self.streams.iter().map(|stream| stream.ends_at).min();
+        ends.unwrap_or_else(|| Instant::now() + REPORT_PERIOD)
+    }
+
+    async fn report(&mut self) {
+        for report in self.load.take_reports() {
+            self.send(local_frame::Body::LoadReport(report)).await;
+        }
+    }
+
+    async fn send(&self, body: local_frame::Body) {
+        let frame = LocalFrame { body: Some(body) };
+        self.queues.proxy_frame(frame).await;
+    }
+
+    fn pause(&mut self) -> Duration {
+        let mean = 1.0 / self.shape.requests_per_second;
+        Duration::from_secs_f64(mean * exponential(&mut self.random))
+    }
+}
+
+/// An exponentially distributed number of mean 1, cut at 5 so that no run waits for its tail.
+fn exponential(random: &mut SmallRng) -> f64 {
+    let even: f64 = random.random_range(f64::EPSILON..1.0);
+    (-even.ln()).min(5.0)
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/scale/src/hollow/mod.rs
@@ -0,0 +1,10 @@
+//! Hollow nodes: the agent's real code with a generator of traffic in the proxy's place.
+
+pub mod hollow_node;
+pub mod hollow_proxy;
+pub mod shown_board;
+pub mod traffic;
+
+pub use hollow_node::HollowNode;
+pub use shown_board::ShownBoard;
+pub use traffic::{TrafficCounts, TrafficShape};
--- /dev/null
+++ b/crates/scale/src/hollow/shown_board.rs
@@ -0,0 +1,38 @@
+//! When each configuration revision reached each hollow proxy.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// Arrivals by revision.
+#[derive(Debug, Default)]
+pub struct ShownBoard {
+    arrivals: Mutex<BTreeMap<u64, Vec<Instant>>>,
+}
+
+impl ShownBoard {
+    /// A proxy shows this revision from now on.
+    pub fn arrived(&self, revision: u64) {
+        let now = Instant::now();
+        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.entry(revision).or_default().push(now);
+    }
+
+    /// Number of proxies that got this revision.
+    #[must_use]
+    pub fn count(&self, revision: u64) -> usize {
+        let arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.get(&revision).map_or(0, Vec::len)
+    }
+
+    /// Times from `start` to each arrival of this revision, in milliseconds.
+    #[must_use]
+    pub fn delays_ms(&self, revision: u64, start: Instant) -> Vec<f64> {
+        let arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let times = arrivals.get(&revision).map(Vec::as_slice);
+        let times = times.unwrap_or_default().iter();
+        times
+            .map(|at| at.saturating_duration_since(start).as_secs_f64() * 1e3)
+            .collect()
+    }
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,1 +1,43 @@
 //! Scale runs: hollow nodes beside real control nodes, and the slopes they give.
+
+pub mod error;
+pub mod fit;
+pub mod hollow;
+pub mod measure;
+pub mod options;
+pub mod report;
+pub mod rig;
+pub mod run_size;
+pub mod size;
+pub mod size_result;
+pub mod sweep;
+
+pub use error::ScaleError;
+pub use options::ScaleOptions;
+pub use size::FleetSize;
+pub use size_result::SizeResult;
+
+use std::process::ExitCode;
+
+/// Entry of `millford-lab scale`.
+#[must_use]
+pub fn run(arguments: &[String]) -> ExitCode {
+    let options = match ScaleOptions::parse(arguments) {
+        Ok(options::Parsed::Run(options)) => options,
+        Ok(options::Parsed::Help(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("millford-lab scale: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match sweep::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("millford-lab scale: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/measure/mod.rs
@@ -0,0 +1,9 @@
+//! Processor time, memory and distributions.
+
+pub mod process_sample;
+pub mod quantiles;
+pub mod thread_time;
+
+pub use process_sample::ProcessSample;
+pub use quantiles::Quantiles;
+pub use thread_time::ThreadTime;
--- /dev/null
+++ b/crates/scale/src/report/mod.rs
@@ -0,0 +1,55 @@
+//! Results of a run as text, JSON and a plot.
+
+pub mod figure;
+pub mod plot;
+pub mod text;
+
+use serde::Serialize;
+
+use crate::fit::Fit;
+use crate::size::PLANNED;
+use crate::size_result::SizeResult;
+
+pub use figure::Figure;
+
+/// One figure over all sizes, fitted.
+#[derive(Clone, Debug, Serialize)]
+pub struct FittedFigure {
+    /// Name with unit.
+    pub name: &'static str,
+    /// The sum that fits best.
+    pub fit: Fit,
+    /// The fitted figure at the planned size.
+    pub planned: f64,
+    /// What it may be at most, if there is a limit.
+    pub limit: Option<f64>,
+}
+
+/// All results of a sweep.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// Sizes measured.
+    pub sizes: Vec<SizeResult>,
+    /// Sizes that failed, and why.
+    pub failures: Vec<String>,
+    /// Fitted figures; empty with too few sizes.
+    pub fits: Vec<FittedFigure>,
+}
+
+impl Report {
+    /// Fits every figure.
+    pub fn fit(&mut self) {
+        let figures = Figure::ALL.iter();
+        self.fits = figures
+            .filter_map(|figure| {
+                let fit = Fit::of(&figure.points(&self.sizes))?;
+                Some(FittedFigure {
+                    name: figure.name,
+                    planned: fit.at(PLANNED),
+                    limit: figure.limit,
+                    fit,
+                })
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/scale/src/rig/agent_process.rs
@@ -0,0 +1,46 @@
+//! One real agent process beside the hollow ones.
+
+use std::path::Path;
+
+use crate::error::ScaleError;
+use crate::measure::ProcessSample;
+use crate::rig::child::Child;
+use crate::rig::ports::free_addresses;
+
+/// A real `millford-agent` without a proxy.
+#[derive(Debug)]
+pub struct AgentProcess {
+    child: Child,
+}
+
+impl AgentProcess {
+    /// Starts the agent.
+    ///
+    /// # Errors
+    /// Fails when it does not come up.
+    pub fn start(programs: &Path, folder: &Path, seeds: &[String]) -> Result<Self, ScaleError> {
+        let addresses = free_addresses(2)?;
+        let values = [
+            ("--name", "real-agent".to_owned()),
+            ("--zone", "zone-0".to_owned()),
+            ("--local-address", addresses[0].to_string()),
+            ("--http-address", addresses[1].to_string()),
+            ("--seeds", seeds.join(",")),
+            ("--log-level", "warn".to_owned()),
+        ];
+        let pairs = values.into_iter();
+        let arguments: Vec<String> = pairs
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect();
+        let program = programs.join("millford-agent");
+        let log = folder.join("agent.log");
+        let child = Child::start(&program, &arguments, &log)?;
+        Ok(Self { child })
+    }
+
+    /// Processor time and memory.
+    #[must_use]
+    pub fn sample(&self) -> Option<ProcessSample> {
+        ProcessSample::of_process(self.child.id())
+    }
+}
--- /dev/null
+++ b/crates/scale/src/rig/operator_client.rs
@@ -0,0 +1,114 @@
+//! The operator of a run.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use millford_api::config::Document;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+
+use crate::error::ScaleError;
+use crate::rig::control_cluster::OPERATOR_KEY;
+
+/// Longest time for one exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause before an order is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Serialize)]
+struct Order<'order> {
+    base_revision: u64,
+    order_id: &'order str,
+    document: &'order Document,
+}
+
+#[derive(Deserialize)]
+struct Accepted {
+    revision: u64,
+}
+
+/// Sends orders to the control nodes in turn.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    addresses: Vec<SocketAddr>,
+}
+
+impl OperatorClient {
+    /// An operator who knows these addresses.
+    #[must_use]
+    pub fn new(addresses: &[SocketAddr]) -> Self {
+        Self {
+            addresses: addresses.to_vec(),
+        }
+    }
+
+    /// Puts a document on `base_revision`, again until it is accepted or `within` is over.
+    ///
+    /// # Errors
+    /// Fails when no node accepts the order in time.
+    pub async fn put(
+        &self,
+        base_revision: u64,
+        order_id: &str,
+        document: &Document,
+        within: Duration,
+    ) -> Result<u64, ScaleError> {
+        let order = Order {
+            base_revision,
+            order_id,
+            document,
+        };
+        let body = serde_json::to_vec(&order);
+        let body = Bytes::from(body.map_err(|error| ScaleError::Operator(error.to_string()))?);
+        let end = Instant::now() + within;
+        let mut last = String::new();
+        while Instant::now() < end {
+            for address in &self.addresses {
+                match put_once(*address, body.clone()).await {
+                    Ok(revision) => return Ok(revision),
+                    Err(error) => last = error,
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Err(ScaleError::Operator(last))
+    }
+}
+
+async fn put_once(address: SocketAddr, body: Bytes) -> Result<u64, String> {
+    let exchange = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange(address, body));
+    let (status, text) = exchange
+        .await
+        .map_err(|_| "no answer in time".to_owned())??;
+    if !status.is_success() {
+        return Err(format!("{status}: {}", String::from_utf8_lossy(&text)));
+    }
+    let accepted: Accepted = serde_json::from_slice(&text).map_err(|error| error.to_string())?;
+    Ok(accepted.revision)
+}
+
+async fn exchange(address: SocketAddr, body: Bytes) -> Result<(hyper::StatusCode, Bytes), String> {
+    let stream = TcpStream::connect(address).await.map_err(text_of)?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(text_of)?;
+    let connection = tokio::spawn(connection);
+    let request = hyper::Request::put("/v1/config")
+        .header("host", address.to_string())
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .map_err(text_of)?;
+    let response = sender.send_request(request).await.map_err(text_of)?;
+    let status = response.status();
+    let body = response.into_body().collect().await.map_err(text_of)?;
+    connection.abort();
+    Ok((status, body.to_bytes()))
+}
+
+fn text_of(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
