Add the storage and the replica group of a shard

Aim: durable, replicated state for every shard of the control plane, behind the interfaces that the control node builds on.

Considered: physical truncation of a conflicting tail against overriding entries as they are appended; truncation keeps segment names ordered and conflicts are rare, so its extra fsync is paid. Telling a torn tail from damage by "no valid record behind it" alone would cut a synced last record after a flipped bit; records therefore name the position that was synced before them, and only short records and lost sectors of the last batch count as torn.

--- /dev/null
+++ b/crates/replication/src/commit.rs
@@ -0,0 +1,62 @@
+//! What a leader may take as committed.
+
+use millford_api::replication::{TimeoutNow, replication_message::Body};
+use millford_core::NodeId;
+
+use crate::Replica;
+use crate::role::RoleState;
+
+impl Replica {
+    /// Advances the commit index to what a quorum holds durably, this replica's own disk included.
+    pub(crate) fn advance_commit(&mut self) {
+        let RoleState::Leader(state) = &self.role else {
+            return;
+        };
+        let own = self.options.node;
+        let synced_index = self.storage.synced_index();
+        let held = self.configurations.latest().quorum_value(|voter| {
+            if voter == own {
+                return synced_index;
+            }
+            state.peers.get(&voter).map_or(0, |peer| peer.match_index)
+        });
+        // An entry of an earlier term that a quorum holds can still be replaced by a later leader;
+        // it is committed only together with an entry of the own term.
+        if held > self.commit_index && self.storage.term_at(held) == Some(self.term) {
+            self.commit_index = held;
+        }
+    }
+
+    /// Whether the leader has committed an entry of its own term.
+    pub(crate) fn has_committed_own_term(&self) -> bool {
+        match &self.role {
+            RoleState::Leader(state) => self.commit_index >= state.term_start,
+            _ => false,
+        }
+    }
+
+    /// A leader whose own removal is committed hands over and steps down.
+    pub(crate) fn leave_if_removed(&mut self) {
+        let is_committed = self.configurations.latest_index() <= self.commit_index;
+        if !self.is_leader() || self.is_voter() || !is_committed {
+            return;
+        }
+        if let Some(successor) = self.best_voter() {
+            self.send(successor, Body::TimeoutNow(TimeoutNow {}));
+        }
+        self.step_down();
+    }
+
+    fn best_voter(&self) -> Option<NodeId> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        let configuration = self.configurations.latest();
+        let voters = state
+            .peers
+            .iter()
+            .filter(|(node, _)| configuration.is_voter(**node));
+        let best = voters.max_by_key(|(_, peer)| (peer.match_index, peer.last_heard));
+        best.map(|(node, _)| *node)
+    }
+}
--- /dev/null
+++ b/crates/replication/src/leadership.rs
@@ -0,0 +1,89 @@
+//! Becoming leader, staying leader, stepping down.
+
+use millford_api::replication::{Empty, log_entry::Payload};
+use millford_core::NodeId;
+
+use crate::Replica;
+use crate::leader_state::LeaderState;
+use crate::role::RoleState;
+
+impl Replica {
+    pub(crate) fn is_leader(&self) -> bool {
+        matches!(self.role, RoleState::Leader(_))
+    }
+
+    pub(crate) fn leader_state(&mut self) -> Option<&mut LeaderState> {
+        match &mut self.role {
+            RoleState::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    /// Begins to lead with an empty entry of the own term: only once it is committed are the
+    /// entries of earlier terms known to be.
+    pub(crate) fn become_leader(&mut self) {
+        let next_index = self.storage.last_index() + 1;
+        let mut state = LeaderState::new(next_index, self.now);
+        let configuration = self.configurations.latest();
+        state.align_peers(configuration, self.options.node, next_index, self.now);
+        self.role = RoleState::Leader(Box::new(state));
+        self.leader = self.options.node;
+        self.removed = false;
+        self.became_leader = true;
+        self.incoming = None;
+        self.append_own(Payload::Empty(Empty {}));
+    }
+
+    /// Becomes follower of the present term without a known leader.
+    pub(crate) fn step_down(&mut self) {
+        let previous = std::mem::replace(&mut self.role, RoleState::Follower);
+        if let RoleState::Leader(state) = previous {
+            self.lost_leadership = true;
+            self.failed_reads.extend(state.new_reads);
+            for round in state.rounds {
+                self.failed_reads.extend(round.requests);
+            }
+            self.reset_election_timer();
+        }
+        self.leader = NodeId::NONE;
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        if !self.hears_quorum() {
+            // Cut off: the others may elect another leader, and nobody should wait for this one.
+            self.step_down();
+            return;
+        }
+        let now = self.now;
+        let heartbeat = self.options.timing.heartbeat;
+        let Some(state) = self.leader_state() else {
+            return;
+        };
+        state.transfer = state.transfer.filter(|transfer| now < transfer.deadline);
+        if now >= state.heartbeat_at {
+            state.heartbeat_at = now + heartbeat;
+            state.message_due = true;
+        }
+    }
+
+    fn hears_quorum(&self) -> bool {
+        let RoleState::Leader(state) = &self.role else {
+            return false;
+        };
+        let timeout = self.options.timing.quorum_timeout;
+        self.configurations.latest().is_quorum(|voter| {
+            let peer = state.peers.get(&voter);
+            let hears = peer.is_some_and(|peer| self.now.since(peer.last_heard) < timeout);
+            voter == self.options.node || hears
+        })
+    }
+
+    /// Notes that a replica answered in the present term.
+    pub(crate) fn note_heard(&mut self, from: NodeId) {
+        let now = self.now;
+        let state = self.leader_state();
+        if let Some(peer) = state.and_then(|state| state.peers.get_mut(&from)) {
+            peer.last_heard = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership.rs
@@ -0,0 +1,109 @@
+//! Changes of the group, one node at a time.
+
+use millford_api::replication::{VoterSet, log_entry::Payload};
+use millford_core::NodeId;
+
+use crate::configuration::Configuration;
+use crate::progress::{Progress, SendState};
+use crate::role::RoleState;
+use crate::{ChangeRefused, Replica, VoterChange};
+
+impl Replica {
+    /// Appends a configuration that differs by one node. It is in force at once, and committed when
+    /// the entry of the returned index is.
+    ///
+    /// Quorums of configurations that differ by one voter overlap; those of two changes need not.
+    /// So a change is refused while an earlier one is not committed, and also before the leader has
+    /// committed an entry of its own term, since it may not know of an earlier leader's change.
+    pub fn change_voters(&mut self, change: VoterChange) -> Result<u64, ChangeRefused> {
+        self.check_change_allowed()?;
+        let configuration = self.changed(change)?;
+        let set = VoterSet::from(&configuration);
+        let index = self.append_own(Payload::Voters(set));
+        self.align_peers();
+        Ok(index)
+    }
+
+    fn check_change_allowed(&self) -> Result<(), ChangeRefused> {
+        let RoleState::Leader(state) = &self.role else {
+            return Err(ChangeRefused::NotLeader { hint: self.leader });
+        };
+        if state.transfer.is_some() {
+            return Err(ChangeRefused::Transferring);
+        }
+        if !self.has_committed_own_term() {
+            return Err(ChangeRefused::TermNotCommitted);
+        }
+        if self.configurations.latest_index() > self.commit_index {
+            return Err(ChangeRefused::ChangePending);
+        }
+        Ok(())
+    }
+
+    fn changed(&self, change: VoterChange) -> Result<Configuration, ChangeRefused> {
+        let mut configuration = self.configurations.latest().clone();
+        match change {
+            VoterChange::AddLearner(node) => add_learner(&mut configuration, node)?,
+            VoterChange::Promote(node) => {
+                if !configuration.learners.remove(&node) {
+                    return Err(ChangeRefused::NotLearner);
+                }
+                if !self.has_caught_up(node) {
+                    return Err(ChangeRefused::NotCaughtUp);
+                }
+                configuration.voters.insert(node);
+            }
+            VoterChange::Remove(node) => remove(&mut configuration, node)?,
+        }
+        Ok(configuration)
+    }
+
+    fn align_peers(&mut self) {
+        let next_index = self.storage.last_index() + 1;
+        let now = self.now;
+        let own = self.options.node;
+        let configuration = self.configurations.latest().clone();
+        if let Some(state) = self.leader_state() {
+            state.align_peers(&configuration, own, next_index, now);
+            state.message_due = true;
+        }
+    }
+
+    fn has_caught_up(&self, node: NodeId) -> bool {
+        let RoleState::Leader(state) = &self.role else {
+            return false;
+        };
+        let peer = state.peers.get(&node);
+        peer.is_some_and(|peer| self.is_caught_up(peer))
+    }
+
+    /// Whether a replica was heard from lately and lacks no more than one message brings.
+    pub(crate) fn is_caught_up(&self, peer: &Progress) -> bool {
+        let follows = matches!(peer.state, SendState::Replicate);
+        let lag = self.commit_index.saturating_sub(peer.match_index);
+        let silence = self.now.since(peer.last_heard);
+        let hears = silence < self.options.timing.quorum_timeout;
+        follows && hears && lag <= self.options.limits.promotion_lag
+    }
+}
+
+fn add_learner(configuration: &mut Configuration, node: NodeId) -> Result<(), ChangeRefused> {
+    if !node.is_some() || configuration.contains(node) {
+        return Err(ChangeRefused::NoDifference);
+    }
+    configuration.learners.insert(node);
+    Ok(())
+}
+
+fn remove(configuration: &mut Configuration, node: NodeId) -> Result<(), ChangeRefused> {
+    if configuration.learners.remove(&node) {
+        return Ok(());
+    }
+    if !configuration.voters.remove(&node) {
+        return Err(ChangeRefused::NoDifference);
+    }
+    if configuration.voters.is_empty() {
+        return Err(ChangeRefused::LastVoter);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/replication/src/role.rs
@@ -0,0 +1,28 @@
+//! Roles of a replica.
+
+use crate::ballot::Ballot;
+use crate::leader_state::LeaderState;
+
+/// Role of a replica, for its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Not a voter: receives the log and never campaigns.
+    Learner,
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether an election would succeed.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads the group.
+    Leader,
+}
+
+/// Role with the state that only this role has.
+#[derive(Debug)]
+pub(crate) enum RoleState {
+    Follower,
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(Box<LeaderState>),
+}
--- /dev/null
+++ b/crates/replication/src/snapshot_sending.rs
@@ -0,0 +1,76 @@
+//! Snapshots that a leader sends to a replica whose entries are compacted away.
+
+use millford_api::replication::{SnapshotChunk, SnapshotReply, replication_message::Body};
+use millford_core::{MonotonicTime, NodeId};
+
+use crate::Replica;
+use crate::progress::{Progress, SendState, SnapshotTransfer};
+
+/// A chunk that was not answered within this many heartbeats is sent again.
+const RESEND_HEARTBEATS: u32 = 3;
+
+impl Replica {
+    pub(crate) fn start_snapshot(&self, peer: &mut Progress) {
+        if let Some(snapshot) = self.storage.snapshot() {
+            peer.send_snapshot(snapshot.clone());
+        }
+    }
+
+    /// Sends the next chunk unless one is under way, and a heartbeat when one is due.
+    pub(crate) fn send_chunk(&mut self, node: NodeId, peer: &mut Progress, message_due: bool) {
+        if message_due {
+            // Index 0 matches always: the message keeps the leadership and confirms reads.
+            self.send_append(node, peer, 0, Vec::new());
+        }
+        let now = self.now;
+        let resend_after = self.options.timing.heartbeat * RESEND_HEARTBEATS;
+        let SendState::Snapshot(transfer) = &mut peer.state else {
+            return;
+        };
+        let is_waiting = transfer
+            .sent_at
+            .is_some_and(|sent_at| now.since(sent_at) < resend_after);
+        if is_waiting {
+            return;
+        }
+        let chunk = self.next_chunk(transfer, now);
+        self.send(node, Body::SnapshotChunk(chunk));
+    }
+
+    fn next_chunk(&self, transfer: &mut SnapshotTransfer, now: MonotonicTime) -> SnapshotChunk {
+        transfer.sent_at = Some(now);
+        let data = &transfer.snapshot.data;
+        let start = usize::try_from(transfer.position).unwrap_or(usize::MAX);
+        let start = start.min(data.len());
+        let end = (start + self.options.limits.snapshot_chunk_bytes).min(data.len());
+        SnapshotChunk {
+            last_index: transfer.snapshot.meta.index,
+            last_term: transfer.snapshot.meta.term,
+            voters: Some(transfer.snapshot.meta.voters.clone()),
+            position: start as u64,
+            data: data[start..end].to_vec(),
+            last: end == data.len(),
+            commit_index: self.commit_index,
+        }
+    }
+
+    pub(crate) fn on_snapshot_reply(&mut self, from: NodeId, reply: SnapshotReply) {
+        let state = self.leader_state();
+        let Some(peer) = state.and_then(|state| state.peers.get_mut(&from)) else {
+            return;
+        };
+        let SendState::Snapshot(transfer) = &mut peer.state else {
+            return;
+        };
+        if transfer.snapshot.meta.index != reply.last_index {
+            return;
+        }
+        if reply.installed {
+            peer.accepted(reply.last_index);
+            peer.replicate();
+        } else if transfer.position != reply.next_position {
+            transfer.position = reply.next_position;
+            transfer.sent_at = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/status.rs
@@ -0,0 +1,53 @@
+//! What a replica tells its owner about itself.
+
+use millford_core::{MonotonicTime, NodeId};
+
+use crate::Role;
+
+/// State of a replica at one moment.
+#[derive(Clone, Debug)]
+pub struct ReplicaStatus {
+    /// Role.
+    pub role: Role,
+    /// Term.
+    pub term: u64,
+    /// The leader as far as known; [`NodeId::NONE`] otherwise.
+    pub leader: NodeId,
+    /// When the leader was last heard from; `None` before the first time. Now on the leader.
+    pub leader_heard: Option<MonotonicTime>,
+    /// Last committed index.
+    pub commit_index: u64,
+    /// Last index of the log.
+    pub last_index: u64,
+    /// Index of the newest snapshot; 0 without one.
+    pub snapshot_index: u64,
+    /// Voters of the configuration in force.
+    pub voters: Vec<NodeId>,
+    /// Learners of the configuration in force.
+    pub learners: Vec<NodeId>,
+    /// Whether the configuration in force is committed.
+    pub configuration_committed: bool,
+    /// The group's committed configuration does not hold this replica any more.
+    pub removed: bool,
+    /// On a leader: its first entry is committed, so that reads and changes are taken.
+    pub leads_confirmed: bool,
+    /// On a leader: the other replicas.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// What a leader knows of another replica.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerStatus {
+    /// The replica's node.
+    pub node: NodeId,
+    /// Whether it votes.
+    pub is_voter: bool,
+    /// Last index known to be durable there.
+    pub match_index: u64,
+    /// When it was last heard from in this term; the start of the term before the first time.
+    pub last_heard: MonotonicTime,
+    /// Whether it has caught up, so that a learner may be promoted.
+    pub caught_up: bool,
+    /// Whether it receives a snapshot.
+    pub receives_snapshot: bool,
+}
--- /dev/null
+++ b/crates/replication/src/step.rs
@@ -0,0 +1,79 @@
+//! Messages that come in, and how their terms are judged.
+
+use millford_api::replication::{ReplicationMessage, replication_message::Body};
+use millford_core::{MonotonicTime, NodeId};
+
+use crate::Replica;
+
+impl Replica {
+    /// Takes a message of another replica. Answers leave with the next flush.
+    ///
+    /// Messages may be lost, repeated, late or out of order; damaged ones are ignored.
+    pub fn step(&mut self, now: MonotonicTime, message: ReplicationMessage) {
+        self.advance_clock(now);
+        let is_ours = message.shard == self.options.shard.0
+            && message.to == self.options.node.0
+            && message.from != self.options.node.0
+            && message.from != NodeId::NONE.0;
+        if self.failure.is_some() || !is_ours {
+            return;
+        }
+        let from = NodeId(message.from);
+        let Some(body) = message.body else {
+            return;
+        };
+        match body {
+            Body::VoteRequest(request) => self.on_vote_request(from, message.term, request),
+            Body::VoteReply(reply) => self.on_vote_reply(from, message.term, reply),
+            Body::AppendRequest(request) => {
+                if self.accept_leader(from, message.term) {
+                    self.on_append_request(from, request);
+                }
+            }
+            Body::SnapshotChunk(chunk) => {
+                if self.accept_leader(from, message.term) {
+                    self.on_snapshot_chunk(from, chunk);
+                }
+            }
+            Body::TimeoutNow(_) => self.on_timeout_now(from, message.term),
+            Body::AppendReply(reply) => {
+                if self.accept_reply(from, message.term) {
+                    self.on_append_reply(from, reply);
+                }
+            }
+            Body::SnapshotReply(reply) => {
+                if self.accept_reply(from, message.term) {
+                    self.on_snapshot_reply(from, reply);
+                }
+            }
+        }
+    }
+
+    /// Whether a leader's message is of the present term. A newer term is taken over; the sender of
+    /// an older one is told the present term, so that it steps down.
+    fn accept_leader(&mut self, from: NodeId, term: u64) -> bool {
+        if term < self.term {
+            self.refuse_old_leader(from);
+            return false;
+        }
+        if term == self.term && self.is_leader() {
+            // Two leaders of one term cannot exist; the message is damaged.
+            return false;
+        }
+        self.follow(term, from);
+        true
+    }
+
+    /// Whether an answer is of the present term. A newer term is taken over.
+    fn accept_reply(&mut self, from: NodeId, term: u64) -> bool {
+        if term > self.term {
+            self.adopt_term(term);
+            return false;
+        }
+        if term < self.term {
+            return false;
+        }
+        self.note_heard(from);
+        true
+    }
+}
--- /dev/null
+++ b/crates/storage/src/error.rs
@@ -0,0 +1,58 @@
+//! Errors of the storage.
+
+use thiserror::Error;
+
+/// Why a storage operation failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StorageError {
+    /// The disk reported an error.
+    #[error("{operation} of {name} failed: {reason}")]
+    Io {
+        /// What was tried.
+        operation: &'static str,
+        /// File name.
+        name: String,
+        /// The system's words.
+        reason: String,
+    },
+    /// The disk is full. Nothing that was synced before is lost, and the operation may be tried
+    /// again once there is space.
+    #[error("no space left for {name}")]
+    Full {
+        /// File name.
+        name: String,
+    },
+    /// Data that was synced is damaged. The replica must not run on it: its owner clears the
+    /// folder and starts a new replica under a new identity.
+    #[error("{name} is corrupt at byte {position}: {reason}")]
+    Corrupt {
+        /// File name.
+        name: String,
+        /// Position in the file, in bytes.
+        position: u64,
+        /// What is wrong.
+        reason: String,
+    },
+    /// An earlier write or sync failed, so that what the disk holds is unknown. Nothing is
+    /// retried: a second fsync may report success for pages that the first one dropped.
+    #[error("the storage failed earlier and stays closed")]
+    Failed,
+}
+
+impl StorageError {
+    /// Whether the replica may go on after this error.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        matches!(self, StorageError::Full { .. })
+    }
+
+    /// A [`StorageError::Corrupt`].
+    #[must_use]
+    pub fn corrupt(name: &str, position: usize, reason: &str) -> Self {
+        StorageError::Corrupt {
+            name: name.to_owned(),
+            position: position as u64,
+            reason: reason.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/file_disk.rs
@@ -0,0 +1,201 @@
+//! A disk made of real files in one folder.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+use crate::{Disk, StorageError};
+
+/// Ending of files that are being written and not yet renamed.
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// Files of one folder, written and synced for real.
+#[derive(Debug)]
+pub struct FileDisk {
+    folder: PathBuf,
+    /// Files open for appending.
+    open: BTreeMap<String, OpenFile>,
+}
+
+#[derive(Debug)]
+struct OpenFile {
+    file: File,
+    /// Whether the directory entry still has to be synced.
+    is_new: bool,
+}
+
+impl FileDisk {
+    /// Opens the folder, creates it when absent and removes files that were never renamed.
+    pub fn open(folder: impl AsRef<Path>) -> Result<Self, StorageError> {
+        let folder = folder.as_ref().to_path_buf();
+        let disk = Self {
+            folder,
+            open: BTreeMap::new(),
+        };
+        disk.create_folder()?;
+        disk.remove_temporary_files()?;
+        Ok(disk)
+    }
+
+    /// A new folder must survive a crash with everything that is synced into it.
+    fn create_folder(&self) -> Result<(), StorageError> {
+        let name = self.folder.display().to_string();
+        let mut missing = Vec::new();
+        let mut path = self.folder.as_path();
+        while !path.exists() {
+            missing.push(path);
+            match path.parent() {
+                Some(parent) if parent != Path::new("") => path = parent,
+                _ => break,
+            }
+        }
+        fs::create_dir_all(&self.folder).map_err(|error| translate("create", &name, &error))?;
+        for created in missing {
+            let parent = match created.parent() {
+                Some(parent) if parent != Path::new("") => parent,
+                _ => Path::new("."),
+            };
+            sync_folder(parent).map_err(|error| translate("sync", &name, &error))?;
+        }
+        Ok(())
+    }
+
+    fn remove_temporary_files(&self) -> Result<(), StorageError> {
+        for name in self.all_names()? {
+            if name.ends_with(TEMPORARY_SUFFIX) {
+                let path = self.path(&name);
+                fs::remove_file(path).map_err(|error| translate("remove", &name, &error))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn all_names(&self) -> Result<Vec<String>, StorageError> {
+        let folder_name = self.folder.display().to_string();
+        let failed = |error: io::Error| translate("list", &folder_name, &error);
+        let mut names = Vec::new();
+        for item in fs::read_dir(&self.folder).map_err(failed)? {
+            let item = item.map_err(failed)?;
+            if item.file_type().map_err(failed)?.is_file() {
+                names.push(item.file_name().to_string_lossy().into_owned());
+            }
+        }
+        Ok(names)
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    fn open_for_append(&mut self, name: &str) -> io::Result<&mut OpenFile> {
+        if !self.open.contains_key(name) {
+            let path = self.path(name);
+            let is_new = !path.exists();
+            let file = OpenOptions::new().create(true).append(true).open(path)?;
+            self.open.insert(name.to_owned(), OpenFile { file, is_new });
+        }
+        self.open
+            .get_mut(name)
+            .ok_or_else(|| io::Error::from(ErrorKind::NotFound))
+    }
+
+    fn write_temporary(&self, temporary: &Path, bytes: &[u8]) -> io::Result<()> {
+        let mut file = File::create(temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()
+    }
+
+    fn sync_file(&mut self, name: &str) -> io::Result<()> {
+        let folder = self.folder.clone();
+        let open = self.open_for_append(name)?;
+        open.file.sync_data()?;
+        if open.is_new {
+            sync_folder(&folder)?;
+            open.is_new = false;
+        }
+        Ok(())
+    }
+}
+
+impl Disk for FileDisk {
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        let mut names = self.all_names()?;
+        names.retain(|name| !name.ends_with(TEMPORARY_SUFFIX));
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, StorageError> {
+        match fs::read(self.path(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(translate("read", name, &error)),
+        }
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let written = self
+            .open_for_append(name)
+            .and_then(|open| open.file.write_all(bytes));
+        written.map_err(|error| translate("append", name, &error))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), StorageError> {
+        self.sync_file(name)
+            .map_err(|error| failed("sync", name, &error))
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let temporary = self.path(&format!("{name}{TEMPORARY_SUFFIX}"));
+        self.open.remove(name);
+        // Until the rename the old file stands, so no space here is no damage.
+        self.write_temporary(&temporary, bytes)
+            .map_err(|error| translate("write", name, &error))?;
+        fs::rename(&temporary, self.path(name)).map_err(|error| failed("rename", name, &error))?;
+        sync_folder(&self.folder).map_err(|error| failed("sync", name, &error))
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> Result<(), StorageError> {
+        let cut = self
+            .open_for_append(name)
+            .and_then(|open| open.file.set_len(len));
+        cut.map_err(|error| failed("truncate", name, &error))
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), StorageError> {
+        self.open.remove(name);
+        match fs::remove_file(self.path(name)) {
+            Ok(()) => {}
+            Err(error) if error.kind() == ErrorKind::NotFound => return Ok(()),
+            Err(error) => return Err(failed("remove", name, &error)),
+        }
+        sync_folder(&self.folder).map_err(|error| failed("sync", name, &error))
+    }
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+/// An error of a write, where no space is told apart.
+fn translate(operation: &'static str, name: &str, error: &io::Error) -> StorageError {
+    let full = matches!(
+        error.kind(),
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge
+    );
+    if full {
+        return StorageError::Full {
+            name: name.to_owned(),
+        };
+    }
+    failed(operation, name, error)
+}
+
+/// An error after which the file's state is unknown, whatever its kind.
+fn failed(operation: &'static str, name: &str, error: &io::Error) -> StorageError {
+    StorageError::Io {
+        operation,
+        name: name.to_owned(),
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/storage/src/keystream.rs
@@ -0,0 +1,32 @@
+//! Whitening of log bytes.
+//!
+//! A lost sector reads as zeros, and recovery takes zeros in the last batch for a torn write. For
+//! that to be safe, bytes that were really written must not look like a lost sector. Log bytes are
+//! therefore combined with a fixed stream that depends on their position: eight bytes in a row
+//! that are written as zeros occur by chance only, once in 2^64.
+
+/// Bytes per word of the stream; records are aligned to it.
+pub const WORD_BYTES: usize = 8;
+
+/// Constant of the splitmix64 generator.
+const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Whitens or restores `bytes`, which stand at `position` of their segment.
+/// `position` must be a multiple of [`WORD_BYTES`].
+pub fn apply(position: usize, bytes: &mut [u8]) {
+    debug_assert!(position.is_multiple_of(WORD_BYTES));
+    let first_word = (position / WORD_BYTES) as u64;
+    for (word, chunk) in (first_word..).zip(bytes.chunks_mut(WORD_BYTES)) {
+        let mask = word_mask(word).to_le_bytes();
+        for (byte, mask_byte) in chunk.iter_mut().zip(mask) {
+            *byte ^= mask_byte;
+        }
+    }
+}
+
+fn word_mask(word: u64) -> u64 {
+    let mut value = word.wrapping_add(1).wrapping_mul(STEP);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/storage/src/log.rs
@@ -0,0 +1,212 @@
+//! The replicated log of one shard: entries in memory, segments on disk.
+//!
+//! Entries are appended in memory; [`SegmentedLog::sync`] writes everything new as one batch and
+//! syncs it. What is not synced is told apart by index, so a failed batch is dropped cleanly.
+
+use std::collections::VecDeque;
+
+use millford_api::replication::LogEntry;
+use prost::Message;
+
+use crate::segment::Segment;
+use crate::{Disk, StorageError, StorageOptions};
+
+/// The log. Entry `first_index` is the first in memory; what came before is in a snapshot.
+#[derive(Debug)]
+pub struct SegmentedLog {
+    options: StorageOptions,
+    /// On disk, oldest first, contiguous; the last one is appended to.
+    pub(crate) segments: Vec<Segment>,
+    pub(crate) entries: VecDeque<LogEntry>,
+    pub(crate) first_index: u64,
+    pub(crate) synced_index: u64,
+}
+
+impl SegmentedLog {
+    /// An empty log whose first entry will be `first_index`.
+    pub(crate) fn empty(options: StorageOptions, first_index: u64) -> Self {
+        Self {
+            options,
+            segments: Vec::new(),
+            entries: VecDeque::new(),
+            first_index,
+            synced_index: first_index - 1,
+        }
+    }
+
+    /// Index of the first entry in memory.
+    #[must_use]
+    pub fn first_index(&self) -> u64 {
+        self.first_index
+    }
+
+    /// Index of the last entry; one less than the first when empty.
+    #[must_use]
+    pub fn last_index(&self) -> u64 {
+        self.first_index + self.entries.len() as u64 - 1
+    }
+
+    /// Index of the last entry that is durable.
+    #[must_use]
+    pub fn synced_index(&self) -> u64 {
+        self.synced_index
+    }
+
+    /// The entry at an index.
+    #[must_use]
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        let offset = index.checked_sub(self.first_index)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from `from` up to and with `to`, at most `max_bytes` but at least one if there is.
+    #[must_use]
+    pub fn entries(&self, from: u64, to: u64, max_bytes: usize) -> Vec<LogEntry> {
+        let mut result = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while index <= to {
+            let Some(entry) = self.entry(index) else {
+                break;
+            };
+            bytes += entry.encoded_len();
+            if bytes > max_bytes && !result.is_empty() {
+                break;
+            }
+            result.push(entry.clone());
+            index += 1;
+        }
+        result
+    }
+
+    /// Appends in memory. Each entry must follow the last one.
+    pub(crate) fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
+        for entry in entries {
+            debug_assert_eq!(entry.index, self.last_index() + 1);
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Drops the entries from `index` on. What was on disk is cut durably before this returns, so
+    /// that no later append can end up behind bytes that should be gone.
+    pub(crate) fn truncate_from(
+        &mut self,
+        disk: &mut dyn Disk,
+        index: u64,
+    ) -> Result<(), StorageError> {
+        let kept = usize::try_from(index.saturating_sub(self.first_index)).unwrap_or(usize::MAX);
+        self.entries.truncate(kept);
+        if index > self.synced_index {
+            return Ok(());
+        }
+        // Newest first: a crash on the way leaves a shorter log without a gap.
+        while let Some(segment) = self.segments.pop_if(|segment| segment.first_index >= index) {
+            disk.remove(&segment.name)?;
+        }
+        if let Some(segment) = self.segments.last_mut() {
+            let bytes = segment.truncate_from(index);
+            disk.truncate(&segment.name, bytes)?;
+            disk.sync(&segment.name)?;
+        }
+        self.synced_index = index - 1;
+        Ok(())
+    }
+
+    /// Drops what is not durable, after a write that found no space.
+    pub(crate) fn drop_unsynced(&mut self) {
+        let kept = (self.synced_index + 1).saturating_sub(self.first_index);
+        self.entries
+            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+    }
+
+    /// Makes every entry durable with one fsync (more only when segments fill up on the way).
+    ///
+    /// After [`StorageError::Full`] the file is as it was before; after any other error its state
+    /// is unknown.
+    pub(crate) fn sync(&mut self, disk: &mut dyn Disk) -> Result<(), StorageError> {
+        while self.synced_index < self.last_index() {
+            self.sync_batch(disk)?;
+        }
+        Ok(())
+    }
+
+    fn sync_batch(&mut self, disk: &mut dyn Disk) -> Result<(), StorageError> {
+        let from = self.synced_index + 1;
+        let limit = usize::try_from(self.options.segment_bytes).unwrap_or(usize::MAX);
+        let batch = self.entries(from, self.last_index(), limit);
+        self.open_segment(from);
+        let Some(segment) = self.segments.last_mut() else {
+            return Err(StorageError::Failed);
+        };
+        let encoded = segment.encode(&batch);
+        if let Err(error) = disk.append(&segment.name, &encoded.buffer) {
+            return Err(undo_append(disk, segment, error));
+        }
+        disk.sync(&segment.name)?;
+        for end in encoded.ends {
+            segment.push(end);
+        }
+        self.synced_index += batch.len() as u64;
+        Ok(())
+    }
+
+    /// Begins a new segment when there is none or the last one is full. The last one is synced
+    /// whole: every batch is synced before the next one begins.
+    fn open_segment(&mut self, first_index: u64) {
+        let full = match self.segments.last() {
+            None => true,
+            Some(segment) => segment.bytes() >= self.options.segment_bytes,
+        };
+        if full {
+            self.segments.push(Segment::new(first_index));
+        }
+    }
+
+    /// Removes segments that end before `index`, oldest first, and forgets entries before it.
+    pub(crate) fn compact_before(
+        &mut self,
+        disk: &mut dyn Disk,
+        index: u64,
+    ) -> Result<(), StorageError> {
+        // The last segment stays, so that its name keeps telling where the log goes on.
+        while self.segments.len() > 1 && self.segments[0].last_index() < index {
+            disk.remove(&self.segments[0].name)?;
+            self.segments.remove(0);
+        }
+        let upto = index.min(self.synced_index + 1);
+        while self.first_index < upto && self.entries.pop_front().is_some() {
+            self.first_index += 1;
+        }
+        Ok(())
+    }
+
+    /// Removes everything; the next entry will be `first_index`.
+    ///
+    /// Newest first: what a crash leaves is a prefix of the old log, which recovery recognises as
+    /// not reaching the snapshot. A suffix could be taken for what follows the snapshot.
+    pub(crate) fn clear(
+        &mut self,
+        disk: &mut dyn Disk,
+        first_index: u64,
+    ) -> Result<(), StorageError> {
+        while let Some(segment) = self.segments.pop() {
+            disk.remove(&segment.name)?;
+        }
+        *self = Self::empty(self.options, first_index);
+        Ok(())
+    }
+}
+
+/// Takes back a batch that found no space. If that fails too, the error is final.
+fn undo_append(disk: &mut dyn Disk, segment: &Segment, error: StorageError) -> StorageError {
+    if !error.is_full() {
+        return error;
+    }
+    let undone = disk
+        .truncate(&segment.name, segment.bytes())
+        .and_then(|()| disk.sync(&segment.name));
+    match undone {
+        Ok(()) => error,
+        Err(failure) => failure,
+    }
+}
--- /dev/null
+++ b/crates/storage/src/log_recovery.rs
@@ -0,0 +1,72 @@
+//! Reading the whole log after a restart.
+
+use crate::segment::Segment;
+use crate::segment_recovery::recover as recover_segment;
+use crate::{Disk, SegmentedLog, SnapshotMeta, StorageError, StorageOptions};
+
+/// Reads all segments and brings the log in line with the snapshot.
+pub fn recover(
+    disk: &mut dyn Disk,
+    options: StorageOptions,
+    snapshot: Option<&SnapshotMeta>,
+) -> Result<SegmentedLog, StorageError> {
+    let mut log = read_segments(disk, options)?;
+    let Some(meta) = snapshot else {
+        return check_start(log, 0);
+    };
+    if follows(&log, meta) {
+        return check_start(log, meta.index);
+    }
+    // A crash came between the installed snapshot and the removal of the log that it replaced.
+    log.clear(disk, meta.index + 1)?;
+    Ok(log)
+}
+
+/// Whether the log goes on from the snapshot: it holds the snapshot's last entry, or it begins
+/// right behind it.
+fn follows(log: &SegmentedLog, meta: &SnapshotMeta) -> bool {
+    if log.first_index() > meta.index {
+        return true;
+    }
+    log.entry(meta.index)
+        .is_some_and(|entry| entry.term == meta.term)
+}
+
+/// A log that begins too late has lost entries.
+fn check_start(log: SegmentedLog, snapshot_index: u64) -> Result<SegmentedLog, StorageError> {
+    if log.first_index() <= snapshot_index + 1 {
+        return Ok(log);
+    }
+    let name = log.segments.first().map(|segment| segment.name.as_str());
+    let reason = "entries are missing before this segment";
+    Err(StorageError::corrupt(name.unwrap_or("log"), 0, reason))
+}
+
+fn read_segments(
+    disk: &mut dyn Disk,
+    options: StorageOptions,
+) -> Result<SegmentedLog, StorageError> {
+    let mut first_indices: Vec<u64> = disk
+        .list()?
+        .iter()
+        .filter_map(|name| Segment::first_index_of(name))
+        .collect();
+    first_indices.sort_unstable();
+    let Some(first_index) = first_indices.first().copied() else {
+        return Ok(SegmentedLog::empty(options, 1));
+    };
+    let mut log = SegmentedLog::empty(options, first_index);
+    let last_position = first_indices.len() - 1;
+    for (position, first) in first_indices.into_iter().enumerate() {
+        let segment = Segment::new(first);
+        if first != log.last_index() + 1 {
+            let reason = "the segment before it does not reach up to it";
+            return Err(StorageError::corrupt(&segment.name, 0, reason));
+        }
+        let recovered = recover_segment(disk, segment, position == last_position)?;
+        log.append(recovered.entries);
+        log.segments.push(recovered.segment);
+    }
+    log.synced_index = log.last_index();
+    Ok(log)
+}
--- /dev/null
+++ b/crates/storage/src/options.rs
@@ -0,0 +1,25 @@
+//! Sizes of the storage.
+
+/// Bytes after which a new log segment begins.
+pub const DEFAULT_SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Entries kept behind a snapshot, so that a replica that is a little behind needs no snapshot.
+pub const DEFAULT_KEPT_ENTRIES: u64 = 2_000;
+
+/// Sizes of a replica's storage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StorageOptions {
+    /// A segment that has reached this many bytes is closed.
+    pub segment_bytes: u64,
+    /// Entries kept behind the snapshot.
+    pub kept_entries: u64,
+}
+
+impl Default for StorageOptions {
+    fn default() -> Self {
+        Self {
+            segment_bytes: DEFAULT_SEGMENT_BYTES,
+            kept_entries: DEFAULT_KEPT_ENTRIES,
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/replica_storage.rs
@@ -0,0 +1,226 @@
+//! The storage of one replica: log, hard state and snapshot over one disk.
+
+use std::sync::Arc;
+
+use millford_api::replication::{HardState, LogEntry};
+use prost::Message;
+
+use crate::snapshot::{self, Snapshot, SnapshotMeta};
+use crate::{Disk, SegmentedLog, StorageError, StorageOptions, checked_file, log_recovery};
+
+const HARD_STATE_FILE: &str = "hard-state";
+
+/// Durable state of one replica.
+pub struct ReplicaStorage {
+    disk: Box<dyn Disk>,
+    options: StorageOptions,
+    hard_state: Option<HardState>,
+    log: SegmentedLog,
+    snapshot: Option<Snapshot>,
+    failed: bool,
+}
+
+impl ReplicaStorage {
+    /// Reads what the disk holds and cuts a torn tail.
+    ///
+    /// [`StorageError::Corrupt`] means that synced data is damaged or missing: the owner must not
+    /// run this identity any more. It clears the folder and starts empty under a new identity,
+    /// which joins as a learner.
+    pub fn open(mut disk: Box<dyn Disk>, options: StorageOptions) -> Result<Self, StorageError> {
+        let hard_state = read_hard_state(disk.as_ref())?;
+        let snapshot = snapshot::recover(disk.as_mut())?;
+        let meta = snapshot.as_ref().map(|snapshot| &snapshot.meta);
+        let log = log_recovery::recover(disk.as_mut(), options, meta)?;
+        let holds_data = snapshot.is_some() || log.last_index() > 0;
+        if hard_state.is_none() && holds_data {
+            // The hard state is written first. Without it, votes would be forgotten.
+            let reason = "the hard state is missing";
+            return Err(StorageError::corrupt(HARD_STATE_FILE, 0, reason));
+        }
+        Ok(Self {
+            disk,
+            options,
+            hard_state,
+            log,
+            snapshot,
+            failed: false,
+        })
+    }
+
+    /// Whether nothing was ever stored here.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hard_state.is_none()
+    }
+
+    /// Term and vote; `None` before the first were stored.
+    #[must_use]
+    pub fn hard_state(&self) -> Option<HardState> {
+        self.hard_state
+    }
+
+    /// Stores term and vote; durable on return.
+    pub fn set_hard_state(&mut self, hard_state: HardState) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let body = hard_state.encode_to_vec();
+        let result = checked_file::replace(self.disk.as_mut(), HARD_STATE_FILE, &body);
+        self.note_failure(result)?;
+        self.hard_state = Some(hard_state);
+        Ok(())
+    }
+
+    /// Index of the first entry that the log still holds.
+    #[must_use]
+    pub fn first_index(&self) -> u64 {
+        self.log.first_index()
+    }
+
+    /// Index of the last entry, synced or not; the snapshot's when the log is empty.
+    #[must_use]
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// Index of the last durable entry.
+    #[must_use]
+    pub fn synced_index(&self) -> u64 {
+        self.log.synced_index()
+    }
+
+    /// Term of the entry at an index; 0 for index 0, `None` when unknown.
+    #[must_use]
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == 0 {
+            return Some(0);
+        }
+        if let Some(entry) = self.log.entry(index) {
+            return Some(entry.term);
+        }
+        let meta = &self.snapshot.as_ref()?.meta;
+        (meta.index == index).then_some(meta.term)
+    }
+
+    /// The entry at an index, if the log holds it.
+    #[must_use]
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        self.log.entry(index)
+    }
+
+    /// Entries from `from` up to and with `to`, at most `max_bytes` but at least one if there is.
+    #[must_use]
+    pub fn entries(&self, from: u64, to: u64, max_bytes: usize) -> Vec<LogEntry> {
+        self.log.entries(from, to, max_bytes)
+    }
+
+    /// Appends entries that follow the last one. Durable only after [`ReplicaStorage::sync`].
+    pub fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
+        self.log.append(entries);
+    }
+
+    /// Drops the entries from `index` on, durably.
+    pub fn truncate_from(&mut self, index: u64) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let result = self.log.truncate_from(self.disk.as_mut(), index);
+        self.note_failure(result)
+    }
+
+    /// Makes everything appended durable with one fsync.
+    ///
+    /// On [`StorageError::Full`] the entries that are not durable are dropped.
+    pub fn sync(&mut self) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let result = self.log.sync(self.disk.as_mut());
+        if result.is_err() {
+            self.log.drop_unsynced();
+        }
+        self.note_failure(result)
+    }
+
+    /// Drops the entries that are not durable.
+    pub fn drop_unsynced(&mut self) {
+        self.log.drop_unsynced();
+    }
+
+    /// The newest snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// Stores a snapshot of this replica's own state and compacts the log behind it.
+    pub fn save_snapshot(&mut self, meta: SnapshotMeta, data: Vec<u8>) -> Result<(), StorageError> {
+        let index = meta.index;
+        self.write_snapshot(meta, data)?;
+        self.compact(index.saturating_sub(self.options.kept_entries))
+    }
+
+    /// Stores a snapshot received from the leader. The log is kept if it holds the snapshot's last
+    /// entry, else it is dropped whole.
+    pub fn install_snapshot(
+        &mut self,
+        meta: SnapshotMeta,
+        data: Vec<u8>,
+    ) -> Result<(), StorageError> {
+        let index = meta.index;
+        let keeps_log = self
+            .log
+            .entry(index)
+            .is_some_and(|entry| entry.term == meta.term);
+        self.write_snapshot(meta, data)?;
+        if keeps_log {
+            return Ok(());
+        }
+        let result = self.log.clear(self.disk.as_mut(), index + 1);
+        self.note_failure(result)
+    }
+
+    /// Removes log entries before `index`, which a snapshot must cover.
+    pub fn compact(&mut self, index: u64) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let covered = self.snapshot.as_ref().map_or(0, |kept| kept.meta.index);
+        let result = self
+            .log
+            .compact_before(self.disk.as_mut(), index.min(covered + 1));
+        self.note_failure(result)
+    }
+
+    fn write_snapshot(&mut self, meta: SnapshotMeta, data: Vec<u8>) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let snapshot = Snapshot {
+            meta,
+            data: Arc::from(data),
+        };
+        let result = snapshot::save(self.disk.as_mut(), &snapshot);
+        self.note_failure(result)?;
+        self.snapshot = Some(snapshot);
+        Ok(())
+    }
+
+    fn check_usable(&self) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        Ok(())
+    }
+
+    /// After any error but a full disk, what the disk holds is unknown: nothing is tried again.
+    fn note_failure(&mut self, result: Result<(), StorageError>) -> Result<(), StorageError> {
+        if result.as_ref().is_err_and(|error| !error.is_full()) {
+            self.failed = true;
+        }
+        result
+    }
+}
+
+fn read_hard_state(disk: &dyn Disk) -> Result<Option<HardState>, StorageError> {
+    let Some(body) = checked_file::read(disk, HARD_STATE_FILE)? else {
+        return Ok(None);
+    };
+    match HardState::decode(body.as_slice()) {
+        Ok(hard_state) => Ok(Some(hard_state)),
+        Err(_) => {
+            let reason = "the hard state cannot be read";
+            Err(StorageError::corrupt(HARD_STATE_FILE, 0, reason))
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/segment_recovery.rs
@@ -0,0 +1,93 @@
+//! Reading a segment after a restart: which bytes are whole records, and whether the rest is a
+//! torn tail or damage.
+
+use millford_api::replication::LogEntry;
+
+use crate::keystream::WORD_BYTES;
+use crate::record::{self, RecordRead};
+use crate::segment::Segment;
+use crate::{Disk, StorageError};
+
+/// A disk writes sectors whole; a lost one reads as zeros.
+const SECTOR_BYTES: usize = 512;
+
+/// A segment as it was read.
+pub struct RecoveredSegment {
+    pub segment: Segment,
+    pub entries: Vec<LogEntry>,
+}
+
+/// Reads a segment. Only the last one may have a torn tail, which is cut durably.
+pub fn recover(
+    disk: &mut dyn Disk,
+    mut segment: Segment,
+    is_last: bool,
+) -> Result<RecoveredSegment, StorageError> {
+    let bytes = disk.read(&segment.name)?.unwrap_or_default();
+    let mut entries = Vec::new();
+    let mut position = 0;
+    while position < bytes.len() {
+        let RecordRead::Entry { entry, end } = record::read(&bytes, position) else {
+            break;
+        };
+        check_index(&segment, &entry, position)?;
+        segment.push(end as u64);
+        entries.push(entry);
+        position = end;
+    }
+    if position < bytes.len() {
+        let torn = is_last && is_torn(&bytes, position);
+        if !torn {
+            let reason = "a record is damaged";
+            return Err(StorageError::corrupt(&segment.name, position, reason));
+        }
+        // Durable before anything is appended, else old and new bytes could mix after a crash.
+        disk.truncate(&segment.name, position as u64)?;
+        disk.sync(&segment.name)?;
+    }
+    Ok(RecoveredSegment { segment, entries })
+}
+
+fn check_index(segment: &Segment, entry: &LogEntry, position: usize) -> Result<(), StorageError> {
+    if entry.index == segment.last_index() + 1 {
+        return Ok(());
+    }
+    let reason = "an entry has the wrong index";
+    Err(StorageError::corrupt(&segment.name, position, reason))
+}
+
+/// Whether the bytes from `position` on, which begin with no whole record, are an unsynced tail.
+///
+/// A write that was cut leaves a short record or lost sectors. Any other fault, such as a flipped
+/// bit, may have hit entries that were synced and acknowledged; cutting them would lose them
+/// silently, so it is damage.
+fn is_torn(bytes: &[u8], position: usize) -> bool {
+    if was_synced(bytes, position) {
+        return false;
+    }
+    match record::read(bytes, position) {
+        RecordRead::Short => true,
+        RecordRead::Entry { .. } | RecordRead::Bad => has_lost_sector(bytes, position),
+    }
+}
+
+/// Whether a later record tells that the bytes at `position` had been synced before it was written.
+fn was_synced(bytes: &[u8], position: usize) -> bool {
+    (position..bytes.len())
+        .step_by(WORD_BYTES)
+        .filter_map(|candidate| record::read_header(bytes, candidate))
+        .any(|header| header.batch_start > position)
+}
+
+fn has_lost_sector(bytes: &[u8], position: usize) -> bool {
+    let mut start = position;
+    while start < bytes.len() {
+        let sector_end = (start / SECTOR_BYTES + 1) * SECTOR_BYTES;
+        let end = sector_end.min(bytes.len());
+        if bytes[start..end].iter().all(|byte| *byte == 0) {
+            return true;
+        }
+        start = end;
+    }
+    false
+}
