--- /dev/null
+++ b/crates/storage/tests/crash_points.rs
@@ -0,0 +1,235 @@
+//! A power failure at every disk operation of a script that appends, truncates, saves and installs
+//! snapshots: what was synced is there afterwards, and nothing else is made up.
+
+mod support;
+
+use millford_api::replication::{HardState, LogEntry, VoterSet};
+use millford_storage::{ReplicaStorage, SnapshotMeta, StorageError, StorageOptions};
+use support::command;
+use support::crash_disk::{CrashDisk, Faults};
+
+const OPTIONS: StorageOptions = StorageOptions {
+    segment_bytes: 300,
+    kept_entries: 3,
+};
+const TEARS: u64 = 12;
+
+/// What the script knows to be durable, and what may be.
+#[derive(Clone, Default)]
+struct Model {
+    hard_state: Option<HardState>,
+    possible_hard_state: Option<HardState>,
+    /// Entries that were synced, or that a durable snapshot covers.
+    synced: Vec<LogEntry>,
+    /// Every log that may be found besides: each one that the script went through since.
+    possible: Vec<Vec<LogEntry>>,
+    snapshot_index: u64,
+    possible_snapshot: Option<u64>,
+    /// What the log must agree with if a snapshot that was being installed is found.
+    installed: Option<Vec<LogEntry>>,
+}
+
+struct Script {
+    storage: ReplicaStorage,
+    model: Model,
+    log: Vec<LogEntry>,
+}
+
+impl Script {
+    fn append(&mut self, count: u64, term: u64) -> Result<(), StorageError> {
+        for _ in 0..count {
+            let index = self.log.len() as u64 + 1;
+            let body = vec![u8::try_from(index).expect("small"); 90];
+            self.log.push(command(index, term, &body));
+            self.storage.append([self.log[self.log.len() - 1].clone()]);
+        }
+        self.model.possible.push(self.log.clone());
+        self.storage.sync()?;
+        self.model.synced.clone_from(&self.log);
+        self.model.possible.clear();
+        Ok(())
+    }
+
+    fn truncate(&mut self, index: u64) -> Result<(), StorageError> {
+        self.model.possible.push(self.log.clone());
+        self.log
+            .truncate(usize::try_from(index - 1).expect("small"));
+        // From here on the old tail may be gone or not.
+        self.model.synced.clone_from(&self.log);
+        self.storage.truncate_from(index)?;
+        self.model.possible.clear();
+        Ok(())
+    }
+
+    fn vote(&mut self, term: u64, voted_for: u64) -> Result<(), StorageError> {
+        let state = HardState {
+            term,
+            voted_for,
+            node: 1,
+        };
+        self.model.possible_hard_state = Some(state);
+        self.storage.set_hard_state(state)?;
+        self.model.hard_state = Some(state);
+        Ok(())
+    }
+
+    fn save(&mut self, index: u64) -> Result<(), StorageError> {
+        let entry = &self.log[usize::try_from(index - 1).expect("small")];
+        let meta = meta(index, entry.term);
+        self.model.possible_snapshot = Some(index);
+        self.storage
+            .save_snapshot(meta, index.to_le_bytes().to_vec())?;
+        self.model.snapshot_index = index;
+        Ok(())
+    }
+
+    /// A snapshot that the log does not reach, or whose last entry it holds with another term.
+    fn install(&mut self, index: u64, term: u64) -> Result<(), StorageError> {
+        self.model.possible_snapshot = Some(index);
+        let old = self.log.clone();
+        self.log = (1..=index)
+            .map(|index| command(index, term, b"covered"))
+            .collect();
+        self.model.possible.push(old);
+        self.model.installed = Some(self.log.clone());
+        self.storage
+            .install_snapshot(meta(index, term), index.to_le_bytes().to_vec())?;
+        self.model.snapshot_index = index;
+        self.model.synced.clone_from(&self.log);
+        self.model.possible.clear();
+        self.model.installed = None;
+        Ok(())
+    }
+
+    fn run(&mut self) -> Result<(), StorageError> {
+        self.vote(1, 0)?;
+        self.append(3, 1)?;
+        self.append(2, 1)?;
+        self.truncate(4)?;
+        self.vote(2, 3)?;
+        self.append(4, 2)?;
+        self.save(4)?;
+        self.append(5, 2)?;
+        self.truncate(8)?;
+        self.append(6, 3)?;
+        self.save(10)?;
+        self.install(12, 5)?;
+        self.append(3, 5)?;
+        self.install(30, 6)?;
+        self.vote(7, 2)?;
+        self.append(4, 7)?;
+        self.save(33)?;
+        self.append(2, 7)
+    }
+}
+
+fn meta(index: u64, term: u64) -> SnapshotMeta {
+    SnapshotMeta {
+        index,
+        term,
+        voters: VoterSet::default(),
+    }
+}
+
+fn run_until_failure(disk: &CrashDisk, faults: Faults) -> (Model, Result<(), StorageError>) {
+    let storage = ReplicaStorage::open(Box::new(disk.clone()), OPTIONS).expect("empty disk");
+    disk.set_faults(faults);
+    let mut script = Script {
+        storage,
+        model: Model::default(),
+        log: Vec::new(),
+    };
+    let result = script.run();
+    (script.model, result)
+}
+
+/// Compares what a crash left with the model.
+fn check(disk: &CrashDisk, model: &Model) -> Result<(), String> {
+    let storage = ReplicaStorage::open(Box::new(disk.clone()), OPTIONS)
+        .map_err(|error| format!("does not open: {error}"))?;
+    let hard_state = storage.hard_state();
+    if hard_state != model.hard_state && hard_state != model.possible_hard_state {
+        return Err(format!("hard state {hard_state:?}"));
+    }
+    let snapshot_index = storage.snapshot().map_or(0, |snapshot| snapshot.meta.index);
+    let is_new_snapshot = Some(snapshot_index) == model.possible_snapshot;
+    if snapshot_index != model.snapshot_index && !is_new_snapshot {
+        return Err(format!("snapshot {snapshot_index}"));
+    }
+    let data = storage.snapshot().map(|snapshot| snapshot.data.to_vec());
+    if data.is_some_and(|data| data != snapshot_index.to_le_bytes()) {
+        return Err("snapshot bytes".to_owned());
+    }
+    check_log(&storage, model, snapshot_index)
+}
+
+fn check_log(storage: &ReplicaStorage, model: &Model, snapshot: u64) -> Result<(), String> {
+    if storage.first_index() > snapshot + 1 {
+        return Err(format!("a gap before {}", storage.first_index()));
+    }
+    let installed = model.installed.as_ref();
+    if let Some(installed) = installed.filter(|_| snapshot > model.snapshot_index) {
+        return match agrees(storage, installed, snapshot) {
+            true => Ok(()),
+            false => Err("entries of the replaced log behind the snapshot".to_owned()),
+        };
+    }
+    let synced_last = model.synced.last().map_or(0, |entry| entry.index);
+    if storage.last_index() < synced_last && snapshot < synced_last {
+        return Err(format!(
+            "ends at {}, synced {synced_last}",
+            storage.last_index()
+        ));
+    }
+    let logs = model.possible.iter().chain([&model.synced]);
+    let is_known = logs.clone().any(|log| agrees(storage, log, snapshot));
+    if !is_known {
+        return Err("entries that were never written in this order".to_owned());
+    }
+    Ok(())
+}
+
+/// Whether every held entry behind the snapshot is in the log.
+fn agrees(storage: &ReplicaStorage, log: &[LogEntry], snapshot: u64) -> bool {
+    let from = (snapshot + 1).max(storage.first_index());
+    let mut held = storage.entries(from, u64::MAX, usize::MAX).into_iter();
+    held.all(|entry| log.contains(&entry))
+}
+
+#[test]
+fn a_crash_at_any_operation_loses_nothing_synced() {
+    let disk = CrashDisk::default();
+    let (_, result) = run_until_failure(&disk, Faults::default());
+    result.expect("the script runs");
+    let operations = disk.operations();
+    assert!(operations > 30);
+    for survived in 0..=operations {
+        for seed in 0..TEARS {
+            let disk = CrashDisk::default();
+            let faults = Faults {
+                operations_left: Some(survived),
+                ..Faults::default()
+            };
+            let (model, _) = run_until_failure(&disk, faults);
+            disk.crash(seed);
+            let checked = check(&disk, &model);
+            assert_eq!(checked, Ok(()), "operation {survived} seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn the_check_catches_a_disk_that_lies_about_sync() {
+    let caught = (0..TEARS).filter(|seed| {
+        let disk = CrashDisk::default();
+        let faults = Faults {
+            lie_about_sync: true,
+            ..Faults::default()
+        };
+        let (model, result) = run_until_failure(&disk, faults);
+        result.expect("the disk reports success");
+        disk.crash(*seed);
+        check(&disk, &model).is_err()
+    });
+    assert_eq!(caught.count() as u64, TEARS);
+}
--- /dev/null
+++ b/crates/storage/tests/disk_faults.rs
@@ -0,0 +1,130 @@
+//! A full disk takes a batch back; a failed sync is final; real files behave the same.
+
+mod support;
+
+use millford_api::replication::{HardState, LogEntry};
+use millford_storage::{Disk, FileDisk, ReplicaStorage, StorageError, StorageOptions};
+use quickcheck::quickcheck;
+use support::command;
+use support::crash_disk::{CrashDisk, Faults};
+
+fn open(disk: impl Disk + 'static) -> ReplicaStorage {
+    ReplicaStorage::open(Box::new(disk), StorageOptions::default()).expect("opens")
+}
+
+fn started(disk: &CrashDisk) -> ReplicaStorage {
+    let mut storage = open(disk.clone());
+    storage
+        .set_hard_state(HardState::default())
+        .expect("hard state");
+    storage.append([command(1, 1, b"kept")]);
+    storage.sync().expect("sync");
+    storage
+}
+
+#[test]
+fn a_full_disk_keeps_what_was_synced_and_goes_on_later() {
+    let batch = [command(2, 1, &[1; 300]), command(3, 1, &[2; 300])];
+    for space in 0..600 {
+        let disk = CrashDisk::default();
+        let mut storage = started(&disk);
+        disk.set_faults(Faults {
+            space_left: Some(space),
+            ..Faults::default()
+        });
+        storage.append(batch.clone());
+        assert!(storage.sync().expect_err("no space").is_full());
+        assert_eq!(storage.last_index(), 1);
+        disk.set_faults(Faults::default());
+        storage.append([command(2, 2, b"later")]);
+        storage.sync().expect("space again");
+        disk.crash(space);
+        let recovered = open(disk);
+        let expected = vec![command(1, 1, b"kept"), command(2, 2, b"later")];
+        assert_eq!(recovered.entries(1, u64::MAX, usize::MAX), expected);
+    }
+}
+
+#[test]
+fn a_failed_sync_is_never_retried() {
+    let disk = CrashDisk::default();
+    let mut storage = started(&disk);
+    disk.set_faults(Faults {
+        fail_sync: true,
+        ..Faults::default()
+    });
+    storage.append([command(2, 1, b"lost")]);
+    assert!(matches!(storage.sync(), Err(StorageError::Io { .. })));
+    let syncs = disk.syncs();
+    assert_eq!(storage.sync(), Err(StorageError::Failed));
+    assert_eq!(
+        storage.set_hard_state(HardState::default()),
+        Err(StorageError::Failed)
+    );
+    assert_eq!(storage.truncate_from(1), Err(StorageError::Failed));
+    assert_eq!(disk.syncs(), syncs);
+}
+
+#[test]
+fn one_sync_serves_a_whole_batch() {
+    let disk = CrashDisk::default();
+    let mut storage = started(&disk);
+    let before = disk.syncs();
+    storage.append((2..=200).map(|index| command(index, 1, b"entry")));
+    storage.sync().expect("sync");
+    storage.sync().expect("nothing new");
+    assert_eq!(disk.syncs(), before + 1);
+}
+
+#[test]
+fn real_files_survive_reopening_and_a_cut() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("shard").join("0");
+    let mut storage = open(FileDisk::open(&path).expect("folder"));
+    storage
+        .set_hard_state(HardState::default())
+        .expect("hard state");
+    storage.append((1..=20).map(|index| command(index, 1, b"entry")));
+    storage.sync().expect("sync");
+    storage.truncate_from(11).expect("truncate");
+    drop(storage);
+    std::fs::write(path.join("left-over.tmp"), b"never renamed").expect("write");
+    let disk = FileDisk::open(&path).expect("folder");
+    let names = disk.list().expect("names");
+    assert!(!path.join("left-over.tmp").exists());
+    let log = names
+        .iter()
+        .find(|name| name.starts_with("log-"))
+        .expect("log");
+    let bytes = std::fs::read(path.join(log)).expect("read");
+    std::fs::write(path.join(log), &bytes[..bytes.len() - 3]).expect("cut");
+    let storage = open(disk);
+    assert_eq!(storage.last_index(), 9);
+}
+
+quickcheck! {
+    fn what_is_written_is_read_back(bodies: Vec<(Vec<u8>, u8)>, segment_bytes: u16) -> bool {
+        let options = StorageOptions {
+            segment_bytes: u64::from(segment_bytes) + 1,
+            kept_entries: 0,
+        };
+        let disk = CrashDisk::default();
+        let boxed = Box::new(disk.clone());
+        let mut storage = ReplicaStorage::open(boxed, options).expect("empty disk");
+        storage.set_hard_state(HardState::default()).expect("hard state");
+        let numbered = (1..).zip(&bodies);
+        let entries: Vec<LogEntry> = numbered
+            .map(|(index, (body, term))| command(index, u64::from(*term), body))
+            .collect();
+        for entry in &entries {
+            storage.append([entry.clone()]);
+            if entry.term % 3 == 0 {
+                storage.sync().expect("sync");
+            }
+        }
+        storage.sync().expect("sync");
+        disk.crash(u64::from(segment_bytes));
+        let recovered = ReplicaStorage::open(Box::new(disk), options).expect("clean");
+        recovered.entries(1, u64::MAX, usize::MAX) == entries
+    }
+}
--- /dev/null
+++ b/crates/storage/tests/support/crash_disk.rs
@@ -0,0 +1,225 @@
+//! A disk in memory with faults. Handles share the same files, so that a test can crash the disk
+//! under a storage and open it again.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use millford_storage::{Disk, StorageError};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::file_state::FileState;
+
+/// Faults of the disk.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Operations that still succeed before the power fails; `None` for no failure.
+    pub operations_left: Option<u64>,
+    /// Bytes that still fit; `None` for no limit.
+    pub space_left: Option<u64>,
+    /// The next sync fails.
+    pub fail_sync: bool,
+    /// Syncs report success and do nothing.
+    pub lie_about_sync: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    files: BTreeMap<String, FileState>,
+    faults: Faults,
+    operations: u64,
+    syncs: u64,
+}
+
+/// Handle of a disk.
+#[derive(Clone, Debug, Default)]
+pub struct CrashDisk {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl CrashDisk {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .expect("no test thread panics with the lock")
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Operations that changed the disk or failed to.
+    pub fn operations(&self) -> u64 {
+        self.lock().operations
+    }
+
+    /// Successful syncs.
+    pub fn syncs(&self) -> u64 {
+        self.lock().syncs
+    }
+
+    /// Loses unsynced bytes as a power failure does, and ends all faults but lies.
+    pub fn crash(&self, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut inner = self.lock();
+        let files = std::mem::take(&mut inner.files);
+        for (name, file) in files {
+            if let Some(bytes) = file.after_crash(&mut random) {
+                inner.insert_durable(&name, bytes);
+            }
+        }
+        inner.faults = Faults {
+            lie_about_sync: inner.faults.lie_about_sync,
+            ..Faults::default()
+        };
+    }
+
+    /// Removes everything.
+    pub fn wipe(&self) {
+        *self.lock() = Inner::default();
+    }
+
+    /// Bytes of a file.
+    pub fn bytes(&self, name: &str) -> Vec<u8> {
+        self.lock().files[name].current.clone()
+    }
+
+    /// Replaces the bytes of a file, as damage does.
+    pub fn set_bytes(&self, name: &str, bytes: Vec<u8>) {
+        self.lock().insert_durable(name, bytes);
+    }
+
+    /// Names of the files that begin with a prefix.
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        let inner = self.lock();
+        let names = inner.files.keys().filter(|name| name.starts_with(prefix));
+        names.cloned().collect()
+    }
+
+    /// A disk of its own with the same durable files.
+    pub fn copy(&self) -> CrashDisk {
+        let copy = CrashDisk::default();
+        for (name, file) in &self.lock().files {
+            copy.set_bytes(name, file.current.clone());
+        }
+        copy
+    }
+}
+
+impl Inner {
+    fn insert_durable(&mut self, name: &str, bytes: Vec<u8>) {
+        let file = FileState {
+            durable: Some(bytes.clone()),
+            current: bytes,
+        };
+        self.files.insert(name.to_owned(), file);
+    }
+
+    /// Counts an operation; fails once the power is out.
+    fn operate(&mut self, operation: &'static str, name: &str) -> Result<(), StorageError> {
+        self.operations += 1;
+        if let Some(left) = &mut self.faults.operations_left {
+            if *left == 0 {
+                return Err(failure(operation, name));
+            }
+            *left -= 1;
+        }
+        Ok(())
+    }
+
+    /// Takes space for `bytes` and returns how many of them fit.
+    fn take_space(&mut self, bytes: usize) -> usize {
+        let Some(left) = &mut self.faults.space_left else {
+            return bytes;
+        };
+        let fits = usize::try_from(*left).unwrap_or(usize::MAX).min(bytes);
+        *left -= fits as u64;
+        fits
+    }
+}
+
+impl Disk for CrashDisk {
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        Ok(self.lock().files.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, StorageError> {
+        let inner = self.lock();
+        Ok(inner.files.get(name).map(|file| file.current.clone()))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let mut inner = self.lock();
+        let result = inner.operate("append", name);
+        let fits = inner.take_space(bytes.len());
+        // A power failure may also strike in the middle of a write; the crash draws how much stays.
+        let file = inner.files.entry(name.to_owned()).or_default();
+        file.current.extend_from_slice(&bytes[..fits]);
+        result?;
+        if fits < bytes.len() {
+            return Err(full(name));
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), StorageError> {
+        let mut inner = self.lock();
+        inner.operate("sync", name)?;
+        if std::mem::take(&mut inner.faults.fail_sync) {
+            return Err(failure("sync", name));
+        }
+        inner.syncs += 1;
+        if inner.faults.lie_about_sync {
+            return Ok(());
+        }
+        let file = inner.files.entry(name.to_owned()).or_default();
+        file.durable = Some(file.current.clone());
+        Ok(())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let mut inner = self.lock();
+        inner.operate("replace", name)?;
+        if inner.take_space(bytes.len()) < bytes.len() {
+            return Err(full(name));
+        }
+        if inner.faults.lie_about_sync {
+            let file = inner.files.entry(name.to_owned()).or_default();
+            file.current = bytes.to_vec();
+        } else {
+            inner.insert_durable(name, bytes.to_vec());
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> Result<(), StorageError> {
+        let mut inner = self.lock();
+        inner.operate("truncate", name)?;
+        let file = inner.files.entry(name.to_owned()).or_default();
+        file.current
+            .truncate(usize::try_from(len).unwrap_or(usize::MAX));
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), StorageError> {
+        let mut inner = self.lock();
+        inner.operate("remove", name)?;
+        inner.files.remove(name);
+        Ok(())
+    }
+}
+
+fn failure(operation: &'static str, name: &str) -> StorageError {
+    StorageError::Io {
+        operation,
+        name: name.to_owned(),
+        reason: "injected".to_owned(),
+    }
+}
+
+fn full(name: &str) -> StorageError {
+    StorageError::Full {
+        name: name.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/storage/tests/support/file_state.rs
@@ -0,0 +1,51 @@
+//! One file of the crash disk: what is there now and what a crash leaves.
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+const SECTOR_BYTES: usize = 512;
+
+/// Bytes of a file.
+#[derive(Clone, Debug, Default)]
+pub struct FileState {
+    /// What readers see.
+    pub current: Vec<u8>,
+    /// What was synced; `None` when the file itself was not.
+    pub durable: Option<Vec<u8>>,
+}
+
+impl FileState {
+    /// What a crash leaves of the file; `None` when it is gone.
+    pub fn after_crash(&self, random: &mut StdRng) -> Option<Vec<u8>> {
+        let durable = match &self.durable {
+            Some(durable) => durable.clone(),
+            None if random.random_bool(0.5) => return None,
+            None => Vec::new(),
+        };
+        if !self.current.starts_with(&durable) {
+            // An unsynced truncation took place or it did not.
+            let kept = if random.random_bool(0.5) {
+                &self.current
+            } else {
+                &durable
+            };
+            return Some(kept.clone());
+        }
+        Some(self.torn_append(durable.len(), random))
+    }
+
+    /// Keeps a part of the unsynced bytes; sectors among them may be lost.
+    fn torn_append(&self, synced: usize, random: &mut StdRng) -> Vec<u8> {
+        let kept = random.random_range(synced..=self.current.len());
+        let mut bytes = self.current[..kept].to_vec();
+        let mut start = synced;
+        while start < kept {
+            let end = ((start / SECTOR_BYTES + 1) * SECTOR_BYTES).min(kept);
+            if random.random_bool(0.2) {
+                bytes[start..end].fill(0);
+            }
+            start = end;
+        }
+        bytes
+    }
+}
