--- a/crates/control-state/src/document/check_route.rs
+++ b/crates/control-state/src/document/check_route.rs
@@ -9,8 +9,8 @@
 use super::limits;
 
 /// Checks every route, alone and against the others and the pools.
-pub(super) fn check_routes<'document>(
-    routes: &'document [Route],
+pub(super) fn check_routes(
+    routes: &[Route],
     pools: &BTreeMap<&str, &Pool>,
     faults: &mut FaultList,
 ) {
--- a/crates/control-state/src/quota/ledger.rs
+++ b/crates/control-state/src/quota/ledger.rs
@@ -11,35 +11,25 @@
 //! spare tokens and half a burst of the new leader's stand at its beginning. From G on only the new
 //! leader's tokens are left. So burst + rate * window holds for every window.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use millford_api::config::Quota;
-use millford_api::internal::{QuotaAsk, QuotaGrant, QuotaRecall, QuotaReply, QuotaRequest};
-use millford_core::{Duration, MonotonicTime, ResultCode, ShardId};
+use millford_api::internal::{QuotaAsk, QuotaReply, QuotaRequest};
+use millford_core::{MonotonicTime, ResultCode, ShardId};
 
-use super::account::{LEASE_MARGIN, TokenAccount, TokenAsk};
+use super::account::LEASE_MARGIN;
 use super::bucket::Takeover;
 use super::options::QuotaOptions;
 use super::output::QuotaOutput;
 use super::replies::{EpochStanding, Replies};
-use super::slots::{Holder, SlotAsk, SlotTable};
-
-/// When to ask again for a tenant that this leader has not heard of: its configuration is on its way.
-const UNKNOWN_TENANT_WAIT: Duration = Duration::from_millis(50);
-
-/// Tokens and slots of one tenant in use.
-#[derive(Clone, Debug)]
-struct Account {
-    tokens: TokenAccount,
-    slots: SlotTable,
-}
+use super::tenant_account::{AskContext, TenantAccount, Turn, unknown_tenant};
 
 /// What the leader knows while it leads.
 #[derive(Clone, Debug)]
 struct Leadership {
     term: u64,
     takeover: Takeover,
-    accounts: BTreeMap<String, Account>,
+    accounts: BTreeMap<String, TenantAccount>,
     replies: Replies,
     swept_at: MonotonicTime,
 }
@@ -123,8 +113,8 @@
         };
         // A removed tenant's tokens are worth nothing, and come back as a new tenant's would.
         let now_in_force = quota.unwrap_or_default();
-        account.tokens.change(now, &now_in_force, &self.options);
-        recalls(self.shard, now, tenant, account, &self.options)
+        account.change(now, &now_in_force, &self.options);
+        account.recalls(self.shard, now, tenant, &self.options)
     }
 
     /// Answers a node. Recalls of other nodes' idle slices may go out beside the answer.
@@ -148,8 +138,15 @@
         let mut reply = empty_reply(request, ResultCode::Ok, leadership.term);
         let mut outputs = Vec::new();
         for ask in &request.asks {
+            let context = AskContext {
+                shard,
+                now,
+                takeover: leadership.takeover,
+                options: &self.options,
+                request,
+            };
             let quota = self.limits.get(&ask.tenant);
-            let turn = leadership.ask(shard, now, request, ask, quota, &self.options);
+            let turn = leadership.ask(context, ask, quota);
             reply.grants.push(turn.grant);
             outputs.extend(turn.recalls);
         }
@@ -171,39 +168,20 @@
     }
 }
 
-/// One tenant's part of an answer.
-struct Turn {
-    grant: QuotaGrant,
-    recalls: Vec<QuotaOutput>,
-}
-
 impl Leadership {
-    fn ask(
-        &mut self,
-        shard: ShardId,
-        now: MonotonicTime,
-        request: &QuotaRequest,
-        ask: &QuotaAsk,
-        quota: Option<&Quota>,
-        options: &QuotaOptions,
-    ) -> Turn {
+    fn ask(&mut self, context: AskContext<'_>, ask: &QuotaAsk, quota: Option<&Quota>) -> Turn {
         let Some(quota) = quota else {
-            return unknown_tenant(ask, options);
+            return unknown_tenant(ask, context.options);
         };
-        let takeover = self.takeover;
-        let account = self
-            .accounts
+        self.accounts
             .entry(ask.tenant.clone())
-            .or_insert_with(|| Account {
-                tokens: TokenAccount::new(quota, takeover, now),
-                slots: SlotTable::default(),
-            });
-        account.answer(shard, now, request, ask, quota, takeover, options)
+            .or_insert_with(|| TenantAccount::new(quota, context.takeover, context.now))
+            .answer(context, ask, quota)
     }
 
     fn supersede(&mut self, now: MonotonicTime, member: &str, epoch: u64) {
         for account in self.accounts.values_mut() {
-            account.slots.supersede(now, member, epoch);
+            account.supersede(now, member, epoch);
         }
     }
 
@@ -214,120 +192,14 @@
         options: &QuotaOptions,
     ) {
         self.accounts.retain(|tenant, account| {
-            account.tokens.advance(now, options);
-            account.slots.expire(now, options);
             let gone = !limits.contains_key(tenant);
-            let idle = account.tokens.is_idle() || gone;
-            !(idle && account.slots.is_empty())
+            !account.is_idle(now, gone, options)
         });
         let lease = options.lease + LEASE_MARGIN;
         self.replies.sweep(now, lease, options.silent_slot_hold);
     }
 }
 
-impl Account {
-    #[allow(clippy::too_many_arguments)]
-    fn answer(
-        &mut self,
-        shard: ShardId,
-        now: MonotonicTime,
-        request: &QuotaRequest,
-        ask: &QuotaAsk,
-        quota: &Quota,
-        takeover: Takeover,
-        options: &QuotaOptions,
-    ) -> Turn {
-        let token_ask = TokenAsk {
-            member: &request.member,
-            epoch: request.epoch,
-            wanted: u64::from(ask.tokens),
-            returned: u64::from(ask.returned_tokens),
-        };
-        let tokens = self.tokens.ask(now, token_ask, options);
-        let slot_ask = SlotAsk {
-            member: &request.member,
-            epoch: request.epoch,
-            request_id: request.request_id,
-            wanted: u64::from(ask.slots_wanted),
-            in_use: u64::from(ask.slots_in_use),
-        };
-        let limit = u64::from(quota.concurrent_streams);
-        let slots = self
-            .slots
-            .ask(now, slot_ask, limit, takeover.full_after, options);
-        let recalls = if tokens.recall || slots.recall {
-            recalls_but(shard, now, ask, self, options, &request.member)
-        } else {
-            Vec::new()
-        };
-        let grant = QuotaGrant {
-            tenant: ask.tenant.clone(),
-            tokens: narrow(tokens.tokens),
-            slots: narrow(slots.slots),
-            lease_ms: millis(options.lease),
-            retry_after_ms: millis(tokens.retry_after.max(slots.retry_after)),
-            refused: tokens.refused,
-            slots_refused: slots.refused,
-        };
-        Turn { grant, recalls }
-    }
-}
-
-fn recalls_but(
-    shard: ShardId,
-    now: MonotonicTime,
-    ask: &QuotaAsk,
-    account: &mut Account,
-    options: &QuotaOptions,
-    asker: &str,
-) -> Vec<QuotaOutput> {
-    let mut outputs = recalls(shard, now, &ask.tenant, account, options);
-    outputs.retain(|output| match output {
-        QuotaOutput::Recall { member, .. } => member != asker,
-        QuotaOutput::Reply { .. } => true,
-    });
-    outputs
-}
-
-/// Recalls to every holder of idle tokens or slots, one for each.
-fn recalls(
-    shard: ShardId,
-    now: MonotonicTime,
-    tenant: &str,
-    account: &mut Account,
-    options: &QuotaOptions,
-) -> Vec<QuotaOutput> {
-    let mut holders = account.tokens.recall(now, options.recall_wait);
-    holders.extend(account.slots.recall(now, options));
-    let mut told = BTreeSet::new();
-    holders.retain(|holder| told.insert(holder.member.clone()));
-    let recall = QuotaRecall {
-        shard: shard.0,
-        tenant: tenant.to_owned(),
-    };
-    let to_output = |holder: Holder| QuotaOutput::Recall {
-        member: holder.member,
-        epoch: holder.epoch,
-        recall: recall.clone(),
-    };
-    holders.into_iter().map(to_output).collect()
-}
-
-/// The configuration that names the tenant has not reached this leader; nothing is refused for it.
-fn unknown_tenant(ask: &QuotaAsk, options: &QuotaOptions) -> Turn {
-    let grant = QuotaGrant {
-        tenant: ask.tenant.clone(),
-        lease_ms: millis(options.lease),
-        slots: ask.slots_in_use.min(ask.slots_wanted),
-        retry_after_ms: millis(UNKNOWN_TENANT_WAIT),
-        ..QuotaGrant::default()
-    };
-    Turn {
-        grant,
-        recalls: Vec::new(),
-    }
-}
-
 fn empty_reply(request: &QuotaRequest, code: ResultCode, term: u64) -> QuotaReply {
     QuotaReply {
         shard: request.shard,
@@ -344,13 +216,3 @@
         reply,
     }
 }
-
-fn narrow(number: u64) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
-
-/// Whole milliseconds, rounded up: asking again earlier would be in vain.
-fn millis(duration: Duration) -> u32 {
-    let rounded = duration.as_micros().div_ceil(1000);
-    u32::try_from(rounded).unwrap_or(u32::MAX)
-}
--- a/crates/control-state/src/quota/mod.rs
+++ b/crates/control-state/src/quota/mod.rs
@@ -16,6 +16,7 @@
 mod output;
 mod replies;
 mod slots;
+mod tenant_account;
 
 pub use ledger::QuotaLedger;
 pub use options::QuotaOptions;
