--- /dev/null
+++ b/crates/control/src/gateway/agents.rs
@@ -0,0 +1,105 @@
+//! Agents and control nodes whose heartbeats this node hears.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::{Heartbeat, SessionTouch};
+use millford_core::{ShardId, ShardLayout, session_key};
+
+use crate::link::LinkId;
+
+#[derive(Debug)]
+struct Heard {
+    link: Option<LinkId>,
+    epoch: u64,
+    shown_revision: u64,
+    heard: bool,
+    closed: bool,
+}
+
+/// Sessions heard here, to be passed on to the leaders of their shards.
+#[derive(Debug, Default)]
+pub struct AgentTable {
+    members: BTreeMap<String, Heard>,
+}
+
+impl AgentTable {
+    /// A heartbeat arrived. Gives whether the session lives as far as this node knows.
+    pub fn heartbeat(&mut self, link: Option<LinkId>, heartbeat: &Heartbeat) -> bool {
+        if heartbeat.epoch == 0 {
+            return false;
+        }
+        let entry = self
+            .members
+            .entry(heartbeat.member.clone())
+            .or_insert_with(|| Heard::new(heartbeat.epoch));
+        if heartbeat.epoch < entry.epoch {
+            return false;
+        }
+        if heartbeat.epoch > entry.epoch {
+            *entry = Heard::new(heartbeat.epoch);
+        }
+        entry.link = link;
+        entry.heard = true;
+        entry.shown_revision = heartbeat.shown_revision;
+        !entry.closed
+    }
+
+    /// The leader says that these sessions do not exist any more.
+    pub fn closed(&mut self, touched: &[SessionTouch], closed_members: &[String]) {
+        for touch in touched {
+            let Some(entry) = self.members.get_mut(&touch.member) else {
+                continue;
+            };
+            let named = closed_members.contains(&touch.member);
+            if named && entry.epoch == touch.epoch {
+                entry.closed = true;
+            }
+        }
+    }
+
+    /// Whether the leader closed this session.
+    #[must_use]
+    pub fn is_closed(&self, member: &str, epoch: u64) -> bool {
+        let entry = self.members.get(member);
+        entry.is_some_and(|entry| entry.epoch > epoch || entry.epoch == epoch && entry.closed)
+    }
+
+    /// Sessions heard since the last call, by shard.
+    pub fn take_touches(&mut self, layout: ShardLayout) -> BTreeMap<ShardId, Vec<SessionTouch>> {
+        let mut touches: BTreeMap<ShardId, Vec<SessionTouch>> = BTreeMap::new();
+        for (member, entry) in &mut self.members {
+            if !std::mem::take(&mut entry.heard) {
+                continue;
+            }
+            let shard = layout.shard_of(&session_key(member));
+            touches.entry(shard).or_default().push(SessionTouch {
+                member: member.clone(),
+                epoch: entry.epoch,
+                shown_revision: entry.shown_revision,
+            });
+        }
+        touches
+    }
+
+    /// A link ended: its members are heard elsewhere from now on.
+    pub fn forget_link(&mut self, ended: LinkId) {
+        self.members.retain(|_, entry| entry.link != Some(ended));
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.members.clear();
+    }
+}
+
+impl Heard {
+    fn new(epoch: u64) -> Self {
+        Self {
+            link: None,
+            epoch,
+            shown_revision: 0,
+            heard: false,
+            closed: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/gateway/cluster.rs
@@ -0,0 +1,385 @@
+//! Forming, joining and leaving the cluster.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_api::internal::{FormCluster, Hello, HelloReply, frame};
+use millford_api::state::ControlMember;
+use millford_core::{Duration, MonotonicTime, NodeId, ShardId};
+use millford_membership::{
+    Formation, FormationDecision, MemberDirectory, SeedAnswer, replica_group,
+};
+use millford_storage::StorageError;
+
+use super::dialer::DialAction;
+use super::node_file::NodeFile;
+use super::sessions::OwnSession;
+use super::{Gateway, GatewayOutput, mint};
+use crate::link::LinkId;
+use crate::node_output::{NodeNote, NodeOutput};
+use crate::options::VOTERS_PER_SHARD;
+use crate::shard::{ShardInput, ShardStanding};
+
+/// Longest time that a removed node keeps replicas that may still be counted on.
+const LEAVING_LIMIT: Duration = Duration::from_secs(30);
+
+/// A node that the cluster removed, until none of its replicas is counted on any more.
+#[derive(Debug)]
+pub struct Leaving {
+    since: MonotonicTime,
+}
+
+impl Gateway {
+    /// Starts from the node's file.
+    pub(super) fn start(&mut self, minted: bool) -> Result<(), StorageError> {
+        if minted {
+            // Replicas without their identity must not run: whose votes they hold is unknown.
+            self.outputs.push(GatewayOutput::EraseShards);
+            self.file.store(self.disk.as_mut())?;
+            let identity = self.file.identity();
+            self.note(NodeNote::IdentityMinted(identity));
+        }
+        for removed in &self.file.removed {
+            self.directory.remove(NodeId(*removed));
+        }
+        for member in &self.file.members {
+            self.directory.introduce(member);
+        }
+        if !self.file.is_formed() {
+            self.formation = Some(Formation::new(
+                self.own_member(),
+                self.options.seeds.clone(),
+            ));
+        }
+        let shards: Vec<ShardId> = self.file.shards.iter().copied().map(ShardId).collect();
+        for shard in shards {
+            self.start_shard(shard);
+        }
+        Ok(())
+    }
+
+    /// Opens and closes connections, and greets.
+    pub(super) fn tick_dialer(&mut self, now: MonotonicTime) {
+        let wanted = self.wanted_addresses();
+        for action in self.dialer.tick(now, &wanted) {
+            match action {
+                DialAction::Connect(link, address) => {
+                    self.emit(NodeOutput::Connect { link, address });
+                }
+                DialAction::Greet(link) => self.greet(link),
+                DialAction::Close(link) => self.close_dialled(link),
+            }
+        }
+    }
+
+    /// Sends the greeting of this node.
+    pub(super) fn greet(&mut self, link: LinkId) {
+        let hello = Hello {
+            sender: Some(self.own_member()),
+            cluster_id: self.file.cluster_id,
+            known: self.directory.to_vec(),
+        };
+        self.send(link, frame::Body::Hello(hello));
+    }
+
+    /// Forms or joins a cluster once the seeds' answers allow it.
+    pub(super) fn tick_formation(&mut self, now: MonotonicTime) {
+        let Some(formation) = &self.formation else {
+            return;
+        };
+        match formation.decide(now) {
+            FormationDecision::Form(members) => self.form(members),
+            FormationDecision::Join { .. } | FormationDecision::Wait => {}
+        }
+    }
+
+    /// A control node greeted.
+    pub(super) fn handle_hello(&mut self, link: LinkId, hello: &Hello) {
+        let Some(sender) = &hello.sender else {
+            return;
+        };
+        let identity = NodeId(sender.node_id);
+        self.links.set_control(link, identity);
+        self.learn_from(sender, hello.cluster_id, &hello.known);
+        let unformed_founder = hello.cluster_id == 0 && self.is_founder(identity);
+        if self.file.is_formed() && unformed_founder {
+            // It missed the forming: its disk never held a vote, so it may still take its place.
+            let form = self.form_cluster_frame();
+            self.send(link, form);
+            return;
+        }
+        let reply = self.hello_reply(identity, hello.cluster_id);
+        self.send(link, reply);
+    }
+
+    /// A control node answered a greeting.
+    pub(super) fn handle_hello_reply(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        reply: &HelloReply,
+    ) {
+        let Some(sender) = &reply.sender else {
+            return;
+        };
+        let identity = NodeId(sender.node_id);
+        self.links.set_control(link, identity);
+        let address = self.dialer.answered(now, link, identity);
+        self.learn_from(sender, reply.cluster_id, &reply.known);
+        if let (Some(formation), Some(address)) = (&mut self.formation, address) {
+            let answer = SeedAnswer {
+                member: sender.clone(),
+                cluster_id: reply.cluster_id,
+            };
+            formation.answered(now, &address, answer);
+        }
+        // A node without replicas may itself have joined a moment ago; only one that holds state
+        // speaks for the cluster.
+        if !self.file.is_formed() && reply.cluster_id != 0 && reply.data_shards != 0 {
+            self.join(now, reply);
+        }
+        let same_cluster = reply.cluster_id == self.file.cluster_id;
+        if reply.removed && same_cluster && self.file.is_formed() {
+            self.begin_leaving(now);
+        }
+    }
+
+    /// The forming node says that the cluster is formed.
+    pub(super) fn handle_form_cluster(&mut self, form: &FormCluster) {
+        let named = form
+            .members
+            .iter()
+            .any(|member| member.node_id == self.file.node_id);
+        if self.file.is_formed() || !named {
+            return;
+        }
+        self.adopt_cluster(form);
+    }
+
+    /// A replica of this node is wanted by the shard's leader.
+    pub(super) fn adopt_shard(&mut self, shard: ShardId) -> bool {
+        if !self.file.is_formed() || self.leaving.is_some() {
+            return false;
+        }
+        self.file.shards.push(shard.0);
+        if !self.save_file() {
+            return false;
+        }
+        self.start_shard_with(shard, Vec::new());
+        true
+    }
+
+    /// The cluster removed this identity. Its replicas stay until nobody counts on them: leaving
+    /// earlier could take the quorum of a shard whose repair is not finished.
+    pub(super) fn begin_leaving(&mut self, now: MonotonicTime) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(Leaving { since: now });
+        self.to_every_shard(&ShardInput::Leave);
+    }
+
+    /// Starts over once no group holds a replica of this node any more.
+    pub(super) fn tick_leaving(&mut self, now: MonotonicTime) {
+        let Some(leaving) = &self.leaving else {
+            return;
+        };
+        let all_gone = self.standings.values().all(|standing| standing.removed);
+        if all_gone || now.since(leaving.since) >= LEAVING_LIMIT {
+            self.start_over(now);
+        }
+    }
+
+    /// Starts again as an empty node under a new identity, in the same cluster.
+    pub(super) fn start_over(&mut self, now: MonotonicTime) {
+        self.leaving = None;
+        self.outputs.push(GatewayOutput::EraseShards);
+        self.standings.clear();
+        let former = self.file.node_id;
+        self.directory.remove(NodeId(former));
+        self.file.removed.push(former);
+        self.file.node_id = self.fresh_identity();
+        self.file.shards.clear();
+        self.file.founders.clear();
+        self.file.members = self.directory.to_vec();
+        if !self.save_file() {
+            return;
+        }
+        self.own_session = OwnSession::new(mint(&mut self.random));
+        self.agents.clear();
+        self.members.check_soon(now);
+        let identity = self.file.identity();
+        self.note(NodeNote::StartedOver(identity));
+        self.dialer.greet_soon(now);
+    }
+
+    fn learn_from(&mut self, sender: &ControlMember, cluster_id: u64, known: &[ControlMember]) {
+        let foreign = cluster_id != 0 && self.file.is_formed() && cluster_id != self.file.cluster_id;
+        if foreign {
+            return;
+        }
+        let mut changed = self.directory.introduce(sender);
+        for member in known.iter().filter(|member| self.is_other(member)) {
+            changed |= self.directory.hear_of(member);
+        }
+        if changed {
+            self.keep_directory();
+        }
+    }
+
+    /// Writes the known nodes to the disk when they changed.
+    pub(super) fn keep_directory(&mut self) {
+        let members = self.directory.to_vec();
+        if !self.file.is_formed() || members == self.file.members {
+            return;
+        }
+        self.file.members = members;
+        self.save_file();
+    }
+
+    fn is_other(&self, member: &ControlMember) -> bool {
+        let own_address = member.internal_address == self.options.internal_address;
+        member.node_id != self.file.node_id && !own_address
+    }
+
+    fn wanted_addresses(&self) -> BTreeSet<String> {
+        let known = self.directory.iter();
+        let mut wanted: BTreeSet<String> = known
+            .map(|member| member.internal_address.clone())
+            .collect();
+        wanted.extend(self.options.seeds.iter().cloned());
+        wanted.remove(&self.options.internal_address);
+        wanted
+    }
+
+    fn close_dialled(&mut self, link: LinkId) {
+        self.links.close(link);
+        self.emit(NodeOutput::Close { link });
+    }
+
+    fn is_founder(&self, identity: NodeId) -> bool {
+        let mut founders = self.file.founders.iter();
+        founders.any(|founder| founder.node_id == identity.0)
+    }
+
+    fn hello_reply(&self, asking: NodeId, asking_cluster: u64) -> frame::Body {
+        let holds_state = !self.standings.is_empty();
+        let same_cluster = asking_cluster == self.file.cluster_id;
+        frame::Body::HelloReply(HelloReply {
+            sender: Some(self.own_member()),
+            cluster_id: self.file.cluster_id,
+            known: self.directory.to_vec(),
+            data_shards: if holds_state { self.file.data_shards } else { 0 },
+            removed: same_cluster && self.directory.is_removed(asking),
+        })
+    }
+
+    fn form(&mut self, members: Vec<ControlMember>) {
+        let form = FormCluster {
+            cluster_id: mint(&mut self.random),
+            members,
+            data_shards: self.options.data_shards.max(1),
+        };
+        if !self.adopt_cluster(&form) {
+            return;
+        }
+        self.note(NodeNote::ClusterFormed(form.cluster_id));
+        self.send_to_every_node(&frame::Body::FormCluster(form));
+    }
+
+    fn form_cluster_frame(&self) -> frame::Body {
+        frame::Body::FormCluster(FormCluster {
+            cluster_id: self.file.cluster_id,
+            members: self.file.founders.clone(),
+            data_shards: self.file.data_shards,
+        })
+    }
+
+    /// Writes the cluster down before anything is done in its name, then starts the shards.
+    fn adopt_cluster(&mut self, form: &FormCluster) -> bool {
+        for member in form.members.iter() {
+            if self.is_other(member) {
+                self.directory.introduce(member);
+            }
+        }
+        let groups = self.founding_groups(form);
+        self.file = NodeFile {
+            node_id: self.file.node_id,
+            cluster_id: form.cluster_id,
+            data_shards: form.data_shards,
+            members: self.directory.to_vec(),
+            founders: form.members.clone(),
+            removed: Vec::new(),
+            shards: groups.keys().map(|shard| shard.0).collect(),
+        };
+        if !self.save_file() {
+            return false;
+        }
+        self.formation = None;
+        for (shard, voters) in groups {
+            self.start_shard_with(shard, voters);
+        }
+        true
+    }
+
+    /// The shards that this node holds from the start, each with its first voters.
+    fn founding_groups(&self, form: &FormCluster) -> BTreeMap<ShardId, Vec<NodeId>> {
+        let nodes: Vec<NodeId> = form
+            .members
+            .iter()
+            .map(|member| NodeId(member.node_id))
+            .collect();
+        let layout = millford_core::ShardLayout::new(form.data_shards);
+        let groups = layout
+            .all()
+            .map(|shard| (shard, replica_group(&nodes, shard, VOTERS_PER_SHARD)));
+        groups
+            .filter(|(_, group)| group.contains(&self.file.identity()))
+            .collect()
+    }
+
+    fn join(&mut self, now: MonotonicTime, reply: &HelloReply) {
+        self.file.cluster_id = reply.cluster_id;
+        self.file.data_shards = reply.data_shards;
+        self.file.members = self.directory.to_vec();
+        if !self.save_file() {
+            return;
+        }
+        self.formation = None;
+        self.members.check_soon(now);
+        self.note(NodeNote::JoinedAsSpare(reply.cluster_id));
+    }
+
+    fn start_shard(&mut self, shard: ShardId) {
+        let founders: Vec<NodeId> = self
+            .file
+            .founders
+            .iter()
+            .map(|founder| NodeId(founder.node_id))
+            .collect();
+        // A founder that stopped between writing the file and opening the shard begins with the
+        // same first voters; a replica that holds anything takes its voters from its storage.
+        let voters = replica_group(&founders, shard, VOTERS_PER_SHARD);
+        self.start_shard_with(shard, voters);
+    }
+
+    fn start_shard_with(&mut self, shard: ShardId, voters: Vec<NodeId>) {
+        let identity = self.file.identity();
+        self.standings
+            .insert(shard, ShardStanding::unknown(shard));
+        self.outputs.push(GatewayOutput::StartShard {
+            shard,
+            identity,
+            voters,
+            data_shards: self.file.data_shards,
+        });
+        let configuration = self.members.configuration().to_vec();
+        self.to_shard(shard, ShardInput::Configuration(configuration));
+        let view = self.view.clone();
+        self.to_shard(shard, ShardInput::Members(view));
+    }
+
+    /// The nodes known, for messages to agents.
+    pub(super) fn directory(&self) -> &MemberDirectory {
+        &self.directory
+    }
+}
--- /dev/null
+++ b/crates/control/src/gateway/dialer.rs
@@ -0,0 +1,167 @@
+//! Connections to every known control address, kept up.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_core::backoff::Backoff;
+use millford_core::{MonotonicTime, NodeId};
+
+use crate::link::LinkId;
+use crate::timing::{DIAL_CEILING, DIAL_FIRST, HELLO_PERIOD, PEER_SILENCE};
+
+/// What the dialer wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DialAction {
+    /// Open a connection.
+    Connect(LinkId, String),
+    /// Greet the control node on an open link.
+    Greet(LinkId),
+    /// The node behind the link is silent: close it.
+    Close(LinkId),
+}
+
+#[derive(Debug)]
+struct Dial {
+    link: Option<LinkId>,
+    open: bool,
+    peer: Option<NodeId>,
+    last_heard: MonotonicTime,
+    next_greeting: MonotonicTime,
+    next_attempt: MonotonicTime,
+    backoff: Backoff,
+}
+
+impl Dial {
+    fn new(now: MonotonicTime) -> Self {
+        Self {
+            link: None,
+            open: false,
+            peer: None,
+            last_heard: now,
+            next_greeting: now,
+            next_attempt: now,
+            backoff: Backoff::new(DIAL_FIRST, DIAL_CEILING),
+        }
+    }
+
+    fn fail(&mut self, now: MonotonicTime) {
+        self.link = None;
+        self.open = false;
+        self.next_attempt = now + self.backoff.next_delay();
+    }
+}
+
+/// One connection for each address.
+#[derive(Debug, Default)]
+pub struct Dialer {
+    dials: BTreeMap<String, Dial>,
+    links_opened: u64,
+}
+
+impl Dialer {
+    /// Brings the connections in line with the wanted addresses and keeps them alive.
+    pub fn tick(&mut self, now: MonotonicTime, wanted: &BTreeSet<String>) -> Vec<DialAction> {
+        let mut actions = self.drop_unwanted(wanted);
+        for address in wanted {
+            let dials = &mut self.dials;
+            let dial = dials
+                .entry(address.clone())
+                .or_insert_with(|| Dial::new(now));
+            let action = step(now, address, dial, &mut self.links_opened);
+            actions.extend(action);
+        }
+        actions
+    }
+
+    /// A link that the dialer asked for is open.
+    pub fn opened(&mut self, now: MonotonicTime, link: LinkId) {
+        if let Some(dial) = self.find(link) {
+            dial.open = true;
+            dial.last_heard = now;
+            dial.next_greeting = now;
+        }
+    }
+
+    /// A link ended. Gives its address.
+    pub fn closed(&mut self, now: MonotonicTime, link: LinkId) -> Option<String> {
+        let entry = self
+            .dials
+            .iter_mut()
+            .find(|(_, dial)| dial.link == Some(link));
+        let (address, dial) = entry?;
+        dial.fail(now);
+        Some(address.clone())
+    }
+
+    /// The node behind the link answered a greeting. Gives its address.
+    pub fn answered(&mut self, now: MonotonicTime, link: LinkId, peer: NodeId) -> Option<String> {
+        let entry = self
+            .dials
+            .iter_mut()
+            .find(|(_, dial)| dial.link == Some(link));
+        let (address, dial) = entry?;
+        dial.last_heard = now;
+        dial.peer = Some(peer);
+        dial.backoff.reset();
+        Some(address.clone())
+    }
+
+    /// Whether the node answered a greeting lately.
+    #[must_use]
+    pub fn is_connected(&self, now: MonotonicTime, node: NodeId) -> bool {
+        self.dials.values().any(|dial| {
+            dial.open && dial.peer == Some(node) && now.since(dial.last_heard) < PEER_SILENCE
+        })
+    }
+
+    /// Greets everyone at once, for news that should not wait.
+    pub fn greet_soon(&mut self, now: MonotonicTime) {
+        for dial in self.dials.values_mut() {
+            dial.next_greeting = now;
+        }
+    }
+
+    fn find(&mut self, link: LinkId) -> Option<&mut Dial> {
+        let mut dials = self.dials.values_mut();
+        dials.find(|dial| dial.link == Some(link))
+    }
+
+    fn drop_unwanted(&mut self, wanted: &BTreeSet<String>) -> Vec<DialAction> {
+        let mut closed = Vec::new();
+        self.dials.retain(|address, dial| {
+            let keep = wanted.contains(address);
+            if !keep {
+                closed.extend(dial.link.map(DialAction::Close));
+            }
+            keep
+        });
+        closed
+    }
+}
+
+fn step(
+    now: MonotonicTime,
+    address: &str,
+    dial: &mut Dial,
+    links_opened: &mut u64,
+) -> Option<DialAction> {
+    let Some(link) = dial.link else {
+        if now < dial.next_attempt {
+            return None;
+        }
+        *links_opened += 1;
+        let link = LinkId::outgoing(*links_opened);
+        dial.link = Some(link);
+        dial.last_heard = now;
+        dial.peer = None;
+        return Some(DialAction::Connect(link, address.to_owned()));
+    };
+    if now.since(dial.last_heard) >= PEER_SILENCE {
+        dial.fail(now);
+        return Some(DialAction::Close(link));
+    }
+    if dial.open && now >= dial.next_greeting {
+        dial.next_greeting = now + HELLO_PERIOD;
+        return Some(DialAction::Greet(link));
+    }
+    None
+}
--- /dev/null
+++ b/crates/control/src/gateway/feeds.rs
@@ -0,0 +1,95 @@
+//! The feeds of agents, as far as the gateway is concerned, and the outputs of shards.
+
+use millford_api::internal::{FeedMessage, FeedStale, Subscribe, feed_message, frame};
+use millford_core::{MonotonicTime, ShardId};
+
+use super::Gateway;
+use crate::link::LinkId;
+use crate::node_output::NodeNote;
+use crate::shard::{ShardInput, ShardOutput, ShardStanding};
+
+impl Gateway {
+    pub(super) fn handle_shard(
+        &mut self,
+        now: MonotonicTime,
+        shard: ShardId,
+        output: ShardOutput,
+    ) {
+        match output {
+            ShardOutput::Replication(message) => {
+                let to = millford_core::NodeId(message.to);
+                self.send_to_node(to, frame::Body::Replication(message));
+            }
+            ShardOutput::Reply { ticket, reply } => self.handle_reply(now, ticket, reply),
+            ShardOutput::Quota { ticket, reply } => self.handle_quota_reply(ticket, reply),
+            ShardOutput::Recall(recall) => self.to_all_agents(&frame::Body::QuotaRecall(recall)),
+            ShardOutput::AskLeader { read } => self.ask_leader(now, shard, read),
+            ShardOutput::Feed {
+                subscriber,
+                message,
+            } => self.feed(subscriber, message),
+            ShardOutput::PublicChange(items) => self.public_change(now, shard, items),
+            ShardOutput::Standing(standing) => self.standing_changed(standing),
+            ShardOutput::Picture(picture) => {
+                self.to_all_agents(&frame::Body::LoadPicture(picture));
+            }
+            ShardOutput::Note(note) => self.note(note),
+            ShardOutput::Failed(code) => self.note(NodeNote::ReplicaFailed { shard, code }),
+        }
+    }
+
+    pub(super) fn subscribe(&mut self, link: LinkId, subscribe: Subscribe) {
+        let shard = ShardId(subscribe.shard);
+        if self.standings.contains_key(&shard) {
+            let subscriber = link;
+            self.to_shard(
+                shard,
+                ShardInput::Subscribe {
+                    subscriber,
+                    subscribe,
+                },
+            );
+            return;
+        }
+        let stale = FeedMessage {
+            shard: shard.0,
+            kind: Some(feed_message::Kind::Stale(FeedStale {})),
+        };
+        self.feed(link, stale);
+    }
+
+    pub(super) fn unsubscribe_everywhere(&mut self, link: LinkId) {
+        self.to_every_shard(&ShardInput::Unsubscribe { subscriber: link });
+    }
+
+    fn feed(&mut self, link: LinkId, message: FeedMessage) {
+        if self.links.is_open(link) {
+            self.send(link, frame::Body::Feed(message));
+        }
+    }
+
+    /// To the agents of this node and, through the other control nodes, to all others.
+    fn to_all_agents(&mut self, body: &frame::Body) {
+        self.to_own_agents(body);
+        self.send_to_every_node(body);
+    }
+
+    fn standing_changed(&mut self, standing: ShardStanding) {
+        let shard = standing.shard;
+        let Some(former) = self.standings.insert(shard, standing.clone()) else {
+            // A core that was stopped in the meantime.
+            self.standings.remove(&shard);
+            return;
+        };
+        if standing.leads && !former.leads {
+            self.note(NodeNote::Leader {
+                shard,
+                leader: standing.leader,
+                term: standing.term,
+            });
+        }
+        if former.in_touch && !standing.in_touch {
+            self.note(NodeNote::OutOfTouch(shard));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/gateway/frames.rs
@@ -0,0 +1,101 @@
+//! Frames from links, each to the part that handles it.
+
+use millford_api::internal::{Frame, LoadReport, ShardRequest, Subscribe, frame};
+use millford_api::replication::{ReplicationMessage, replication_message};
+use millford_core::{MonotonicTime, ShardId};
+
+use super::Gateway;
+use super::links::LinkPeer;
+use crate::link::LinkId;
+use crate::shard::ShardInput;
+
+impl Gateway {
+    pub(super) fn handle_frame(&mut self, now: MonotonicTime, link: LinkId, frame: Frame) {
+        use frame::Body;
+        let Some(body) = frame.body else {
+            return;
+        };
+        match body {
+            Body::Hello(hello) => self.handle_hello(link, &hello),
+            Body::HelloReply(reply) => self.handle_hello_reply(now, link, &reply),
+            Body::FormCluster(form) => self.handle_form_cluster(&form),
+            Body::Replication(message) => self.handle_replication(message),
+            Body::ShardRequest(request) => self.handle_shard_request(now, link, request),
+            Body::ShardReply(reply) => self.handle_reply(now, reply.request_id, reply),
+            Body::Subscribe(subscribe) => self.handle_subscribe(link, subscribe),
+            Body::Heartbeat(heartbeat) => self.handle_heartbeat(link, &heartbeat),
+            Body::LoadReport(report) => self.handle_load(link, report),
+            Body::QuotaRequest(request) => self.handle_quota_request(now, link, request),
+            Body::RelayedQuotaRequest(relayed) => {
+                self.handle_relayed_quota_request(now, link, relayed);
+            }
+            Body::RelayedQuotaReply(relayed) => {
+                if let Some(reply) = relayed.reply {
+                    self.handle_quota_reply(relayed.relay_id, reply);
+                }
+            }
+            Body::QuotaRecall(_) | Body::LoadPicture(_) => self.to_own_agents(&body),
+            // These only ever go from control nodes to agents.
+            Body::Feed(_) | Body::HeartbeatReply(_) | Body::QuotaReply(_) => {}
+        }
+    }
+
+    fn handle_replication(&mut self, message: ReplicationMessage) {
+        // A message to an identity that this machine had before it was wiped is not for us.
+        if message.to != self.file.node_id {
+            return;
+        }
+        let shard = ShardId(message.shard);
+        if !self.standings.contains_key(&shard) {
+            let fills = fills_a_replica(&message);
+            if !fills || !self.adopt_shard(shard) {
+                return;
+            }
+        }
+        self.to_shard(shard, ShardInput::Replication(message));
+    }
+
+    fn handle_shard_request(&mut self, now: MonotonicTime, link: LinkId, request: ShardRequest) {
+        self.links.set_agent(link);
+        self.take_request(now, link, request);
+    }
+
+    fn handle_subscribe(&mut self, link: LinkId, subscribe: Subscribe) {
+        self.links.set_agent(link);
+        self.subscribe(link, subscribe);
+    }
+
+    fn handle_load(&mut self, link: LinkId, report: LoadReport) {
+        self.links.set_agent(link);
+        let shard = ShardId(report.shard);
+        let Some(standing) = self.standings.get(&shard) else {
+            return;
+        };
+        if standing.leads {
+            self.to_shard(shard, ShardInput::Load(report));
+            return;
+        }
+        // Passed on once only, so that no report travels in circles.
+        let from_agent = self.links.peer(link) == LinkPeer::Agent;
+        if from_agent && standing.leader.is_some() {
+            let leader = standing.leader;
+            self.send_to_node(leader, frame::Body::LoadReport(report));
+        }
+    }
+
+    pub(super) fn to_own_agents(&mut self, body: &frame::Body) {
+        let links: Vec<LinkId> = self.links.agents().collect();
+        for link in links {
+            self.send(link, body.clone());
+        }
+    }
+}
+
+/// Whether a leader sends the message to fill a replica. Votes never create one.
+fn fills_a_replica(message: &ReplicationMessage) -> bool {
+    use replication_message::Body;
+    matches!(
+        message.body,
+        Some(Body::AppendRequest(_) | Body::SnapshotChunk(_))
+    )
+}
--- /dev/null
+++ b/crates/control/src/gateway/mod.rs
@@ -0,0 +1,276 @@
+//! The node-level half of a control node: links, greetings, formation, forwarding, operators.
+//!
+//! It holds no replicated state of its own. It talks with the shards' cores in messages only, so
+//! that each can run on a thread of its own.
+
+pub mod agents;
+pub mod cluster;
+pub mod dialer;
+pub mod feeds;
+pub mod frames;
+pub mod input;
+pub mod links;
+pub mod member_list;
+pub mod node_file;
+pub mod operator_desk;
+pub mod operators;
+pub mod pending;
+pub mod requests;
+pub mod sessions;
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::{Frame, frame};
+use millford_api::state::ControlMember;
+use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId, ShardLayout};
+use millford_membership::{Formation, MemberDirectory};
+use millford_storage::{Disk, StorageError};
+use rand::rngs::StdRng;
+use rand::{RngCore, SeedableRng};
+
+use crate::link::LinkId;
+use crate::node_input::NodeInput;
+use crate::node_output::{NodeNote, NodeOutput};
+use crate::options::ControlOptions;
+use crate::shard::{MemberView, ShardInput, ShardStanding};
+use agents::AgentTable;
+use cluster::Leaving;
+use dialer::Dialer;
+use links::LinkTable;
+use member_list::MemberList;
+use node_file::NodeFile;
+use operator_desk::OperatorDesk;
+use pending::PendingRequests;
+use requests::QuotaRelay;
+use sessions::OwnSession;
+
+pub use input::{GatewayInput, GatewayOutput};
+
+/// The node-level half of a control node.
+pub struct Gateway {
+    options: ControlOptions,
+    random: StdRng,
+    disk: Box<dyn Disk>,
+    file: NodeFile,
+    formation: Option<Formation>,
+    leaving: Option<Leaving>,
+    directory: MemberDirectory,
+    members: MemberList,
+    links: LinkTable,
+    dialer: Dialer,
+    standings: BTreeMap<ShardId, ShardStanding>,
+    pending: PendingRequests,
+    quota: QuotaRelay,
+    agents: AgentTable,
+    own_session: OwnSession,
+    desk: OperatorDesk,
+    view: MemberView,
+    next_touch: MonotonicTime,
+    outputs: Vec<GatewayOutput>,
+}
+
+impl Gateway {
+    /// Reads the node's file, or mints an identity on an empty disk. The outputs start the shards
+    /// that the node holds.
+    pub fn open(
+        options: ControlOptions,
+        disk: Box<dyn Disk>,
+        now: MonotonicTime,
+    ) -> Result<(Self, Vec<GatewayOutput>), StorageError> {
+        let mut random = StdRng::seed_from_u64(options.seed);
+        let loaded = NodeFile::load(disk.as_ref())?;
+        let minted = loaded.is_none();
+        let file = loaded.unwrap_or_else(|| NodeFile {
+            node_id: mint(&mut random),
+            ..NodeFile::default()
+        });
+        let own_session = OwnSession::new(mint(&mut random));
+        let mut gateway = Self {
+            options,
+            random,
+            disk,
+            file,
+            formation: None,
+            leaving: None,
+            directory: MemberDirectory::default(),
+            members: MemberList::default(),
+            links: LinkTable::default(),
+            dialer: Dialer::default(),
+            standings: BTreeMap::new(),
+            pending: PendingRequests::default(),
+            quota: QuotaRelay::default(),
+            agents: AgentTable::default(),
+            own_session,
+            desk: OperatorDesk::default(),
+            view: MemberView::default(),
+            next_touch: now,
+            outputs: Vec::new(),
+        };
+        gateway.start(minted)?;
+        let outputs = std::mem::take(&mut gateway.outputs);
+        Ok((gateway, outputs))
+    }
+
+    /// Takes one input and gives what is to be done.
+    pub fn handle(&mut self, now: MonotonicTime, input: GatewayInput) -> Vec<GatewayOutput> {
+        match input {
+            GatewayInput::Node(input) => self.handle_node(now, input),
+            GatewayInput::Shard { shard, output } => self.handle_shard(now, shard, output),
+            GatewayInput::StorageCorrupt => self.start_over(now),
+        }
+        self.send_due(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Identity of this node.
+    #[must_use]
+    pub fn identity(&self) -> NodeId {
+        self.file.identity()
+    }
+
+    /// The cluster that the node belongs to; 0 before it formed or joined one.
+    #[must_use]
+    pub fn cluster_id(&self) -> u64 {
+        self.file.cluster_id
+    }
+
+    /// Standing of each replica that this node holds.
+    #[must_use]
+    pub fn standings(&self) -> &BTreeMap<ShardId, ShardStanding> {
+        &self.standings
+    }
+
+    /// Whether agents can be served: every shard is held here and the configuration shard is in
+    /// touch with its quorum.
+    #[must_use]
+    pub fn is_in_touch(&self) -> bool {
+        let held = self.standings.values().filter(|standing| !standing.removed);
+        let complete = self.file.is_formed() && held.count() == self.shard_count();
+        let configuration = self.standings.get(&ShardId::CONFIGURATION);
+        complete && configuration.is_some_and(|standing| standing.in_touch)
+    }
+
+    fn handle_node(&mut self, now: MonotonicTime, input: NodeInput) {
+        match input {
+            NodeInput::Frame { link, frame } => self.handle_frame(now, link, frame),
+            NodeInput::LinkOpened { link, .. } => self.link_opened(now, link),
+            NodeInput::LinkClosed { link } => self.link_closed(now, link),
+            NodeInput::Operator { request, body } => self.handle_operator(now, request, body),
+            NodeInput::Registry(view) => self.to_every_shard(&ShardInput::Registry(view)),
+            NodeInput::Tick => self.tick(now),
+            NodeInput::Leave => self.to_every_shard(&ShardInput::Leave),
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime) {
+        self.tick_dialer(now);
+        self.tick_formation(now);
+        self.tick_member_list(now);
+        self.tick_leaving(now);
+        self.tick_sessions(now);
+        self.push_member_view(now);
+        self.settle_overdue(now);
+        self.quota.expire(now);
+    }
+
+    fn link_opened(&mut self, now: MonotonicTime, link: LinkId) {
+        self.links.open(link);
+        if link.is_outgoing() {
+            self.dialer.opened(now, link);
+            self.greet(link);
+        }
+    }
+
+    fn link_closed(&mut self, now: MonotonicTime, link: LinkId) {
+        self.links.close(link);
+        self.pending.forget_link(link);
+        self.quota.forget_link(link);
+        self.agents.forget_link(link);
+        self.unsubscribe_everywhere(link);
+        let address = self.dialer.closed(now, link);
+        if let (Some(formation), Some(address)) = (&mut self.formation, address) {
+            formation.lost(&address);
+        }
+    }
+
+    fn layout(&self) -> ShardLayout {
+        ShardLayout::new(self.file.data_shards)
+    }
+
+    fn shard_count(&self) -> usize {
+        self.layout().all().count()
+    }
+
+    fn own_member(&self) -> ControlMember {
+        ControlMember {
+            node_id: self.file.node_id,
+            internal_address: self.options.internal_address.clone(),
+            operator_address: self.options.operator_address.clone(),
+            zone: self.options.zone.clone(),
+        }
+    }
+
+    fn emit(&mut self, output: NodeOutput) {
+        self.outputs.push(GatewayOutput::Node(output));
+    }
+
+    fn note(&mut self, note: NodeNote) {
+        self.emit(NodeOutput::Note(note));
+    }
+
+    fn send(&mut self, link: LinkId, body: frame::Body) {
+        let frame = Frame { body: Some(body) };
+        self.emit(NodeOutput::Send { link, frame });
+    }
+
+    /// Sends to a control node if a link to it is open. Gives whether it was sent.
+    fn send_to_node(&mut self, node: NodeId, body: frame::Body) -> bool {
+        let Some(link) = self.links.to_node(node) else {
+            return false;
+        };
+        self.send(link, body);
+        true
+    }
+
+    fn send_to_every_node(&mut self, body: &frame::Body) {
+        let nodes: Vec<NodeId> = self.links.nodes().collect();
+        for node in nodes {
+            self.send_to_node(node, body.clone());
+        }
+    }
+
+    fn to_shard(&mut self, shard: ShardId, input: ShardInput) {
+        self.outputs.push(GatewayOutput::Shard { shard, input });
+    }
+
+    fn to_every_shard(&mut self, input: &ShardInput) {
+        let shards: Vec<ShardId> = self.standings.keys().copied().collect();
+        for shard in shards {
+            self.to_shard(shard, input.clone());
+        }
+    }
+
+    /// Writes the node's file. A node that cannot is of no use: what it would promise is lost.
+    fn save_file(&mut self) -> bool {
+        let saved = self.file.store(self.disk.as_mut());
+        if let Err(error) = &saved {
+            let code = crate::shard::core::code_of(error);
+            self.emit(NodeOutput::Fatal { code });
+        }
+        saved.is_ok()
+    }
+
+    fn fresh_identity(&mut self) -> u64 {
+        mint(&mut self.random)
+    }
+}
+
+/// A random number that is not zero.
+fn mint(random: &mut StdRng) -> u64 {
+    random.next_u64().max(1)
+}
+
+/// Whether a code says that everything went well.
+fn is_ok(code: u32) -> bool {
+    code == ResultCode::Ok.number()
+}
--- /dev/null
+++ b/crates/control/src/gateway/sessions.rs
@@ -0,0 +1,135 @@
+//! Heartbeats of agents, and this node's own session.
+
+use millford_api::command::{Command, OpenSession, command, command_result};
+use millford_api::internal::{
+    Heartbeat, HeartbeatReply, SessionTouch, ShardReply, ShardRequest, TouchSessions, frame,
+    shard_reply, shard_request,
+};
+use millford_core::{MonotonicTime, ShardId, session_key};
+
+use super::Gateway;
+use super::pending::Origin;
+use crate::link::LinkId;
+use crate::timing::{AGENT_PATIENCE, TOUCH_PERIOD};
+
+/// This node's session with the control plane.
+#[derive(Debug)]
+pub struct OwnSession {
+    boot_id: u64,
+    epoch: u64,
+    opening: bool,
+}
+
+impl OwnSession {
+    /// A session not yet opened, of the process with this number.
+    #[must_use]
+    pub fn new(boot_id: u64) -> Self {
+        Self {
+            boot_id,
+            epoch: 0,
+            opening: false,
+        }
+    }
+}
+
+impl Gateway {
+    pub(super) fn handle_heartbeat(&mut self, link: LinkId, heartbeat: &Heartbeat) {
+        self.links.set_agent(link);
+        let session_alive = self.agents.heartbeat(Some(link), heartbeat);
+        let reply = HeartbeatReply {
+            sequence: heartbeat.sequence,
+            session_alive,
+            in_touch: self.is_in_touch(),
+            members: self.members_for_agents(),
+            data_shards: self.file.data_shards,
+        };
+        self.send(link, frame::Body::HeartbeatReply(reply));
+    }
+
+    /// Passes heartbeats on to the leaders of the sessions' shards.
+    pub(super) fn tick_sessions(&mut self, now: MonotonicTime) {
+        if !self.file.is_formed() || now < self.next_touch {
+            return;
+        }
+        self.next_touch = now + TOUCH_PERIOD;
+        self.touch_own_session(now);
+        for (shard, touches) in self.agents.take_touches(self.layout()) {
+            let kind = shard_request::Kind::TouchSessions(TouchSessions {
+                touches: touches.clone(),
+            });
+            let request = request_to(shard, kind);
+            self.submit(now, Origin::Touch(touches), request, AGENT_PATIENCE);
+        }
+    }
+
+    pub(super) fn touch_answered(&mut self, touched: &[SessionTouch], reply: &ShardReply) {
+        if let Some(shard_reply::Kind::Touched(reply)) = &reply.kind {
+            self.agents.closed(touched, &reply.closed_members);
+        }
+    }
+
+    pub(super) fn own_session_answered(&mut self, reply: &ShardReply) {
+        self.own_session.opening = false;
+        let Some(shard_reply::Kind::Result(result)) = &reply.kind else {
+            return;
+        };
+        if let Some(command_result::Kind::OpenSession(opened)) = &result.kind {
+            self.own_session.epoch = opened.epoch;
+        }
+    }
+
+    fn touch_own_session(&mut self, now: MonotonicTime) {
+        if self.leaving.is_some() || self.own_session.opening {
+            return;
+        }
+        let member = self.own_session_name();
+        let closed = self.agents.is_closed(&member, self.own_session.epoch);
+        if self.own_session.epoch == 0 || closed {
+            self.open_own_session(now, member);
+            return;
+        }
+        let heartbeat = Heartbeat {
+            member,
+            epoch: self.own_session.epoch,
+            sequence: 0,
+            shown_revision: self.members.shown_revision(),
+        };
+        self.agents.heartbeat(None, &heartbeat);
+    }
+
+    fn open_own_session(&mut self, now: MonotonicTime, member: String) {
+        self.own_session.opening = true;
+        let shard = self.layout().shard_of(&session_key(&member));
+        let open = OpenSession {
+            member,
+            boot_id: self.own_session.boot_id,
+            zone: self.options.zone.clone(),
+            address: self.options.internal_address.clone(),
+        };
+        let command = Command {
+            kind: Some(command::Kind::OpenSession(open)),
+        };
+        let request = request_to(shard, shard_request::Kind::Propose(command));
+        self.submit(now, Origin::OwnSession, request, AGENT_PATIENCE);
+    }
+
+    fn own_session_name(&self) -> String {
+        format!("control-{}", self.file.identity())
+    }
+
+    fn members_for_agents(&self) -> Vec<millford_api::state::ControlMember> {
+        let mut members = self.directory().to_vec();
+        members.push(self.own_member());
+        members
+    }
+}
+
+/// A request to a shard's leader.
+#[must_use]
+pub fn request_to(shard: ShardId, kind: shard_request::Kind) -> ShardRequest {
+    ShardRequest {
+        shard: shard.0,
+        kind: Some(kind),
+        ..ShardRequest::default()
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,26 @@
-//! Control node: shard replicas, sessions, feed, operator interface.
+//! Control node: replicated shards, sessions, feed, operator interface.
+//!
+//! [`ControlNode`] is the node's logic without input and output. The [`daemon`] runs the same
+//! parts on threads: one for the gateway, one for each shard.
+
+pub mod daemon;
+pub mod folders;
+pub mod gateway;
+pub mod link;
+pub mod node;
+pub mod node_input;
+pub mod node_output;
+pub mod operator;
+pub mod options;
+pub mod registry;
+pub mod shard;
+pub mod timing;
+
+pub use gateway::{Gateway, GatewayInput, GatewayOutput};
+pub use link::{LinkId, PeerKind};
+pub use node::ControlNode;
+pub use node_input::NodeInput;
+pub use node_output::{NodeNote, NodeOutput};
+pub use operator::{OperatorReply, OperatorRequest};
+pub use options::ControlOptions;
+pub use registry::{RegistryEntry, RegistryView};
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,179 @@
+//! A whole control node as one synchronous machine.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use millford_core::{MonotonicTime, NodeId, ShardId, ShardLayout};
+use millford_storage::{Disk, StorageError};
+
+use crate::gateway::{Gateway, GatewayInput, GatewayOutput};
+use crate::node_input::NodeInput;
+use crate::node_output::NodeOutput;
+use crate::options::ControlOptions;
+use crate::shard::core::code_of;
+use crate::shard::{ShardCore, ShardCoreOptions, ShardInput, ShardOutput};
+
+/// Opens the folder with this name.
+pub type FolderOpener = Arc<dyn Fn(&str) -> Box<dyn Disk> + Send + Sync>;
+
+/// Name of the node's own folder.
+pub const NODE_FOLDER: &str = "node";
+
+/// Name of a shard's folder.
+#[must_use]
+pub fn shard_folder(shard: ShardId) -> String {
+    format!("shard-{shard}")
+}
+
+/// Gateway and shard cores, composed synchronously.
+///
+/// The daemon runs the same parts on threads of their own; the simulator and the tests use this.
+pub struct ControlNode {
+    options: ControlOptions,
+    folders: FolderOpener,
+    gateway: Gateway,
+    cores: BTreeMap<ShardId, ShardCore>,
+    queue: VecDeque<GatewayOutput>,
+    outputs: Vec<NodeOutput>,
+}
+
+impl ControlNode {
+    /// Opens a node on its folders. Its first outputs come with the first input.
+    pub fn open(
+        options: ControlOptions,
+        disks: impl Fn(&str) -> Box<dyn Disk> + Send + Sync + 'static,
+        now: MonotonicTime,
+    ) -> Result<Self, StorageError> {
+        let folders: FolderOpener = Arc::new(disks);
+        let (gateway, first) = Gateway::open(options.clone(), folders(NODE_FOLDER), now)?;
+        let mut node = Self {
+            options,
+            folders,
+            gateway,
+            cores: BTreeMap::new(),
+            queue: first.into(),
+            outputs: Vec::new(),
+        };
+        node.run_queue(now);
+        Ok(node)
+    }
+
+    /// Takes one input and gives what is to be done.
+    pub fn handle(&mut self, now: MonotonicTime, input: NodeInput) -> Vec<NodeOutput> {
+        if matches!(input, NodeInput::Tick) {
+            self.tick_cores(now);
+        }
+        self.to_gateway(now, GatewayInput::Node(input));
+        self.run_queue(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Identity of the node.
+    #[must_use]
+    pub fn identity(&self) -> NodeId {
+        self.gateway.identity()
+    }
+
+    /// The node-level half.
+    #[must_use]
+    pub fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
+    /// The core of a shard, if this node holds a replica.
+    #[must_use]
+    pub fn core(&self, shard: ShardId) -> Option<&ShardCore> {
+        self.cores.get(&shard)
+    }
+
+    fn tick_cores(&mut self, now: MonotonicTime) {
+        let shards: Vec<ShardId> = self.cores.keys().copied().collect();
+        for shard in shards {
+            self.to_core(now, shard, ShardInput::Tick);
+        }
+    }
+
+    fn run_queue(&mut self, now: MonotonicTime) {
+        while let Some(output) = self.queue.pop_front() {
+            match output {
+                GatewayOutput::Node(output) => self.outputs.push(output),
+                GatewayOutput::Shard { shard, input } => self.to_core(now, shard, input),
+                GatewayOutput::StartShard {
+                    shard,
+                    identity,
+                    voters,
+                    data_shards,
+                } => {
+                    let layout = ShardLayout::new(data_shards);
+                    self.start(now, shard, identity, voters, layout);
+                }
+                GatewayOutput::EraseShards => self.erase(),
+            }
+        }
+    }
+
+    fn to_gateway(&mut self, now: MonotonicTime, input: GatewayInput) {
+        let outputs = self.gateway.handle(now, input);
+        self.queue.extend(outputs);
+    }
+
+    fn to_core(&mut self, now: MonotonicTime, shard: ShardId, input: ShardInput) {
+        let Some(core) = self.cores.get_mut(&shard) else {
+            return;
+        };
+        core.handle(now, input);
+        for output in core.flush(now) {
+            self.from_core(now, shard, output);
+        }
+    }
+
+    fn from_core(&mut self, now: MonotonicTime, shard: ShardId, output: ShardOutput) {
+        self.to_gateway(now, GatewayInput::Shard { shard, output });
+    }
+
+    fn start(
+        &mut self,
+        now: MonotonicTime,
+        shard: ShardId,
+        identity: NodeId,
+        voters: Vec<NodeId>,
+        layout: ShardLayout,
+    ) {
+        let folders = self.folders.clone();
+        let options = ShardCoreOptions {
+            shard,
+            identity,
+            voters,
+            layout,
+            seed: self.options.seed,
+            replace_after: self.options.replace_after,
+            disk: Arc::new(move || folders(&shard_folder(shard))),
+        };
+        match ShardCore::open(options, now) {
+            Ok(core) => {
+                self.cores.insert(shard, core);
+            }
+            Err(StorageError::Corrupt { .. }) => {
+                self.to_gateway(now, GatewayInput::StorageCorrupt);
+            }
+            Err(error) => {
+                let code = code_of(&error);
+                self.outputs.push(NodeOutput::Fatal { code });
+            }
+        }
+    }
+
+    fn erase(&mut self) {
+        self.cores.clear();
+        // A node whose file is lost does not know the number of its shards any more.
+        let highest = crate::folders::HIGHEST_SHARD;
+        for shard in (0..=highest).map(ShardId) {
+            let mut disk = (self.folders)(&shard_folder(shard));
+            if let Err(error) = crate::folders::clear(disk.as_mut()) {
+                let code = code_of(&error);
+                self.outputs.push(NodeOutput::Fatal { code });
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/node_input.rs
@@ -0,0 +1,46 @@
+//! What happens to a control node.
+
+use std::sync::Arc;
+
+use millford_api::internal::Frame;
+
+use crate::link::{LinkId, PeerKind};
+use crate::operator::OperatorRequest;
+use crate::registry::RegistryView;
+
+/// One input of the node's logic.
+#[derive(Clone, Debug)]
+pub enum NodeInput {
+    /// A frame arrived.
+    Frame {
+        /// On this link.
+        link: LinkId,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A link is open: accepted, or asked for by [`crate::NodeOutput::Connect`].
+    LinkOpened {
+        /// The link.
+        link: LinkId,
+        /// Which side opened it.
+        peer: PeerKind,
+    },
+    /// A link ended or could not be opened.
+    LinkClosed {
+        /// The link.
+        link: LinkId,
+    },
+    /// An operator asks, through the operator interface.
+    Operator {
+        /// Number for the answer.
+        request: u64,
+        /// What is asked.
+        body: OperatorRequest,
+    },
+    /// The service registry was read.
+    Registry(Arc<RegistryView>),
+    /// [`crate::timing::TICK`] passed.
+    Tick,
+    /// The process leaves: hand over what can be handed over.
+    Leave,
+}
--- /dev/null
+++ b/crates/control/src/node_output.rs
@@ -0,0 +1,91 @@
+//! What a control node wants done.
+
+use millford_api::internal::Frame;
+use millford_core::{NodeId, ResultCode, ShardId};
+
+use crate::link::LinkId;
+use crate::operator::OperatorReply;
+
+/// One output of the node's logic.
+#[derive(Clone, Debug)]
+pub enum NodeOutput {
+    /// Send a frame.
+    Send {
+        /// On this link.
+        link: LinkId,
+        /// The frame.
+        frame: Frame,
+    },
+    /// Open a connection; answered by `LinkOpened` or `LinkClosed`.
+    Connect {
+        /// Number of the new link.
+        link: LinkId,
+        /// IP address and port.
+        address: String,
+    },
+    /// Close a link. No `LinkClosed` need follow.
+    Close {
+        /// The link.
+        link: LinkId,
+    },
+    /// Answer an operator.
+    OperatorReply {
+        /// Number of the request.
+        request: u64,
+        /// The answer.
+        reply: OperatorReply,
+    },
+    /// Something worth a line in the log.
+    Note(NodeNote),
+    /// The node cannot go on; the process ends.
+    Fatal {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// An event for the log and the simulator's trace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeNote {
+    /// An identity was minted on an empty disk.
+    IdentityMinted(NodeId),
+    /// The cluster was formed.
+    ClusterFormed(u64),
+    /// This node joined a formed cluster without replicas.
+    JoinedAsSpare(u64),
+    /// The cluster removed this node; it starts over under a new identity.
+    StartedOver(NodeId),
+    /// A shard has this leader now.
+    Leader {
+        /// The shard.
+        shard: ShardId,
+        /// Its leader.
+        leader: NodeId,
+        /// Its term.
+        term: u64,
+    },
+    /// This replica lost touch with the shard's quorum.
+    OutOfTouch(ShardId),
+    /// A leader changes the voters of its shard.
+    VotersChange {
+        /// The shard.
+        shard: ShardId,
+        /// What is changed.
+        change: &'static str,
+        /// Which node.
+        node: NodeId,
+    },
+    /// A dead node was taken off the list of control nodes.
+    MemberRemoved(NodeId),
+    /// A configuration was accepted.
+    ConfigurationAccepted(u64),
+    /// A replica stopped on a storage error.
+    ReplicaFailed {
+        /// The shard.
+        shard: ShardId,
+        /// Why.
+        code: ResultCode,
+    },
+    /// An operator forced recovery: the only voter of the shard is now this node.
+    RecoveryForced(ShardId),
+}
--- /dev/null
+++ b/crates/control/src/registry/view.rs
@@ -0,0 +1,89 @@
+//! One reading of the service registry.
+
+use std::collections::BTreeMap;
+
+use millford_api::state::{Backend, BackendState, Declaration};
+use serde::Deserialize;
+
+/// One backend as the registry lists it.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct RegistryEntry {
+    /// Identity; a replacement has a new one.
+    pub id: String,
+    /// IP address and port.
+    pub address: String,
+    /// Zone of the backend.
+    #[serde(default)]
+    pub zone: String,
+    /// Processor cores.
+    #[serde(default)]
+    pub cores: u32,
+    /// Memory bandwidth, in GB/s.
+    #[serde(default)]
+    pub bandwidth_gbps: f64,
+    /// `active` or `draining`.
+    #[serde(default)]
+    pub state: String,
+    /// What the backend can serve.
+    #[serde(default)]
+    pub declarations: Vec<RegistryDeclaration>,
+    /// Load that the backend reported, by model. It comes late.
+    #[serde(default)]
+    pub load: BTreeMap<String, f64>,
+    /// Age of the reported load, in milliseconds.
+    #[serde(default)]
+    pub load_age_ms: u64,
+}
+
+/// One model replica that a backend declares.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct RegistryDeclaration {
+    /// Model name.
+    #[serde(default)]
+    pub model: String,
+    /// Model version.
+    #[serde(default)]
+    pub version: String,
+    /// Stage.
+    #[serde(default)]
+    pub stage: String,
+    /// Adapters.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+}
+
+/// Everything that the registry listed at one poll.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct RegistryView {
+    /// The backends.
+    pub backends: Vec<RegistryEntry>,
+}
+
+impl RegistryEntry {
+    /// The backend as the catalogue holds it.
+    #[must_use]
+    pub fn to_backend(&self) -> Backend {
+        let state = match self.state.as_str() {
+            "draining" => BackendState::BackendDraining,
+            _ => BackendState::BackendActive,
+        };
+        Backend {
+            id: self.id.clone(),
+            address: self.address.clone(),
+            zone: self.zone.clone(),
+            declarations: self.declarations.iter().map(to_declaration).collect(),
+            cores: self.cores,
+            bandwidth_gbps: self.bandwidth_gbps,
+            state: state as i32,
+        }
+    }
+}
+
+fn to_declaration(declaration: &RegistryDeclaration) -> Declaration {
+    Declaration {
+        model: declaration.model.clone(),
+        version: declaration.version.clone(),
+        stage: declaration.stage.clone(),
+        adapters: declaration.adapters.clone(),
+    }
+}
--- /dev/null
+++ b/crates/control/src/shard/core.rs
@@ -0,0 +1,426 @@
+//! The core of one shard: replica, state machine, sessions, feed and the duties of a leader.
+
+use std::sync::Arc;
+
+use millford_api::command::Command;
+use millford_api::replication::{LogEntry, VoterSet, log_entry::Payload};
+use millford_api::state::StateItem;
+use millford_control_state::{Applied, ShardMachine};
+use millford_core::{Duration, MonotonicTime, NodeId, ResultCode, ShardId, ShardLayout};
+use millford_feed::{FeedDelivery, FeedPosition, FeedPublisher};
+use millford_membership::SessionTable;
+use millford_replication::{
+    OpenError, Ready, Replica, ReplicaOptions, ReplicaStatus, RestoredSnapshot, Role,
+};
+use millford_storage::{Disk, ReplicaStorage, StorageError, StorageOptions};
+use prost::Message;
+
+use super::catalogue::CatalogueDuty;
+use super::input::ShardInput;
+use super::members::MemberView;
+use super::output::ShardOutput;
+use super::placement_role::PlacementRole;
+use super::proposals::{Proposals, Purpose};
+use super::quota_desk::QuotaDesk;
+use super::reads::Reads;
+use super::repair::Repair;
+use super::standing::ShardStanding;
+use super::subscriptions::Subscriptions;
+use super::upkeep::Upkeep;
+use crate::link::LinkId;
+use crate::node_output::NodeNote;
+use crate::timing::{OUT_OF_TOUCH, SNAPSHOT_ENTRIES};
+
+/// Opens the disk of a shard, again after a forced recovery.
+pub type DiskOpener = Arc<dyn Fn() -> Box<dyn Disk> + Send + Sync>;
+
+/// Everything a core is opened with.
+#[derive(Clone)]
+pub struct ShardCoreOptions {
+    /// The shard.
+    pub shard: ShardId,
+    /// Identity of this node.
+    pub identity: NodeId,
+    /// First voters; empty for a replica that its leader fills.
+    pub voters: Vec<NodeId>,
+    /// Layout of the cluster.
+    pub layout: ShardLayout,
+    /// Seed of the replica's random numbers.
+    pub seed: u64,
+    /// Silence after which a voter is replaced.
+    pub replace_after: Duration,
+    /// Opens the shard's disk.
+    pub disk: DiskOpener,
+}
+
+/// The core of one shard on this node.
+///
+/// Inputs go to [`ShardCore::handle`]; what they lead to leaves with the next
+/// [`ShardCore::flush`], after one fsync for all of them.
+pub struct ShardCore {
+    pub(super) options: ShardCoreOptions,
+    pub(super) replica: Replica,
+    pub(super) machine: ShardMachine,
+    pub(super) publisher: FeedPublisher,
+    pub(super) sessions: SessionTable,
+    pub(super) proposals: Proposals,
+    pub(super) reads: Reads,
+    pub(super) subscriptions: Subscriptions,
+    pub(super) repair: Repair,
+    pub(super) members: MemberView,
+    pub(super) catalogue: CatalogueDuty,
+    pub(super) quota: QuotaDesk,
+    pub(super) placement: PlacementRole,
+    pub(super) upkeep: Upkeep,
+    pub(super) standing: ShardStanding,
+    pub(super) outputs: Vec<ShardOutput>,
+    snapshot_index: u64,
+    failed: bool,
+}
+
+impl ShardCore {
+    /// Opens the shard's storage and its replica.
+    ///
+    /// [`StorageError::Corrupt`] means that this node must start over under a new identity.
+    pub fn open(options: ShardCoreOptions, now: MonotonicTime) -> Result<Self, StorageError> {
+        let replica = open_replica(&options, now)?;
+        let shard = options.shard;
+        Ok(Self {
+            replica,
+            machine: ShardMachine::new(shard),
+            publisher: FeedPublisher::new(shard),
+            sessions: SessionTable::default(),
+            proposals: Proposals::default(),
+            reads: Reads::default(),
+            subscriptions: Subscriptions::default(),
+            repair: Repair {
+                replace_after: options.replace_after,
+            },
+            members: MemberView::default(),
+            catalogue: CatalogueDuty::default(),
+            quota: QuotaDesk::new(shard),
+            placement: PlacementRole::default(),
+            upkeep: Upkeep::new(now),
+            standing: ShardStanding::unknown(shard),
+            outputs: Vec::new(),
+            snapshot_index: 0,
+            failed: false,
+            options,
+        })
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: MonotonicTime, input: ShardInput) {
+        if self.failed {
+            return;
+        }
+        match input {
+            ShardInput::Tick => self.tick(now),
+            ShardInput::Replication(message) => self.replica.step(now, message),
+            ShardInput::Request { ticket, request } => self.request(now, ticket, request),
+            ShardInput::Quota { ticket, request } => self.ask_quota(now, ticket, &request),
+            ShardInput::Load(report) => self.load_report(now, &report),
+            ShardInput::Subscribe {
+                subscriber,
+                subscribe,
+            } => self.subscribe(now, subscriber, subscribe),
+            ShardInput::Unsubscribe { subscriber } => self.unsubscribe(subscriber),
+            ShardInput::LeaderIndex { read, index } => self.leader_index(now, read, index),
+            ShardInput::Registry(view) => self.catalogue.registry(view),
+            ShardInput::Configuration(items) => self.configuration(now, &items),
+            ShardInput::Members(view) => self.members = view,
+            ShardInput::ForceRecovery => self.force_recovery(now),
+            ShardInput::Leave => self.hand_over(),
+        }
+    }
+
+    /// Makes durable what came in and gives what may leave.
+    pub fn flush(&mut self, now: MonotonicTime) -> Vec<ShardOutput> {
+        if !self.failed {
+            match self.replica.flush(now) {
+                Ok(ready) => self.take_ready(now, ready),
+                Err(error) => self.fail(&error),
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The shard.
+    #[must_use]
+    pub fn shard(&self) -> ShardId {
+        self.options.shard
+    }
+
+    /// The replicated state as far as this replica has applied it.
+    #[must_use]
+    pub fn machine(&self) -> &ShardMachine {
+        &self.machine
+    }
+
+    /// Status of the replica.
+    #[must_use]
+    pub fn status(&self) -> ReplicaStatus {
+        self.replica.status()
+    }
+
+    /// Role and touch, as last told to the gateway.
+    #[must_use]
+    pub fn standing(&self) -> &ShardStanding {
+        &self.standing
+    }
+
+    fn take_ready(&mut self, now: MonotonicTime, ready: Ready) {
+        let messages = ready.messages.into_iter();
+        self.outputs.extend(messages.map(ShardOutput::Replication));
+        if let Some(restored) = ready.restored {
+            self.restore(now, &restored);
+        }
+        if ready.lost_leadership {
+            self.lost_leadership(now);
+        }
+        for entry in ready.committed {
+            self.apply(now, entry);
+        }
+        if ready.became_leader {
+            self.became_leader(now);
+        }
+        for read in ready.failed_reads {
+            self.read_failed(now, read);
+        }
+        for read in ready.confirmed_reads {
+            self.reads.confirmed(read.request, read.index);
+        }
+        self.serve_ready_reads();
+        self.take_snapshot();
+        self.update_standing(now);
+    }
+
+    fn restore(&mut self, now: MonotonicTime, snapshot: &RestoredSnapshot) {
+        let former: Vec<String> = self.machine.public_state().keys().cloned().collect();
+        let mut machine = ShardMachine::new(self.options.shard);
+        if machine.restore(&snapshot.data).is_err() {
+            // The bytes passed their checksum, so this is a snapshot of a newer release.
+            self.fail(&StorageError::Failed);
+            return;
+        }
+        machine.skip(snapshot.index, snapshot.term);
+        self.machine = machine;
+        self.snapshot_index = snapshot.index;
+        let items = public_items(&self.machine);
+        let position = FeedPosition::new(snapshot.term, snapshot.index);
+        let deliveries = self.publisher.restore(position, items.clone());
+        self.deliver(deliveries);
+        let deleted = former
+            .into_iter()
+            .filter(|key| !self.machine.public_state().contains_key(key))
+            .map(|key| StateItem { key, value: None });
+        let mut changes: Vec<StateItem> = deleted.collect();
+        changes.extend(items);
+        self.public_changed(now, changes);
+    }
+
+    fn apply(&mut self, now: MonotonicTime, entry: LogEntry) {
+        let applied = self.apply_payload(now, &entry);
+        let changes = applied
+            .as_ref()
+            .map_or_else(Vec::new, |applied| applied.changes.clone());
+        let position = FeedPosition::new(entry.term, entry.index);
+        let deliveries = self.publisher.apply(position, changes.clone());
+        self.deliver(deliveries);
+        if !changes.is_empty() {
+            self.public_changed(now, changes);
+        }
+        let purpose = self.proposals.take(entry.index, entry.term);
+        if let (Some(applied), Some(purpose)) = (applied, purpose) {
+            self.proposal_applied(purpose, applied);
+        }
+    }
+
+    fn apply_payload(&mut self, now: MonotonicTime, entry: &LogEntry) -> Option<Applied> {
+        let Some(Payload::Command(bytes)) = &entry.payload else {
+            self.machine.skip(entry.index, entry.term);
+            return None;
+        };
+        // Only commands that this code encoded get into the log; one of a newer release that
+        // cannot be read changes nothing here and is refused in the same way on every replica.
+        let command = Command::decode(bytes.as_slice()).unwrap_or_default();
+        let applied = self.machine.apply(entry.index, entry.term, &command);
+        self.follow_sessions(now, &command, &applied);
+        Some(applied)
+    }
+
+    /// Proposes a command of this core or of a request. False: this replica does not lead.
+    pub(super) fn propose(&mut self, command: &Command, purpose: Purpose) -> bool {
+        let Ok(index) = self.replica.propose(command.encode_to_vec()) else {
+            return false;
+        };
+        let term = self.replica.status().term;
+        self.proposals.insert(index, term, purpose);
+        true
+    }
+
+    fn became_leader(&mut self, now: MonotonicTime) {
+        let records = self.machine.sessions().values();
+        self.sessions.lead(now, records);
+        let term = self.replica.status().term;
+        self.quota.ledger.lead(now, term);
+        self.placement.lead(now);
+        self.upkeep.lead(now);
+        self.catalogue.check_soon();
+    }
+
+    fn lost_leadership(&mut self, now: MonotonicTime) {
+        self.sessions.clear();
+        self.quota.ledger.resign();
+        self.placement.stop();
+        for purpose in self.proposals.take_all() {
+            if let Purpose::Request(ticket) = purpose {
+                self.refuse(ticket, ResultCode::NotLeader);
+            }
+        }
+        self.restart_reads(now);
+    }
+
+    fn take_snapshot(&mut self) {
+        let applied = self.machine.applied_index();
+        if applied < self.snapshot_index + SNAPSHOT_ENTRIES {
+            return;
+        }
+        let data = self.machine.snapshot();
+        // A refusal leaves the log longer; the next entries try again.
+        let _ = self.replica.save_snapshot(applied, data);
+        self.snapshot_index = applied;
+    }
+
+    /// Tells the gateway when role or touch changed, and regularly, so that a stalled disk shows.
+    fn update_standing(&mut self, now: MonotonicTime) {
+        let status = self.replica.status();
+        let standing = standing_of(self.options.shard, &status, now);
+        let out_of_touch = self.standing.in_touch && !standing.in_touch;
+        let due = self.upkeep.standing_due(now);
+        if standing.differs(&self.standing) || due {
+            self.outputs.push(ShardOutput::Standing(standing.clone()));
+        }
+        self.standing = standing;
+        if out_of_touch {
+            let deliveries = self.publisher.stale();
+            self.deliver(deliveries);
+        }
+    }
+
+    pub(super) fn deliver(&mut self, deliveries: Vec<FeedDelivery>) {
+        let feeds = deliveries.into_iter().map(|delivery| ShardOutput::Feed {
+            subscriber: LinkId(delivery.subscriber),
+            message: delivery.message,
+        });
+        self.outputs.extend(feeds);
+    }
+
+    fn public_changed(&mut self, now: MonotonicTime, changes: Vec<StateItem>) {
+        if self.options.shard == ShardId::CONFIGURATION {
+            self.configuration(now, &changes);
+        }
+        self.catalogue.check_soon();
+        self.outputs.push(ShardOutput::PublicChange(changes));
+    }
+
+    /// Leaves leadership to another voter, if there is one that holds everything.
+    fn hand_over(&mut self) {
+        let status = self.replica.status();
+        let mut peers = status.peers.iter();
+        let successor = peers.find(|peer| peer.is_voter && peer.caught_up);
+        if let Some(successor) = successor {
+            // A refusal leaves the election to the others, as after a crash.
+            let _ = self.replica.transfer_leadership(successor.node);
+        }
+    }
+
+    pub(super) fn fail(&mut self, error: &StorageError) {
+        self.failed = true;
+        let deliveries = self.publisher.stale();
+        self.deliver(deliveries);
+        self.standing.leads = false;
+        self.standing.in_touch = false;
+        self.outputs
+            .push(ShardOutput::Standing(self.standing.clone()));
+        self.outputs.push(ShardOutput::Failed(code_of(error)));
+    }
+
+    /// Makes this replica the only voter of its group, on an operator's word.
+    fn force_recovery(&mut self, now: MonotonicTime) {
+        let recovered = super::recovery::force_single_voter(&self.options)
+            .and_then(|()| open_replica(&self.options, now));
+        match recovered {
+            Ok(replica) => self.take_recovered(now, replica),
+            Err(error) => self.fail(&error),
+        }
+    }
+
+    fn take_recovered(&mut self, now: MonotonicTime, replica: Replica) {
+        self.lost_leadership(now);
+        self.replica = replica;
+        // The state is built again from the snapshot and the log.
+        self.machine = ShardMachine::new(self.options.shard);
+        self.publisher = FeedPublisher::new(self.options.shard);
+        self.snapshot_index = 0;
+        let note = NodeNote::RecoveryForced(self.options.shard);
+        self.outputs.push(ShardOutput::Note(note));
+    }
+}
+
+fn open_replica(options: &ShardCoreOptions, now: MonotonicTime) -> Result<Replica, StorageError> {
+    let storage = ReplicaStorage::open((options.disk)(), StorageOptions::default())?;
+    let seed = options.seed ^ options.identity.0 ^ u64::from(options.shard.0);
+    let mut replica = ReplicaOptions::new(options.identity, options.shard, seed);
+    if !options.voters.is_empty() {
+        replica = replica.with_initial_voters(VoterSet {
+            voters: options.voters.iter().map(|node| node.0).collect(),
+            learners: Vec::new(),
+        });
+    }
+    Replica::open(replica, storage, now).map_err(|error| match error {
+        OpenError::Storage(error) => error,
+        // Votes of another identity: the same as damage, the node starts over.
+        OpenError::ForeignStorage { .. } | OpenError::NodeIdMissing => {
+            StorageError::corrupt("hard-state", 0, "the storage belongs to another identity")
+        }
+    })
+}
+
+fn standing_of(shard: ShardId, status: &ReplicaStatus, now: MonotonicTime) -> ShardStanding {
+    let leads = status.role == Role::Leader;
+    let heard = status.leader_heard;
+    let heard_lately = heard.is_some_and(|heard| now.since(heard) < OUT_OF_TOUCH);
+    let member = status.role != Role::Learner;
+    ShardStanding {
+        shard,
+        leads,
+        leader: status.leader,
+        term: status.term,
+        in_touch: (leads || heard_lately) && member && !status.removed,
+        removed: status.removed,
+        voters: status.voters.clone(),
+        learners: status.learners.clone(),
+        commit_index: status.commit_index,
+    }
+}
+
+fn public_items(machine: &ShardMachine) -> Vec<StateItem> {
+    let items = machine.public_state().iter();
+    items
+        .map(|(key, value)| StateItem {
+            key: key.clone(),
+            value: Some(value.clone()),
+        })
+        .collect()
+}
+
+/// The result code of a storage error.
+#[must_use]
+pub fn code_of(error: &StorageError) -> ResultCode {
+    match error {
+        StorageError::Io { .. } | StorageError::Failed => ResultCode::DiskFailed,
+        StorageError::Full { .. } => ResultCode::DiskFull,
+        StorageError::Corrupt { .. } => ResultCode::LogCorrupt,
+    }
+}
--- /dev/null
+++ b/crates/control/src/shard/placement_role.rs
@@ -0,0 +1,146 @@
+//! The placement role: the leader of the shard that owns a service places its replicas.
+
+use std::collections::BTreeMap;
+
+use millford_api::command::{SetPlacement, command};
+use millford_api::config::Pool;
+use millford_api::internal::{LoadPicture, LoadReport};
+use millford_api::state::{Backend, PoolPlacement, state_value};
+use millford_control_state::keys;
+use millford_core::{MonotonicTime, ShardId};
+use millford_placement::{Placer, PlacerOptions};
+
+use super::core::ShardCore;
+use super::output::ShardOutput;
+use super::proposals::Purpose;
+use super::upkeep::command_of;
+use crate::timing::{PICTURE_PERIOD, PLACEMENT_PERIOD};
+
+/// Placers of the pools that this shard owns, on its leader only.
+#[derive(Debug, Default)]
+pub struct PlacementRole {
+    placers: BTreeMap<String, Placer>,
+    next_plan: MonotonicTime,
+    next_picture: MonotonicTime,
+}
+
+impl PlacementRole {
+    /// The replica leads from now on. What the predecessor learned is learned again from reports.
+    pub fn lead(&mut self, now: MonotonicTime) {
+        self.placers.clear();
+        self.next_plan = now + PLACEMENT_PERIOD;
+        self.next_picture = now + PICTURE_PERIOD;
+    }
+
+    /// The replica does not lead any more.
+    pub fn stop(&mut self) {
+        self.placers.clear();
+    }
+
+    /// A node's session ended: its work is gone.
+    pub fn forget(&mut self, member: &str) {
+        for placer in self.placers.values_mut() {
+            placer.forget(member);
+        }
+    }
+}
+
+impl ShardCore {
+    /// A node's load on a service of this shard.
+    pub(super) fn load_report(&mut self, now: MonotonicTime, report: &LoadReport) {
+        if !self.standing.leads {
+            return;
+        }
+        let placers = &mut self.placement.placers;
+        let placer = placers
+            .entry(report.service.clone())
+            .or_insert_with(|| Placer::new(PlacerOptions::default()));
+        placer.observe(now, &report.member, &report.loads);
+    }
+
+    pub(super) fn tick_placement(&mut self, now: MonotonicTime) {
+        if self.options.shard == ShardId::CONFIGURATION {
+            return;
+        }
+        if now >= self.placement.next_picture {
+            self.placement.next_picture = now + PICTURE_PERIOD;
+            self.send_pictures(now);
+        }
+        if now >= self.placement.next_plan {
+            self.placement.next_plan = now + PLACEMENT_PERIOD;
+            self.plan_placements(now);
+        }
+    }
+
+    fn send_pictures(&mut self, now: MonotonicTime) {
+        let epoch = self.standing.term;
+        let placers = self.placement.placers.iter();
+        let pictures = placers.map(|(service, placer)| LoadPicture {
+            service: service.clone(),
+            epoch,
+            loads: placer.picture(now),
+        });
+        let pictures: Vec<LoadPicture> = pictures
+            .filter(|picture| !picture.loads.is_empty())
+            .collect();
+        self.outputs
+            .extend(pictures.into_iter().map(ShardOutput::Picture));
+    }
+
+    fn plan_placements(&mut self, now: MonotonicTime) {
+        let pools = self.own_pools();
+        let owned = |name: &String| pools.iter().any(|pool| pool.name == *name);
+        self.placement.placers.retain(|name, _| owned(name));
+        for pool in pools {
+            let purpose = Purpose::Placement(pool.name.clone());
+            if !self.proposals.contains(&purpose) {
+                self.plan_pool(now, &pool, purpose);
+            }
+        }
+    }
+
+    /// The epoch is the leader's term: a former leader's is smaller, and its placement is refused
+    /// by every replica and ignored by every node.
+    fn plan_pool(&mut self, now: MonotonicTime, pool: &Pool, purpose: Purpose) {
+        let backends = self.backends_of(&pool.name);
+        let current = self.placement_of(&pool.name);
+        let epoch = self.standing.term;
+        let placers = &mut self.placement.placers;
+        let placer = placers
+            .entry(pool.name.clone())
+            .or_insert_with(|| Placer::new(PlacerOptions::default()));
+        let outcome = placer.plan(now, epoch, pool, &backends, current.as_ref());
+        let Some(placement) = outcome.placement else {
+            return;
+        };
+        let set = SetPlacement {
+            placement: Some(placement),
+        };
+        let command = command_of(command::Kind::SetPlacement(set));
+        self.propose(&command, purpose);
+    }
+
+    fn backends_of(&self, service: &str) -> BTreeMap<String, Backend> {
+        let prefix = keys::service_backends(service);
+        let state = self.machine.public_state();
+        let items = state
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&prefix));
+        items
+            .filter_map(|(_, value)| match &value.kind {
+                Some(state_value::Kind::Backend(backend)) => {
+                    Some((backend.id.clone(), backend.clone()))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn placement_of(&self, pool: &str) -> Option<PoolPlacement> {
+        let value = self.machine.public_state().get(&keys::placement(pool))?;
+        match &value.kind {
+            Some(state_value::Kind::Placement(placement)) => Some(placement.clone()),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/replica_group.rs
@@ -0,0 +1,21 @@
+//! Which nodes hold the first replicas of a shard.
+
+use millford_core::{NodeId, ShardId};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The `size` nodes of `nodes` that hold a shard, by rendezvous hashing: every node computes the
+/// same group, and each pair of node and shard has its own rank, so that shards spread out.
+#[must_use]
+pub fn replica_group(nodes: &[NodeId], shard: ShardId, size: usize) -> Vec<NodeId> {
+    let mut ranked: Vec<NodeId> = nodes.to_vec();
+    ranked.sort_by_key(|node| (rank(*node, shard), *node));
+    ranked.truncate(size);
+    ranked.sort();
+    ranked
+}
+
+fn rank(node: NodeId, shard: ShardId) -> u64 {
+    let mut key = node.0.to_be_bytes().to_vec();
+    key.extend_from_slice(&shard.0.to_be_bytes());
+    xxh3_64(&key)
+}
