Age the load picture by count, as nodes report only what changed

Cause: the picture replaced a member's report whole, while the nodes' load board reports differences; a stream that runs on unchanged would have vanished from the picture after three seconds. Considered: whole reports each time (12 KB a second for a node at the planned size, over its budget). Change: counts age one by one after 5 s; zero counts stay until then, so that readers learn of the end; the load board in crates/routing repeats unchanged work every fifth report (small addition outside this crate). Measured: placement 7 + 15 tests passed, routing's tests passed. Conclusion: reports must come at least every second for the refresh to beat the ageing.

--- a/crates/placement/src/load/load_picture.rs
+++ b/crates/placement/src/load/load_picture.rs
@@ -8,21 +8,24 @@
 use crate::load::replica_work::ReplicaWork;
 use crate::replica_key::ReplicaKey;
 
-/// The last report of each member, aged out when the member falls silent.
+/// The last known counts of each member, aged out one by one when they are not refreshed.
+///
+/// Members report what changed, and repeat what has not at longer intervals. A count that is reported as zero
+/// stays as zero until it ages out, so that those who read the picture learn that the work has ended.
 #[derive(Clone, Debug)]
 pub struct LoadPicture {
     stale_after: Duration,
-    members: BTreeMap<String, MemberReport>,
+    members: BTreeMap<String, BTreeMap<ReplicaKey, ReportedWork>>,
 }
 
-#[derive(Clone, Debug)]
-struct MemberReport {
+#[derive(Clone, Copy, Debug)]
+struct ReportedWork {
     at: MonotonicTime,
-    work: BTreeMap<ReplicaKey, ReplicaWork>,
+    work: ReplicaWork,
 }
 
 impl LoadPicture {
-    /// An empty picture; a member's report counts for `stale_after`.
+    /// An empty picture; a reported count holds for `stale_after`.
     #[must_use]
     pub fn new(stale_after: Duration) -> Self {
         Self {
@@ -31,33 +34,36 @@
         }
     }
 
-    /// Replaces a member's report: it is a whole, not a difference.
+    /// Takes in a member's counts; those that it does not list stay.
     pub fn observe(&mut self, now: MonotonicTime, member: &str, loads: &[ReplicaLoad]) {
-        let mut work: BTreeMap<ReplicaKey, ReplicaWork> = BTreeMap::new();
+        let counts = self.members.entry(member.to_owned()).or_default();
         for load in loads {
-            work.entry(load.into()).or_default().add(&load.into());
+            let work = ReplicaWork::from(load);
+            counts.insert(load.into(), ReportedWork { at: now, work });
         }
-        let report = MemberReport { at: now, work };
-        self.members.insert(member.to_owned(), report);
     }
 
-    /// Forgets members that have been silent for too long.
+    /// Forgets a member whose session has ended.
+    pub fn forget(&mut self, member: &str) {
+        self.members.remove(member);
+    }
+
+    /// Forgets counts that have not been refreshed for too long.
     pub fn expire(&mut self, now: MonotonicTime) {
         let stale_after = self.stale_after;
-        self.members
-            .retain(|_, report| now.since(report.at) <= stale_after);
+        for counts in self.members.values_mut() {
+            counts.retain(|_, reported| now.since(reported.at) <= stale_after);
+        }
+        self.members.retain(|_, counts| !counts.is_empty());
     }
 
-    /// Sums over the members that are not stale at `now`.
+    /// Sums over the counts that are not stale at `now`.
     #[must_use]
     pub fn totals(&self, now: MonotonicTime) -> BTreeMap<ReplicaKey, ReplicaWork> {
         let mut totals: BTreeMap<ReplicaKey, ReplicaWork> = BTreeMap::new();
-        for report in self.members.values() {
-            if now.since(report.at) > self.stale_after {
-                continue;
-            }
-            for (key, work) in &report.work {
-                totals.entry(key.clone()).or_default().add(work);
+        for (key, reported) in self.members.values().flatten() {
+            if now.since(reported.at) <= self.stale_after {
+                totals.entry(key.clone()).or_default().add(&reported.work);
             }
         }
         totals
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -16,7 +16,7 @@
 /// Figures that the pool's configuration does not carry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacerOptions {
-    /// A member's load report counts for so long.
+    /// A reported count holds for so long unless it is refreshed.
     pub member_stale_after: Duration,
     /// Fewest replicas of a model, as far as enough backends declare it.
     pub fewest_replicas: usize,
@@ -53,7 +53,7 @@
 impl Default for PlacerOptions {
     fn default() -> Self {
         Self {
-            member_stale_after: Duration::from_secs(3),
+            member_stale_after: Duration::from_secs(5),
             fewest_replicas: 2,
             target_utilization: 0.6,
             scale_down_hold: Duration::from_secs(60),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -80,7 +80,9 @@
         }
     }
 
-    /// Takes a member's report: what it has in flight in the pool, whole, and its new cost samples.
+    /// Takes a member's report: what changed in what it has in flight, and its new cost samples.
+    ///
+    /// Counts that it does not list stay until they age out.
     pub fn observe(&mut self, now: MonotonicTime, member: &str, loads: &[ReplicaLoad]) {
         self.picture.observe(now, member, loads);
         if loads.iter().all(|load| load.samples.is_empty()) {
@@ -103,6 +105,11 @@
         }
     }
 
+    /// Forgets a member whose session has ended.
+    pub fn forget(&mut self, member: &str) {
+        self.picture.forget(member);
+    }
+
     /// What all members together have in flight, without stale ones; sent back to the nodes.
     #[must_use]
     pub fn picture(&self, now: MonotonicTime) -> Vec<ReplicaLoad> {
--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -16,6 +16,10 @@
 /// Most cost samples kept per replica between two reports.
 const MAX_SAMPLES: usize = 64;
 
+/// Unchanged work in flight is reported again after this many reports without it: the placement role
+/// forgets counts that are not refreshed.
+const REFRESH_AFTER_REPORTS: u32 = 5;
+
 /// Counts of one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaCounts {
@@ -34,6 +38,7 @@
     others: ReplicaCounts,
     samples: Vec<CostSample>,
     failures: u32,
+    reports_without: u32,
 }
 
 type BoardShard = BTreeMap<ReplicaKey, ReplicaEntry>;
@@ -99,7 +104,8 @@
         self.change(key, |entry| entry.failures += 1);
     }
 
-    /// Reports of the replicas that changed since the last call, one report a pool.
+    /// Reports of the replicas that changed since the last call, one report a pool; unchanged work in flight
+    /// is repeated at longer intervals.
     #[must_use]
     pub fn take_reports(&self) -> Vec<LoadReport> {
         let mut reports: BTreeMap<String, LoadReport> = BTreeMap::new();
@@ -167,8 +173,13 @@
 fn take_load(key: &ReplicaKey, entry: &mut ReplicaEntry) -> Option<ReplicaLoad> {
     let unchanged = entry.own == entry.reported;
     if unchanged && entry.samples.is_empty() && entry.failures == 0 {
-        return None;
+        entry.reports_without += 1;
+        let idle = entry.own == ReplicaCounts::default();
+        if idle || entry.reports_without < REFRESH_AFTER_REPORTS {
+            return None;
+        }
     }
+    entry.reports_without = 0;
     entry.reported = entry.own;
     Some(ReplicaLoad {
         backend_id: key.backend_id.clone(),
