--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,7 @@
 //! Proxy for the callers: one function a request, from authentication to settlement.
+
+pub mod backend_protocol;
+pub mod limits;
+pub mod proxy_metrics;
+pub mod proxy_state;
+pub mod request;
--- /dev/null
+++ b/crates/proxy/src/proxy_metrics.rs
@@ -0,0 +1,137 @@
+//! Metrics of a proxy.
+
+use millford_core::Duration;
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector,
+};
+
+/// Buckets of the time to the first token, in seconds.
+const FIRST_TOKEN_BUCKETS: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.3, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// Buckets of the time between two pieces, in seconds.
+const INTER_TOKEN_BUCKETS: &[f64] = &[
+    0.001, 0.0025, 0.005, 0.01, 0.02, 0.033, 0.05, 0.066, 0.1, 0.25, 1.0, 2.0,
+];
+
+/// Counters and histograms of one proxy, with their own registry.
+#[derive(Debug)]
+pub struct ProxyMetrics {
+    /// The registry that a scrape reads.
+    pub registry: Registry,
+    /// Ended requests by route and result code.
+    pub requests: IntCounterVec,
+    /// Time to the first token.
+    pub first_token_seconds: Histogram,
+    /// Time between two pieces.
+    pub inter_token_seconds: Histogram,
+    /// First sends to a backend.
+    pub first_sends: IntCounter,
+    /// Second sends by kind: retry, hedge, resume.
+    pub second_sends: IntCounterVec,
+    /// Streams that another backend continued.
+    pub moved_streams: IntCounter,
+    /// Ejections by reason.
+    pub ejections: IntCounterVec,
+    /// Open streams.
+    pub open_streams: IntGauge,
+    /// Requests in progress.
+    pub open_requests: IntGauge,
+    /// Configuration revision shown.
+    pub shown_revision: IntGauge,
+    /// Dropped answers by cause.
+    pub dropped_answers: IntCounterVec,
+}
+
+impl Default for ProxyMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: counters(
+                &registry,
+                "requests_total",
+                "Ended requests.",
+                &["route", "code"],
+            ),
+            first_token_seconds: histogram(
+                &registry,
+                "first_token_seconds",
+                "Time from arrival to the first piece of a stream.",
+                FIRST_TOKEN_BUCKETS,
+            ),
+            inter_token_seconds: histogram(
+                &registry,
+                "inter_token_seconds",
+                "Time between two pieces of a stream.",
+                INTER_TOKEN_BUCKETS,
+            ),
+            first_sends: counter(&registry, "first_sends_total", "First sends to a backend."),
+            second_sends: counters(
+                &registry,
+                "second_sends_total",
+                "Sends to a second backend.",
+                &["kind"],
+            ),
+            moved_streams: counter(
+                &registry,
+                "moved_streams_total",
+                "Streams that another backend continued.",
+            ),
+            ejections: counters(
+                &registry,
+                "ejections_total",
+                "Ejected backends.",
+                &["reason"],
+            ),
+            open_streams: gauge(&registry, "open_streams", "Streams open to callers."),
+            open_requests: gauge(&registry, "open_requests", "Requests in progress."),
+            shown_revision: gauge(&registry, "shown_revision", "Configuration revision shown."),
+            dropped_answers: counters(
+                &registry,
+                "dropped_answers_total",
+                "Answers or bytes that were dropped.",
+                &["cause"],
+            ),
+            registry,
+        }
+    }
+}
+
+impl ProxyMetrics {
+    /// Observes a duration in seconds.
+    pub fn observe(histogram: &Histogram, duration: Duration) {
+        histogram.observe(duration.as_secs_f64());
+    }
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(format!("millford_proxy_{name}"), help)
+}
+
+fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> C {
+    // Registration fails only for a name used twice, which the metrics test would show.
+    let _ = registry.register(Box::new(metric.clone()));
+    metric
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::with_opts(options(name, help)).expect("valid metric name");
+    register(registry, metric)
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(options(name, help), labels).expect("valid metric name");
+    register(registry, metric)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::with_opts(options(name, help)).expect("valid metric name");
+    register(registry, metric)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let options = HistogramOpts::from(options(name, help)).buckets(buckets.to_vec());
+    let metric = Histogram::with_opts(options).expect("valid metric name");
+    register(registry, metric)
+}
--- /dev/null
+++ b/crates/proxy/src/proxy_state.rs
@@ -0,0 +1,101 @@
+//! State shared by all requests of one proxy.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwap;
+use millford_routing::{
+    BackendHealth, CostBook, EjectionReason, FairQueue, LoadBoard, RetryBudget, RoutingTable,
+};
+
+use crate::limits::RequestLimits;
+use crate::proxy_metrics::ProxyMetrics;
+
+/// Routing table, counts and budgets of one proxy. Each part has its own locks.
+#[derive(Debug)]
+pub struct ProxyState {
+    table: ArcSwap<RoutingTable>,
+    ready: AtomicBool,
+    draining: AtomicBool,
+    /// Work in flight.
+    pub board: Arc<LoadBoard>,
+    /// Learned costs.
+    pub costs: CostBook,
+    /// Budget of second sends.
+    pub budget: RetryBudget,
+    /// Ejected backends.
+    pub health: BackendHealth,
+    /// Turns among tenants.
+    pub queue: FairQueue,
+    /// Limits and times.
+    pub limits: RequestLimits,
+    /// Metrics.
+    pub metrics: ProxyMetrics,
+}
+
+impl ProxyState {
+    /// An empty state: not ready until a confirmed configuration is shown.
+    #[must_use]
+    pub fn new(limits: RequestLimits) -> Self {
+        Self {
+            table: ArcSwap::from_pointee(RoutingTable::default()),
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            board: Arc::default(),
+            costs: CostBook::default(),
+            budget: RetryBudget::default(),
+            health: BackendHealth::default(),
+            queue: FairQueue::default(),
+            limits,
+            metrics: ProxyMetrics::default(),
+        }
+    }
+
+    /// The table in force.
+    #[must_use]
+    pub fn table(&self) -> Arc<RoutingTable> {
+        self.table.load_full()
+    }
+
+    /// Puts a newer table in force.
+    pub fn set_table(&self, table: RoutingTable) {
+        self.metrics
+            .shown_revision
+            .set(clamp_to_i64(table.revision()));
+        self.table.store(Arc::new(table));
+    }
+
+    /// Takes a backend out of use until probes succeed.
+    pub fn eject(&self, backend_id: &str, reason: EjectionReason) {
+        if self.health.eject(backend_id, reason) {
+            let ejections = &self.metrics.ejections;
+            ejections.with_label_values(&[reason.name()]).inc();
+        }
+    }
+
+    /// Whether a confirmed configuration is shown.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::SeqCst)
+    }
+
+    /// A confirmed configuration is shown now.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the proxy leaves.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// The proxy leaves: new requests are refused from now on.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+}
+
+fn clamp_to_i64(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/proxy/src/request/admit.rs
@@ -0,0 +1,135 @@
+//! Admission by the estimated time to the first token, fair among tenants.
+
+use millford_core::{Duration, MonotonicTime, ResultCode};
+use millford_routing::AdmissionEstimate;
+use millford_routing::fair_queue::WaiterId;
+
+use crate::request::choose_backend::replica_key;
+use crate::request::environment::RequestEnvironment;
+use crate::request::plan::RequestPlan;
+use crate::request::refusal::Refusal;
+
+/// An admitted request's share of its tenant's work, until its prefill ends.
+pub struct Turn<'a, E: RequestEnvironment> {
+    environment: &'a E,
+    tenant: String,
+    tokens: u64,
+}
+
+impl<E: RequestEnvironment> Drop for Turn<'_, E> {
+    fn drop(&mut self) {
+        let queue = &self.environment.state().queue;
+        queue.finish(&self.tenant, self.tokens);
+    }
+}
+
+/// A place in the queue, left on whatever path the wait ends.
+struct Place<'a, E: RequestEnvironment> {
+    environment: &'a E,
+    tenant: &'a str,
+    id: WaiterId,
+}
+
+impl<E: RequestEnvironment> Drop for Place<'_, E> {
+    fn drop(&mut self) {
+        self.environment.state().queue.leave(self.tenant, self.id);
+    }
+}
+
+/// Admits the request, lets it wait for its tenant's turn, or sheds it.
+///
+/// While the first token would come too late, a tenant over its share is refused at once; the
+/// others wait for a bounded time.
+pub async fn admit<'a, E: RequestEnvironment>(
+    environment: &'a E,
+    plan: &RequestPlan,
+) -> Result<Turn<'a, E>, Refusal> {
+    let queue = &environment.state().queue;
+    if queue.has_waiters() || !has_room(environment, plan) {
+        wait_for_turn(environment, plan).await?;
+    }
+    queue.begin(&plan.tenant, plan.prompt_tokens);
+    Ok(Turn {
+        environment,
+        tenant: plan.tenant.clone(),
+        tokens: plan.prompt_tokens,
+    })
+}
+
+async fn wait_for_turn<E: RequestEnvironment>(
+    environment: &E,
+    plan: &RequestPlan,
+) -> Result<(), Refusal> {
+    let state = environment.state();
+    if state.queue.is_over_share(&plan.tenant) {
+        return Err(overloaded(environment, plan));
+    }
+    let place = Place {
+        environment,
+        tenant: &plan.tenant,
+        id: state.queue.join(&plan.tenant),
+    };
+    let until = (environment.now() + state.limits.admission_wait).min(plan.deadline);
+    while environment.now() < until {
+        if state.queue.is_next(&plan.tenant, place.id) && has_room(environment, plan) {
+            return Ok(());
+        }
+        environment.sleep(state.limits.admission_check).await;
+    }
+    Err(overloaded(environment, plan))
+}
+
+/// Whether some backend would give the first token in time.
+fn has_room<E: RequestEnvironment>(environment: &E, plan: &RequestPlan) -> bool {
+    let state = environment.state();
+    let limit = first_token_limit(environment, plan.deadline);
+    match best_estimate(environment, plan) {
+        Some(estimate) => estimate.admits(&plan.requirement.model, &state.costs, limit),
+        // Nothing to wait for here: the choice of the backend gives the refusal.
+        None => true,
+    }
+}
+
+fn first_token_limit<E: RequestEnvironment>(environment: &E, deadline: MonotonicTime) -> Duration {
+    let left = deadline.since(environment.now());
+    environment.state().limits.first_token_limit.min(left)
+}
+
+fn best_estimate<E: RequestEnvironment>(
+    environment: &E,
+    plan: &RequestPlan,
+) -> Option<AdmissionEstimate> {
+    let state = environment.state();
+    let table = state.table();
+    let pool = table.pool(&plan.route.pool)?;
+    let candidates = pool.candidates(&plan.requirement);
+    let usable = candidates
+        .into_iter()
+        .filter(|replica| state.health.is_usable(&replica.backend.id));
+    let queued = usable.map(|replica| {
+        let key = replica_key(&pool.name, replica);
+        state.board.counts(&key).prefill_tokens
+    });
+    Some(AdmissionEstimate {
+        queued_tokens: queued.min()?,
+        own_tokens: plan.prompt_tokens,
+    })
+}
+
+/// The refusal tells when the queue before the request should have been worked off.
+fn overloaded<E: RequestEnvironment>(environment: &E, plan: &RequestPlan) -> Refusal {
+    let refusal = Refusal::not_run(ResultCode::Overloaded);
+    let Some(estimate) = best_estimate(environment, plan) else {
+        return refusal;
+    };
+    let costs = &environment.state().costs;
+    let first_token = estimate.first_token(&plan.requirement.model, costs);
+    let limit = first_token_limit(environment, plan.deadline);
+    let excess = first_token.saturating_sub(limit).as_millis();
+    let millis = u32::try_from(excess).unwrap_or(u32::MAX);
+    refusal.with_retry_after(millis.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS))
+}
+
+/// Bounds of the time after which a shed caller is asked to come back, in milliseconds.
+const SHORTEST_RETRY_AFTER_MS: u32 = 250;
+const LONGEST_RETRY_AFTER_MS: u32 = 30_000;
--- /dev/null
+++ b/crates/proxy/src/request/attempt.rs
@@ -0,0 +1,261 @@
+//! One attempt at a request: from the connection to the first part of the answer.
+
+use bytes::Bytes;
+use millford_core::{MonotonicTime, ResultCode};
+use millford_routing::{EjectionReason, LoadTicket};
+
+use crate::request::choose_backend::ChosenReplica;
+use crate::request::environment::{BackendAnswer, RequestEnvironment};
+use crate::request::failure::AttemptFailure;
+use crate::request::message::{
+    AnswerHead, BackendRequest, DispatchError, ResumeFrom, SentMark, WithdrawRequest,
+};
+use crate::request::piece_reader::{PieceReader, StreamItem};
+use crate::request::plain_body::read_whole;
+use crate::request::plan::{RequestPlan, fresh_id};
+use crate::request::stream_watch::until_ejected;
+
+/// An attempt in progress. Dropped unfinished, it is withdrawn from the backend.
+pub struct Attempt<'a, E: RequestEnvironment> {
+    environment: &'a E,
+    /// Where it goes.
+    pub replica: ChosenReplica,
+    /// Run that it starts or continues.
+    pub run: String,
+    /// Counts it in the load board.
+    pub ticket: LoadTicket,
+    /// When it started.
+    pub started: MonotonicTime,
+    /// Uncached prompt tokens on the backend at the start, its own included.
+    pub queued_tokens: u64,
+    /// Streams on the backend at the start.
+    pub streams_at_start: u32,
+    id: String,
+    sent: SentMark,
+    resume_from: Option<ResumeFrom>,
+    finished: bool,
+}
+
+/// The first part of an answer.
+pub enum FirstPart<A> {
+    /// A stream and its first item.
+    Stream {
+        /// Reads the rest.
+        reader: PieceReader<A>,
+        /// The first piece, or the end of an empty stream.
+        first: StreamItem,
+    },
+    /// A whole plain answer.
+    Plain {
+        /// The body.
+        body: Bytes,
+        /// Its content type.
+        content_type: String,
+    },
+}
+
+/// An attempt that brought an answer.
+pub struct Opened<'a, E: RequestEnvironment> {
+    /// The attempt.
+    pub attempt: Attempt<'a, E>,
+    /// Its answer.
+    pub part: FirstPart<E::Answer>,
+}
+
+/// An attempt that brought none.
+#[derive(Debug)]
+pub struct FailedAttempt {
+    /// Why.
+    pub failure: AttemptFailure,
+    /// How to withdraw it.
+    pub reference: WithdrawRequest,
+}
+
+impl<'a, E: RequestEnvironment> Attempt<'a, E> {
+    /// Prepares an attempt that starts a run of its own.
+    pub fn start(environment: &'a E, replica: ChosenReplica) -> Self {
+        let run = fresh_id([environment.random(), environment.random()]);
+        Self::prepare(environment, replica, run, None)
+    }
+
+    /// Prepares an attempt that continues a run at `sequence`.
+    pub fn resume(environment: &'a E, replica: ChosenReplica, run: String, sequence: u64) -> Self {
+        Self::prepare(environment, replica, run, Some(ResumeFrom(sequence)))
+    }
+
+    fn prepare(
+        environment: &'a E,
+        replica: ChosenReplica,
+        run: String,
+        resume_from: Option<ResumeFrom>,
+    ) -> Self {
+        let board = &environment.state().board;
+        let before = board.counts(&replica.key);
+        let ticket = board.start(replica.key.clone(), replica.uncached_tokens);
+        Self {
+            environment,
+            run,
+            ticket,
+            started: environment.now(),
+            queued_tokens: before.prefill_tokens + replica.uncached_tokens,
+            streams_at_start: before.decode_streams,
+            id: fresh_id([environment.random(), environment.random()]),
+            sent: SentMark::default(),
+            resume_from,
+            finished: false,
+            replica,
+        }
+    }
+
+    /// How to withdraw the attempt.
+    #[must_use]
+    pub fn reference(&self) -> WithdrawRequest {
+        WithdrawRequest {
+            backend_id: self.replica.key.backend_id.clone(),
+            address: self.replica.address.clone(),
+            attempt: self.id.clone(),
+            timeout: self.environment.state().limits.withdraw_timeout,
+        }
+    }
+
+    /// The mark that is set once a byte may have left.
+    #[must_use]
+    pub fn sent_mark(&self) -> SentMark {
+        self.sent.clone()
+    }
+
+    /// The answer is whole, or the failure is known: nothing is left to withdraw.
+    pub fn finish(&mut self) {
+        self.finished = true;
+    }
+
+    /// Sends the request and reads until the first part of the answer.
+    pub async fn run(mut self, plan: &RequestPlan) -> Result<Opened<'a, E>, FailedAttempt> {
+        let backend_id = self.replica.key.backend_id.clone();
+        let environment = self.environment;
+        let first_part = self.first_part(plan);
+        match until_ejected(environment, &backend_id, first_part).await {
+            Ok(part) => Ok(Opened {
+                attempt: self,
+                part,
+            }),
+            Err(failure) => {
+                self.note_failure(failure);
+                self.finish();
+                Err(FailedAttempt {
+                    failure,
+                    reference: self.reference(),
+                })
+            }
+        }
+    }
+
+    async fn first_part(&self, plan: &RequestPlan) -> Result<FirstPart<E::Answer>, AttemptFailure> {
+        let environment = self.environment;
+        let request = self.backend_request(plan);
+        environment
+            .state()
+            .health
+            .used(&self.replica.key.backend_id, environment.now());
+        let answer = environment.dispatch(request).await;
+        let mut answer = answer.map_err(|error| match error {
+            DispatchError::NotConnected if !self.sent.is_set() => AttemptFailure::not_sent(),
+            _ => AttemptFailure::unknown(ResultCode::BackendLost),
+        })?;
+        self.heard();
+        self.check_head(answer.head())?;
+        if plan.stream {
+            return self.first_item(answer).await;
+        }
+        let content_type = answer.head().content_type.clone();
+        let max_bytes = environment.state().limits.max_answer_bytes;
+        let body = read_whole(&mut answer, max_bytes).await;
+        Ok(FirstPart::Plain {
+            body: body.map_err(AttemptFailure::unknown)?,
+            content_type,
+        })
+    }
+
+    async fn first_item(&self, answer: E::Answer) -> Result<FirstPart<E::Answer>, AttemptFailure> {
+        let sequence = self.resume_from.map_or(0, |resume| resume.0);
+        let mut reader = PieceReader::new(answer, self.run.clone(), sequence);
+        let first = reader.next().await.map_err(AttemptFailure::unknown)?;
+        self.heard();
+        if first == StreamItem::BackendError {
+            return Err(AttemptFailure::backend_error(true));
+        }
+        Ok(FirstPart::Stream { reader, first })
+    }
+
+    fn backend_request(&self, plan: &RequestPlan) -> BackendRequest {
+        BackendRequest {
+            backend_id: self.replica.key.backend_id.clone(),
+            address: self.replica.address.clone(),
+            method: plan.method,
+            path: plan.path.clone(),
+            attempt: self.id.clone(),
+            run: self.run.clone(),
+            version: self.replica.key.version.clone(),
+            stage: plan.requirement.stage.clone(),
+            adapter: plan.requirement.adapter.clone(),
+            resume_from: self.resume_from,
+            time_left: plan.deadline.since(self.environment.now()),
+            body: plan.body.clone(),
+            sent: self.sent.clone(),
+        }
+    }
+
+    fn check_head(&self, head: &AnswerHead) -> Result<(), AttemptFailure> {
+        // An answer that does not name this attempt belongs to another request. Its refusal
+        // would not be about this request either, so this comes first.
+        if head.attempt.as_deref() != Some(self.id.as_str()) {
+            self.dropped("attempt_mismatch");
+            return Err(AttemptFailure::unknown(ResultCode::AnswerMismatch));
+        }
+        match head.status {
+            200 => self.check_resume(head),
+            429 | 503 if head.not_run => Err(AttemptFailure::refused(head.retry_after_ms)),
+            status => Err(AttemptFailure::backend_error(status >= 500)),
+        }
+    }
+
+    /// A continued run must be confirmed at exactly the wanted sequence number.
+    fn check_resume(&self, head: &AnswerHead) -> Result<(), AttemptFailure> {
+        let wanted = self.resume_from.map(|resume| resume.0);
+        if wanted.is_none() || head.resume_at == wanted {
+            return Ok(());
+        }
+        self.dropped("resume_mismatch");
+        Err(AttemptFailure::unknown(ResultCode::StreamOutOfOrder))
+    }
+
+    fn heard(&self) {
+        let id = &self.replica.key.backend_id;
+        let environment = self.environment;
+        environment.state().health.heard(id, environment.now());
+    }
+
+    fn dropped(&self, cause: &str) {
+        let metrics = &self.environment.state().metrics;
+        metrics.dropped_answers.with_label_values(&[cause]).inc();
+    }
+
+    fn note_failure(&self, failure: AttemptFailure) {
+        let state = self.environment.state();
+        state.board.add_failure(&self.replica.key);
+        let reason = match failure.code {
+            ResultCode::ConnectFailed => EjectionReason::ConnectFailed,
+            ResultCode::BackendLost => EjectionReason::ConnectionLost,
+            _ => return,
+        };
+        state.eject(&self.replica.key.backend_id, reason);
+    }
+}
+
+impl<E: RequestEnvironment> Drop for Attempt<'_, E> {
+    fn drop(&mut self) {
+        if !self.finished && self.sent.is_set() {
+            self.environment.withdraw_later(self.reference());
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/choose_backend.rs
@@ -0,0 +1,89 @@
+//! Choice of the backend for one attempt.
+
+use millford_routing::{Candidate, ReplicaKey, ServingReplica, choose};
+
+use crate::request::environment::RequestEnvironment;
+use crate::request::plan::RequestPlan;
+
+/// The replica that an attempt goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChosenReplica {
+    /// Which counts the attempt belongs to.
+    pub key: ReplicaKey,
+    /// IP address and port of the backend.
+    pub address: String,
+    /// Uncached prompt tokens to expect.
+    pub uncached_tokens: u64,
+    /// Whether the backend is a home of the request's affinity key.
+    pub by_affinity: bool,
+}
+
+/// Chooses among the backends that take new work now, without those in `without`.
+///
+/// With `version`, only replicas of that version: a run is never continued by another one.
+pub fn choose_backend<E: RequestEnvironment>(
+    environment: &E,
+    plan: &RequestPlan,
+    without: &[String],
+    version: Option<&str>,
+) -> Option<ChosenReplica> {
+    let state = environment.state();
+    // The table is read afresh for each attempt: a backend that began to drain while the request
+    // waited gets no new work.
+    let table = state.table();
+    let pool = table.pool(&plan.route.pool)?;
+    let usable = |replica: &&ServingReplica| {
+        let id = &replica.backend.id;
+        !without.contains(id)
+            && state.health.is_usable(id)
+            && version.is_none_or(|version| replica.version == version)
+    };
+    let candidates = pool.candidates(&plan.requirement);
+    let replicas: Vec<&ServingReplica> = candidates.into_iter().filter(usable).collect();
+    let weighed: Vec<Candidate> = replicas
+        .iter()
+        .map(|replica| candidate(environment, replica))
+        .collect();
+    let model = &plan.requirement.model;
+    let own_load = state.costs.work_ms(model, plan.prompt_tokens, 1);
+    let random = [environment.random(), environment.random()];
+    let choice = choose(&weighed, plan.affinity, own_load, random)?;
+    let replica = replicas[choice.index];
+    let uncached_tokens = if choice.by_affinity {
+        state
+            .costs
+            .uncached_tokens_at_home(model, plan.prompt_tokens)
+    } else {
+        plan.prompt_tokens
+    };
+    Some(ChosenReplica {
+        key: replica_key(&pool.name, replica),
+        address: replica.backend.address.clone(),
+        uncached_tokens,
+        by_affinity: choice.by_affinity,
+    })
+}
+
+/// The key under which a replica's work is counted.
+#[must_use]
+pub fn replica_key(pool: &str, replica: &ServingReplica) -> ReplicaKey {
+    ReplicaKey {
+        pool: pool.to_owned(),
+        backend_id: replica.backend.id.clone(),
+        model: replica.model.clone(),
+        version: replica.version.clone(),
+    }
+}
+
+fn candidate<E: RequestEnvironment>(environment: &E, replica: &ServingReplica) -> Candidate {
+    let state = environment.state();
+    let backend = &replica.backend;
+    let load = state
+        .board
+        .backend_load(&backend.id, backend.cores, &state.costs);
+    Candidate {
+        backend_id: backend.id.clone(),
+        weight_milli: replica.weight_milli,
+        load,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/message.rs
@@ -0,0 +1,192 @@
+//! Messages between the request path and its environment.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bytes::Bytes;
+use millford_api::command::RunOutcome;
+use millford_core::{Duration, ResultCode};
+
+/// Set once a byte of a request may have left for a backend.
+#[derive(Clone, Debug, Default)]
+pub struct SentMark(Arc<AtomicBool>);
+
+impl SentMark {
+    /// From now on the request may have run.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether a byte may have left.
+    #[must_use]
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// Method of a request to a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendMethod {
+    /// A lookup.
+    Get,
+    /// A completion.
+    Post,
+}
+
+/// Continues a run at a sequence number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResumeFrom(pub u64);
+
+/// One attempt at a request.
+#[derive(Clone, Debug)]
+pub struct BackendRequest {
+    /// Id of the backend, for connection records and logs.
+    pub backend_id: String,
+    /// IP address and port of the backend.
+    pub address: String,
+    /// Method.
+    pub method: BackendMethod,
+    /// Path and query.
+    pub path: String,
+    /// Attempt id that the answer must echo.
+    pub attempt: String,
+    /// Run that the attempt starts or continues.
+    pub run: String,
+    /// Version of the model, if known.
+    pub version: String,
+    /// Stage, if the request or the route names one.
+    pub stage: String,
+    /// Adapter, if the request or the route names one.
+    pub adapter: String,
+    /// Where to continue a run, if the attempt does not start one.
+    pub resume_from: Option<ResumeFrom>,
+    /// Time left for the whole answer.
+    pub time_left: Duration,
+    /// Body; empty for lookups.
+    pub body: Bytes,
+    /// Set before the first byte leaves.
+    pub sent: SentMark,
+}
+
+/// Why no answer head arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchError {
+    /// No connection was opened: no byte left.
+    NotConnected,
+    /// The connection broke or carried something that is not HTTP.
+    Lost,
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length in bytes.
+    Length(u64),
+    /// By its last chunk.
+    Chunked,
+    /// Not at all: it ends with the connection, so a cut cannot be seen.
+    UntilClose,
+}
+
+/// Head of a backend's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Attempt id that the backend echoed.
+    pub attempt: Option<String>,
+    /// Whether the backend says that the request did not run.
+    pub not_run: bool,
+    /// Sequence number at which the backend continues the run.
+    pub resume_at: Option<u64>,
+    /// When the backend wants to be asked again, in milliseconds.
+    pub retry_after_ms: Option<u32>,
+    /// Content type.
+    pub content_type: String,
+    /// How the end of the body is told.
+    pub framing: Framing,
+}
+
+/// Why a body ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerError {
+    /// The connection ended before the body did.
+    Cut,
+    /// The bytes break the protocol.
+    Malformed,
+}
+
+/// One request of a tenant wants to be admitted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuotaAsk {
+    /// Tenant.
+    pub tenant: String,
+    /// Whether a stream slot is needed too.
+    pub stream: bool,
+    /// Longest time to wait for the decision.
+    pub timeout: Duration,
+}
+
+/// The agent's decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaAnswer {
+    /// The request may go.
+    Granted,
+    /// The request may not go.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+    },
+}
+
+/// An admitted request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuotaRelease {
+    /// Tenant.
+    pub tenant: String,
+    /// Whether a stream slot is free again.
+    pub stream: bool,
+    /// Whether the request was never sent, so that its token is given back.
+    pub unused: bool,
+}
+
+/// What became of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The single run is this request's.
+    Granted,
+    /// Another request with the same key had it.
+    Taken(RunOutcome),
+    /// The key belongs to a request with another body.
+    KeyReused,
+    /// Not recorded in time.
+    Unavailable,
+}
+
+/// An attempt to be withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WithdrawRequest {
+    /// Id of the backend.
+    pub backend_id: String,
+    /// IP address and port of the backend.
+    pub address: String,
+    /// Attempt.
+    pub attempt: String,
+    /// Longest time to wait for the answer.
+    pub timeout: Duration,
+}
+
+/// What the backend says about a withdrawn attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WithdrawAnswer {
+    /// It never ran and never will, even if it arrives later.
+    Withdrawn,
+    /// It is running.
+    Running,
+    /// It ran to its end.
+    Finished,
+    /// No answer.
+    Unknown,
+}
--- /dev/null
+++ b/crates/proxy/src/request/mod.rs
@@ -0,0 +1,33 @@
+//! The request path: one function a request, read from top to bottom.
+//!
+//! [`completion::serve_completion`] and [`lookup::serve_lookup`] hold the order of the steps; the
+//! other modules are the steps. Everything outside the process is reached through
+//! [`environment::RequestEnvironment`], so that the simulator runs the same functions.
+
+pub mod admit;
+pub mod attempt;
+pub mod authenticate;
+pub mod caller;
+pub mod chat_request;
+pub mod choose_backend;
+pub mod claim_hold;
+pub mod completion;
+pub mod deadline;
+pub mod environment;
+pub mod failure;
+pub mod first_answer;
+pub mod lookup;
+pub mod message;
+pub mod piece;
+pub mod piece_reader;
+pub mod plain_body;
+pub mod plan;
+pub mod quota_hold;
+pub mod record;
+pub mod refusal;
+pub mod relay;
+pub mod reply;
+pub mod send_progress;
+pub mod sse;
+pub mod stream_watch;
+pub mod wait;
--- /dev/null
+++ b/crates/proxy/src/request/piece.rs
@@ -0,0 +1,75 @@
+//! One piece of a stream.
+
+use bytes::Bytes;
+use serde_json::{Map, Value};
+
+use crate::backend_protocol::PIECE_FIELD;
+
+/// Tokens that a backend counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the prompt that were found in the cache.
+    pub cached_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+}
+
+impl Usage {
+    /// Reads the `usage` field of a piece or a body.
+    #[must_use]
+    pub fn read(fields: &Map<String, Value>) -> Option<Self> {
+        let usage = fields.get("usage")?.as_object()?;
+        let number = |name: &str| usage.get(name).and_then(Value::as_u64).unwrap_or(0);
+        Some(Self {
+            prompt_tokens: number("prompt_tokens"),
+            cached_tokens: number("cached_tokens"),
+            completion_tokens: number("completion_tokens"),
+        })
+    }
+}
+
+/// A piece with the run and the sequence number that the backend gave it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Piece {
+    /// Run of the piece.
+    pub run: String,
+    /// Place in the run, from 0.
+    pub sequence: u64,
+    /// Usage, in the last piece of a run.
+    pub usage: Option<Usage>,
+    chunk: Map<String, Value>,
+}
+
+impl Piece {
+    /// Reads the data of an event; nothing if it is not a numbered piece.
+    #[must_use]
+    pub fn parse(data: &str) -> Option<Self> {
+        let Ok(Value::Object(mut chunk)) = serde_json::from_str(data) else {
+            return None;
+        };
+        let mark = chunk.remove(PIECE_FIELD)?;
+        Some(Self {
+            run: mark.get("run")?.as_str()?.to_owned(),
+            sequence: mark.get("seq")?.as_u64()?,
+            usage: Usage::read(&chunk),
+            chunk,
+        })
+    }
+
+    /// The event for the caller: the sequence number as its id, the chunk in the usual shape.
+    #[must_use]
+    pub fn into_caller_event(mut self, request_id: &str) -> Bytes {
+        // One id over the whole stream, also when another backend continues it.
+        self.chunk.insert(
+            "id".to_owned(),
+            Value::String(format!("chatcmpl-{request_id}")),
+        );
+        self.chunk
+            .entry("object")
+            .or_insert_with(|| Value::String("chat.completion.chunk".to_owned()));
+        let data = Value::Object(self.chunk);
+        Bytes::from(format!("id: {}\ndata: {data}\n\n", self.sequence))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/relay.rs
@@ -0,0 +1,282 @@
+//! Relays a stream to the caller, from one backend or, where the route allows, from the next.
+
+use millford_api::config::Resume;
+use millford_core::{Duration, MonotonicTime, ResultCode, RunState};
+use millford_routing::EjectionReason;
+
+use crate::proxy_metrics::ProxyMetrics;
+use crate::request::attempt::{Attempt, FirstPart, Opened};
+use crate::request::caller::{CallerPresence, CallerSink};
+use crate::request::choose_backend::choose_backend;
+use crate::request::environment::RequestEnvironment;
+use crate::request::failure::RunFate;
+use crate::request::first_answer::Ended;
+use crate::request::piece::{Piece, Usage};
+use crate::request::piece_reader::{PieceReader, StreamItem};
+use crate::request::plan::RequestPlan;
+use crate::request::refusal::Refusal;
+use crate::request::reply::{Reply, ReplyError};
+use crate::request::stream_watch::{StreamWatch, WatchVerdict};
+use crate::request::wait::{Waited, wait_until};
+
+/// What the stream brought, for the cost fit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamTotals {
+    /// Time from the attempt's start to its first piece.
+    pub first_token: Duration,
+    /// Time from the first piece to the last.
+    pub decode: Duration,
+    /// Pieces relayed.
+    pub pieces: u64,
+    /// Usage, if the backend sent it.
+    pub usage: Option<Usage>,
+}
+
+/// Why the present backend gives no more pieces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interruption {
+    Broken(ResultCode),
+    Deadline,
+    CallerGone,
+}
+
+/// Relays the stream to its end marker, or says why it ended.
+pub async fn relay_stream<'a, E, C>(
+    environment: &'a E,
+    plan: &RequestPlan,
+    opened: Opened<'a, E>,
+    reply: &mut Reply<'a, E, C>,
+) -> Result<StreamTotals, Ended>
+where
+    E: RequestEnvironment,
+    C: CallerSink,
+{
+    let presence = reply.presence();
+    let mut totals = StreamTotals {
+        first_token: environment.now().since(opened.attempt.started),
+        ..StreamTotals::default()
+    };
+    let mut attempt = opened.attempt;
+    let FirstPart::Stream { mut reader, first } = opened.part else {
+        return Err(Refusal::may_have_run(ResultCode::BackendError).into());
+    };
+    attempt.ticket.first_piece();
+    let first_piece_at = environment.now();
+    let mut watch = StreamWatch::new(first_piece_at);
+    let mut item = Ok(first);
+    reply.begin_stream().await.map_err(ended_by_reply)?;
+    loop {
+        match item {
+            Ok(StreamItem::Piece(piece)) => {
+                totals.pieces += 1;
+                totals.usage = piece.usage.or(totals.usage);
+                totals.decode = environment.now().since(first_piece_at);
+                send_piece(plan, piece, reply).await?;
+            }
+            Ok(StreamItem::Done) => {
+                note_stray_bytes(environment, &reader);
+                attempt.finish();
+                reply.done(plan.deadline).await.map_err(ended_by_reply)?;
+                return Ok(totals);
+            }
+            Ok(StreamItem::BackendError) => {
+                attempt.finish();
+                return Err(Refusal::may_have_run(ResultCode::BackendError).into());
+            }
+            Err(Interruption::CallerGone) => return Err(Ended::CallerGone(RunState::MayHaveRun)),
+            Err(Interruption::Deadline) => {
+                return Err(Refusal::may_have_run(ResultCode::DeadlineAfterSend).into());
+            }
+            Err(Interruption::Broken(code)) => {
+                note_broken(environment, &attempt, code);
+                let next_sequence = reader.next_sequence();
+                let lost = Lost {
+                    backend_id: attempt.replica.key.backend_id.clone(),
+                    version: attempt.replica.key.version.clone(),
+                    run: attempt.run.clone(),
+                    next_sequence,
+                    code,
+                };
+                // The old connection is closed and its attempt withdrawn before another backend
+                // is asked: nothing of the old one can come between the pieces of the new one.
+                drop(reader);
+                drop(attempt);
+                let moved = move_stream(environment, plan, &presence, &lost).await?;
+                attempt = moved.attempt;
+                let FirstPart::Stream {
+                    reader: rest,
+                    first,
+                } = moved.part
+                else {
+                    return Err(Refusal::may_have_run(code).into());
+                };
+                attempt.ticket.first_piece();
+                reader = rest;
+                watch = StreamWatch::new(environment.now());
+                item = Ok(first);
+                continue;
+            }
+        }
+        item = next_item(
+            environment,
+            plan,
+            &presence,
+            &mut reader,
+            &mut watch,
+            &mut attempt,
+        )
+        .await;
+    }
+}
+
+/// A stream that lost its backend.
+struct Lost {
+    backend_id: String,
+    version: String,
+    run: String,
+    next_sequence: u64,
+    code: ResultCode,
+}
+
+async fn send_piece<E: RequestEnvironment, C: CallerSink>(
+    plan: &RequestPlan,
+    piece: Piece,
+    reply: &mut Reply<'_, E, C>,
+) -> Result<(), Ended> {
+    let event = piece.into_caller_event(&plan.request_id);
+    reply
+        .send_event(event, plan.deadline)
+        .await
+        .map_err(ended_by_reply)
+}
+
+/// Waits for the next item, looking at the backend's state from time to time.
+async fn next_item<E: RequestEnvironment, P: CallerPresence>(
+    environment: &E,
+    plan: &RequestPlan,
+    presence: &P,
+    reader: &mut PieceReader<E::Answer>,
+    watch: &mut StreamWatch,
+    attempt: &mut Attempt<'_, E>,
+) -> Result<StreamItem, Interruption> {
+    let backend_id = attempt.replica.key.backend_id.clone();
+    let waited_from = environment.now();
+    loop {
+        match watch.look(environment, plan, &backend_id) {
+            WatchVerdict::Wait => {}
+            WatchVerdict::Silent => return Err(Interruption::Broken(ResultCode::BackendSilent)),
+            WatchVerdict::Drained => return Err(Interruption::Broken(ResultCode::BackendLost)),
+        }
+        if watch.is_draining() {
+            attempt.ticket.held();
+        }
+        let look_again = environment.now() + environment.state().limits.backend_check;
+        let until = look_again.min(plan.deadline);
+        match wait_until(environment, presence, until, reader.next()).await {
+            Waited::Ready(Ok(item)) => {
+                note_heard(environment, watch, &backend_id, waited_from);
+                return Ok(item);
+            }
+            Waited::Ready(Err(code)) => return Err(Interruption::Broken(code)),
+            Waited::TimeUp if environment.now() >= plan.deadline => {
+                return Err(Interruption::Deadline);
+            }
+            Waited::TimeUp => {}
+            Waited::CallerGone => return Err(Interruption::CallerGone),
+        }
+    }
+}
+
+/// Lets another backend continue the run at exactly the next sequence number.
+async fn move_stream<'a, E: RequestEnvironment, P: CallerPresence>(
+    environment: &'a E,
+    plan: &RequestPlan,
+    presence: &P,
+    lost: &Lost,
+) -> Result<Opened<'a, E>, Ended> {
+    let state = environment.state();
+    let broken = || Ended::Refused(Refusal::may_have_run(lost.code));
+    let allowed = plan.is_repeatable() && plan.route.resume == Resume::Continue;
+    if !allowed {
+        return Err(broken());
+    }
+    let mut tried = vec![lost.backend_id.clone()];
+    for _ in 0..state.limits.max_connects {
+        let version = Some(lost.version.as_str());
+        let replica = choose_backend(environment, plan, &tried, version).ok_or_else(broken)?;
+        if environment.now() >= plan.deadline || !state.budget.try_spend() {
+            return Err(broken());
+        }
+        state
+            .metrics
+            .second_sends
+            .with_label_values(&["resume"])
+            .inc();
+        tried.push(replica.key.backend_id.clone());
+        let run = lost.run.clone();
+        let attempt = Attempt::resume(environment, replica, run, lost.next_sequence);
+        let running = attempt.run(plan);
+        match wait_until(environment, presence, plan.deadline, running).await {
+            Waited::Ready(Ok(opened)) => {
+                state.metrics.moved_streams.inc();
+                return Ok(opened);
+            }
+            Waited::Ready(Err(failed)) if failed.failure.fate == RunFate::NotSent => {
+                state.budget.refund();
+            }
+            Waited::Ready(Err(failed)) => environment.withdraw_later(failed.reference),
+            Waited::TimeUp => {
+                return Err(Refusal::may_have_run(ResultCode::DeadlineAfterSend).into());
+            }
+            Waited::CallerGone => return Err(Ended::CallerGone(RunState::MayHaveRun)),
+        }
+    }
+    Err(broken())
+}
+
+fn note_heard<E: RequestEnvironment>(
+    environment: &E,
+    watch: &mut StreamWatch,
+    backend_id: &str,
+    waited_from: MonotonicTime,
+) {
+    let state = environment.state();
+    let now = environment.now();
+    watch.heard(now);
+    state.health.heard(backend_id, now);
+    let waited = now.since(waited_from);
+    ProxyMetrics::observe(&state.metrics.inter_token_seconds, waited);
+}
+
+fn note_broken<E: RequestEnvironment>(environment: &E, attempt: &Attempt<'_, E>, code: ResultCode) {
+    let state = environment.state();
+    let key = &attempt.replica.key;
+    state.board.add_failure(key);
+    let pool_shows_active = state
+        .table()
+        .pool(&key.pool)
+        .is_some_and(|pool| pool.backend_is_active(&key.backend_id));
+    match code {
+        ResultCode::BackendSilent => state.eject(&key.backend_id, EjectionReason::Silent),
+        // A stream cut off at the end of a drain says nothing about the backend's health.
+        ResultCode::BackendLost if pool_shows_active => {
+            state.eject(&key.backend_id, EjectionReason::ConnectionLost);
+        }
+        _ => {}
+    }
+}
+
+/// Bytes after the end marker are dropped with the connection and never attributed.
+fn note_stray_bytes<E: RequestEnvironment>(environment: &E, reader: &PieceReader<E::Answer>) {
+    if reader.pending_bytes() > 0 {
+        let dropped = &environment.state().metrics.dropped_answers;
+        dropped.with_label_values(&["stray_bytes"]).inc();
+    }
+}
+
+fn ended_by_reply(error: ReplyError) -> Ended {
+    match error {
+        ReplyError::CallerGone => Ended::CallerGone(RunState::MayHaveRun),
+        ReplyError::TimeUp => Refusal::may_have_run(ResultCode::DeadlineAfterSend).into(),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/reply.rs
@@ -0,0 +1,149 @@
+//! Writes one answer to the caller, in whichever form it began.
+
+use bytes::Bytes;
+use millford_core::{MonotonicTime, ResultCode};
+
+use crate::backend_protocol::{DONE_MARKER, ERROR_EVENT};
+use crate::request::caller::{CallerGone, CallerHead, CallerSink};
+use crate::request::environment::RequestEnvironment;
+use crate::request::refusal::Refusal;
+use crate::request::wait::{Waited, wait_until};
+
+const JSON: &str = "application/json";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Time for a caller to take the end of an answer after its deadline.
+const LAST_WORDS: millford_core::Duration = millford_core::Duration::from_secs(1);
+
+/// Why a part could not be given to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyError {
+    /// The caller left.
+    CallerGone,
+    /// The deadline passed while the caller read slowly.
+    TimeUp,
+}
+
+impl From<CallerGone> for ReplyError {
+    fn from(_: CallerGone) -> Self {
+        ReplyError::CallerGone
+    }
+}
+
+/// The answer to one caller.
+pub struct Reply<'a, E, C> {
+    environment: &'a E,
+    sink: &'a mut C,
+    request_id: String,
+    revision: u64,
+    begun: bool,
+}
+
+impl<'a, E: RequestEnvironment, C: CallerSink> Reply<'a, E, C> {
+    /// An answer that has not begun.
+    pub fn new(environment: &'a E, sink: &'a mut C, request_id: String, revision: u64) -> Self {
+        Self {
+            environment,
+            sink,
+            request_id,
+            revision,
+            begun: false,
+        }
+    }
+
+    /// Handle to wait for the caller's leaving.
+    #[must_use]
+    pub fn presence(&self) -> C::Presence {
+        self.sink.presence()
+    }
+
+    /// Begins a stream.
+    pub async fn begin_stream(&mut self) -> Result<(), ReplyError> {
+        let head = self.head(200, EVENT_STREAM, None, None);
+        self.begun = true;
+        Ok(self.sink.begin(head).await?)
+    }
+
+    /// Gives the caller an event of the stream, within the deadline.
+    pub async fn send_event(
+        &mut self,
+        event: Bytes,
+        deadline: MonotonicTime,
+    ) -> Result<(), ReplyError> {
+        let presence = self.sink.presence();
+        let sending = self.sink.send(event);
+        match wait_until(self.environment, &presence, deadline, sending).await {
+            Waited::Ready(sent) => Ok(sent?),
+            Waited::TimeUp => Err(ReplyError::TimeUp),
+            Waited::CallerGone => Err(ReplyError::CallerGone),
+        }
+    }
+
+    /// Ends a whole stream.
+    pub async fn done(&mut self, deadline: MonotonicTime) -> Result<(), ReplyError> {
+        let event = Bytes::from(format!("data: {DONE_MARKER}\n\n"));
+        self.send_event(event, deadline).await?;
+        self.sink.finish();
+        Ok(())
+    }
+
+    /// Gives a whole plain answer.
+    pub async fn whole(&mut self, body: Bytes, content_type: &str) -> Result<(), ReplyError> {
+        let head = self.head(200, content_type, Some(body.len()), None);
+        self.begun = true;
+        self.sink.begin(head).await?;
+        self.sink.send(body).await?;
+        self.sink.finish();
+        Ok(())
+    }
+
+    /// Ends the answer with a refusal: as its body, or as the last event of a stream.
+    pub async fn refuse(&mut self, refusal: &Refusal) -> Result<(), ReplyError> {
+        if self.begun {
+            return self.end_stream_with_error(refusal).await;
+        }
+        let body = Bytes::from(refusal.body());
+        let retry_after = refusal.retry_after_ms;
+        let head = self.head(refusal.status(), JSON, Some(body.len()), retry_after);
+        self.begun = true;
+        self.sink.begin(head).await?;
+        self.sink.send(body).await?;
+        self.sink.finish();
+        Ok(())
+    }
+
+    /// There is no end marker after an error event: a cut stream never looks whole.
+    async fn end_stream_with_error(&mut self, refusal: &Refusal) -> Result<(), ReplyError> {
+        let event = format!("event: {ERROR_EVENT}\ndata: {}\n\n", refusal.body());
+        let until = self.environment.now() + LAST_WORDS;
+        self.send_event(Bytes::from(event), until).await?;
+        self.sink.finish();
+        Ok(())
+    }
+
+    fn head(
+        &self,
+        status: u16,
+        content_type: &str,
+        content_length: Option<usize>,
+        retry_after_ms: Option<u32>,
+    ) -> CallerHead {
+        CallerHead {
+            status,
+            content_type: content_type.to_owned(),
+            content_length,
+            request_id: self.request_id.clone(),
+            revision: self.revision,
+            retry_after_ms,
+        }
+    }
+}
+
+/// The result code that a failure to reply is counted as.
+#[must_use]
+pub fn code_of(error: ReplyError) -> ResultCode {
+    match error {
+        ReplyError::CallerGone => ResultCode::Ok,
+        ReplyError::TimeUp => ResultCode::DeadlineAfterSend,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/sse.rs
@@ -0,0 +1,90 @@
+//! Server-sent events.
+
+/// Largest event accepted, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SseEvent {
+    /// Name; empty for plain data.
+    pub name: String,
+    /// Data lines, joined by line feeds.
+    pub data: String,
+}
+
+/// The bytes are not an event stream, or an event is too large.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SseFault;
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct SseDecoder {
+    buffer: Vec<u8>,
+}
+
+impl SseDecoder {
+    /// Adds bytes in the order in which they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes that are not part of an event taken so far.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Takes the next whole event; nothing while more bytes are needed.
+    pub fn next_event(&mut self) -> Result<Option<SseEvent>, SseFault> {
+        while let Some(end) = event_end(&self.buffer) {
+            let block: Vec<u8> = self.buffer.drain(..end).collect();
+            let event = parse_event(&block)?;
+            if !event.name.is_empty() || !event.data.is_empty() {
+                return Ok(Some(event));
+            }
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(SseFault);
+        }
+        Ok(None)
+    }
+}
+
+/// Position after the blank line that ends the first event.
+fn event_end(buffer: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (position, byte) in buffer.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buffer[line_start..position];
+        if line.is_empty() || line == b"\r" {
+            return Some(position + 1);
+        }
+        line_start = position + 1;
+    }
+    None
+}
+
+fn parse_event(block: &[u8]) -> Result<SseEvent, SseFault> {
+    let text = std::str::from_utf8(block).map_err(|_| SseFault)?;
+    let mut event = SseEvent::default();
+    let mut has_data = false;
+    for line in text.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "data" if has_data => {
+                event.data.push('\n');
+                event.data.push_str(value);
+            }
+            "data" => {
+                event.data.push_str(value);
+                has_data = true;
+            }
+            "event" => event.name.push_str(value),
+            _ => {}
+        }
+    }
+    Ok(event)
+}
--- /dev/null
+++ b/crates/proxy/src/request/stream_watch.rs
@@ -0,0 +1,140 @@
+//! Watches the backend of a waiting request: silence, ejection, drain.
+
+use std::future::Future;
+use std::pin::pin;
+
+use futures::future::{Either, select};
+use millford_core::{Duration, MonotonicTime, ResultCode};
+use millford_routing::EjectionReason;
+
+use crate::request::environment::RequestEnvironment;
+use crate::request::failure::AttemptFailure;
+use crate::request::plan::RequestPlan;
+
+/// A gap between two looks counts as at most this many times the usual one.
+///
+/// When the whole process was frozen, silence during the freeze says nothing about the backend.
+const LARGEST_COUNTED_GAP: u32 = 2;
+
+/// Silence beyond this many limits ends a stream even if no other backend is heard.
+const SILENCE_ALONE_FACTOR: u32 = 2;
+
+/// What a look at a stream's backend tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchVerdict {
+    /// Keep waiting.
+    Wait,
+    /// Silent for too long: the backend is ejected.
+    Silent,
+    /// The drain time of the backend is over.
+    Drained,
+}
+
+/// Runs a future until its backend is ejected for silence.
+pub async fn until_ejected<E: RequestEnvironment, T>(
+    environment: &E,
+    backend_id: &str,
+    future: impl Future<Output = Result<T, AttemptFailure>>,
+) -> Result<T, AttemptFailure> {
+    let state = environment.state();
+    let mut future = pin!(future);
+    loop {
+        let pause = pin!(environment.sleep(state.limits.backend_check));
+        match select(future.as_mut(), pause).await {
+            Either::Left((output, _)) => return output,
+            Either::Right(_) => {}
+        }
+        if state.health.ejection(backend_id) == Some(EjectionReason::Silent) {
+            return Err(AttemptFailure::unknown(ResultCode::BackendSilent));
+        }
+    }
+}
+
+/// Silence and drain of one open stream.
+#[derive(Debug)]
+pub struct StreamWatch {
+    silent: Duration,
+    looked_at: MonotonicTime,
+    draining_since: Option<MonotonicTime>,
+}
+
+impl StreamWatch {
+    /// A watch that starts at the time of the first piece.
+    #[must_use]
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            silent: Duration::ZERO,
+            looked_at: now,
+            draining_since: None,
+        }
+    }
+
+    /// A piece came.
+    pub fn heard(&mut self, now: MonotonicTime) {
+        self.silent = Duration::ZERO;
+        self.looked_at = now;
+    }
+
+    /// Whether the backend drains.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining_since.is_some()
+    }
+
+    /// Looks at the backend after a while without a piece, or between two pieces.
+    pub fn look<E: RequestEnvironment>(
+        &mut self,
+        environment: &E,
+        plan: &RequestPlan,
+        backend_id: &str,
+    ) -> WatchVerdict {
+        let now = environment.now();
+        let limits = &environment.state().limits;
+        let counted_gap = limits.backend_check * LARGEST_COUNTED_GAP;
+        self.silent += now.since(self.looked_at).min(counted_gap);
+        self.looked_at = now;
+        if self.is_silent(environment, backend_id) {
+            return WatchVerdict::Silent;
+        }
+        if self.drain_is_over(environment, plan, backend_id) {
+            return WatchVerdict::Drained;
+        }
+        WatchVerdict::Wait
+    }
+
+    fn is_silent<E: RequestEnvironment>(&self, environment: &E, backend_id: &str) -> bool {
+        let state = environment.state();
+        let limit = state.limits.stream_silence;
+        if self.silent < limit {
+            return false;
+        }
+        let others_go_on = state
+            .health
+            .others_heard(backend_id, environment.now(), limit);
+        let already_ejected = !state.health.is_usable(backend_id);
+        others_go_on || already_ejected || self.silent >= limit * SILENCE_ALONE_FACTOR
+    }
+
+    fn drain_is_over<E: RequestEnvironment>(
+        &mut self,
+        environment: &E,
+        plan: &RequestPlan,
+        backend_id: &str,
+    ) -> bool {
+        let now = environment.now();
+        let table = environment.state().table();
+        let Some(pool) = table.pool(&plan.route.pool) else {
+            return false;
+        };
+        if pool.backend_is_active(backend_id) {
+            self.draining_since = None;
+            return false;
+        }
+        let since = *self.draining_since.get_or_insert(now);
+        // Looks come every `backend_check`: one less than the pool's time keeps within it.
+        let allowed = pool
+            .drain
+            .saturating_sub(environment.state().limits.backend_check * 2);
+        now.since(since) >= allowed
+    }
+}
--- a/crates/routing/src/backend_health.rs
+++ b/crates/routing/src/backend_health.rs
@@ -88,6 +88,12 @@
             .is_none_or(|health| health.ejected.is_none())
     }
 
+    /// Why the backend is ejected, if it is.
+    #[must_use]
+    pub fn ejection(&self, id: &str) -> Option<EjectionReason> {
+        self.lock().get(id).and_then(|health| health.ejected)
+    }
+
     /// A probe was answered. Answers whether it brought the backend back.
     pub fn probe_succeeded(&self, id: &str, now: MonotonicTime) -> bool {
         self.entry(id, |health| {
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -1,7 +1,6 @@
 //! Budget for sends to a second backend.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// What each first send earns, in thousandths of a second send.
 pub const EARNED_PER_FIRST_SEND_MILLI: u64 = 150;
@@ -24,24 +23,30 @@
 impl RetryBudget {
     /// Counts a first send.
     pub fn earn(&self) {
-        let mut saved = self
-            .saved_milli
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut saved = self.lock();
         *saved = (*saved + EARNED_PER_FIRST_SEND_MILLI).min(LARGEST_SAVING_MILLI);
     }
 
+    /// Gives back a second send of which no byte left.
+    pub fn refund(&self) {
+        let mut saved = self.lock();
+        *saved = (*saved + SECOND_SEND_MILLI).min(LARGEST_SAVING_MILLI);
+    }
+
     /// Takes one second send out of the budget, if it holds one.
     #[must_use]
     pub fn try_spend(&self) -> bool {
-        let mut saved = self
-            .saved_milli
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut saved = self.lock();
         let Some(left) = saved.checked_sub(SECOND_SEND_MILLI) else {
             return false;
         };
         *saved = left;
         true
     }
+
+    fn lock(&self) -> MutexGuard<'_, u64> {
+        self.saved_milli
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
