Lab: fleet of real processes on loopback and example documents

Aim: start, signal and end every process of a site by its own id, and await ready lines. Considered: fixed ports; free ports picked by binding let several fleets run on one machine. Change: fleet module, backend and registry commands, engine driven by the shared cost model in place of the minimal one, example documents for the demonstration and both sites. Conclusion: compiles; daemons are awaited.

--- /dev/null
+++ b/crates/lab/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands of `millford-lab`.
+
+pub mod backend;
+pub mod registry;
--- a/crates/lab/src/emulator/completion.rs
+++ b/crates/lab/src/emulator/completion.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::cost::PrefillCost;
+use super::engine::EngineRun;
 use super::execution::Execution;
 use super::http::{EmulatorBody, header_text, json_answer, refusal, set_attempt};
 use super::prompt::Prompt;
@@ -50,12 +50,28 @@
         .ok();
     let execution = execution(&state, &headers, &prompt, resume_from.unwrap_or(0));
     let answer = AnswerText::new(&execution.marker, &execution.run);
-    let Some(mut running) = state.begin(execution) else {
+    let left = prompt
+        .pieces()
+        .saturating_sub(resume_from.unwrap_or(0))
+        .max(1);
+    let output_tokens = u32::try_from(left).unwrap_or(u32::MAX);
+    let mut work = match state
+        .engine
+        .start(&prompt.model, &prompt.text(), output_tokens)
+    {
+        Ok(work) => work,
+        Err(refused) => {
+            return refusal(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &attempt,
+                &refused.to_string(),
+            );
+        }
+    };
+    let Some(running) = state.begin(execution) else {
         return refusal(ATTEMPT_CLOSED, &attempt, "attempt withdrawn or already run");
     };
-    let cost = state.prefill(&prompt.model, &prompt.text());
-    sleep(state.scaled(cost.duration)).await;
-    running.start_decoding();
+    work.wait_for(1).await;
     let crossed = state.faults.borrow().crossed;
     let answer = if crossed {
         AnswerText::new(CROSSED, CROSSED)
@@ -72,7 +88,7 @@
         stage: Stage::Pieces,
         answer,
         running,
-        cost,
+        work,
         stray,
     };
     let mut response = if prompt.stream {
@@ -130,7 +146,7 @@
     running: RunningExecution,
     answer: AnswerText,
     model: String,
-    cost: PrefillCost,
+    work: EngineRun,
     sequence: u64,
     pieces: u64,
     sent: u64,
@@ -166,9 +182,7 @@
     }
 
     async fn next_piece(&mut self) -> io::Result<Frame<Bytes>> {
-        if self.sent > 0 {
-            self.pace().await;
-        }
+        self.pace().await;
         if self.is_cut() {
             return Err(io::Error::other("cut by a fault switch"));
         }
@@ -183,8 +197,9 @@
     }
 
     /// Waits for the next token; a dark backend waits until it is lit again.
-    async fn pace(&self) {
-        sleep(self.state.scaled(self.state.decode_interval())).await;
+    async fn pace(&mut self) {
+        let tokens = u32::try_from(self.sent + 1).unwrap_or(u32::MAX);
+        self.work.wait_for(tokens).await;
         let mut faults = self.state.faults.subscribe();
         let _ = faults.wait_for(|faults| !faults.dark).await;
     }
@@ -221,8 +236,8 @@
 
     fn usage(&self) -> Value {
         json!({
-            "prompt_tokens": self.cost.prompt_tokens,
-            "cached_tokens": self.cost.cached_tokens,
+            "prompt_tokens": self.work.prompt_tokens,
+            "cached_tokens": self.work.started.cached_tokens,
             "completion_tokens": self.pieces,
         })
     }
@@ -230,6 +245,7 @@
     async fn plain(mut self) -> Response<EmulatorBody> {
         for _ in self.sequence..self.pieces {
             self.pace().await;
+            self.sent += 1;
         }
         let body = json!({
             "id": format!("chatcmpl-{}", self.answer.run()),
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod attempts;
 pub mod completion;
-pub mod cost;
+pub mod engine;
 pub mod execution;
 pub mod execution_log;
 pub mod faults;
--- a/crates/lab/src/emulator/registration.rs
+++ b/crates/lab/src/emulator/registration.rs
@@ -35,7 +35,7 @@
     let options = &state.options;
     let mut load = BTreeMap::new();
     for declaration in &options.declarations {
-        load.insert(declaration.model.clone(), state.load());
+        load.insert(declaration.model.clone(), state.engine.load());
     }
     BackendRecord {
         id: options.id.clone(),
--- a/crates/lab/src/emulator/server.rs
+++ b/crates/lab/src/emulator/server.rs
@@ -32,7 +32,7 @@
 pub struct BackendServer {
     state: Arc<BackendState>,
     address: SocketAddr,
-    task: JoinHandle<()>,
+    tasks: [JoinHandle<()>; 2],
 }
 
 impl BackendServer {
@@ -41,11 +41,14 @@
         let listener = TcpListener::bind(options.address).await?;
         let address = listener.local_addr()?;
         let state = BackendState::new(options)?;
-        let task = tokio::spawn(accept(listener, Arc::clone(&state)));
+        let tasks = [
+            tokio::spawn(accept(listener, Arc::clone(&state))),
+            tokio::spawn(Arc::clone(&state.engine).drive()),
+        ];
         Ok(Self {
             state,
             address,
-            task,
+            tasks,
         })
     }
 
@@ -64,7 +67,9 @@
 
 impl Drop for BackendServer {
     fn drop(&mut self) {
-        self.task.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
     }
 }
 
@@ -106,7 +111,9 @@
     }
     wait_until_lit(&state).await;
     Ok(match (&head.method, path.as_str()) {
-        (&Method::GET, "/v1/health") => json_answer(StatusCode::OK, &json!({"load": state.load()})),
+        (&Method::GET, "/v1/health") => {
+            json_answer(StatusCode::OK, &json!({"load": state.engine.load()}))
+        }
         (&Method::POST, "/v1/chat/completions") => match read(body).await {
             Some(bytes) => complete(state, head.headers, bytes, stray).await,
             None => json_answer(
@@ -149,7 +156,7 @@
     let bytes = read(body).await.unwrap_or_default();
     match serde_json::from_slice::<FaultSwitches>(&bytes) {
         Ok(faults) => {
-            state.faults.send_replace(faults.clone());
+            state.set_faults(faults.clone());
             json_answer(StatusCode::OK, &faults)
         }
         Err(error) => json_answer(
--- a/crates/lab/src/emulator/state.rs
+++ b/crates/lab/src/emulator/state.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use super::attempts::Attempts;
-use super::cost::BackendCost;
+use super::engine::Engine;
 use super::execution::{Execution, ExecutionEnd};
 use super::execution_log::{ExecutionIndex, ExecutionLog};
 use super::faults::FaultSwitches;
@@ -19,6 +19,8 @@
     pub options: BackendOptions,
     /// Fault switches; open streams watch them.
     pub faults: watch::Sender<FaultSwitches>,
+    /// Cost model of the backend.
+    pub engine: Arc<Engine>,
     inner: Mutex<Inner>,
 }
 
@@ -26,7 +28,6 @@
 struct Inner {
     attempts: Attempts,
     executions: ExecutionLog,
-    cost: BackendCost,
 }
 
 impl BackendState {
@@ -39,10 +40,11 @@
         let inner = Inner {
             attempts: Attempts::default(),
             executions,
-            cost: BackendCost::default(),
         };
+        let engine = Engine::new(&options);
         Ok(Arc::new(Self {
             options,
+            engine,
             faults: watch::Sender::new(FaultSwitches::default()),
             inner: Mutex::new(inner),
         }))
@@ -62,7 +64,6 @@
             index,
             attempt,
             end: None,
-            decoding: false,
         })
     }
 
@@ -77,22 +78,11 @@
         self.lock().executions.executions().to_vec()
     }
 
-    /// Takes a prompt into the prefix cache and says what its prefill costs.
-    #[must_use]
-    pub fn prefill(&self, model: &str, text: &str) -> super::cost::PrefillCost {
-        self.lock().cost.prefill(model, text)
-    }
-
-    /// Time to the next token now.
-    #[must_use]
-    pub fn decode_interval(&self) -> Duration {
-        self.lock().cost.decode_interval()
-    }
-
-    /// Share of the bandwidth in use.
-    #[must_use]
-    pub fn load(&self) -> f64 {
-        self.lock().cost.load()
+    /// Sets the fault switches; open streams notice.
+    pub fn set_faults(&self, faults: FaultSwitches) {
+        let slow_factor = faults.slow_factor.max(f64::MIN_POSITIVE);
+        self.engine.set_speed(self.options.speed / slow_factor);
+        self.faults.send_replace(faults);
     }
 
     /// `duration` of the cost model as it passes here, with the speed and the slow fault.
@@ -114,18 +104,9 @@
     index: ExecutionIndex,
     attempt: String,
     end: Option<ExecutionEnd>,
-    decoding: bool,
 }
 
 impl RunningExecution {
-    /// The prefill is over: the stream takes bandwidth from now on.
-    pub fn start_decoding(&mut self) {
-        if !self.decoding {
-            self.decoding = true;
-            self.state.lock().cost.open_stream();
-        }
-    }
-
     /// Every piece was handed to the connection.
     pub fn complete(&mut self) {
         self.end = Some(ExecutionEnd::Completed);
@@ -136,9 +117,6 @@
     fn drop(&mut self) {
         let end = self.end.unwrap_or(ExecutionEnd::Cancelled);
         let mut inner = self.state.lock();
-        if self.decoding {
-            inner.cost.close_stream();
-        }
         inner.executions.end(self.index, end);
         inner.attempts.finish(&self.attempt);
     }
--- /dev/null
+++ b/crates/lab/src/fleet/fleet_process.rs
@@ -0,0 +1,180 @@
+//! One process of the fleet: started, awaited, signalled and ended by its own id.
+
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::error::FleetError;
+use super::ready_line::ReadyLine;
+
+/// Longest wait for a ready line.
+pub const READY_BOUND: Duration = Duration::from_secs(20);
+/// Longest wait for a process to leave after SIGTERM.
+const LEAVE_BOUND: Duration = Duration::from_secs(10);
+
+/// How to start one process.
+#[derive(Clone, Debug)]
+pub struct ProcessSpec {
+    /// Name in messages and of the log file.
+    pub name: String,
+    /// Program file.
+    pub program: PathBuf,
+    /// Arguments.
+    pub arguments: Vec<String>,
+    /// File that takes its output.
+    pub log: PathBuf,
+}
+
+/// One process of the fleet. It is killed when dropped.
+#[derive(Debug)]
+pub struct FleetProcess {
+    spec: ProcessSpec,
+    child: Option<Child>,
+    ready: ReadyLine,
+}
+
+impl FleetProcess {
+    /// Starts the process and waits for its ready line.
+    pub async fn start(spec: ProcessSpec) -> Result<Self, FleetError> {
+        let mut process = Self::spawn(spec)?;
+        process.wait_ready().await?;
+        Ok(process.process)
+    }
+
+    /// Starts the process without waiting.
+    pub fn spawn(spec: ProcessSpec) -> Result<StartingProcess, FleetError> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&spec.log)
+            .map_err(FleetError::io(&spec.name))?;
+        let errors = log.try_clone().map_err(FleetError::io(&spec.name))?;
+        let mut child = Command::new(&spec.program)
+            .args(&spec.arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::from(errors))
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(FleetError::io(&spec.name))?;
+        let (sender, ready) = oneshot::channel();
+        if let Some(stdout) = child.stdout.take() {
+            tokio::spawn(copy_output(stdout, log, sender));
+        }
+        let process = Self {
+            spec,
+            child: Some(child),
+            ready: ReadyLine::default(),
+        };
+        Ok(StartingProcess { process, ready })
+    }
+
+    /// How it was started.
+    #[must_use]
+    pub fn spec(&self) -> &ProcessSpec {
+        &self.spec
+    }
+
+    /// What its ready line said.
+    #[must_use]
+    pub fn ready(&self) -> &ReadyLine {
+        &self.ready
+    }
+
+    /// Process id while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            None => false,
+        }
+    }
+
+    /// Sends a signal, to this process only. False if it has ended.
+    pub fn signal(&self, signal: Signal) -> bool {
+        let id = self.id().and_then(|id| i32::try_from(id).ok());
+        let Some(pid) = id.and_then(Pid::from_raw) else {
+            return false;
+        };
+        kill_process(pid, signal).is_ok()
+    }
+
+    /// Kills it at once and waits for its end.
+    pub async fn kill(&mut self) {
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
+        let _ = child.start_kill();
+        let _ = child.wait().await;
+    }
+
+    /// Asks it to leave and waits; kills it when it does not. Returns its exit status if it left
+    /// by itself.
+    pub async fn leave(&mut self) -> Option<i32> {
+        self.signal(Signal::CONT);
+        self.signal(Signal::TERM);
+        let child = self.child.as_mut()?;
+        let status = timeout(LEAVE_BOUND, child.wait()).await;
+        self.kill().await;
+        status.ok()?.ok()?.code()
+    }
+}
+
+/// A process whose ready line is awaited.
+#[derive(Debug)]
+pub struct StartingProcess {
+    process: FleetProcess,
+    ready: oneshot::Receiver<ReadyLine>,
+}
+
+impl StartingProcess {
+    async fn wait_ready(&mut self) -> Result<(), FleetError> {
+        let name = &self.process.spec.name;
+        match timeout(READY_BOUND, &mut self.ready).await {
+            Ok(Ok(ready)) => {
+                self.process.ready = ready;
+                Ok(())
+            }
+            Ok(Err(_)) => Err(FleetError::EndedEarly {
+                name: name.clone(),
+                log: self.process.spec.log.clone(),
+            }),
+            Err(_) => Err(FleetError::Timeout {
+                what: format!("the ready line of {name}"),
+                bound: READY_BOUND,
+            }),
+        }
+    }
+
+    /// Waits for the ready line.
+    pub async fn ready(mut self) -> Result<FleetProcess, FleetError> {
+        self.wait_ready().await?;
+        Ok(self.process)
+    }
+}
+
+async fn copy_output(stdout: ChildStdout, log: std::fs::File, ready: oneshot::Sender<ReadyLine>) {
+    let mut log = tokio::fs::File::from_std(log);
+    let mut ready = Some(ready);
+    let mut lines = BufReader::new(stdout).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(parsed) = ReadyLine::parse(&line)
+            && let Some(ready) = ready.take()
+        {
+            let _ = ready.send(parsed);
+        }
+        let _ = log.write_all(format!("{line}\n").as_bytes()).await;
+        let _ = log.flush().await;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/ready_line.rs
@@ -0,0 +1,34 @@
+//! The line by which a daemon says that it is ready.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A parsed ready line: `PROGRAM ready KEY=ADDRESS ...`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadyLine {
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl ReadyLine {
+    /// Parses a line; `None` if it is no ready line.
+    #[must_use]
+    pub fn parse(line: &str) -> Option<Self> {
+        let mut words = line.split_whitespace();
+        words.next()?;
+        if words.next()? != "ready" {
+            return None;
+        }
+        let fields = words.filter_map(|word| word.split_once('='));
+        let addresses =
+            fields.filter_map(|(key, value)| Some((key.to_owned(), value.parse().ok()?)));
+        Some(Self {
+            addresses: addresses.collect(),
+        })
+    }
+
+    /// The address under `key`.
+    #[must_use]
+    pub fn address(&self, key: &str) -> Option<SocketAddr> {
+        self.addresses.get(key).copied()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/stand.rs
@@ -0,0 +1,269 @@
+//! A whole fleet on loopback.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use millford_core::hash_tenant_key;
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+use super::backend_machine::{BackendMachine, BackendPlace, LAB_PROGRAM};
+use super::binaries::Binaries;
+use super::control_machine::{ControlCommon, ControlMachine, ControlPlace};
+use super::error::FleetError;
+use super::fleet_process::{FleetProcess, ProcessSpec};
+use super::front_machine::{FrontMachine, FrontPlace};
+use super::operator::{CTL_PROGRAM, Operator};
+use super::ports::free_addresses;
+use super::site::SitePlan;
+use crate::caller::http_client::get;
+use crate::emulator::options::BackendKind;
+
+/// Longest wait for the fleet to serve after the configuration was accepted.
+const SERVE_BOUND: Duration = Duration::from_secs(20);
+/// Pause between two looks at something that sends no event.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// A whole fleet on loopback. Dropping it kills every process of it.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What it consists of.
+    pub plan: SitePlan,
+    /// Registry process.
+    pub registry: FleetProcess,
+    /// Registry address.
+    pub registry_address: SocketAddr,
+    /// Control nodes.
+    pub controls: Vec<ControlMachine>,
+    /// Front machines.
+    pub fronts: Vec<FrontMachine>,
+    /// Backends, model backends first.
+    pub backends: Vec<BackendMachine>,
+    /// Operator's side.
+    pub operator: Operator,
+    /// What control nodes are told.
+    pub common: ControlCommon,
+    /// The programs.
+    pub binaries: Binaries,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts every process; each is ready when this returns, none is configured.
+    pub async fn start(plan: SitePlan, binaries: Binaries) -> Result<Self, FleetError> {
+        let folder = tempfile::Builder::new()
+            .prefix("millford-lab-")
+            .tempdir()
+            .map_err(FleetError::io("making a folder"))?;
+        let addresses = free_addresses(1 + plan.controls * 2)?;
+        let registry_address = addresses[0];
+        let operator_key = format!("operator-{:016x}", rand::random::<u64>());
+        let places = control_places(&plan, &addresses[1..]);
+        let common = ControlCommon {
+            seeds: places.iter().map(|place| place.internal).collect(),
+            registry: registry_address,
+            operator_key_hash: hash_tenant_key(&operator_key),
+            cluster_size: u32::try_from(plan.controls).unwrap_or(3),
+        };
+        let registry = start_registry(&binaries, folder.path(), registry_address).await?;
+        let operator = Operator {
+            key: operator_key,
+            ctl: binaries.path(CTL_PROGRAM)?,
+        };
+        let mut fleet = Self {
+            plan,
+            registry,
+            registry_address,
+            controls: Vec::new(),
+            fronts: Vec::new(),
+            backends: Vec::new(),
+            operator,
+            common,
+            binaries,
+            folder,
+        };
+        fleet.start_backends().await?;
+        fleet.start_controls(places).await?;
+        fleet.start_fronts().await?;
+        Ok(fleet)
+    }
+
+    /// Folder of settings, logs and data.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Operator address of a control node that runs, the first one.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        self.controls[0].place.operator
+    }
+
+    /// Address for callers of a proxy.
+    #[must_use]
+    pub fn proxy_address(&self, index: usize) -> SocketAddr {
+        self.fronts[index % self.fronts.len()].place.callers
+    }
+
+    /// Applies the site's document with the operator's tool and waits until every proxy serves.
+    pub async fn configure(&self) -> Result<String, FleetError> {
+        let path = self.folder().join("document.json");
+        std::fs::write(&path, self.plan.document)
+            .map_err(FleetError::io("writing the document"))?;
+        let output = self
+            .operator
+            .apply_by_tool(self.operator_address(), &path)
+            .await?;
+        self.wait_until_proxies_ready().await?;
+        Ok(output)
+    }
+
+    /// Waits until every proxy answers `/readyz` with success.
+    pub async fn wait_until_proxies_ready(&self) -> Result<(), FleetError> {
+        for front in &self.fronts {
+            let address = front.place.callers;
+            wait_for("a proxy's readiness", SERVE_BOUND, || is_ready(address)).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts one more backend under a new identity at a new address.
+    pub async fn add_backend(&mut self, kind: BackendKind, zone: String) -> Result<(), FleetError> {
+        let place = self.backend_place(kind, zone, free_addresses(1)?[0]);
+        let backend = BackendMachine::start(&self.binaries, self.folder.path(), place).await?;
+        self.backends.push(backend);
+        Ok(())
+    }
+
+    /// Kills every process. The folder goes with the value.
+    pub async fn stop(&mut self) {
+        for front in &mut self.fronts {
+            front.proxy.kill().await;
+            front.agent.kill().await;
+        }
+        for control in &mut self.controls {
+            control.process.kill().await;
+        }
+        for backend in &mut self.backends {
+            backend.process.kill().await;
+        }
+        self.registry.kill().await;
+    }
+
+    /// Keeps the folder on disk and returns its path.
+    pub fn keep_folder(&mut self) -> PathBuf {
+        self.folder.disable_cleanup(true);
+        self.folder.path().to_owned()
+    }
+
+    fn backend_place(&self, kind: BackendKind, zone: String, address: SocketAddr) -> BackendPlace {
+        let name = match kind {
+            BackendKind::Model => "model",
+            BackendKind::Lookup => "lookup",
+        };
+        let id = format!("{name}-{}", self.backends.len() + 1);
+        BackendPlace {
+            id,
+            zone,
+            kind,
+            address,
+            registry: self.registry_address,
+        }
+    }
+
+    async fn start_backends(&mut self) -> Result<(), FleetError> {
+        for index in 0..self.plan.model_backends {
+            self.add_backend(BackendKind::Model, self.plan.zone(index))
+                .await?;
+        }
+        for index in 0..self.plan.lookup_backends {
+            self.add_backend(BackendKind::Lookup, self.plan.zone(index))
+                .await?;
+        }
+        Ok(())
+    }
+
+    async fn start_controls(&mut self, places: Vec<ControlPlace>) -> Result<(), FleetError> {
+        // Together: a node may become ready only after it has met the others.
+        let folder = self.folder.path();
+        let starts = places
+            .into_iter()
+            .map(|place| ControlMachine::start(&self.binaries, folder, &self.common, place));
+        self.controls = futures::future::try_join_all(starts).await?;
+        Ok(())
+    }
+
+    async fn start_fronts(&mut self) -> Result<(), FleetError> {
+        let folder = self.folder.path();
+        let addresses = free_addresses(self.plan.fronts * 3)?;
+        let starts = addresses
+            .chunks_exact(3)
+            .enumerate()
+            .map(|(index, addresses)| {
+                let place = front_place(&self.plan, index, addresses);
+                FrontMachine::start(&self.binaries, folder, &self.common, place)
+            });
+        self.fronts = futures::future::try_join_all(starts).await?;
+        Ok(())
+    }
+}
+
+/// Looks again and again until `condition` holds.
+pub async fn wait_for<F, C>(what: &str, bound: Duration, condition: C) -> Result<(), FleetError>
+where
+    C: Fn() -> F,
+    F: Future<Output = bool>,
+{
+    let look = async {
+        while !condition().await {
+            sleep(LOOK_PERIOD).await;
+        }
+    };
+    timeout(bound, look).await.map_err(|_| FleetError::Timeout {
+        what: what.to_owned(),
+        bound,
+    })
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    matches!(get(address, "/readyz", None).await, Ok(answer) if answer.status.is_success())
+}
+
+async fn start_registry(
+    binaries: &Binaries,
+    folder: &Path,
+    address: SocketAddr,
+) -> Result<FleetProcess, FleetError> {
+    let arguments = ["registry", "--address", &address.to_string()].map(str::to_owned);
+    FleetProcess::start(ProcessSpec {
+        name: "registry".to_owned(),
+        program: binaries.path(LAB_PROGRAM)?,
+        arguments: arguments.to_vec(),
+        log: folder.join("registry.log"),
+    })
+    .await
+}
+
+fn control_places(plan: &SitePlan, addresses: &[SocketAddr]) -> Vec<ControlPlace> {
+    let pairs = addresses.chunks_exact(2).enumerate();
+    pairs
+        .map(|(index, pair)| ControlPlace {
+            name: format!("control-{}", index + 1),
+            zone: plan.zone(index),
+            internal: pair[0],
+            operator: pair[1],
+        })
+        .collect()
+}
+
+fn front_place(plan: &SitePlan, index: usize, addresses: &[SocketAddr]) -> FrontPlace {
+    FrontPlace {
+        name: format!("front-{}", index + 1),
+        zone: plan.zone(index),
+        local: addresses[0],
+        agent_http: addresses[1],
+        callers: addresses[2],
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,10 @@
 //! Developers' laboratory: stand-ins, demonstration fleet, chaos, experiments, scale runs, reports.
 
 pub mod answer_text;
+pub mod arguments;
 pub mod caller;
+pub mod commands;
 pub mod emulator;
+pub mod fleet;
 pub mod protocol;
 pub mod registry;
