--- a/crates/lab/src/caller/call.rs
+++ b/crates/lab/src/caller/call.rs
@@ -26,7 +26,7 @@
     request: &CompletionRequest,
     repeatable: bool,
 ) -> CallOutcome {
-    let mut outcome = new_outcome(proxy, &request.marker, &request.model);
+    let mut outcome = new_outcome(proxy, &request.marker, &request.tenant, &request.model);
     outcome.repeatable = repeatable;
     outcome.pieces_wanted = request.pieces;
     outcome.streamed = request.stream;
@@ -40,7 +40,7 @@
 
 /// Asks a proxy for a lookup.
 pub async fn look_up(proxy: usize, address: SocketAddr, request: &LookupRequest) -> CallOutcome {
-    let mut outcome = new_outcome(proxy, &request.marker, LOOKUP_MODEL);
+    let mut outcome = new_outcome(proxy, &request.marker, &request.tenant, LOOKUP_MODEL);
     let http_request = Request::builder()
         .uri(request.path_with_marker())
         .header(header::HOST, "millford")
@@ -54,10 +54,11 @@
     outcome
 }
 
-fn new_outcome(proxy: usize, marker: &str, model: &str) -> CallOutcome {
+fn new_outcome(proxy: usize, marker: &str, tenant: &str, model: &str) -> CallOutcome {
     CallOutcome {
         marker: marker.to_owned(),
         model: model.to_owned(),
+        tenant: tenant.to_owned(),
         repeatable: true,
         proxy,
         pieces_wanted: 0,
--- a/crates/lab/src/caller/outcome.rs
+++ b/crates/lab/src/caller/outcome.rs
@@ -44,6 +44,8 @@
     pub marker: String,
     /// Model, or `lookup`.
     pub model: String,
+    /// Tenant whose key was used.
+    pub tenant: String,
     /// Whether the request may be sent to backends more than once.
     pub repeatable: bool,
     /// Index of the proxy that was called.
--- a/crates/lab/src/caller/request.rs
+++ b/crates/lab/src/caller/request.rs
@@ -10,6 +10,8 @@
 pub struct CompletionRequest {
     /// Unique marker, which the answer repeats.
     pub marker: String,
+    /// Tenant name, for the checks; it is not sent.
+    pub tenant: String,
     /// Tenant key.
     pub key: String,
     /// Model asked for.
@@ -52,6 +54,8 @@
 pub struct LookupRequest {
     /// Unique marker, which the answer repeats.
     pub marker: String,
+    /// Tenant name, for the checks; it is not sent.
+    pub tenant: String,
     /// Tenant key.
     pub key: String,
     /// Path without the marker.
--- /dev/null
+++ b/crates/lab/src/checks/drain.rs
@@ -0,0 +1,36 @@
+//! A draining backend receives no new work after three seconds.
+
+use super::history::History;
+use super::verdict::{Verdict, keep_worst, millis_text};
+
+/// Longest time that a draining backend gets new work, in microseconds.
+const DRAIN_BOUND_MICROS: u64 = 3_000_000;
+
+/// Judges every execution on a draining backend.
+#[must_use]
+pub fn check(history: &History) -> Verdict {
+    let mut verdict = Verdict::new("a draining backend gets no new work after 3 s");
+    let mut worst = None;
+    for drain in &history.drains {
+        verdict.judged += 1;
+        let until = drain.readmitted_micros.unwrap_or(u64::MAX);
+        let drained = drain.ordered_micros..until;
+        let on_backend = history
+            .executions
+            .iter()
+            .filter(|run| run.backend == drain.backend);
+        for run in on_backend.filter(|run| drained.contains(&run.started_micros)) {
+            let age = run.started_micros - drain.ordered_micros;
+            keep_worst(&mut worst, age);
+            if age > DRAIN_BOUND_MICROS {
+                verdict.violate(format!(
+                    "{} got work {} after",
+                    run.backend,
+                    millis_text(age)
+                ));
+            }
+        }
+    }
+    verdict.worst = worst.map(millis_text);
+    verdict
+}
--- /dev/null
+++ b/crates/lab/src/checks/history.rs
@@ -0,0 +1,162 @@
+//! Everything that a run left to be checked.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::caller::CallOutcome;
+use crate::emulator::execution::Execution;
+
+/// Everything that a run left to be checked. Times are of the machine clock, in microseconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct History {
+    /// What each caller saw.
+    pub calls: Vec<CallOutcome>,
+    /// What each backend ran.
+    pub executions: Vec<Execution>,
+    /// Revisions that nodes showed outside of calls.
+    pub shown: Vec<RevisionShown>,
+    /// Orders that were sent, with each answer.
+    pub orders: Vec<OrderSeen>,
+    /// Revisions read back by confirmed reads.
+    pub reads: Vec<ConfirmedReadSeen>,
+    /// Backends that were drained.
+    pub drains: Vec<DrainSeen>,
+    /// Keys that were revoked.
+    pub revocations: Vec<RevocationSeen>,
+    /// Outages that were healed.
+    pub recoveries: Vec<RecoverySeen>,
+    /// Times in which a node was cut off or stopped by a fault: adoption is not judged there.
+    pub disturbances: Vec<Disturbance>,
+    /// Quotas of the tenants.
+    pub quotas: BTreeMap<String, TenantQuota>,
+}
+
+/// A revision that a node showed.
+#[derive(Clone, Debug, Serialize)]
+pub struct RevisionShown {
+    /// Name of the node.
+    pub node: String,
+    /// When it was asked.
+    pub asked_micros: u64,
+    /// When it had answered.
+    pub answered_micros: u64,
+    /// What it showed.
+    pub revision: u64,
+}
+
+/// One answer to one sending of an order.
+#[derive(Clone, Debug, Serialize)]
+pub struct OrderSeen {
+    /// Id of the order.
+    pub order_id: String,
+    /// Revision that it builds on.
+    pub base_revision: u64,
+    /// When it was answered.
+    pub answered_micros: u64,
+    /// The answer.
+    pub result: OrderResult,
+}
+
+/// Answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderResult {
+    /// Accepted under this number.
+    Accepted(u64),
+    /// Refused with this code.
+    Refused(u32),
+    /// No answer.
+    Unknown,
+}
+
+/// A confirmed read of the configuration.
+#[derive(Clone, Debug, Serialize)]
+pub struct ConfirmedReadSeen {
+    /// When it was asked.
+    pub asked_micros: u64,
+    /// Its answer.
+    pub revision: u64,
+}
+
+/// A backend that was ordered to drain and not readmitted in the run.
+#[derive(Clone, Debug, Serialize)]
+pub struct DrainSeen {
+    /// The backend.
+    pub backend: String,
+    /// When the order was acknowledged, or the platform's list showed it.
+    pub ordered_micros: u64,
+    /// When it was readmitted, if it was.
+    pub readmitted_micros: Option<u64>,
+}
+
+/// A key that was revoked.
+#[derive(Clone, Debug, Serialize)]
+pub struct RevocationSeen {
+    /// Name of the tenant; its calls after the revocation all used the revoked key.
+    pub tenant: String,
+    /// When the order was acknowledged.
+    pub acknowledged_micros: u64,
+    /// When the key was valid again, if it was.
+    pub restored_micros: Option<u64>,
+}
+
+/// An outage that was healed.
+#[derive(Clone, Debug, Serialize)]
+pub struct RecoverySeen {
+    /// What had failed.
+    pub what: String,
+    /// When every machine was back.
+    pub healed_micros: u64,
+    /// When service was whole again; absent if it never was.
+    pub served_micros: Option<u64>,
+}
+
+/// A time in which a node was cut off or stopped.
+#[derive(Clone, Debug, Serialize)]
+pub struct Disturbance {
+    /// Start.
+    pub from_micros: u64,
+    /// End, with the time that the repair may take.
+    pub until_micros: u64,
+}
+
+/// Quota of one tenant.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct TenantQuota {
+    /// Requests per second.
+    pub requests_per_second: u32,
+    /// Requests at once after a quiet time.
+    pub burst: u32,
+}
+
+impl History {
+    /// Executions grouped by the marker of their request.
+    #[must_use]
+    pub fn executions_by_marker(&self) -> BTreeMap<&str, Vec<&Execution>> {
+        let mut groups: BTreeMap<&str, Vec<&Execution>> = BTreeMap::new();
+        for execution in &self.executions {
+            groups.entry(&execution.marker).or_default().push(execution);
+        }
+        groups
+    }
+
+    /// Calls grouped by the marker of their request.
+    #[must_use]
+    pub fn calls_by_marker(&self) -> BTreeMap<&str, Vec<&CallOutcome>> {
+        let mut groups: BTreeMap<&str, Vec<&CallOutcome>> = BTreeMap::new();
+        for call in &self.calls {
+            groups.entry(&call.marker).or_default().push(call);
+        }
+        groups
+    }
+
+    /// Whether a time lies within a disturbance.
+    #[must_use]
+    pub fn is_disturbed(&self, micros: u64) -> bool {
+        let covers = |disturbance: &Disturbance| {
+            (disturbance.from_micros..disturbance.until_micros).contains(&micros)
+        };
+        self.disturbances.iter().any(covers)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/checks/quota_true.rs
@@ -0,0 +1,59 @@
+//! No tenant under its quota is turned away.
+
+use millford_core::ResultCode;
+
+use super::history::{History, TenantQuota};
+use super::verdict::Verdict;
+use crate::caller::{CallOutcome, Ending};
+
+/// Judges every refusal for the request rate.
+#[must_use]
+pub fn check(history: &History) -> Verdict {
+    let mut verdict = Verdict::new("no tenant under its quota is turned away");
+    for (tenant, quota) in &history.quotas {
+        let calls: Vec<&CallOutcome> = history
+            .calls
+            .iter()
+            .filter(|call| &call.tenant == tenant)
+            .collect();
+        for refused in calls.iter().filter(|call| is_quota_refusal(call)) {
+            verdict.judged += 1;
+            let level = level_at(&calls, refused.ended_micros, *quota);
+            if level >= 1.0 {
+                let marker = &refused.marker;
+                verdict.violate(format!(
+                    "{tenant}: {marker} refused with {level:.1} tokens left"
+                ));
+            }
+        }
+    }
+    verdict
+}
+
+fn is_quota_refusal(call: &CallOutcome) -> bool {
+    let quota_code = ResultCode::QuotaExceeded.number();
+    matches!(call.ending, Ending::Failure { code, .. } if code == quota_code)
+}
+
+/// Tokens that an exact bucket holds at `at`, if every call that began before and was not refused
+/// for the quota took one as it began.
+fn level_at(calls: &[&CallOutcome], at: u64, quota: TenantQuota) -> f64 {
+    let before = calls
+        .iter()
+        .filter(|call| call.started_micros <= at && !is_quota_refusal(call));
+    let mut taken: Vec<u64> = before.map(|call| call.started_micros).collect();
+    taken.sort_unstable();
+    let burst = f64::from(quota.burst);
+    let mut level = burst;
+    let mut last = taken.first().copied().unwrap_or(at);
+    for time in taken {
+        level = refill(level, last, time, quota) - 1.0;
+        last = time;
+    }
+    refill(level, last, at, quota)
+}
+
+fn refill(level: f64, from: u64, until: u64, quota: TenantQuota) -> f64 {
+    let seconds = until.saturating_sub(from) as f64 / 1_000_000.0;
+    (level + seconds * f64::from(quota.requests_per_second)).min(f64::from(quota.burst))
+}
--- /dev/null
+++ b/crates/lab/src/checks/report.rs
@@ -0,0 +1,81 @@
+//! All verdicts of a run.
+
+use serde::Serialize;
+
+use super::history::History;
+use super::verdict::Verdict;
+use super::{
+    adoption, answer_identity, at_most_once, credentials, drain, not_run, one_winner, quota_held,
+    quota_true, recovery, revision_order, revocation, second_sends, stream_continuity,
+    success_backed, survival,
+};
+
+/// Violations of one promise that are printed.
+const PRINTED_VIOLATIONS: usize = 5;
+
+/// All verdicts of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// One verdict for each promise.
+    pub verdicts: Vec<Verdict>,
+}
+
+/// Runs every check.
+#[must_use]
+pub fn check_all(history: &History) -> Report {
+    let checks = [
+        at_most_once::check,
+        not_run::check,
+        answer_identity::check,
+        stream_continuity::check,
+        success_backed::check,
+        credentials::check,
+        second_sends::check,
+        revision_order::check,
+        one_winner::check,
+        survival::check,
+        revocation::check,
+        adoption::check,
+        drain::check,
+        quota_held::check,
+        quota_true::check,
+        recovery::check,
+    ];
+    Report {
+        verdicts: checks.iter().map(|check| check(history)).collect(),
+    }
+}
+
+impl Report {
+    /// Whether every promise held.
+    #[must_use]
+    pub fn held(&self) -> bool {
+        self.verdicts.iter().all(Verdict::held)
+    }
+
+    /// The table for people.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<58} {:>8} {:>16} {:>10}\n",
+            "promise", "judged", "worst", "violations"
+        );
+        for verdict in &self.verdicts {
+            let worst = verdict.worst.as_deref().unwrap_or("-");
+            let judged = if verdict.judged == 0 {
+                "not tried".to_owned()
+            } else {
+                verdict.judged.to_string()
+            };
+            let violations = verdict.violations.len();
+            text.push_str(&format!(
+                "{:<58} {judged:>9} {worst:>15} {violations:>10}\n",
+                verdict.promise
+            ));
+            for violation in verdict.violations.iter().take(PRINTED_VIOLATIONS) {
+                text.push_str(&format!("    {violation}\n"));
+            }
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/lab/src/checks/survival.rs
@@ -0,0 +1,29 @@
+//! Acknowledged configurations survive every fault.
+
+use super::history::{History, OrderResult};
+use super::verdict::Verdict;
+
+/// Judges every confirmed read against the orders acknowledged before it.
+#[must_use]
+pub fn check(history: &History) -> Verdict {
+    let mut verdict = Verdict::new("acknowledged configurations survive, reads are confirmed");
+    for read in &history.reads {
+        verdict.judged += 1;
+        let before = history
+            .orders
+            .iter()
+            .filter(|order| order.answered_micros < read.asked_micros);
+        let accepted = before.filter_map(|order| match order.result {
+            OrderResult::Accepted(revision) => Some(revision),
+            _ => None,
+        });
+        let newest = accepted.max().unwrap_or(0);
+        if read.revision < newest {
+            let revision = read.revision;
+            verdict.violate(format!(
+                "a read gave {revision} after {newest} was acknowledged"
+            ));
+        }
+    }
+    verdict
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer_text;
 pub mod arguments;
 pub mod caller;
+pub mod checks;
 pub mod commands;
 pub mod emulator;
 pub mod fleet;
