--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,11 @@
 //! Developers' laboratory: stand-ins, demonstration fleet, chaos, experiments, scale runs, reports.
 
 pub mod answer_text;
+pub mod arguments;
 pub mod caller;
+pub mod checks;
+pub mod commands;
 pub mod emulator;
+pub mod fleet;
 pub mod protocol;
 pub mod registry;
