--- a/crates/storage/tests/crash_points.rs
+++ b/crates/storage/tests/crash_points.rs
@@ -13,6 +13,8 @@
     kept_entries: 3,
 };
 const TEARS: u64 = 12;
+/// Within the log, at its end and behind it.
+const INSTALL_INDICES: std::ops::RangeInclusive<u64> = 11..=21;
 
 /// What the script knows to be durable, and what may be.
 #[derive(Clone, Default)]
@@ -101,7 +103,7 @@
         Ok(())
     }
 
-    fn run(&mut self) -> Result<(), StorageError> {
+    fn run(&mut self, install_index: u64) -> Result<(), StorageError> {
         self.vote(1, 0)?;
         self.append(3, 1)?;
         self.append(2, 1)?;
@@ -113,7 +115,11 @@
         self.truncate(8)?;
         self.append(6, 3)?;
         self.save(10)?;
-        self.install(12, 5)?;
+        for _ in 0..6 {
+            self.append(1, 3)?;
+        }
+        // Whatever the index, no segment of the replaced log may be taken for what follows it.
+        self.install(install_index, 5)?;
         self.append(3, 5)?;
         self.install(30, 6)?;
         self.vote(7, 2)?;
@@ -131,7 +137,11 @@
     }
 }
 
-fn run_until_failure(disk: &CrashDisk, faults: Faults) -> (Model, Result<(), StorageError>) {
+fn run_until_failure(
+    disk: &CrashDisk,
+    faults: Faults,
+    install_index: u64,
+) -> (Model, Result<(), StorageError>) {
     let storage = ReplicaStorage::open(Box::new(disk.clone()), OPTIONS).expect("empty disk");
     disk.set_faults(faults);
     let mut script = Script {
@@ -139,7 +149,7 @@
         model: Model::default(),
         log: Vec::new(),
     };
-    let result = script.run();
+    let result = script.run(install_index);
     (script.model, result)
 }
 
@@ -198,8 +208,14 @@
 
 #[test]
 fn a_crash_at_any_operation_loses_nothing_synced() {
+    for install_index in INSTALL_INDICES {
+        crash_everywhere(install_index);
+    }
+}
+
+fn crash_everywhere(install_index: u64) {
     let disk = CrashDisk::default();
-    let (_, result) = run_until_failure(&disk, Faults::default());
+    let (_, result) = run_until_failure(&disk, Faults::default(), install_index);
     result.expect("the script runs");
     let operations = disk.operations();
     assert!(operations > 30);
@@ -210,10 +226,14 @@
                 operations_left: Some(survived),
                 ..Faults::default()
             };
-            let (model, _) = run_until_failure(&disk, faults);
+            let (model, _) = run_until_failure(&disk, faults, install_index);
             disk.crash(seed);
             let checked = check(&disk, &model);
-            assert_eq!(checked, Ok(()), "operation {survived} seed {seed}");
+            assert_eq!(
+                checked,
+                Ok(()),
+                "install {install_index} operation {survived} seed {seed}"
+            );
         }
     }
 }
@@ -226,7 +246,7 @@
             lie_about_sync: true,
             ..Faults::default()
         };
-        let (model, result) = run_until_failure(&disk, faults);
+        let (model, result) = run_until_failure(&disk, faults, *INSTALL_INDICES.start());
         result.expect("the disk reports success");
         disk.crash(*seed);
         check(&disk, &model).is_err()
