Make durable what recovery reads

Cause: bytes of a process that died before its sync, or whose sync failed, are visible to the next process, which counted them as synced and could acknowledge them; a later power failure lost them. The same held for a renamed hard state whose folder was not synced: a vote could be forgotten.

Considered: syncing the file again, which reports success for pages that a failed sync dropped; so the last segment is rewritten, and only cut and synced when there is no space for a copy.

Change: recovery replaces the last segment by what it read; FileDisk syncs its folder on opening. A test kills the process before the sync and then the power; without the change it fails.

--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -117,6 +117,12 @@
         Ok(self.append_own(Payload::Command(command)))
     }
 
+    /// What the replica holds, for inspection.
+    #[must_use]
+    pub fn storage(&self) -> &ReplicaStorage {
+        &self.storage
+    }
+
     /// The leader takes proposals unless it is handing over.
     fn check_takes_proposals(&self) -> Result<(), NotLeader> {
         match &self.role {
--- a/crates/storage/src/file_disk.rs
+++ b/crates/storage/src/file_disk.rs
@@ -35,6 +35,10 @@
         };
         disk.create_folder()?;
         disk.remove_temporary_files()?;
+        // A rename or removal of an earlier process may be visible and not durable yet. What is
+        // read from here on must not disappear: it may be a vote.
+        let name = disk.folder.display().to_string();
+        sync_folder(&disk.folder).map_err(|error| failed("sync", &name, &error))?;
         Ok(disk)
     }
 
--- a/crates/storage/src/segment_recovery.rs
+++ b/crates/storage/src/segment_recovery.rs
@@ -17,7 +17,7 @@
     pub entries: Vec<LogEntry>,
 }
 
-/// Reads a segment. Only the last one may have a torn tail, which is cut durably.
+/// Reads a segment. Only the last one may have a torn tail, which is cut; what stays is durable.
 pub fn recover(
     disk: &mut dyn Disk,
     mut segment: Segment,
@@ -41,13 +41,27 @@
             let reason = "a record is damaged";
             return Err(StorageError::corrupt(&segment.name, position, reason));
         }
-        // Durable before anything is appended, else old and new bytes could mix after a crash.
-        disk.truncate(&segment.name, position as u64)?;
-        disk.sync(&segment.name)?;
+    }
+    if is_last && !bytes.is_empty() {
+        make_durable(disk, &segment, &bytes[..position])?;
     }
     Ok(RecoveredSegment { segment, entries })
 }
 
+/// Rewrites what was read, without a torn tail. Bytes that were read need not be on the disk: the
+/// process may have died before its sync, or after a sync that failed and dropped them. From here
+/// on they count as synced, so they are written anew.
+fn make_durable(disk: &mut dyn Disk, segment: &Segment, bytes: &[u8]) -> Result<(), StorageError> {
+    match disk.replace(&segment.name, bytes) {
+        Err(error) if error.is_full() => {}
+        result => return result,
+    }
+    // No space for a copy: the file itself is cut and synced. The cut is durable before anything is
+    // appended, else old and new bytes could mix after a crash.
+    disk.truncate(&segment.name, bytes.len() as u64)?;
+    disk.sync(&segment.name)
+}
+
 fn check_index(segment: &Segment, entry: &LogEntry, position: usize) -> Result<(), StorageError> {
     if entry.index == segment.last_index() + 1 {
         return Ok(());
--- a/crates/storage/tests/crash_points.rs
+++ b/crates/storage/tests/crash_points.rs
@@ -253,3 +253,28 @@
     });
     assert_eq!(caught.count() as u64, TEARS);
 }
+
+#[test]
+fn what_was_read_after_a_kill_survives_a_power_failure() {
+    let disk = CrashDisk::default();
+    let mut storage = ReplicaStorage::open(Box::new(disk.clone()), OPTIONS).expect("empty disk");
+    storage
+        .set_hard_state(HardState::default())
+        .expect("hard state");
+    storage.append([command(1, 1, b"one")]);
+    disk.set_faults(Faults {
+        fail_sync: true,
+        ..Faults::default()
+    });
+    storage.sync().expect_err("injected");
+    drop(storage);
+    // The bytes are still visible to the next process, which counts them as synced.
+    let storage = ReplicaStorage::open(Box::new(disk.clone()), OPTIONS).expect("opens");
+    assert_eq!(storage.synced_index(), 1);
+    for seed in 0..TEARS {
+        let copy = disk.copy_with_unsynced();
+        copy.crash(seed);
+        let after = ReplicaStorage::open(Box::new(copy), OPTIONS).expect("opens");
+        assert_eq!(after.last_index(), 1, "seed {seed}");
+    }
+}
--- a/crates/storage/tests/support/crash_disk.rs
+++ b/crates/storage/tests/support/crash_disk.rs
@@ -105,6 +105,13 @@
         }
         copy
     }
+
+    /// A disk of its own with the same files, their unsynced bytes still unsynced.
+    pub fn copy_with_unsynced(&self) -> CrashDisk {
+        let copy = CrashDisk::default();
+        copy.lock().files.clone_from(&self.lock().files);
+        copy
+    }
 }
 
 impl Inner {
