--- /dev/null
+++ b/crates/control-state/tests/claims.rs
@@ -0,0 +1,194 @@
+//! Claims: at most one run of a request that may not be repeated.
+
+mod support;
+
+use millford_api::command::{
+    AdvanceClock, Claim, ClaimResult, RunOutcome, SettleClaim, command::Kind, command_result,
+};
+use millford_control_state::machine::CLAIM_RETENTION_MS;
+use millford_control_state::{Applied, ShardMachine};
+use millford_core::{ResultCode, ShardId};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use support::command;
+
+struct Machine {
+    machine: ShardMachine,
+    index: u64,
+}
+
+impl Machine {
+    fn new() -> Self {
+        Self {
+            machine: ShardMachine::new(ShardId(1)),
+            index: 0,
+        }
+    }
+
+    fn apply(&mut self, kind: Kind) -> Applied {
+        self.index += 1;
+        self.machine.apply(self.index, 1, &command(kind))
+    }
+
+    fn claim(&mut self, attempt: &str) -> ClaimResult {
+        let applied = self.apply(Kind::Claim(claim(attempt, 1)));
+        match applied.result.kind {
+            Some(command_result::Kind::Claim(result)) => result,
+            _ => panic!("no answer to a claim: {applied:?}"),
+        }
+    }
+
+    fn settle(&mut self, attempt: &str, outcome: RunOutcome) {
+        let applied = self.apply(Kind::SettleClaim(settle(attempt, outcome)));
+        assert_eq!(applied.result.code, 0);
+    }
+
+    fn advance(&mut self, elapsed_ms: u64) {
+        self.apply(Kind::AdvanceClock(AdvanceClock { elapsed_ms }));
+    }
+}
+
+fn claim(attempt: &str, digest: u8) -> Claim {
+    Claim {
+        tenant: "library".to_owned(),
+        request_id: "request".to_owned(),
+        attempt_id: attempt.to_owned(),
+        digest: vec![digest],
+    }
+}
+
+fn settle(attempt: &str, outcome: RunOutcome) -> SettleClaim {
+    SettleClaim {
+        tenant: "library".to_owned(),
+        request_id: "request".to_owned(),
+        attempt_id: attempt.to_owned(),
+        outcome: outcome.into(),
+    }
+}
+
+#[test]
+fn a_resent_claim_of_the_same_attempt_is_granted_again() {
+    let mut machine = Machine::new();
+    assert!(machine.claim("a").granted);
+    assert!(machine.claim("a").granted);
+    let other = machine.claim("b");
+    assert!(!other.granted);
+    assert_eq!(other.outcome(), RunOutcome::RunUnknown);
+}
+
+#[test]
+fn a_settled_claim_tells_its_outcome_and_grants_nobody() {
+    for outcome in [RunOutcome::RunCompleted, RunOutcome::RunFailed] {
+        let mut machine = Machine::new();
+        machine.claim("a");
+        machine.settle("a", outcome);
+        for attempt in ["a", "b"] {
+            let answer = machine.claim(attempt);
+            assert!(!answer.granted);
+            assert_eq!(answer.outcome(), outcome);
+        }
+    }
+}
+
+#[test]
+fn the_first_settlement_stands_and_only_by_the_granted_attempt() {
+    let mut machine = Machine::new();
+    machine.claim("a");
+    machine.settle("b", RunOutcome::RunNotRun);
+    assert!(!machine.claim("c").granted, "b was never granted");
+    machine.settle("a", RunOutcome::RunCompleted);
+    machine.settle("a", RunOutcome::RunNotRun);
+    assert_eq!(machine.claim("d").outcome(), RunOutcome::RunCompleted);
+}
+
+#[test]
+fn what_did_not_run_may_be_claimed_by_another_attempt_only() {
+    let mut machine = Machine::new();
+    machine.claim("a");
+    machine.settle("a", RunOutcome::RunNotRun);
+    assert!(!machine.claim("a").granted, "a late copy of a's claim");
+    assert!(machine.claim("b").granted);
+}
+
+#[test]
+fn a_claim_that_arrives_after_its_attempt_gave_up_is_not_granted() {
+    let mut machine = Machine::new();
+    machine.settle("a", RunOutcome::RunNotRun);
+    assert!(!machine.claim("a").granted);
+    assert!(machine.claim("b").granted);
+}
+
+#[test]
+fn a_key_that_is_used_for_another_body_is_refused() {
+    let mut machine = Machine::new();
+    machine.claim("a");
+    let applied = machine.apply(Kind::Claim(claim("b", 2)));
+    let expected = ResultCode::IdempotencyKeyReused.number();
+    assert_eq!(applied.result.code, expected);
+}
+
+#[test]
+fn claims_are_kept_for_a_day_of_shard_time() {
+    let mut machine = Machine::new();
+    machine.claim("a");
+    machine.advance(CLAIM_RETENTION_MS);
+    assert_eq!(machine.machine.claim_count(), 1);
+    machine.advance(1);
+    assert_eq!(machine.machine.claim_count(), 0);
+}
+
+/// One step of a random history of a single request id.
+#[derive(Clone, Debug)]
+enum Step {
+    Claim { attempt: u8 },
+    Settle { attempt: u8, outcome: i32 },
+    SnapshotAndRestore,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let attempt = u8::arbitrary(generator) % 5;
+        match u8::arbitrary(generator) % 5 {
+            0 | 1 => Step::Claim { attempt },
+            2 | 3 => Step::Settle {
+                attempt,
+                outcome: i32::from(u8::arbitrary(generator) % 3) + 1,
+            },
+            _ => Step::SnapshotAndRestore,
+        }
+    }
+}
+
+quickcheck! {
+    /// While one attempt may have run, no other is granted, whatever is resent or comes late.
+    fn at_most_one_attempt_may_run(steps: Vec<Step>) -> bool {
+        let mut machine = Machine::new();
+        let mut running: Option<u8> = None;
+        for step in steps {
+            match step {
+                Step::Claim { attempt } => {
+                    if !machine.claim(&attempt.to_string()).granted {
+                        continue;
+                    }
+                    if running.is_some_and(|other| other != attempt) {
+                        return false;
+                    }
+                    running = Some(attempt);
+                }
+                Step::Settle { attempt, outcome } => {
+                    let outcome = RunOutcome::try_from(outcome).expect("an outcome");
+                    machine.settle(&attempt.to_string(), outcome);
+                    if outcome == RunOutcome::RunNotRun && running == Some(attempt)
+                        && machine.claim(&attempt.to_string()).outcome() == RunOutcome::RunNotRun {
+                        running = None;
+                    }
+                }
+                Step::SnapshotAndRestore => {
+                    let data = machine.machine.snapshot();
+                    machine.machine = ShardMachine::new(ShardId(1));
+                    machine.machine.restore(&data).expect("a snapshot");
+                }
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/control-state/tests/support/mod.rs
@@ -0,0 +1,95 @@
+//! Documents and commands that the tests share.
+#![allow(dead_code)]
+
+use millford_api::command::{Command, PutConfig, command::Kind};
+use millford_api::config::{Document, Pool, Quota, Route, RouteMatch, Selector, Tenant};
+use millford_api::state::{Backend, Declaration};
+use millford_control_state::document;
+use millford_core::hash_tenant_key;
+
+/// A command of this kind.
+pub fn command(kind: Kind) -> Command {
+    Command { kind: Some(kind) }
+}
+
+/// A route to the pool of the same model.
+pub fn route(name: &str, model: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        r#match: Some(RouteMatch {
+            model: model.to_owned(),
+            ..RouteMatch::default()
+        }),
+        pool: format!("pool-{model}"),
+        repeatable: true,
+        deadline_ms: 30_000,
+        ..Route::default()
+    }
+}
+
+/// The pool of a model.
+pub fn pool(model: &str) -> Pool {
+    Pool {
+        name: format!("pool-{model}"),
+        selector: Some(Selector {
+            model: model.to_owned(),
+            ..Selector::default()
+        }),
+        drain_ms: 2_000,
+        ..Pool::default()
+    }
+}
+
+/// A tenant with one key.
+pub fn tenant(name: &str) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        key_hashes: vec![hash_tenant_key(&format!("key of {name}"))],
+        quota: Some(quota(10, 20, 4)),
+    }
+}
+
+/// A quota.
+pub fn quota(requests_per_second: u32, burst: u32, concurrent_streams: u32) -> Quota {
+    Quota {
+        requests_per_second,
+        burst,
+        concurrent_streams,
+    }
+}
+
+/// A sound document: two routes, two pools, two tenants.
+pub fn sound_document() -> Document {
+    Document {
+        routes: vec![route("captions", "saga"), route("questions", "edda")],
+        pools: vec![pool("saga"), pool("edda")],
+        tenants: vec![tenant("library"), tenant("school")],
+    }
+}
+
+/// An order for this document.
+pub fn order(base_revision: u64, order_id: &str, wanted: &Document) -> Command {
+    command(Kind::PutConfig(PutConfig {
+        base_revision,
+        order_id: order_id.to_owned(),
+        digest: document::digest(wanted),
+        document: Some(wanted.clone()),
+    }))
+}
+
+/// A backend that declares one model.
+pub fn backend(id: &str, model: &str) -> Backend {
+    Backend {
+        id: id.to_owned(),
+        address: "127.0.0.1:9000".to_owned(),
+        zone: "a".to_owned(),
+        declarations: vec![Declaration {
+            model: model.to_owned(),
+            version: "1".to_owned(),
+            ..Declaration::default()
+        }],
+        cores: 8,
+        bandwidth_gbps: 100.0,
+        state: 0,
+    }
+}
