--- a/crates/control-state/src/document/order.rs
+++ b/crates/control-state/src/document/order.rs
@@ -10,7 +10,7 @@
 use super::check::check;
 use super::fault::Fault;
 use super::limits::MAX_ORDER_ID_LENGTH;
-use super::parse::{faults_of, read};
+use super::parse::{faults_of, misplaced_lists_in, read};
 
 /// Body of `PUT /v1/config`.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -31,7 +31,8 @@
 /// Every fault of the order and its document; paths of the document begin with `document`.
 pub fn parse_order(json: &[u8]) -> Result<PutConfig, Vec<Fault>> {
     let order: Order = read(json, "").map_err(|first| unreadable(json, first))?;
-    let mut faults = check_order_id(&order.order_id);
+    let mut faults = misplaced_lists_in(json);
+    faults.extend(check_order_id(&order.order_id));
     faults.extend(check(&order.document).into_iter().map(under_document));
     if !faults.is_empty() {
         return Err(faults);
--- a/crates/control-state/src/document/parse.rs
+++ b/crates/control-state/src/document/parse.rs
@@ -7,19 +7,56 @@
 
 use super::fault::Fault;
 
+/// Fields that hold lists; every other field of a document holds a single value.
+const LIST_FIELDS: [&str; 5] = ["routes", "pools", "tenants", "key_hashes", "adapters"];
+
 /// Reads a document. It is not checked yet: see [`super::check`].
 ///
 /// # Errors
 /// Every route, pool and tenant that cannot be read is reported, each with its first fault.
 pub fn parse(json: &[u8]) -> Result<Document, Vec<Fault>> {
-    read(json, "").map_err(|first| {
+    let document = read(json, "").map_err(|first| {
         let all = match serde_json::from_slice::<Value>(json) {
             Ok(value) => faults_of(&value, ""),
             Err(_) => Vec::new(),
         };
         // A fault that a second look does not find, such as a field given twice, stands alone.
         if all.is_empty() { vec![first] } else { all }
-    })
+    })?;
+    let misplaced = misplaced_lists_in(json);
+    if misplaced.is_empty() {
+        Ok(document)
+    } else {
+        Err(misplaced)
+    }
+}
+
+/// Lists where an object belongs. The JSON library would read them as the object's fields by their
+/// position, which no operator means.
+pub(super) fn misplaced_lists_in(json: &[u8]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if let Ok(value) = serde_json::from_slice::<Value>(json) {
+        find_misplaced_lists("", &value, false, &mut faults);
+    }
+    faults
+}
+
+fn find_misplaced_lists(path: &str, value: &Value, may_be_list: bool, faults: &mut Vec<Fault>) {
+    match value {
+        Value::Array(_) if !may_be_list => faults.push(bad_field(path, "expected an object")),
+        Value::Array(entries) => {
+            for (index, entry) in entries.iter().enumerate() {
+                find_misplaced_lists(&format!("{path}[{index}]"), entry, false, faults);
+            }
+        }
+        Value::Object(fields) => {
+            for (field, value) in fields {
+                let may_be_list = LIST_FIELDS.contains(&field.as_str());
+                find_misplaced_lists(&join(path, field), value, may_be_list, faults);
+            }
+        }
+        _ => {}
+    }
 }
 
 /// Reads any type from JSON text; `prefix` is put before the path of a fault.
@@ -79,7 +116,8 @@
     };
     let relative = error.path().to_string();
     let path = match relative.as_str() {
-        "." => prefix.to_owned(),
+        // "?" stands for a place that the broken text does not tell; the sentence has the line.
+        "." | "?" => prefix.to_owned(),
         _ => join(prefix, &relative),
     };
     Fault {
