--- /dev/null
+++ b/crates/control/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! Threads and input and output of the control node.
--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -218,8 +218,10 @@
             return;
         }
         let mut changed = self.directory.introduce(sender);
-        for member in known.iter().filter(|member| self.is_other(member)) {
-            changed |= self.directory.hear_of(member);
+        for member in known {
+            if self.is_other(member) {
+                changed |= self.directory.hear_of(member);
+            }
         }
         if changed {
             self.keep_directory();
--- /dev/null
+++ b/crates/control/src/gateway/operator_desk.rs
@@ -0,0 +1,46 @@
+//! Operators' requests that wait for answers of shards.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::ShardReply;
+
+use crate::operator::OperatorRequest;
+
+/// One request and the answers that came in.
+#[derive(Debug)]
+pub struct DeskEntry {
+    /// What was asked.
+    pub body: OperatorRequest,
+    /// The answers.
+    pub replies: Vec<ShardReply>,
+    missing: usize,
+}
+
+/// Requests by number.
+#[derive(Debug, Default)]
+pub struct OperatorDesk {
+    entries: BTreeMap<u64, DeskEntry>,
+}
+
+impl OperatorDesk {
+    /// A request waits for this many answers.
+    pub fn open(&mut self, request: u64, body: OperatorRequest, answers: usize) {
+        let entry = DeskEntry {
+            body,
+            replies: Vec::new(),
+            missing: answers,
+        };
+        self.entries.insert(request, entry);
+    }
+
+    /// An answer came in. Gives the request once it was the last one.
+    pub fn answered(&mut self, request: u64, reply: ShardReply) -> Option<DeskEntry> {
+        let entry = self.entries.get_mut(&request)?;
+        entry.replies.push(reply);
+        entry.missing = entry.missing.saturating_sub(1);
+        if entry.missing > 0 {
+            return None;
+        }
+        self.entries.remove(&request)
+    }
+}
--- a/crates/control/src/gateway/requests.rs
+++ b/crates/control/src/gateway/requests.rs
@@ -235,7 +235,7 @@
                 reply.request_id = request_id;
                 self.send(link, frame::Body::ShardReply(reply));
             }
-            Origin::Operator { request } => self.operator_answered(now, request, reply),
+            Origin::Operator { request } => self.operator_answered(request, reply),
             Origin::Touch(touched) => self.touch_answered(&touched, &reply),
             Origin::OwnSession => self.own_session_answered(&reply),
             Origin::Registration => self.registration_answered(now),
--- /dev/null
+++ b/crates/control/src/operator/mod.rs
@@ -0,0 +1,11 @@
+//! What operators ask for and what they get, as `openapi/operator.json` describes it.
+
+pub mod failure;
+pub mod reply;
+pub mod request;
+pub mod status;
+
+pub use failure::OperatorFailure;
+pub use reply::OperatorReply;
+pub use request::OperatorRequest;
+pub use status::StatusReply;
--- /dev/null
+++ b/crates/control/src/registry/client.rs
@@ -0,0 +1,1 @@
+//! Reads the service registry.
