--- /dev/null
+++ b/crates/proxy/src/control/frame_handler.rs
@@ -0,0 +1,177 @@
+//! Applies the agent's frames to the state of the proxy. Pure: the daemon and the simulator
+//! carry the frames.
+
+use std::sync::Arc;
+
+use millford_api::command::RunOutcome;
+use millford_api::local::{
+    AgentStatus, LocalClaimReply, LocalFrame, LocalQuotaReply, ProxyShown, local_frame,
+};
+use millford_core::ResultCode;
+
+use crate::control::control_view::{ControlView, ViewOutcome};
+use crate::proxy_state::ProxyState;
+use crate::request::message::{ClaimAnswer, QuotaAnswer};
+
+/// What a frame asks its carrier to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FrameOutcome {
+    /// Nothing.
+    Nothing,
+    /// The state changed: [`FrameHandler::show`] when no more frames wait.
+    Changed,
+    /// A change was missed: connect to the agent again for whole snapshots.
+    Reconnect,
+    /// A quota ask is answered.
+    Quota {
+        /// Number of the ask.
+        request_id: u64,
+        /// The decision.
+        answer: QuotaAnswer,
+    },
+    /// A claim is answered.
+    Claim {
+        /// Number of the claim.
+        request_id: u64,
+        /// The decision.
+        answer: ClaimAnswer,
+    },
+    /// A settlement is acknowledged.
+    Settled {
+        /// Number of the settlement.
+        request_id: u64,
+    },
+}
+
+/// Feed and link state of one proxy.
+#[derive(Debug)]
+pub struct FrameHandler {
+    state: Arc<ProxyState>,
+    view: ControlView,
+    complete: bool,
+    shown_revision: u64,
+}
+
+impl FrameHandler {
+    /// A handler that has been told nothing.
+    #[must_use]
+    pub fn new(state: Arc<ProxyState>) -> Self {
+        Self {
+            state,
+            view: ControlView::default(),
+            complete: false,
+            shown_revision: 0,
+        }
+    }
+
+    /// Takes one frame from the agent.
+    pub fn handle(&mut self, frame: LocalFrame) -> FrameOutcome {
+        match frame.body {
+            Some(local_frame::Body::Snapshot(snapshot)) => {
+                view_outcome(self.view.apply_snapshot(snapshot))
+            }
+            Some(local_frame::Body::Change(change)) => view_outcome(self.view.apply_change(change)),
+            Some(local_frame::Body::Status(status)) => self.status(status),
+            Some(local_frame::Body::QuotaReply(reply)) => quota_outcome(&reply),
+            Some(local_frame::Body::ClaimReply(reply)) => claim_outcome(&reply),
+            Some(local_frame::Body::SettleReply(reply)) => FrameOutcome::Settled {
+                request_id: reply.request_id,
+            },
+            Some(local_frame::Body::LoadPicture(picture)) => {
+                self.state.board.merge_picture(&picture);
+                FrameOutcome::Nothing
+            }
+            _ => FrameOutcome::Nothing,
+        }
+    }
+
+    /// Puts what was received in force. Answers with the frame that tells the agent.
+    pub fn show(&mut self) -> Option<LocalFrame> {
+        let table = self.view.table();
+        let revision = table.revision();
+        // The view of each shard never goes back, so the revision cannot either; this holds even
+        // if an agent were wrong.
+        if revision < self.shown_revision {
+            return None;
+        }
+        let known = |id: &str| table.pools().any(|pool| pool.backend(id).is_some());
+        self.state.health.keep_only(known);
+        self.state.set_table(table);
+        let newly_shown = revision > self.shown_revision;
+        self.shown_revision = revision;
+        self.become_ready();
+        newly_shown.then(|| self.shown_frame())
+    }
+
+    /// The frame that tells the agent which revision is shown.
+    #[must_use]
+    pub fn shown_frame(&self) -> LocalFrame {
+        LocalFrame {
+            body: Some(local_frame::Body::Shown(ProxyShown {
+                revision: self.shown_revision,
+            })),
+        }
+    }
+
+    fn status(&mut self, status: AgentStatus) -> FrameOutcome {
+        self.complete |= status.complete;
+        self.state
+            .metrics
+            .agent_in_touch
+            .set(i64::from(status.in_touch));
+        self.become_ready();
+        FrameOutcome::Nothing
+    }
+
+    /// Ready once every shard was confirmed and a configuration is shown; it stays so.
+    fn become_ready(&mut self) {
+        if self.complete && self.shown_revision > 0 {
+            self.state.set_ready();
+        }
+    }
+}
+
+fn view_outcome(outcome: ViewOutcome) -> FrameOutcome {
+    match outcome {
+        ViewOutcome::Changed => FrameOutcome::Changed,
+        ViewOutcome::Stale => FrameOutcome::Nothing,
+        ViewOutcome::Gap => FrameOutcome::Reconnect,
+    }
+}
+
+fn quota_outcome(reply: &LocalQuotaReply) -> FrameOutcome {
+    let answer = if reply.granted {
+        QuotaAnswer::Granted
+    } else {
+        QuotaAnswer::Refused {
+            code: ResultCode::from_number(reply.code)
+                .filter(|code| *code != ResultCode::Ok)
+                .unwrap_or(ResultCode::QuotaUnavailable),
+            retry_after_ms: reply.retry_after_ms,
+        }
+    };
+    FrameOutcome::Quota {
+        request_id: reply.request_id,
+        answer,
+    }
+}
+
+fn claim_outcome(reply: &LocalClaimReply) -> FrameOutcome {
+    let code = ResultCode::from_number(reply.code);
+    let answer = match (code, reply.result.as_ref()) {
+        (Some(ResultCode::IdempotencyKeyReused), _) => ClaimAnswer::KeyReused,
+        (Some(ResultCode::Ok), Some(result)) if result.granted => ClaimAnswer::Granted,
+        // An outcome that this version does not know is treated as "may have run".
+        (Some(ResultCode::Ok), Some(result)) => {
+            ClaimAnswer::Taken(RunOutcome::try_from(result.outcome).unwrap_or_default())
+        }
+        (Some(ResultCode::AlreadyCompleted), _) => ClaimAnswer::Taken(RunOutcome::RunCompleted),
+        (Some(ResultCode::AlreadyFailed), _) => ClaimAnswer::Taken(RunOutcome::RunFailed),
+        (Some(ResultCode::MayHaveRun), _) => ClaimAnswer::Taken(RunOutcome::RunUnknown),
+        _ => ClaimAnswer::Unavailable,
+    };
+    FrameOutcome::Claim {
+        request_id: reply.request_id,
+        answer,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/backend_client.rs
@@ -0,0 +1,216 @@
+//! HTTP/1.1 towards the backends: one new connection for each attempt.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use millford_core::Duration;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::backend_protocol::{
+    ADAPTER_HEADER, ATTEMPT_HEADER, ATTEMPTS_PATH, DEADLINE_HEADER, HEALTH_PATH, RESUME_AT_HEADER,
+    RESUME_FROM_HEADER, RUN_HEADER, RUN_STATE_HEADER, RUN_STATE_NOT_RUN, STAGE_HEADER,
+    VERSION_HEADER,
+};
+use crate::request::environment::BackendAnswer;
+use crate::request::message::{
+    AnswerError, AnswerHead, BackendMethod, BackendRequest, DispatchError, Framing, WithdrawAnswer,
+    WithdrawRequest,
+};
+
+/// Opens connections to backends.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendClient {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+}
+
+/// Ends the connection's task, and with it the connection, when dropped.
+#[derive(Debug)]
+struct ConnectionTask(JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An answer and the connection that carries it.
+#[derive(Debug)]
+pub struct HttpAnswer {
+    head: AnswerHead,
+    body: Incoming,
+    _connection: ConnectionTask,
+}
+
+#[derive(Deserialize)]
+struct WithdrawBody {
+    state: String,
+}
+
+impl BackendAnswer for HttpAnswer {
+    fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|_| AnswerError::Cut)?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+}
+
+impl BackendClient {
+    /// Sends one attempt and reads the head of its answer.
+    pub async fn dispatch(&self, request: BackendRequest) -> Result<HttpAnswer, DispatchError> {
+        let message = http_request(&request).ok_or(DispatchError::NotConnected)?;
+        let stream = self.connect(&request.address).await;
+        let stream = stream.ok_or(DispatchError::NotConnected)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(|_| DispatchError::NotConnected)?;
+        // From here on a byte may leave at any time.
+        request.sent.set();
+        let task = ConnectionTask(tokio::spawn(async move {
+            let _ = connection.await;
+        }));
+        let response = sender.send_request(message).await;
+        let response = response.map_err(|_| DispatchError::Lost)?;
+        Ok(HttpAnswer {
+            head: answer_head(&response),
+            body: response.into_body(),
+            _connection: task,
+        })
+    }
+
+    /// Withdraws an attempt.
+    pub async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
+        let path = format!("{ATTEMPTS_PATH}{}", request.attempt);
+        let exchange = self.exchange("DELETE", &request.address, &path);
+        let body = match tokio::time::timeout(request.timeout, exchange).await {
+            Ok(Some(body)) => body,
+            Ok(None) | Err(_) => return WithdrawAnswer::Unknown,
+        };
+        let Ok(body) = serde_json::from_slice::<WithdrawBody>(&body) else {
+            return WithdrawAnswer::Unknown;
+        };
+        match body.state.as_str() {
+            "withdrawn" => WithdrawAnswer::Withdrawn,
+            "running" => WithdrawAnswer::Running,
+            "finished" => WithdrawAnswer::Finished,
+            _ => WithdrawAnswer::Unknown,
+        }
+    }
+
+    /// Whether the backend answers a probe in time.
+    pub async fn probe(&self, address: &str, timeout: Duration) -> bool {
+        let exchange = self.exchange("GET", address, HEALTH_PATH);
+        matches!(tokio::time::timeout(timeout, exchange).await, Ok(Some(_)))
+    }
+
+    /// A small request on a connection of its own; nothing unless it is answered with success.
+    async fn exchange(&self, method: &str, address: &str, path: &str) -> Option<Bytes> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address)
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        let stream = self.connect(address).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let _task = ConnectionTask(tokio::spawn(async move {
+            let _ = connection.await;
+        }));
+        let response = sender.send_request(request).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = response.into_body().collect().await.ok()?;
+        Some(body.to_bytes())
+    }
+
+    async fn connect(&self, address: &str) -> Option<TcpStream> {
+        let address: SocketAddr = address.parse().ok()?;
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(self.connect_timeout, connecting).await;
+        let stream = stream.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(stream)
+    }
+}
+
+fn http_request(request: &BackendRequest) -> Option<Request<Full<Bytes>>> {
+    let method = match request.method {
+        BackendMethod::Get => "GET",
+        BackendMethod::Post => "POST",
+    };
+    let millis = request.time_left.as_millis().to_string();
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(&request.path)
+        .header(HOST, &request.address)
+        .header(ATTEMPT_HEADER, &request.attempt)
+        .header(RUN_HEADER, &request.run)
+        .header(DEADLINE_HEADER, millis);
+    if request.method == BackendMethod::Post {
+        builder = builder.header(CONTENT_TYPE, "application/json");
+    }
+    if let Some(resume) = request.resume_from {
+        builder = builder.header(RESUME_FROM_HEADER, resume.0);
+    }
+    let named = [
+        (VERSION_HEADER, &request.version),
+        (STAGE_HEADER, &request.stage),
+        (ADAPTER_HEADER, &request.adapter),
+    ];
+    for (name, value) in named {
+        if !value.is_empty() {
+            builder = builder.header(name, value);
+        }
+    }
+    builder.body(Full::new(request.body.clone())).ok()
+}
+
+fn answer_head(response: &Response<Incoming>) -> AnswerHead {
+    let headers = response.headers();
+    let seconds = number(headers, RETRY_AFTER.as_str());
+    let millis = seconds.map(|seconds| seconds.saturating_mul(1000));
+    AnswerHead {
+        status: response.status().as_u16(),
+        attempt: text(headers, ATTEMPT_HEADER),
+        not_run: text(headers, RUN_STATE_HEADER).as_deref() == Some(RUN_STATE_NOT_RUN),
+        resume_at: number(headers, RESUME_AT_HEADER),
+        retry_after_ms: millis.map(|millis| u32::try_from(millis).unwrap_or(u32::MAX)),
+        content_type: text(headers, CONTENT_TYPE.as_str()).unwrap_or_default(),
+        framing: framing(headers),
+    }
+}
+
+fn framing(headers: &HeaderMap) -> Framing {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return Framing::Chunked;
+    }
+    match number(headers, CONTENT_LENGTH.as_str()) {
+        Some(length) => Framing::Length(length),
+        None => Framing::UntilClose,
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value: &HeaderValue = headers.get(name)?;
+    Some(value.to_str().ok()?.to_owned())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/body_reader.rs
@@ -0,0 +1,54 @@
+//! Reads the body of a caller's HTTP request within its limit.
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures::{Stream, StreamExt};
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
+use millford_core::{Duration, ResultCode};
+
+use crate::request::refusal::Refusal;
+
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Reads the whole body. A body announced as too large is refused before it is read.
+pub async fn read_body<B: Buf>(
+    headers: &HeaderMap,
+    body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
+    max_bytes: u64,
+) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::not_run(ResultCode::BodyTooLarge);
+    let announced = headers.get(CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok());
+    let announced: Option<u64> = announced.and_then(|text| text.parse().ok());
+    if announced.is_some_and(|length| length > max_bytes) {
+        return Err(too_large());
+    }
+    let reading = read_parts(body, max_bytes);
+    let incomplete = || Refusal::not_run(ResultCode::BodyIncomplete);
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadFault::TooLarge)) => Err(too_large()),
+        Ok(Err(ReadFault::Incomplete)) | Err(_) => Err(incomplete()),
+    }
+}
+
+enum ReadFault {
+    TooLarge,
+    Incomplete,
+}
+
+async fn read_parts<B: Buf>(
+    mut body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
+    max_bytes: u64,
+) -> Result<Bytes, ReadFault> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.next().await {
+        let mut part = part.map_err(|_| ReadFault::Incomplete)?;
+        if (whole.len() + part.remaining()) as u64 > max_bytes {
+            return Err(ReadFault::TooLarge);
+        }
+        whole.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/environment.rs
@@ -0,0 +1,77 @@
+//! The request path's environment in the daemon.
+
+use std::sync::Arc;
+
+use millford_api::command::{Claim, SettleClaim};
+use millford_core::time::monotonic_now;
+use millford_core::{Duration, MonotonicTime};
+use rand::Rng;
+
+use crate::daemon::agent_link::AgentLink;
+use crate::daemon::backend_client::{BackendClient, HttpAnswer};
+use crate::proxy_state::ProxyState;
+use crate::request::environment::RequestEnvironment;
+use crate::request::message::{
+    BackendRequest, ClaimAnswer, DispatchError, QuotaAnswer, QuotaAsk, QuotaRelease,
+    WithdrawAnswer, WithdrawRequest,
+};
+
+/// tokio's clock, the agent over loopback, and backends over HTTP.
+#[derive(Clone, Debug)]
+pub struct DaemonEnvironment {
+    /// State of the proxy.
+    pub shared: Arc<ProxyState>,
+    /// Link to the agent.
+    pub agent: AgentLink,
+    /// Connections to the backends.
+    pub backends: BackendClient,
+}
+
+impl RequestEnvironment for DaemonEnvironment {
+    type Answer = HttpAnswer;
+
+    fn state(&self) -> &ProxyState {
+        &self.shared
+    }
+
+    fn now(&self) -> MonotonicTime {
+        monotonic_now()
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        tokio::time::sleep(duration)
+    }
+
+    fn random(&self) -> u64 {
+        rand::rng().random()
+    }
+
+    async fn ask_quota(&self, ask: QuotaAsk) -> QuotaAnswer {
+        self.agent.ask_quota(ask).await
+    }
+
+    fn release_quota(&self, release: QuotaRelease) {
+        self.agent.release_quota(release);
+    }
+
+    async fn claim(&self, claim: Claim, timeout: Duration) -> ClaimAnswer {
+        self.agent.claim(claim, timeout).await
+    }
+
+    fn settle(&self, settle: SettleClaim) {
+        self.agent.settle(settle);
+    }
+
+    async fn dispatch(&self, request: BackendRequest) -> Result<HttpAnswer, DispatchError> {
+        self.backends.dispatch(request).await
+    }
+
+    async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
+        self.backends.withdraw(request).await
+    }
+
+    fn withdraw_later(&self, request: WithdrawRequest) {
+        let backends = self.backends;
+        tokio::spawn(async move { backends.withdraw(request).await });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/mod.rs
@@ -0,0 +1,14 @@
+//! The `millford-proxy` process: sockets, runtimes and signals around the request path.
+
+pub mod agent_link;
+pub mod backend_client;
+pub mod body_reader;
+pub mod caller_channel;
+pub mod caller_headers;
+pub mod environment;
+pub mod outstanding;
+pub mod prober;
+pub mod reporter;
+pub mod run;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/proxy/src/daemon/reporter.rs
@@ -0,0 +1,22 @@
+//! Tells the agent once a second what is in flight.
+
+use std::sync::Arc;
+
+use millford_api::local::local_frame;
+use millford_core::Duration;
+
+use crate::daemon::agent_link::AgentLink;
+use crate::proxy_state::ProxyState;
+
+/// Time between two reports.
+pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Reports for as long as the process lives.
+pub async fn run(state: Arc<ProxyState>, agent: AgentLink) {
+    loop {
+        tokio::time::sleep(REPORT_PERIOD).await;
+        for report in state.board.take_reports() {
+            agent.send(local_frame::Body::LoadReport(report));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/run.rs
@@ -0,0 +1,129 @@
+//! Starts the process's threads and ends them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use miette::{IntoDiagnostic, WrapErr, miette};
+use millford_api::local::ProxyHello;
+use millford_core::{Duration, ResultCode};
+use millford_settings::PartLog;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::daemon::agent_link::{AgentLink, AgentLinkTask, agent_link};
+use crate::daemon::backend_client::BackendClient;
+use crate::daemon::environment::DaemonEnvironment;
+use crate::daemon::server::{HttpLimits, service};
+use crate::daemon::settings::ProxySettings;
+use crate::daemon::{prober, reporter};
+use crate::proxy_state::ProxyState;
+
+const LOG: PartLog = PartLog::new("PROXY");
+
+/// Time between two looks at the open requests while leaving.
+const LEAVE_CHECK: Duration = Duration::from_millis(20);
+/// Longest wait for the last settlements to be acknowledged.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs until a signal ends the process.
+pub fn run(settings: &ProxySettings) -> miette::Result<()> {
+    let agent_address: SocketAddr = settings.agent_address.parse().into_diagnostic()?;
+    let state = Arc::new(ProxyState::new(settings.limits()));
+    let backends = BackendClient {
+        connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
+    };
+    let hello = ProxyHello {
+        boot_id: rand::rng().random(),
+        caller_address: settings.caller_address.clone(),
+    };
+    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    start_control_thread(Arc::clone(&state), backends, agent.clone(), task)?;
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .into_diagnostic()?;
+    let environment = DaemonEnvironment {
+        shared: state,
+        agent,
+        backends,
+    };
+    traffic.block_on(serve(settings, environment))
+}
+
+/// The feed, the probes and the reports share no queue and no thread with the traffic: a drain is
+/// seen in time at any load.
+fn start_control_thread(
+    state: Arc<ProxyState>,
+    backends: BackendClient,
+    agent: AgentLink,
+    task: AgentLinkTask,
+) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let work = async move {
+        tokio::join!(
+            task.run(),
+            prober::run(Arc::clone(&state), backends),
+            reporter::run(state, agent),
+        );
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(work))
+        .into_diagnostic()?;
+    Ok(())
+}
+
+async fn serve(settings: &ProxySettings, environment: DaemonEnvironment) -> miette::Result<()> {
+    let address: SocketAddr = settings.caller_address.parse().into_diagnostic()?;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|error| {
+        let code = ResultCode::AddressInUse;
+        miette!(code = "address_in_use_7002", "{code} {address}: {error}")
+    })?;
+    let bound = listener.local_addr().into_diagnostic()?;
+    let mut terminate = signal(SignalKind::terminate())
+        .into_diagnostic()
+        .wrap_err("cannot wait for signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let limits = HttpLimits {
+        max_body_bytes: settings.max_body_bytes,
+        max_header_bytes: settings.max_header_bytes,
+    };
+    let state = Arc::clone(&environment.shared);
+    let agent = environment.agent.clone();
+    let filter = service(Arc::new(environment), limits);
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    println!("millford-proxy ready callers={bound}");
+    LOG.info(format!("Serving callers at {bound}."));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let leave_timeout = Duration::from_millis(settings.leave_timeout_ms);
+    leave(&state, &agent, leave_timeout).await;
+    Ok(())
+}
+
+/// New requests are refused at once; open ones end by themselves within a bound.
+async fn leave(state: &ProxyState, agent: &AgentLink, timeout: Duration) {
+    LOG.info("Leaving: new requests are refused.");
+    state.set_draining();
+    wait_while(timeout, || state.metrics.open_requests.get() > 0).await;
+    wait_while(SETTLE_TIMEOUT, || !agent.is_settled()).await;
+    let open = state.metrics.open_requests.get();
+    LOG.info(format!("Left with {open} open requests."));
+}
+
+async fn wait_while(timeout: Duration, condition: impl Fn() -> bool) {
+    let waiting = async {
+        while condition() {
+            tokio::time::sleep(LEAVE_CHECK).await;
+        }
+    };
+    let _ = tokio::time::timeout(timeout, waiting).await;
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/server.rs
@@ -0,0 +1,297 @@
+//! The callers' HTTP interface.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::{Buf, Bytes};
+use futures::Stream;
+use http::{HeaderMap, Response, StatusCode};
+use millford_core::ResultCode;
+use millford_settings::{PartLog, metrics};
+use warp::Filter;
+use warp::reply::Reply as _;
+
+use crate::backend_protocol::COMPLETIONS_PATH;
+use crate::daemon::body_reader::read_body;
+use crate::daemon::caller_channel::{CallerChannel, caller_channel};
+use crate::daemon::caller_headers::read_headers;
+use crate::request::caller::{CallerHead, CallerRequest};
+use crate::request::completion::serve_completion;
+use crate::request::environment::RequestEnvironment;
+use crate::request::lookup::serve_lookup;
+use crate::request::record::RequestRecord;
+use crate::request::refusal::Refusal;
+
+const LOG: PartLog = PartLog::new("REQUEST");
+
+const HEALTH_PATH: &str = "/healthz";
+const READY_PATH: &str = "/readyz";
+const METRICS_PATH: &str = "/metrics";
+
+/// Header that names the request, for support.
+const REQUEST_ID_HEADER: &str = "x-millford-request-id";
+/// Header that names the configuration revision that decided the request.
+const REVISION_HEADER: &str = "x-millford-revision";
+
+type HttpResponse = warp::reply::Response;
+
+/// Limits of the HTTP interface.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Largest sum of the request headers, in bytes.
+    pub max_header_bytes: u64,
+}
+
+/// The service for callers, over any environment.
+pub fn service<E>(
+    environment: Arc<E>,
+    limits: HttpLimits,
+) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone
+where
+    E: RequestEnvironment + 'static,
+{
+    let environment = warp::any().map(move || Arc::clone(&environment));
+    let query = warp::query::raw()
+        .map(Some)
+        .or_else(|_| async { Ok::<_, Infallible>((None,)) });
+    let health = warp::path("healthz")
+        .and(warp::path::end())
+        .and(warp::get())
+        .map(|| text_response(StatusCode::OK, "ok\n"));
+    let ready = warp::path("readyz")
+        .and(warp::path::end())
+        .and(warp::get())
+        .and(environment.clone())
+        .map(|environment: Arc<E>| ready_response(environment.as_ref()));
+    let metrics = warp::path("metrics")
+        .and(warp::path::end())
+        .and(warp::get())
+        .and(environment.clone())
+        .map(|environment: Arc<E>| metrics_response(environment.as_ref()));
+    let completion = warp::path!("v1" / "chat" / "completions")
+        .and(warp::post())
+        .and(environment.clone())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .then(move |environment, headers, body| completion(environment, limits, headers, body));
+    let lookup = warp::get()
+        .and(warp::path::full())
+        .and(query)
+        .and(environment.clone())
+        .and(warp::header::headers_cloned())
+        .then(
+            move |path: warp::path::FullPath, query: Option<String>, environment, headers| {
+                let target = path_and_query(path.as_str(), query.as_deref());
+                lookup(environment, limits, headers, target)
+            },
+        );
+    let refused = warp::any().and(warp::path::full()).and(environment).map(
+        |path: warp::path::FullPath, environment: Arc<E>| {
+            unserved(path.as_str(), environment.as_ref())
+        },
+    );
+    health
+        .or(ready)
+        .unify()
+        .or(metrics)
+        .unify()
+        .or(completion)
+        .unify()
+        .or(lookup)
+        .unify()
+        .or(refused)
+        .unify()
+}
+
+async fn completion<E, S, B>(
+    environment: Arc<E>,
+    limits: HttpLimits,
+    headers: HeaderMap,
+    body: S,
+) -> HttpResponse
+where
+    E: RequestEnvironment + 'static,
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    let arrived = environment.now();
+    let caller_headers = match read_headers(&headers, limits.max_header_bytes) {
+        Ok(caller_headers) => caller_headers,
+        Err(refusal) => return early_refusal(environment.as_ref(), &refusal),
+    };
+    let body = std::pin::pin!(body);
+    let body = match read_body(&headers, body, limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return early_refusal(environment.as_ref(), &refusal),
+    };
+    let request = CallerRequest {
+        path_and_query: COMPLETIONS_PATH.to_owned(),
+        headers: caller_headers,
+        body,
+        arrived,
+    };
+    let (mut sink, channel) = caller_channel();
+    // The request runs on its own task to its settlement, also when the caller leaves.
+    tokio::spawn(async move {
+        let record = serve_completion(environment.as_ref(), request, &mut sink).await;
+        log_record(&record);
+    });
+    response(channel).await
+}
+
+async fn lookup<E>(
+    environment: Arc<E>,
+    limits: HttpLimits,
+    headers: HeaderMap,
+    path_and_query: String,
+) -> HttpResponse
+where
+    E: RequestEnvironment + 'static,
+{
+    if path_and_query == COMPLETIONS_PATH {
+        let refusal = Refusal::not_run(ResultCode::MethodNotAllowed);
+        return early_refusal(environment.as_ref(), &refusal);
+    }
+    let arrived = environment.now();
+    let headers = match read_headers(&headers, limits.max_header_bytes) {
+        Ok(headers) => headers,
+        Err(refusal) => return early_refusal(environment.as_ref(), &refusal),
+    };
+    let request = CallerRequest {
+        path_and_query,
+        headers,
+        body: Bytes::new(),
+        arrived,
+    };
+    let (mut sink, channel) = caller_channel();
+    tokio::spawn(async move {
+        let record = serve_lookup(environment.as_ref(), request, &mut sink).await;
+        log_record(&record);
+    });
+    response(channel).await
+}
+
+async fn response(channel: CallerChannel) -> HttpResponse {
+    let Ok(head) = channel.head.await else {
+        let refusal = Refusal::may_have_run(ResultCode::BackendError);
+        return refusal_response(&refusal);
+    };
+    let mut response = warp::reply::stream(channel.body).into_response();
+    apply_head(&mut response, &head);
+    response
+}
+
+fn apply_head(response: &mut HttpResponse, head: &CallerHead) {
+    let status = StatusCode::from_u16(head.status);
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    set(response, "content-type", &head.content_type);
+    set(response, REQUEST_ID_HEADER, &head.request_id);
+    set(response, REVISION_HEADER, &head.revision.to_string());
+    if let Some(length) = head.content_length {
+        set(response, "content-length", &length.to_string());
+    } else {
+        set(response, "cache-control", "no-cache");
+    }
+    if let Some(millis) = head.retry_after_ms {
+        // The header counts whole seconds; the body has the milliseconds.
+        set(response, "retry-after", &millis.div_ceil(1000).to_string());
+    }
+}
+
+fn set(response: &mut HttpResponse, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+/// A refusal before the request path began.
+fn early_refusal<E: RequestEnvironment>(environment: &E, refusal: &Refusal) -> HttpResponse {
+    let mut record = RequestRecord::new(String::new());
+    record.code = refusal.code;
+    record.count(environment.state());
+    let mut response = refusal_response(refusal);
+    // The rest of the request was not read: the connection cannot be used again.
+    set(&mut response, "connection", "close");
+    let revision = environment.state().table().revision();
+    set(&mut response, REVISION_HEADER, &revision.to_string());
+    response
+}
+
+fn refusal_response(refusal: &Refusal) -> HttpResponse {
+    let status = StatusCode::from_u16(refusal.status());
+    let mut response = text_response(status.unwrap_or(StatusCode::BAD_REQUEST), refusal.body());
+    set(&mut response, "content-type", "application/json");
+    if let Some(millis) = refusal.retry_after_ms {
+        set(
+            &mut response,
+            "retry-after",
+            &millis.div_ceil(1000).to_string(),
+        );
+    }
+    response
+}
+
+fn unserved<E: RequestEnvironment>(path: &str, environment: &E) -> HttpResponse {
+    let own_paths = [COMPLETIONS_PATH, HEALTH_PATH, READY_PATH, METRICS_PATH];
+    let known = own_paths.contains(&path) || environment.state().table().match_path(path).is_ok();
+    let refusal = if known {
+        Refusal::not_run(ResultCode::MethodNotAllowed)
+    } else {
+        path_unknown()
+    };
+    early_refusal(environment, &refusal)
+}
+
+fn path_unknown() -> Refusal {
+    Refusal::not_run(ResultCode::PathUnknown)
+}
+
+fn ready_response<E: RequestEnvironment>(environment: &E) -> HttpResponse {
+    let state = environment.state();
+    if state.is_draining() {
+        return refusal_response(&Refusal::not_run(ResultCode::ProxyDraining));
+    }
+    if !state.is_ready() {
+        return refusal_response(&Refusal::not_run(ResultCode::NotReady));
+    }
+    let text = format!("ready revision={}\n", state.table().revision());
+    text_response(StatusCode::OK, text)
+}
+
+fn metrics_response<E: RequestEnvironment>(environment: &E) -> HttpResponse {
+    let text = metrics::render(&environment.state().metrics.registry);
+    let mut response = text_response(StatusCode::OK, text);
+    set(&mut response, "content-type", metrics::CONTENT_TYPE);
+    response
+}
+
+fn text_response(status: StatusCode, text: impl Into<String>) -> HttpResponse {
+    let mut response = Response::new(text.into().into());
+    *response.status_mut() = status;
+    response
+}
+
+fn path_and_query(path: &str, query: Option<&str>) -> String {
+    match query {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+fn log_record(record: &RequestRecord) {
+    let (id, route) = (&record.request_id, &record.route);
+    if record.caller_left {
+        LOG.debug(format!(
+            "Request {id} on route \"{route}\": the caller left."
+        ));
+    } else if record.code == ResultCode::Ok {
+        LOG.debug(format!("Request {id} on route \"{route}\" is served."));
+    } else {
+        let code = record.code;
+        LOG.info(format!(
+            "Request {id} on route \"{route}\" is refused: {code}"
+        ));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/daemon/settings.rs
@@ -0,0 +1,132 @@
+//! Settings of the proxy.
+
+use millford_core::Duration;
+use millford_settings::fault::{require_addresses, require_texts};
+use millford_settings::logging::{LogOptions, parse_level};
+use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
+use serde::Deserialize;
+
+use crate::limits::RequestLimits;
+
+/// Settings file of `millford-proxy`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ProxySettings {
+    /// Name of the node.
+    pub name: String,
+    /// Zone of the node.
+    pub zone: String,
+    /// IP address and port for callers.
+    pub caller_address: String,
+    /// IP address and port of the agent beside the proxy.
+    pub agent_address: String,
+    /// Least severe level that is logged.
+    pub log_level: String,
+    /// Form of a log line.
+    pub log_format: LogFormat,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Largest sum of the request headers, in bytes.
+    pub max_header_bytes: u64,
+    /// Longest time to open a connection to a backend, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Estimated time to the first token above which requests wait or are shed, in milliseconds.
+    pub first_token_limit_ms: u64,
+    /// Silence within a stream after which its backend is ejected, in milliseconds.
+    pub stream_silence_ms: u64,
+    /// Longest wait for open requests when the process leaves, in milliseconds.
+    pub leave_timeout_ms: u64,
+}
+
+impl Default for ProxySettings {
+    fn default() -> Self {
+        let limits = RequestLimits::default();
+        Self {
+            name: String::new(),
+            zone: String::new(),
+            caller_address: String::new(),
+            agent_address: String::new(),
+            log_level: "info".to_owned(),
+            log_format: LogFormat::default(),
+            max_body_bytes: 4 * 1024 * 1024,
+            max_header_bytes: 16 * 1024,
+            connect_timeout_ms: 300,
+            first_token_limit_ms: to_millis(limits.first_token_limit),
+            stream_silence_ms: to_millis(limits.stream_silence),
+            leave_timeout_ms: 30_000,
+        }
+    }
+}
+
+impl ProxySettings {
+    /// Limits of the request path.
+    #[must_use]
+    pub fn limits(&self) -> RequestLimits {
+        RequestLimits {
+            first_token_limit: Duration::from_millis(self.first_token_limit_ms),
+            stream_silence: Duration::from_millis(self.stream_silence_ms),
+            ..RequestLimits::default()
+        }
+    }
+
+    /// How to log.
+    #[must_use]
+    pub fn log_options(&self) -> LogOptions {
+        LogOptions {
+            level: parse_level(&self.log_level).unwrap_or(spdlog::Level::Info),
+            format: self.log_format,
+        }
+    }
+}
+
+impl Settings for ProxySettings {
+    const KEYS: &'static [SettingsKey] = &[
+        SettingsKey::text("name", "name of the node"),
+        SettingsKey::text("zone", "zone of the node"),
+        SettingsKey::text("caller_address", "IP address and port for callers"),
+        SettingsKey::text("agent_address", "IP address and port of the agent"),
+        SettingsKey::text("log_level", "error, warn, info, debug or trace"),
+        SettingsKey::text("log_format", "text or json"),
+        SettingsKey::number("max_body_bytes", "largest request body"),
+        SettingsKey::number("max_header_bytes", "largest sum of the request headers"),
+        SettingsKey::number("connect_timeout_ms", "longest time to reach a backend"),
+        SettingsKey::number("first_token_limit_ms", "estimated first token to admit"),
+        SettingsKey::number("stream_silence_ms", "silence that ejects a backend"),
+        SettingsKey::number(
+            "leave_timeout_ms",
+            "longest wait for open requests at the end",
+        ),
+    ];
+
+    fn faults(&self) -> Vec<SettingsFault> {
+        let mut faults = Vec::new();
+        require_texts(&mut faults, &[("name", &self.name)]);
+        require_addresses(
+            &mut faults,
+            &[
+                ("caller_address", &self.caller_address),
+                ("agent_address", &self.agent_address),
+            ],
+        );
+        if parse_level(&self.log_level).is_none() {
+            faults.push(SettingsFault::new("log_level", "This is not a log level."));
+        }
+        let positive = [
+            ("max_body_bytes", self.max_body_bytes),
+            ("max_header_bytes", self.max_header_bytes),
+            ("connect_timeout_ms", self.connect_timeout_ms),
+            ("first_token_limit_ms", self.first_token_limit_ms),
+            ("stream_silence_ms", self.stream_silence_ms),
+        ];
+        for (key, value) in positive {
+            if value == 0 {
+                faults.push(SettingsFault::new(key, "The value must be above 0."));
+            }
+        }
+        faults
+    }
+}
+
+fn to_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/proxy/src/proxy_metrics.rs
+++ b/crates/proxy/src/proxy_metrics.rs
@@ -40,6 +40,8 @@
     pub open_requests: IntGauge,
     /// Configuration revision shown.
     pub shown_revision: IntGauge,
+    /// Whether the agent is in touch with the control plane.
+    pub agent_in_touch: IntGauge,
     /// Dropped answers by cause.
     pub dropped_answers: IntCounterVec,
 }
@@ -87,6 +89,11 @@
             open_streams: gauge(&registry, "open_streams", "Streams open to callers."),
             open_requests: gauge(&registry, "open_requests", "Requests in progress."),
             shown_revision: gauge(&registry, "shown_revision", "Configuration revision shown."),
+            agent_in_touch: gauge(
+                &registry,
+                "agent_in_touch",
+                "Whether the agent is in touch with the control plane.",
+            ),
             dropped_answers: counters(
                 &registry,
                 "dropped_answers_total",
