--- a/crates/simulation/src/disk/platter.rs
+++ b/crates/simulation/src/disk/platter.rs
@@ -17,6 +17,7 @@
     condition: DiskCondition,
     busy_micros: u64,
     syncs: u64,
+    lies: bool,
 }
 
 impl Platter {
@@ -42,6 +43,11 @@
         self.syncs
     }
 
+    /// From now on syncs do nothing: a planted defect.
+    pub fn lie_about_syncs(&mut self) {
+        self.lies = true;
+    }
+
     /// Forgets every file.
     pub fn wipe(&mut self) {
         self.files.clear();
@@ -87,7 +93,7 @@
             DiskCondition::Slow(micros) => micros,
             _ => HEALTHY_SYNC_MICROS,
         };
-        if let Some(file) = self.files.get_mut(name) {
+        if let Some(file) = self.files.get_mut(name).filter(|_| !self.lies) {
             file.sync();
         }
         self.drop_gone();
--- a/crates/simulation/src/network/link.rs
+++ b/crates/simulation/src/network/link.rs
@@ -4,6 +4,7 @@
 
 use millford_core::MonotonicTime;
 
+use crate::network::packet::Packet;
 use crate::network::process_id::ProcessId;
 
 /// Number of a connection, unique in a run.
@@ -41,15 +42,6 @@
     Closed,
 }
 
-/// What travels on a connection, in order.
-#[derive(Clone, Debug)]
-pub enum Packet {
-    /// An encoded message.
-    Bytes(Vec<u8>),
-    /// The other side closed or its process died.
-    End,
-}
-
 /// A connection with its packets in flight.
 pub struct Link {
     /// The side that connected.
@@ -62,6 +54,10 @@
     pub acceptor_boot: u64,
     /// How far it has come.
     pub state: LinkState,
+    /// A machine was lost: nothing more arrives, and nobody is told.
+    pub silent: bool,
+    /// The side that closed; nothing reaches it any more.
+    pub closed_by: Option<ProcessId>,
     /// Packets in flight, per direction.
     pub in_flight: [VecDeque<Packet>; 2],
     /// Earliest arrival of the next packet, per direction: TCP never reorders.
@@ -78,6 +74,11 @@
         }
     }
 
+    /// Takes the next packet of a direction.
+    pub fn take(&mut self, direction: Direction) -> Option<Packet> {
+        self.in_flight[Self::index(direction)].pop_front()
+    }
+
     /// The process that sends in a direction.
     #[must_use]
     pub fn sender(&self, direction: Direction) -> ProcessId {
--- a/crates/simulation/src/network/links.rs
+++ b/crates/simulation/src/network/links.rs
@@ -4,7 +4,8 @@
 
 use millford_core::MonotonicTime;
 
-use crate::network::link::{Direction, Link, LinkNumber, LinkState, Packet};
+use crate::network::link::{Direction, Link, LinkNumber, LinkState};
+use crate::network::packet::Packet;
 use crate::network::process_id::ProcessId;
 
 /// Table of connections, by number.
@@ -25,6 +26,8 @@
             acceptor,
             acceptor_boot: 0,
             state: LinkState::Connecting,
+            silent: false,
+            closed_by: None,
             in_flight: Default::default(),
             last_arrival: [MonotonicTime::ZERO; 2],
         };
--- /dev/null
+++ b/crates/simulation/src/world/agent_driver.rs
@@ -0,0 +1,211 @@
+//! Drives the agents: the part that is I/O in the daemon.
+
+use std::time::Duration;
+
+use millford_agent::{AgentCore, AgentInput, AgentOptions, AgentOutput};
+use rand::Rng;
+
+use crate::history::{FrontNumber, Record};
+use crate::network::{LinkNumber, MachineId, Packet, ProcessId};
+use crate::world::control_driver::{control_at, seed_addresses};
+use crate::world::event::Event;
+use crate::world::process_input::ProcessInput;
+use crate::world::site::Site;
+
+const MAX_TICK: Duration = Duration::from_millis(50);
+const MIN_TICK: Duration = Duration::from_micros(500);
+const REGISTRY_DELAY: Duration = Duration::from_millis(3);
+const START_TICK: Duration = Duration::from_millis(1);
+
+impl Site {
+    /// Starts the agent's core.
+    pub fn start_agent(&mut self, number: u16) {
+        let process = ProcessId::Agent(number);
+        let local = self.local_time(process);
+        let boot = self.boot_of(process);
+        let zone = self.zone(number);
+        let random_seed = self.random.random();
+        let boot_id = self.random.random();
+        let Some(agent) = self.agents.get_mut(&number) else {
+            return;
+        };
+        agent.forget_core();
+        let mut control_addresses = seed_addresses();
+        for address in &agent.saved_addresses {
+            if !control_addresses.contains(address) {
+                control_addresses.push(address.clone());
+            }
+        }
+        let options = AgentOptions {
+            name: format!("front-{number}"),
+            zone,
+            address: format!("10.0.2.{number}:7100"),
+            boot_id,
+            control_addresses,
+            random_seed,
+        };
+        agent.core = Some(AgentCore::new(&options, local));
+        self.tick_after(process, boot, START_TICK);
+    }
+
+    /// The agent died.
+    pub fn agent_died(&mut self, number: u16) {
+        if let Some(agent) = self.agents.get_mut(&number) {
+            agent.forget_core();
+        }
+        self.say_touch(number, false);
+    }
+
+    /// Hands an input to an agent.
+    pub fn agent_input(&mut self, number: u16, input: ProcessInput, waits: bool) {
+        let process = ProcessId::Agent(number);
+        let is_tick = matches!(input, ProcessInput::Tick);
+        if is_tick && waits {
+            let boot = self.boot_of(process);
+            self.tick_after(process, boot, MAX_TICK);
+            return;
+        }
+        let Some(input) = self.agent_core_input(number, input) else {
+            return;
+        };
+        let local = self.local_time(process);
+        let Some(agent) = self.agents.get_mut(&number) else {
+            return;
+        };
+        let Some(core) = agent.core.as_mut() else {
+            return;
+        };
+        let outputs = core.handle(local, input);
+        let in_touch = core.in_touch();
+        let next = core.next_tick(local);
+        for output in outputs {
+            self.agent_output(number, output);
+        }
+        self.say_touch(number, in_touch);
+        if is_tick {
+            let boot = self.boot_of(process);
+            let delay = next.since(local).clamp(MIN_TICK, MAX_TICK);
+            self.tick_after(process, boot, delay);
+        }
+    }
+
+    fn say_touch(&mut self, number: u16, in_touch: bool) {
+        let Some(agent) = self.agents.get_mut(&number) else {
+            return;
+        };
+        if agent.said_in_touch == in_touch {
+            return;
+        }
+        agent.said_in_touch = in_touch;
+        let front = FrontNumber(number);
+        self.record(Record::Touch { front, in_touch });
+    }
+
+    fn agent_core_input(&mut self, number: u16, input: ProcessInput) -> Option<AgentInput> {
+        let registry = self.registry.agent_view();
+        let agent = self.agents.get_mut(&number)?;
+        match input {
+            ProcessInput::LinkOpened {
+                link,
+                accepted: true,
+            } => {
+                agent.proxy = Some(link);
+                Some(AgentInput::ProxyUp)
+            }
+            ProcessInput::LinkOpened { link, .. } => {
+                let link = *agent.ids.get(&link)?;
+                Some(AgentInput::LinkUp { link })
+            }
+            ProcessInput::LinkClosed { link } if agent.proxy == Some(link) => {
+                agent.proxy = None;
+                Some(AgentInput::ProxyDown)
+            }
+            ProcessInput::LinkClosed { link } => {
+                let link = agent.forget_link(link)?;
+                Some(AgentInput::LinkDown { link })
+            }
+            ProcessInput::Packet {
+                link,
+                packet: Packet::Frame(frame),
+            } => {
+                let link = *agent.ids.get(&link)?;
+                Some(AgentInput::ControlFrame { link, frame })
+            }
+            ProcessInput::Packet {
+                link,
+                packet: Packet::Local(frame),
+            } if agent.proxy == Some(link) => Some(AgentInput::ProxyFrame(frame)),
+            ProcessInput::Registry => Some(AgentInput::Registry(registry)),
+            ProcessInput::Tick => Some(AgentInput::Tick),
+            _ => None,
+        }
+    }
+
+    fn agent_output(&mut self, number: u16, output: AgentOutput) {
+        let process = ProcessId::Agent(number);
+        let now = self.now();
+        match output {
+            AgentOutput::Connect { link, address } => self.agent_connects(number, link, &address),
+            AgentOutput::SendControl { link, frame } => {
+                if let Some(link) = self.agent_link(number, link) {
+                    self.send_packet(process, link, Packet::Frame(frame), now);
+                }
+            }
+            AgentOutput::CloseControl { link } => {
+                if let Some(link) = self.agent_link(number, link) {
+                    if let Some(agent) = self.agents.get_mut(&number) {
+                        agent.forget_link(link);
+                    }
+                    self.close_link(process, link);
+                }
+            }
+            AgentOutput::SendProxy(frame) => {
+                let link = self.agents.get(&number).and_then(|agent| agent.proxy);
+                if let Some(link) = link {
+                    self.send_packet(process, link, Packet::Local(frame), now);
+                }
+            }
+            AgentOutput::ReadRegistry => {
+                let boot = self.boot_of(process);
+                self.after(REGISTRY_DELAY, Event::ReadRegistry { process, boot });
+            }
+            AgentOutput::SaveMembers(members) => {
+                if let Some(agent) = self.agents.get_mut(&number) {
+                    let addresses = members.into_iter().map(|member| member.internal_address);
+                    agent.saved_addresses = addresses.collect();
+                }
+            }
+            AgentOutput::Stopped => {}
+        }
+    }
+
+    fn agent_link(&self, number: u16, link: u64) -> Option<LinkNumber> {
+        self.agents.get(&number)?.numbers.get(&link).copied()
+    }
+
+    fn agent_connects(&mut self, number: u16, id: u64, address: &str) {
+        let process = ProcessId::Agent(number);
+        let target = control_at(address).unwrap_or(ProcessId::Control(u16::MAX));
+        let link = self.open_link(process, target);
+        if let Some(agent) = self.agents.get_mut(&number) {
+            agent.name_link(link, id);
+        }
+    }
+
+    /// A process reads the registry, if it can reach it; control nodes do so again and again.
+    pub fn read_registry(&mut self, process: ProcessId, boot: u64) {
+        if self.boot_of(process) != boot {
+            return;
+        }
+        let reachable = self
+            .cuts
+            .is_passable(process.machine(), MachineId::Registry);
+        if reachable {
+            self.give(process, boot, ProcessInput::Registry);
+        }
+        if matches!(process, ProcessId::Control(_)) {
+            let event = Event::ReadRegistry { process, boot };
+            self.after(crate::world::registry::POLL_PERIOD, event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/control_driver.rs
@@ -0,0 +1,255 @@
+//! Drives the control nodes: the part that is I/O in the daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use millford_control::timing::TICK;
+use millford_control::{ControlNode, ControlOptions, LinkId, NodeInput, NodeOutput, PeerKind};
+use millford_core::MonotonicTime;
+use millford_storage::Disk;
+use rand::Rng;
+
+use crate::disk::MemoryDisk;
+use crate::network::{LinkNumber, Packet, ProcessId};
+use crate::world::control_process::ControlProcess;
+use crate::world::defect::Defect;
+use crate::world::event::{Event, OperatorEvent};
+use crate::world::process_input::ProcessInput;
+use crate::world::site::Site;
+
+const SEEDS: u16 = 3;
+const DATA_SHARDS: u32 = 6;
+const REPLACE_AFTER: Duration = Duration::from_secs(5);
+const RESTART_AFTER_FATAL: Duration = Duration::from_secs(1);
+const INTERNAL_PORT: u16 = 7000;
+const OPERATOR_PORT: u16 = 7001;
+
+/// Internal address of a core machine.
+#[must_use]
+pub fn control_address(number: u16) -> String {
+    format!("10.0.1.{number}:{INTERNAL_PORT}")
+}
+
+/// The core machine with an internal address.
+#[must_use]
+pub fn control_at(address: &str) -> Option<ProcessId> {
+    let rest = address.strip_prefix("10.0.1.")?;
+    let number = rest.split(':').next()?;
+    number.parse().ok().map(ProcessId::Control)
+}
+
+/// Addresses that every process is started with.
+#[must_use]
+pub fn seed_addresses() -> Vec<String> {
+    (1..=SEEDS).map(control_address).collect()
+}
+
+impl Site {
+    /// Adds a core machine with an empty disk.
+    pub fn add_control(&mut self, number: u16) {
+        let control = ControlProcess::new(self.fresh_process());
+        if self.options.defect == Some(Defect::LyingDisks) {
+            control.disk().lie_about_syncs();
+        }
+        self.controls.insert(number, control);
+    }
+
+    /// Opens the control node of a process that starts.
+    pub fn start_control(&mut self, number: u16) {
+        let process = ProcessId::Control(number);
+        let local = self.local_time(process);
+        let boot = self.boot_of(process);
+        let options = self.control_options(number);
+        let Some(control) = self.controls.get_mut(&number) else {
+            return;
+        };
+        control.forget_node();
+        let platter = Arc::clone(&control.platter);
+        let disks =
+            |folder: &str| Box::new(MemoryDisk::new(Arc::clone(&platter), folder)) as Box<dyn Disk>;
+        match ControlNode::open(options, disks, local) {
+            Ok(node) => {
+                control.node = Some(node);
+                self.tick_after(process, boot, TICK);
+                self.after(
+                    Duration::from_millis(10),
+                    Event::ReadRegistry { process, boot },
+                );
+            }
+            Err(error) => {
+                let now = self.now();
+                self.recorder
+                    .note(now, || format!("control {number} cannot open: {error}"));
+                self.control_fatal(number);
+            }
+        }
+    }
+
+    fn control_options(&mut self, number: u16) -> ControlOptions {
+        ControlOptions {
+            zone: self.zone(number),
+            internal_address: control_address(number),
+            operator_address: format!("10.0.1.{number}:{OPERATOR_PORT}"),
+            seeds: seed_addresses(),
+            data_shards: DATA_SHARDS,
+            replace_after: REPLACE_AFTER,
+            seed: self.random.random(),
+        }
+    }
+
+    /// Zone of the machine with this number among its kind.
+    #[must_use]
+    pub fn zone(&self, number: u16) -> String {
+        format!("zone-{}", number % self.topology.zones.max(1))
+    }
+
+    /// The process died: its node is gone, and unsynced bytes with it.
+    pub fn control_died(&mut self, number: u16) {
+        let Some(control) = self.controls.get_mut(&number) else {
+            return;
+        };
+        control.forget_node();
+        let platter = Arc::clone(&control.platter);
+        let mut platter = platter
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        platter.lose_power(&mut self.random);
+    }
+
+    fn control_fatal(&mut self, number: u16) {
+        let process = ProcessId::Control(number);
+        self.kill_process(process, false);
+        self.after(RESTART_AFTER_FATAL, Event::Start { process });
+    }
+
+    /// Hands an input to a control node.
+    pub fn control_input(&mut self, number: u16, input: ProcessInput, waits: bool) {
+        let process = ProcessId::Control(number);
+        let boot = self.boot_of(process);
+        if matches!(input, ProcessInput::Tick) {
+            self.tick_after(process, boot, TICK);
+            if waits {
+                return;
+            }
+        }
+        let Some(input) = self.control_node_input(number, input) else {
+            return;
+        };
+        let local = self.local_time(process);
+        let Some(control) = self.controls.get_mut(&number) else {
+            return;
+        };
+        let Some(node) = control.node.as_mut() else {
+            return;
+        };
+        let outputs = node.handle(local, input);
+        let busy = Duration::from_micros(control.disk().take_busy_micros());
+        let free_at = self.now() + busy;
+        if !busy.is_zero() {
+            self.busy_until(process, boot, free_at);
+        }
+        for output in outputs {
+            self.control_output(number, output, free_at);
+        }
+    }
+
+    fn busy_until(&mut self, process: ProcessId, boot: u64, free_at: MonotonicTime) {
+        if let Some(state) = self.process_mut(process) {
+            state.busy_until = free_at;
+        }
+        self.queue.push(free_at, Event::Ready { process, boot });
+    }
+
+    fn control_node_input(&mut self, number: u16, input: ProcessInput) -> Option<NodeInput> {
+        let registry = Arc::clone(&self.registry.view);
+        let control = self.controls.get_mut(&number)?;
+        match input {
+            ProcessInput::LinkOpened { link, accepted } => {
+                let peer = match accepted {
+                    true => PeerKind::Incoming,
+                    false => PeerKind::Outgoing,
+                };
+                if accepted {
+                    control.accepted += 1;
+                    control.name_link(link, LinkId(control.accepted));
+                }
+                let link = *control.ids.get(&link)?;
+                Some(NodeInput::LinkOpened { link, peer })
+            }
+            ProcessInput::LinkClosed { link } => {
+                let link = control.forget_link(link)?;
+                Some(NodeInput::LinkClosed { link })
+            }
+            ProcessInput::Packet {
+                link,
+                packet: Packet::Frame(frame),
+            } => {
+                let link = *control.ids.get(&link)?;
+                Some(NodeInput::Frame {
+                    link,
+                    frame: *frame,
+                })
+            }
+            ProcessInput::Operator { request, body } => Some(NodeInput::Operator {
+                request,
+                body: *body,
+            }),
+            ProcessInput::Registry => Some(NodeInput::Registry(registry)),
+            ProcessInput::Tick => Some(NodeInput::Tick),
+            _ => None,
+        }
+    }
+
+    fn control_output(&mut self, number: u16, output: NodeOutput, at: MonotonicTime) {
+        let process = ProcessId::Control(number);
+        match output {
+            NodeOutput::Send { link, frame } => {
+                if let Some(link) = self.control_link(number, link) {
+                    self.send_packet(process, link, Packet::Frame(Box::new(frame)), at);
+                }
+            }
+            NodeOutput::Connect { link, address } => self.control_connects(number, link, &address),
+            NodeOutput::Close { link } => {
+                if let Some(link) = self.control_link(number, link) {
+                    if let Some(control) = self.controls.get_mut(&number) {
+                        control.forget_link(link);
+                    }
+                    self.close_link(process, link);
+                }
+            }
+            NodeOutput::OperatorReply { request, reply } => {
+                let delay = self.network_delay(process, ProcessId::Backend(0));
+                self.operators.keep_answer(request, reply);
+                self.queue.push(
+                    at + delay,
+                    Event::Operator(OperatorEvent::Answer { request }),
+                );
+            }
+            NodeOutput::Note(note) => {
+                let now = self.now();
+                self.recorder
+                    .note(now, || format!("control {number}: {note:?}"));
+            }
+            NodeOutput::Fatal { code } => {
+                let now = self.now();
+                self.recorder
+                    .note(now, || format!("control {number} stops: {code}"));
+                self.control_fatal(number);
+            }
+        }
+    }
+
+    fn control_link(&self, number: u16, link: LinkId) -> Option<LinkNumber> {
+        self.controls.get(&number)?.numbers.get(&link).copied()
+    }
+
+    fn control_connects(&mut self, number: u16, id: LinkId, address: &str) {
+        let process = ProcessId::Control(number);
+        // An address that nobody has is as good as a machine that is down.
+        let target = control_at(address).unwrap_or(ProcessId::Control(u16::MAX));
+        let link = self.open_link(process, target);
+        if let Some(control) = self.controls.get_mut(&number) {
+            control.name_link(link, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/control_process.rs
@@ -0,0 +1,70 @@
+//! A control node with its machine's disk.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use millford_control::{ControlNode, LinkId};
+
+use crate::disk::Platter;
+use crate::network::LinkNumber;
+use crate::world::process::ProcessState;
+
+/// A core machine.
+pub struct ControlProcess {
+    /// The process.
+    pub process: ProcessState,
+    /// The disk; it outlives the process.
+    pub platter: Arc<Mutex<Platter>>,
+    /// The node while the process runs.
+    pub node: Option<ControlNode>,
+    /// The node's names of the connections.
+    pub ids: BTreeMap<LinkNumber, LinkId>,
+    /// Connections by the node's names.
+    pub numbers: BTreeMap<LinkId, LinkNumber>,
+    /// Number of the last accepted connection.
+    pub accepted: u64,
+    /// Whether the machine is lost for good.
+    pub lost: bool,
+}
+
+impl ControlProcess {
+    /// A core machine with an empty disk.
+    #[must_use]
+    pub fn new(process: ProcessState) -> Self {
+        Self {
+            process,
+            platter: Arc::default(),
+            node: None,
+            ids: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            accepted: 0,
+            lost: false,
+        }
+    }
+
+    /// The disk.
+    pub fn disk(&self) -> MutexGuard<'_, Platter> {
+        self.platter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Names a connection.
+    pub fn name_link(&mut self, number: LinkNumber, id: LinkId) {
+        self.ids.insert(number, id);
+        self.numbers.insert(id, number);
+    }
+
+    /// Forgets a connection.
+    pub fn forget_link(&mut self, number: LinkNumber) -> Option<LinkId> {
+        let id = self.ids.remove(&number)?;
+        self.numbers.remove(&id);
+        Some(id)
+    }
+
+    /// Forgets the node and its connections.
+    pub fn forget_node(&mut self) {
+        self.node = None;
+        self.ids.clear();
+        self.numbers.clear();
+        self.accepted = 0;
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/event.rs
@@ -0,0 +1,75 @@
+//! Events of the simulated site.
+
+use crate::history::{CallEnd, CallNumber, Piece};
+use crate::network::{Direction, LinkNumber, ProcessId};
+use crate::world::process_input::ProcessInput;
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A process gets an input.
+    Input {
+        process: ProcessId,
+        boot: u64,
+        input: ProcessInput,
+    },
+    /// A process may be free again.
+    Ready { process: ProcessId, boot: u64 },
+    /// A connection request reaches the other side.
+    Connect { link: LinkNumber, tries: u32 },
+    /// The next message of a connection arrives.
+    Arrive {
+        link: LinkNumber,
+        direction: Direction,
+    },
+    /// A process starts.
+    Start { process: ProcessId },
+    /// A fault of the scenario or of a draw begins.
+    FaultBegins { fault: usize },
+    /// A running fault ends.
+    FaultEnds { running: u32 },
+    /// A caller sends its next request.
+    CallerSends { lookup: bool },
+    /// A caller sends a request again.
+    CallerResends { call: CallNumber },
+    /// A piece or the end reaches a caller.
+    CallerHears {
+        call: CallNumber,
+        piece: Option<Piece>,
+        end: Option<(CallEnd, Option<u64>)>,
+    },
+    /// A caller's patience is over.
+    CallerTiresOf { call: CallNumber },
+    /// An operator works on an order or a read.
+    Operator(OperatorEvent),
+    /// The registry's list changes.
+    Registry(RegistryEvent),
+    /// Each control node reads the registry.
+    ReadRegistry { process: ProcessId, boot: u64 },
+}
+
+/// Events of operators.
+#[derive(Clone, Debug)]
+pub enum OperatorEvent {
+    /// It is time for an order.
+    NextOrder,
+    /// It is time for a read.
+    NextRead,
+    /// An answer arrives.
+    Answer { request: u64 },
+    /// No answer came.
+    TimeUp { request: u64 },
+    /// Every accepted order is sent again.
+    ResendAll,
+}
+
+/// Events of the registry.
+#[derive(Clone, Copy, Debug)]
+pub enum RegistryEvent {
+    /// A backend registers.
+    Register { backend: u16 },
+    /// The list notices that a backend is gone.
+    Remove { backend: u16 },
+    /// A retired backend leaves.
+    Leave { backend: u16 },
+}
--- /dev/null
+++ b/crates/simulation/src/world/process_input.rs
@@ -0,0 +1,39 @@
+//! Inputs of simulated processes.
+
+use millford_control::operator::OperatorRequest;
+
+use crate::history::CallNumber;
+use crate::network::{LinkNumber, Packet};
+use crate::world::callers::Arrival;
+
+/// Something that a process has to deal with.
+#[derive(Clone, Debug)]
+pub enum ProcessInput {
+    /// A connection that the process opened or accepted is up.
+    LinkOpened {
+        link: LinkNumber,
+        /// Whether the process accepted it.
+        accepted: bool,
+    },
+    /// A connection ended or could not be opened.
+    LinkClosed { link: LinkNumber },
+    /// A message arrived.
+    Packet { link: LinkNumber, packet: Packet },
+    /// Time passes.
+    Tick,
+    /// A timer of a request is due.
+    Timer,
+    /// The registry's list arrived, as it was at the reading.
+    Registry,
+    /// An operator asks.
+    Operator {
+        request: u64,
+        body: Box<OperatorRequest>,
+    },
+    /// A caller's request arrived.
+    Call(Box<Arrival>),
+    /// A caller left.
+    CallerGone(CallNumber),
+    /// A backend goes on with the answer on a connection.
+    Work { link: LinkNumber },
+}
--- /dev/null
+++ b/crates/simulation/src/world/proxy/environment.rs
@@ -0,0 +1,140 @@
+//! The request path's view of the simulated site.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use futures::channel::{mpsc, oneshot};
+use millford_api::command::{Claim, SettleClaim};
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::proxy_state::ProxyState;
+use millford_proxy::request::environment::RequestEnvironment;
+use millford_proxy::request::message::{
+    BackendRequest, ClaimAnswer, DispatchError, QuotaAnswer, QuotaAsk, QuotaRelease,
+    WithdrawAnswer, WithdrawRequest,
+};
+
+use crate::history::CallNumber;
+use crate::world::proxy::action::ProxyAction;
+use crate::world::proxy::agent_desk::AgentDesk;
+use crate::world::proxy::answer::{ExchangeGuard, SimulatedAnswer};
+use crate::world::proxy::port::{ExchangeWaiter, SharedPort, lock};
+
+/// Environment of one call on a proxy.
+pub struct SimulatedEnvironment {
+    /// Where wishes go.
+    pub port: SharedPort,
+    /// State of the proxy.
+    pub state: Arc<ProxyState>,
+    /// What waits for the agent.
+    pub agent: Arc<AgentDesk>,
+    /// The call that is served.
+    pub call: CallNumber,
+}
+
+impl SimulatedEnvironment {
+    fn sleep_until(&self, at: MonotonicTime) -> impl Future<Output = ()> + Send + use<> {
+        let timer = lock(&self.port).timer(at);
+        async move {
+            let _ = timer.await;
+        }
+    }
+
+    fn open(&self) -> u64 {
+        lock(&self.port).next_number()
+    }
+
+    fn guard(&self, exchange: u64) -> ExchangeGuard {
+        ExchangeGuard {
+            port: Arc::clone(&self.port),
+            exchange,
+        }
+    }
+}
+
+impl RequestEnvironment for SimulatedEnvironment {
+    type Answer = SimulatedAnswer;
+
+    fn state(&self) -> &ProxyState {
+        &self.state
+    }
+
+    fn now(&self) -> MonotonicTime {
+        lock(&self.port).now
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        let at = self.now() + duration;
+        self.sleep_until(at)
+    }
+
+    fn random(&self) -> u64 {
+        lock(&self.port).random()
+    }
+
+    async fn ask_quota(&self, ask: QuotaAsk) -> QuotaAnswer {
+        self.agent.ask_quota(&self.port, self.call, ask).await
+    }
+
+    fn release_quota(&self, release: QuotaRelease) {
+        self.agent.release_quota(&self.port, release);
+    }
+
+    async fn claim(&self, claim: Claim, timeout: Duration) -> ClaimAnswer {
+        self.agent.claim(&self.port, claim, timeout).await
+    }
+
+    fn settle(&self, settle: SettleClaim) {
+        self.agent.settle(&self.port, settle);
+    }
+
+    async fn dispatch(&self, request: BackendRequest) -> Result<SimulatedAnswer, DispatchError> {
+        let exchange = self.open();
+        let guard = self.guard(exchange);
+        let (head_sender, head) = oneshot::channel();
+        let (part_sender, parts) = mpsc::unbounded();
+        {
+            let mut port = lock(&self.port);
+            let waiter = ExchangeWaiter::Head {
+                head: head_sender,
+                parts: part_sender,
+                sent: request.sent.clone(),
+            };
+            port.exchanges.insert(exchange, waiter);
+            port.actions.push(ProxyAction::Dispatch {
+                exchange,
+                call: self.call,
+                request: Box::new(request),
+            });
+        }
+        let head = head.await.unwrap_or(Err(DispatchError::Lost))?;
+        Ok(SimulatedAnswer::new(head, parts, guard))
+    }
+
+    async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
+        let exchange = self.open();
+        let _guard = self.guard(exchange);
+        let (sender, answer) = oneshot::channel();
+        let at = self.now() + request.timeout;
+        {
+            let mut port = lock(&self.port);
+            let waiter = ExchangeWaiter::Withdrawal(Some(sender));
+            port.exchanges.insert(exchange, waiter);
+            port.actions
+                .push(ProxyAction::Withdraw { exchange, request });
+        }
+        let timer = std::pin::pin!(self.sleep_until(at));
+        match futures::future::select(answer, timer).await {
+            futures::future::Either::Left((Ok(answer), _)) => answer,
+            _ => WithdrawAnswer::Unknown,
+        }
+    }
+
+    fn withdraw_later(&self, request: WithdrawRequest) {
+        let exchange = self.open();
+        let mut port = lock(&self.port);
+        port.exchanges
+            .insert(exchange, ExchangeWaiter::Withdrawal(None));
+        port.actions
+            .push(ProxyAction::Withdraw { exchange, request });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/site.rs
@@ -0,0 +1,346 @@
+//! A site under simulated time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use millford_core::MonotonicTime;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::checkers::Verdict;
+use crate::history::Record;
+use crate::kernel::{EventQueue, ProcessClock};
+use crate::network::{CutTable, Links, ProcessId};
+use crate::scenario::{Scenario, Topology};
+use crate::world::agent_process::AgentProcess;
+use crate::world::backend::BackendProcess;
+use crate::world::callers::Callers;
+use crate::world::control_process::ControlProcess;
+use crate::world::event::{Event, RegistryEvent};
+use crate::world::fault_driver::FaultBook;
+use crate::world::operators::Operators;
+use crate::world::process::ProcessState;
+use crate::world::process_input::ProcessInput;
+use crate::world::proxy::ProxyProcess;
+use crate::world::recorder::Recorder;
+use crate::world::registry::RegistryList;
+use crate::world::run_options::RunOptions;
+
+/// Largest drift of a clock, in parts per million.
+const MAX_DRIFT_PPM: i32 = 200;
+
+/// Largest reading of a clock at the start, in microseconds.
+const MAX_CLOCK_START: u64 = 1 << 40;
+
+/// Time within which the processes of a site start.
+const START_SPREAD_MICROS: u64 = 300_000;
+
+/// Everything of a running scenario.
+pub struct Site {
+    /// What is run.
+    pub scenario: Scenario,
+    /// Machines.
+    pub topology: Topology,
+    /// Seed and switches.
+    pub options: RunOptions,
+    /// Future events.
+    pub queue: EventQueue<Event>,
+    /// All randomness.
+    pub random: ChaCha8Rng,
+    /// History and checkers.
+    pub recorder: Recorder,
+    /// Connections.
+    pub links: Links,
+    /// Cuts.
+    pub cuts: CutTable,
+    /// Core machines.
+    pub controls: BTreeMap<u16, ControlProcess>,
+    /// Agents of the front machines.
+    pub agents: BTreeMap<u16, AgentProcess>,
+    /// Proxies of the front machines.
+    pub proxies: BTreeMap<u16, ProxyProcess>,
+    /// Backends, gone ones included.
+    pub backends: BTreeMap<u16, BackendProcess>,
+    /// The service registry.
+    pub registry: RegistryList,
+    /// Callers.
+    pub callers: Callers,
+    /// Operators.
+    pub operators: Operators,
+    /// Faults to come and under way.
+    pub faults: FaultBook,
+    next_boot: u64,
+}
+
+impl Site {
+    /// A site at its first start: empty disks, nothing running.
+    #[must_use]
+    pub fn new(scenario: &Scenario, options: RunOptions) -> Self {
+        let topology = scenario.site(options.seed);
+        let mut site = Self {
+            scenario: scenario.clone(),
+            topology,
+            options,
+            queue: EventQueue::default(),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            recorder: Recorder::default(),
+            links: Links::default(),
+            cuts: CutTable::default(),
+            controls: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            registry: RegistryList::default(),
+            callers: Callers::new(scenario, topology),
+            operators: Operators::new(scenario, topology),
+            faults: FaultBook::default(),
+            next_boot: 0,
+        };
+        site.recorder.verbose = options.verbose;
+        site.build();
+        site
+    }
+
+    fn build(&mut self) {
+        for number in 1..=self.topology.cores {
+            self.add_control(number);
+        }
+        for number in 1..=self.topology.fronts {
+            let agent = AgentProcess::new(self.fresh_process());
+            self.agents.insert(number, agent);
+            let proxy = ProxyProcess::new(self.fresh_process());
+            self.proxies.insert(number, proxy);
+        }
+        self.start_at_random_times();
+        for _ in 0..self.topology.models {
+            let backend = self.add_backend(false);
+            self.register_now(backend);
+        }
+        for _ in 0..self.topology.lookups {
+            let backend = self.add_backend(true);
+            self.register_now(backend);
+        }
+        self.start_callers();
+        self.start_operators();
+        self.plan_faults();
+    }
+
+    fn start_at_random_times(&mut self) {
+        let controls = self.controls.keys().map(|number| ProcessId::Control(*number));
+        let agents = self.agents.keys().map(|number| ProcessId::Agent(*number));
+        let proxies = self.proxies.keys().map(|number| ProcessId::Proxy(*number));
+        let processes: Vec<ProcessId> = controls.chain(agents).chain(proxies).collect();
+        for process in processes {
+            let delay = self.random.random_range(0..START_SPREAD_MICROS);
+            self.after(Duration::from_micros(delay), Event::Start { process });
+        }
+    }
+
+    fn register_now(&mut self, backend: u16) {
+        self.start_process(ProcessId::Backend(backend));
+        self.handle_registry(RegistryEvent::Register { backend });
+    }
+
+    /// A process with a clock of its own.
+    pub fn fresh_process(&mut self) -> ProcessState {
+        let local = self.random.random_range(0..MAX_CLOCK_START);
+        let drift = self.random.random_range(-MAX_DRIFT_PPM..=MAX_DRIFT_PPM);
+        let now = self.now();
+        let clock = ProcessClock::new(now, MonotonicTime::from_micros(local), drift);
+        ProcessState::new(clock)
+    }
+
+    /// Number of a new incarnation.
+    pub fn next_boot(&mut self) -> u64 {
+        self.next_boot += 1;
+        self.next_boot
+    }
+
+    /// True time.
+    #[must_use]
+    pub fn now(&self) -> MonotonicTime {
+        self.queue.now()
+    }
+
+    /// Adds an event after a delay.
+    pub fn after(&mut self, delay: Duration, event: Event) {
+        let at = self.now() + delay;
+        self.queue.push(at, event);
+    }
+
+    /// Adds to the history.
+    pub fn record(&mut self, record: Record) {
+        let now = self.now();
+        self.recorder.record(now, &record);
+    }
+
+    /// Runs to the end of the scenario.
+    pub fn run(&mut self) -> Verdict {
+        let end = MonotonicTime::ZERO + self.scenario.duration;
+        while self.now() < end {
+            let Some((at, event)) = self.queue.pop() else {
+                break;
+            };
+            if at >= end {
+                break;
+            }
+            self.handle(event);
+        }
+        self.recorder.finish(end)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Input {
+                process,
+                boot,
+                input,
+            } => self.give(process, boot, input),
+            Event::Ready { process, boot } => self.ready(process, boot),
+            Event::Connect { link, tries } => self.connection_arrives(link, tries),
+            Event::Arrive { link, direction } => self.packet_arrives(link, direction),
+            Event::Start { process } => self.start_process(process),
+            Event::FaultBegins { fault } => self.fault_begins(fault),
+            Event::FaultEnds { running } => self.fault_ends(running),
+            Event::CallerSends { lookup } => self.caller_sends(lookup),
+            Event::CallerResends { call } => self.caller_resends(call),
+            Event::CallerHears { call, piece, end } => self.caller_hears(call, piece, end),
+            Event::CallerTiresOf { call } => self.caller_tires(call),
+            Event::Operator(event) => self.handle_operator(event),
+            Event::Registry(event) => self.handle_registry(event),
+            Event::ReadRegistry { process, boot } => self.read_registry(process, boot),
+        }
+    }
+
+    /// The state of a process.
+    #[must_use]
+    pub fn process(&self, process: ProcessId) -> Option<&ProcessState> {
+        match process {
+            ProcessId::Control(number) => self.controls.get(&number).map(|it| &it.process),
+            ProcessId::Agent(number) => self.agents.get(&number).map(|it| &it.process),
+            ProcessId::Proxy(number) => self.proxies.get(&number).map(|it| &it.process),
+            ProcessId::Backend(number) => self.backends.get(&number).map(|it| &it.process),
+        }
+    }
+
+    /// The state of a process, for changes.
+    pub fn process_mut(&mut self, process: ProcessId) -> Option<&mut ProcessState> {
+        match process {
+            ProcessId::Control(number) => self.controls.get_mut(&number).map(|it| &mut it.process),
+            ProcessId::Agent(number) => self.agents.get_mut(&number).map(|it| &mut it.process),
+            ProcessId::Proxy(number) => self.proxies.get_mut(&number).map(|it| &mut it.process),
+            ProcessId::Backend(number) => self.backends.get_mut(&number).map(|it| &mut it.process),
+        }
+    }
+
+    /// What the process's clock shows.
+    #[must_use]
+    pub fn local_time(&self, process: ProcessId) -> MonotonicTime {
+        let now = self.now();
+        self.process(process)
+            .map_or(now, |state| state.clock.local(now))
+    }
+
+    /// Incarnation of the process, 0 while it does not run.
+    #[must_use]
+    pub fn boot_of(&self, process: ProcessId) -> u64 {
+        match self.process(process) {
+            Some(state) if state.alive => state.boot,
+            _ => 0,
+        }
+    }
+
+    /// Hands an input to a process, or keeps it while the process is frozen or busy.
+    pub fn give(&mut self, process: ProcessId, boot: u64, input: ProcessInput) {
+        let now = self.now();
+        let Some(state) = self.process_mut(process) else {
+            return;
+        };
+        if !state.alive || state.boot != boot {
+            return;
+        }
+        let waits = !state.is_free(now) || !state.inbox.is_empty();
+        if waits && !matches!(input, ProcessInput::Tick) {
+            state.inbox.push_back(input);
+            return;
+        }
+        self.dispatch(process, input, waits);
+    }
+
+    /// Lets a process take what waited for it.
+    pub fn ready(&mut self, process: ProcessId, boot: u64) {
+        loop {
+            let now = self.now();
+            let Some(state) = self.process_mut(process) else {
+                return;
+            };
+            if state.boot != boot || !state.is_free(now) {
+                return;
+            }
+            let Some(input) = state.inbox.pop_front() else {
+                return;
+            };
+            self.dispatch(process, input, false);
+        }
+    }
+
+    // A tick of a process that cannot take it only asks for the next one.
+    fn dispatch(&mut self, process: ProcessId, input: ProcessInput, waits: bool) {
+        match process {
+            ProcessId::Control(number) => self.control_input(number, input, waits),
+            ProcessId::Agent(number) => self.agent_input(number, input, waits),
+            ProcessId::Proxy(number) => self.proxy_input(number, input, waits),
+            ProcessId::Backend(number) => self.backend_input(number, input),
+        }
+    }
+
+    /// Starts a process with a new incarnation; its disk is as it was left.
+    pub fn start_process(&mut self, process: ProcessId) {
+        let boot = self.next_boot();
+        let Some(state) = self.process_mut(process) else {
+            return;
+        };
+        if state.alive {
+            return;
+        }
+        state.start(boot);
+        self.break_silent_links(process);
+        match process {
+            ProcessId::Control(number) => self.start_control(number),
+            ProcessId::Agent(number) => self.start_agent(number),
+            ProcessId::Proxy(number) => self.start_proxy(number),
+            ProcessId::Backend(number) => self.start_backend(number),
+        }
+    }
+
+    /// Ends a process without warning. A silent end is that of its machine: nobody is told.
+    pub fn kill_process(&mut self, process: ProcessId, silent: bool) {
+        let Some(state) = self.process_mut(process) else {
+            return;
+        };
+        if !state.alive {
+            return;
+        }
+        state.stop();
+        self.end_links(process, silent);
+        match process {
+            ProcessId::Control(number) => self.control_died(number),
+            ProcessId::Agent(number) => self.agent_died(number),
+            ProcessId::Proxy(number) => self.proxy_died(number),
+            ProcessId::Backend(number) => self.backend_died(number),
+        }
+    }
+
+    /// Asks for the next tick of a process.
+    pub fn tick_after(&mut self, process: ProcessId, boot: u64, delay: Duration) {
+        let input = ProcessInput::Tick;
+        self.after(
+            delay,
+            Event::Input {
+                process,
+                boot,
+                input,
+            },
+        );
+    }
+}
--- a/crates/simulation/tests/kernel.rs
+++ b/crates/simulation/tests/kernel.rs
@@ -3,7 +3,7 @@
 use millford_core::MonotonicTime;
 use millford_simulation::disk::file::DiskFile;
 use millford_simulation::kernel::{EventQueue, ProcessClock, TraceHash};
-use millford_simulation::network::{CutTable, Direction, Links, MachineId, ProcessId};
+use millford_simulation::network::{CutTable, Direction, Links, MachineId, Packet, ProcessId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -75,7 +75,7 @@
     let number = links.connect(ProcessId::Agent(1), 1, ProcessId::Control(1));
     let early = MonotonicTime::from_millis(1);
     let late = MonotonicTime::from_millis(9);
-    let packet = millford_simulation::network::link::Packet::Bytes(vec![1]);
+    let packet = Packet::End;
     let first = links.send(number, Direction::Forward, packet.clone(), late);
     let second = links.send(number, Direction::Forward, packet, early);
     assert_eq!(first, Some(late));
