Run the control node as a daemon: threads, links, registry watch, operator interface

Aim: three empty nodes form a cluster and take orders at any node. Considered: hyper by hand against warp; warp with one function a request is the house style. Change: one OS thread per shard (blocking fsync), a gateway thread, tokio for sockets and HTTP; the operator interface after openapi/operator.json; SIGTERM hands leaderships over. Conclusion: the thin path of the control plane stands; /v1/plan still waits for the planner.

--- /dev/null
+++ b/crates/control/src/daemon/dialling.rs
@@ -0,0 +1,144 @@
+//! Links as TCP connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use millford_api::internal::Frame;
+use millford_transport::{FramedReader, FramedWriter, accept, connect};
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use super::event::{GatewayEvent, GatewayQueue};
+use crate::link::{LinkId, PeerKind};
+use crate::node_input::NodeInput;
+
+/// Frames that may wait for a link.
+const LINK_QUEUE: usize = 8192;
+
+/// Frames that are written with one system call at most.
+const WRITE_BATCH: usize = 64;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// A write that the other side does not take for this long ends the link.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Opens links on behalf of the gateway.
+#[derive(Clone)]
+pub struct Connector {
+    runtime: Handle,
+    queue: GatewayQueue,
+}
+
+impl Connector {
+    /// A connector on this runtime.
+    #[must_use]
+    pub fn new(runtime: Handle, queue: GatewayQueue) -> Self {
+        Self { runtime, queue }
+    }
+
+    /// Opens a link; the gateway hears of the success or the failure.
+    pub fn connect(&self, link: LinkId, address: String) {
+        let queue = self.queue.clone();
+        self.runtime.spawn(async move {
+            let opened = open(&address).await;
+            match opened {
+                Some((reader, writer)) => {
+                    serve(link, PeerKind::Outgoing, reader, writer, queue).await;
+                }
+                None => closed(link, &queue),
+            }
+        });
+    }
+}
+
+/// Accepts links until the process ends.
+pub async fn listen(listener: TcpListener, queue: GatewayQueue) {
+    let numbers = Arc::new(AtomicU64::new(1));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Too many open files, most likely: give the others time to end.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok((reader, writer)) = accept(stream) else {
+            continue;
+        };
+        let link = LinkId(numbers.fetch_add(1, Ordering::Relaxed));
+        tokio::spawn(serve(
+            link,
+            PeerKind::Incoming,
+            reader,
+            writer,
+            queue.clone(),
+        ));
+    }
+}
+
+async fn open(address: &str) -> Option<(FramedReader<Frame>, FramedWriter<Frame>)> {
+    let address: SocketAddr = address.parse().ok()?;
+    connect(address, CONNECT_TIMEOUT).await.ok()
+}
+
+/// Runs one link until either side ends it.
+async fn serve(
+    link: LinkId,
+    peer: PeerKind,
+    reader: FramedReader<Frame>,
+    writer: FramedWriter<Frame>,
+    queue: GatewayQueue,
+) {
+    let (sender, frames) = mpsc::channel(LINK_QUEUE);
+    let opened = queue.send(GatewayEvent::Link {
+        link,
+        writer: sender,
+    });
+    let told = queue.send(GatewayEvent::Input(NodeInput::LinkOpened { link, peer }));
+    if opened.is_err() || told.is_err() {
+        return;
+    }
+    tokio::select! {
+        () = read_all(link, reader, &queue) => {}
+        () = write_all(writer, frames) => {}
+    }
+    closed(link, &queue);
+}
+
+async fn read_all(link: LinkId, mut reader: FramedReader<Frame>, queue: &GatewayQueue) {
+    while let Some(Ok(frame)) = reader.next().await {
+        let input = NodeInput::Frame { link, frame };
+        if queue.send(GatewayEvent::Input(input)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_all(mut writer: FramedWriter<Frame>, mut frames: mpsc::Receiver<Frame>) {
+    let mut batch = Vec::with_capacity(WRITE_BATCH);
+    while frames.recv_many(&mut batch, WRITE_BATCH).await > 0 {
+        let written = tokio::time::timeout(WRITE_TIMEOUT, write(&mut writer, &mut batch)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+async fn write(
+    writer: &mut FramedWriter<Frame>,
+    batch: &mut Vec<Frame>,
+) -> Result<(), millford_transport::TransportError> {
+    for frame in batch.drain(..) {
+        writer.feed(frame).await?;
+    }
+    writer.flush().await
+}
+
+fn closed(link: LinkId, queue: &GatewayQueue) {
+    // The gateway's queue ends only with the process.
+    let _ = queue.send(GatewayEvent::Input(NodeInput::LinkClosed { link }));
+}
--- /dev/null
+++ b/crates/control/src/daemon/gateway_thread.rs
@@ -0,0 +1,265 @@
+//! The gateway's thread: runs the gateway and carries out what it wants.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Instant;
+
+use millford_api::internal::Frame;
+use millford_core::time::monotonic_now;
+use millford_core::{ResultCode, ShardId, ShardLayout};
+use millford_storage::StorageError;
+use tokio::sync::{mpsc as async_mpsc, oneshot};
+
+use super::dialling::Connector;
+use super::event::{GatewayEvent, GatewayQueue, Generation};
+use super::notes::log_note;
+use super::shard_thread::ShardThread;
+use super::shared::NodeShared;
+use crate::folders;
+use crate::gateway::{Gateway, GatewayInput, GatewayOutput};
+use crate::link::LinkId;
+use crate::node::{FolderOpener, shard_folder};
+use crate::node_input::NodeInput;
+use crate::node_output::NodeOutput;
+use crate::operator::OperatorReply;
+use crate::options::ControlOptions;
+use crate::shard::core::code_of;
+use crate::shard::{ShardCoreOptions, ShardInput};
+use crate::timing::TICK;
+
+/// Most events between two looks at the clock.
+const BATCH: usize = 1024;
+
+/// Everything that the thread owns.
+pub struct GatewayThread {
+    options: ControlOptions,
+    folders: FolderOpener,
+    gateway: Gateway,
+    events: Receiver<GatewayEvent>,
+    queue: GatewayQueue,
+    connector: Connector,
+    shared: Arc<NodeShared>,
+    writers: BTreeMap<LinkId, async_mpsc::Sender<Frame>>,
+    shards: BTreeMap<ShardId, ShardThread>,
+    answers: BTreeMap<u64, oneshot::Sender<OperatorReply>>,
+    last_request: u64,
+    last_generation: Generation,
+}
+
+impl GatewayThread {
+    /// Opens the node's folder and starts its shards.
+    pub fn open(
+        options: ControlOptions,
+        folders: FolderOpener,
+        events: Receiver<GatewayEvent>,
+        queue: GatewayQueue,
+        connector: Connector,
+        shared: Arc<NodeShared>,
+    ) -> Result<Self, StorageError> {
+        let disk = folders(crate::node::NODE_FOLDER);
+        let (gateway, first) = Gateway::open(options.clone(), disk, monotonic_now())?;
+        let mut thread = Self {
+            options,
+            folders,
+            gateway,
+            events,
+            queue,
+            connector,
+            shared,
+            writers: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            last_request: 0,
+            last_generation: 0,
+        };
+        thread.carry_out(first);
+        Ok(thread)
+    }
+
+    /// Runs until the process ends.
+    pub fn run(mut self) {
+        let mut next_tick = Instant::now();
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match self.events.recv_timeout(wait) {
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for _ in 0..BATCH {
+                let Ok(event) = self.events.try_recv() else {
+                    break;
+                };
+                self.take(event);
+            }
+            if Instant::now() >= next_tick {
+                next_tick = Instant::now() + TICK;
+                self.input(GatewayInput::Node(NodeInput::Tick));
+                self.shared.publish(&self.gateway, self.writers.len());
+            }
+        }
+    }
+
+    fn take(&mut self, event: GatewayEvent) {
+        match event {
+            GatewayEvent::Input(input) => self.take_input(input),
+            GatewayEvent::Link { link, writer } => {
+                self.writers.insert(link, writer);
+            }
+            GatewayEvent::Shard {
+                shard,
+                generation,
+                outputs,
+            } => self.take_shard(shard, generation, outputs),
+            GatewayEvent::OpenFailed { generation, error } => self.open_failed(generation, &error),
+            GatewayEvent::Operator { body, answer } => {
+                self.last_request += 1;
+                let request = self.last_request;
+                self.answers.insert(request, answer);
+                self.input(GatewayInput::Node(NodeInput::Operator { request, body }));
+            }
+        }
+    }
+
+    fn take_input(&mut self, input: NodeInput) {
+        if let NodeInput::LinkClosed { link } = &input {
+            self.writers.remove(link);
+        }
+        self.input(GatewayInput::Node(input));
+    }
+
+    fn take_shard(
+        &mut self,
+        shard: ShardId,
+        generation: Generation,
+        outputs: Vec<crate::shard::ShardOutput>,
+    ) {
+        let running = self.shards.get(&shard);
+        if running.is_none_or(|thread| thread.generation != generation) {
+            return;
+        }
+        for output in outputs {
+            self.input(GatewayInput::Shard { shard, output });
+        }
+    }
+
+    fn open_failed(&mut self, generation: Generation, error: &StorageError) {
+        let mut threads = self.shards.values();
+        if !threads.any(|thread| thread.generation == generation) {
+            return;
+        }
+        if matches!(error, StorageError::Corrupt { .. }) {
+            super::STORE.error(format!("A log is corrupt: {error}."));
+            self.input(GatewayInput::StorageCorrupt);
+            return;
+        }
+        super::STORE.error(format!("A shard cannot be opened: {error}."));
+        super::leave_with(code_of(error));
+    }
+
+    fn input(&mut self, input: GatewayInput) {
+        let outputs = self.gateway.handle(monotonic_now(), input);
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&mut self, outputs: Vec<GatewayOutput>) {
+        for output in outputs {
+            match output {
+                GatewayOutput::Node(output) => self.carry_out_node(output),
+                GatewayOutput::Shard { shard, input } => self.to_shard(shard, input),
+                GatewayOutput::StartShard {
+                    shard,
+                    identity,
+                    voters,
+                    data_shards,
+                } => {
+                    let options = self.core_options(shard, identity, voters, data_shards);
+                    self.start_shard(options);
+                }
+                GatewayOutput::EraseShards => self.erase_shards(),
+            }
+        }
+    }
+
+    fn carry_out_node(&mut self, output: NodeOutput) {
+        match output {
+            NodeOutput::Send { link, frame } => self.send(link, frame),
+            NodeOutput::Connect { link, address } => self.connector.connect(link, address),
+            NodeOutput::Close { link } => {
+                self.writers.remove(&link);
+            }
+            NodeOutput::OperatorReply { request, reply } => {
+                if let Some(answer) = self.answers.remove(&request) {
+                    // An operator who left gets no answer.
+                    let _ = answer.send(reply);
+                }
+            }
+            NodeOutput::Note(note) => log_note(&note),
+            NodeOutput::Fatal { code } => super::leave_with(code),
+        }
+    }
+
+    /// Queues a frame. A link whose queue is full is closed: its reader is too slow or gone, and
+    /// starts over with a new link.
+    fn send(&mut self, link: LinkId, frame: Frame) {
+        let Some(writer) = self.writers.get(&link) else {
+            return;
+        };
+        if writer.try_send(frame).is_err() {
+            self.writers.remove(&link);
+        }
+    }
+
+    fn to_shard(&mut self, shard: ShardId, input: ShardInput) {
+        if let Some(thread) = self.shards.get(&shard) {
+            thread.send(input);
+        }
+    }
+
+    fn core_options(
+        &self,
+        shard: ShardId,
+        identity: millford_core::NodeId,
+        voters: Vec<millford_core::NodeId>,
+        data_shards: u32,
+    ) -> ShardCoreOptions {
+        let folders = self.folders.clone();
+        ShardCoreOptions {
+            shard,
+            identity,
+            voters,
+            layout: ShardLayout::new(data_shards),
+            seed: self.options.seed,
+            replace_after: self.options.replace_after,
+            disk: Arc::new(move || folders(&shard_folder(shard))),
+        }
+    }
+
+    fn start_shard(&mut self, options: ShardCoreOptions) {
+        self.last_generation += 1;
+        let shard = options.shard;
+        let started = ShardThread::start(options, self.last_generation, self.queue.clone());
+        match started {
+            Ok(thread) => {
+                self.shards.insert(shard, thread);
+            }
+            Err(error) => {
+                super::CONTROL.error(format!("A thread cannot be started: {error}."));
+                super::leave_with(ResultCode::StartFailed);
+            }
+        }
+    }
+
+    fn erase_shards(&mut self) {
+        for (_, thread) in std::mem::take(&mut self.shards) {
+            thread.stop();
+        }
+        for shard in (0..=folders::HIGHEST_SHARD).map(ShardId) {
+            let mut disk = (self.folders)(&shard_folder(shard));
+            if let Err(error) = folders::clear(disk.as_mut()) {
+                super::leave_with(code_of(&error));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/operator_http/answer.rs
@@ -0,0 +1,126 @@
+//! Answers to operators as HTTP.
+
+use millford_core::{Duration, ResultCode};
+use serde::Serialize;
+use warp::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use warp::http::{Response, StatusCode};
+
+use crate::operator::{OperatorFailure, OperatorReply};
+
+/// An answer as warp sends it.
+pub type Answer = Response<String>;
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    code: u32,
+    name: &'static str,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    faults: Vec<FaultBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct FaultBody<'a> {
+    path: &'a str,
+    message: &'a str,
+}
+
+/// The answer to a request that the gateway took.
+#[must_use]
+pub fn of_reply(reply: &OperatorReply) -> Answer {
+    match reply {
+        OperatorReply::Order(body) => json(body),
+        OperatorReply::Config(body) => json(body),
+        OperatorReply::Plan(body) => json(body),
+        OperatorReply::Status(body) => json(body),
+        OperatorReply::Drain(body) => json(body),
+        OperatorReply::Recovery(body) => json(body),
+        OperatorReply::Failed(failure) => of_failure(failure),
+    }
+}
+
+/// The answer to a request that was refused or failed.
+#[must_use]
+pub fn of_failure(failure: &OperatorFailure) -> Answer {
+    let faults = failure.faults.iter().map(|fault| FaultBody {
+        path: &fault.path,
+        message: &fault.text,
+    });
+    let body = ErrorBody {
+        error: ErrorDetail {
+            code: failure.code.number(),
+            name: failure.code.name(),
+            message: failure.text(),
+            retry_after_ms: failure.retry_after.map(to_millis),
+            faults: faults.collect(),
+        },
+        revision: failure.revision,
+    };
+    let mut answer = json(&body);
+    *answer.status_mut() = status_of(failure.code);
+    if let Some(delay) = failure.retry_after {
+        let seconds = delay.as_secs().max(1);
+        answer.headers_mut().insert(RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+/// A short text.
+#[must_use]
+pub fn text(content_type: &'static str, body: String) -> Answer {
+    let mut answer = Response::new(body);
+    let value = warp::http::HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
+
+/// There is nothing at the path.
+#[must_use]
+pub fn path_unknown() -> Answer {
+    of_failure(&OperatorFailure::new(ResultCode::PathUnknown))
+}
+
+fn json(body: &impl Serialize) -> Answer {
+    match serde_json::to_string(body) {
+        Ok(body) => text("application/json", body),
+        Err(_) => {
+            // Only an enumeration number outside its range, written by a newer release.
+            let mut answer = text("text/plain", String::new());
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            answer
+        }
+    }
+}
+
+fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::OperatorKeyWrong => StatusCode::UNAUTHORIZED,
+        ResultCode::PathUnknown | ResultCode::BackendUnknown => StatusCode::NOT_FOUND,
+        ResultCode::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        ResultCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::ContentTypeUnsupported => StatusCode::UNSUPPORTED_MEDIA_TYPE,
+        ResultCode::RevisionConflict | ResultCode::OrderIdReused | ResultCode::RecoveryRefused => {
+            StatusCode::CONFLICT
+        }
+        ResultCode::OrderUncertain => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::BadJson
+        | ResultCode::BadField
+        | ResultCode::BadHeader
+        | ResultCode::BodyIncomplete
+        | ResultCode::DocumentInvalid => StatusCode::BAD_REQUEST,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn to_millis(delay: Duration) -> u64 {
+    u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/daemon/operator_http/port.rs
@@ -0,0 +1,70 @@
+//! The way from HTTP to the gateway's thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use millford_core::ResultCode;
+use tokio::sync::oneshot;
+
+use super::credential::OperatorCredential;
+use crate::daemon::event::{GatewayEvent, GatewayQueue};
+use crate::daemon::shared::NodeShared;
+use crate::operator::{OperatorFailure, OperatorReply, OperatorRequest};
+use crate::timing::OPERATOR_PATIENCE;
+
+/// Added to the gateway's own patience before HTTP gives up on it.
+const GATEWAY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Asks the gateway on behalf of operators.
+#[derive(Clone)]
+pub struct OperatorPort {
+    queue: GatewayQueue,
+    shared: Arc<NodeShared>,
+    credential: OperatorCredential,
+}
+
+impl OperatorPort {
+    /// A port to this gateway.
+    #[must_use]
+    pub fn new(queue: GatewayQueue, shared: Arc<NodeShared>, key_hash: &str) -> Self {
+        Self {
+            queue,
+            shared,
+            credential: OperatorCredential::new(key_hash),
+        }
+    }
+
+    /// The credential of this node's operators.
+    #[must_use]
+    pub fn credential(&self) -> &OperatorCredential {
+        &self.credential
+    }
+
+    /// The node's published state.
+    #[must_use]
+    pub fn shared(&self) -> &NodeShared {
+        &self.shared
+    }
+
+    /// Asks and waits for the answer.
+    pub async fn ask(&self, body: OperatorRequest) -> OperatorReply {
+        let changes = matches!(
+            body,
+            OperatorRequest::PutConfig(_) | OperatorRequest::Drain { .. }
+        );
+        let (answer, reply) = oneshot::channel();
+        let sent = self.queue.send(GatewayEvent::Operator { body, answer });
+        if sent.is_err() {
+            return OperatorReply::Failed(OperatorFailure::new(ResultCode::NoLeader));
+        }
+        let limit = OPERATOR_PATIENCE + GATEWAY_MARGIN;
+        match tokio::time::timeout(limit, reply).await {
+            Ok(Ok(reply)) => reply,
+            _ => OperatorReply::Failed(OperatorFailure::new(if changes {
+                ResultCode::OrderUncertain
+            } else {
+                ResultCode::ControlTimeout
+            })),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/operator_http/requests.rs
@@ -0,0 +1,151 @@
+//! One request of an operator, from path to answer.
+
+use bytes::Buf;
+use futures::Stream;
+use millford_control_state::document;
+use millford_core::{NodeId, ResultCode};
+use millford_settings::metrics;
+use serde_json::Value;
+use warp::http::{HeaderMap, Method};
+
+use super::answer::{self, Answer};
+use super::body::{self, DrainBody, RecoveryBody};
+use super::port::OperatorPort;
+use crate::operator::{OperatorFailure, OperatorRequest};
+
+/// What an operator has to write to force a recovery.
+const RECOVERY_PHRASE: &str = "I accept that orders may be lost";
+
+/// Reads a request, asks the gateway and answers.
+pub async fn handle<B: Buf>(
+    port: &OperatorPort,
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+) -> Answer {
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    if let Some(open) = open_page(port, method, &segments) {
+        return open;
+    }
+    if !port.credential().admits(headers) {
+        return answer::of_failure(&OperatorFailure::new(ResultCode::OperatorKeyWrong));
+    }
+    match read(method, &segments, headers, body).await {
+        Ok(request) => answer::of_reply(&port.ask(request).await),
+        Err(failure) => answer::of_failure(&failure),
+    }
+}
+
+/// Pages that need no credential.
+fn open_page(port: &OperatorPort, method: &Method, segments: &[&str]) -> Option<Answer> {
+    let page = match segments {
+        ["healthz"] => answer::text("text/plain", "healthy\n".to_owned()),
+        ["readyz"] => ready(port),
+        ["metrics"] => {
+            let text = metrics::render(port.shared().registry());
+            answer::text(metrics::CONTENT_TYPE, text)
+        }
+        _ => return None,
+    };
+    if method != Method::GET {
+        let failure = OperatorFailure::new(ResultCode::MethodNotAllowed);
+        return Some(answer::of_failure(&failure));
+    }
+    Some(page)
+}
+
+fn ready(port: &OperatorPort) -> Answer {
+    let shared = port.shared();
+    if !shared.is_formed() {
+        return answer::of_failure(&OperatorFailure::new(ResultCode::NotFormed));
+    }
+    if !shared.is_in_touch() {
+        return answer::of_failure(&OperatorFailure::new(ResultCode::NoLeader));
+    }
+    answer::text("text/plain", "ready\n".to_owned())
+}
+
+async fn read<B: Buf>(
+    method: &Method,
+    segments: &[&str],
+    headers: &HeaderMap,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<OperatorRequest, OperatorFailure> {
+    match (method, segments) {
+        (&Method::GET, ["v1", "config"]) => Ok(OperatorRequest::GetConfig),
+        (&Method::GET, ["v1", "status"]) => Ok(OperatorRequest::Status),
+        (&Method::PUT, ["v1", "config"]) => {
+            let json = body::read(headers, body).await?;
+            let order = document::parse_order(&json).map_err(OperatorFailure::of_faults)?;
+            Ok(OperatorRequest::PutConfig(order))
+        }
+        (&Method::POST, ["v1", "plan"]) => read_plan(&body::read(headers, body).await?),
+        (&Method::POST, ["v1", "services", pool, "backends", backend, "drain"]) => {
+            let order: DrainBody = body::parse(&body::read(headers, body).await?)?;
+            Ok(OperatorRequest::Drain {
+                pool: decoded(pool)?,
+                backend_id: decoded(backend)?,
+                drain: order.drain,
+            })
+        }
+        (&Method::POST, ["v1", "recovery"]) => read_recovery(&body::read(headers, body).await?),
+        (
+            _,
+            ["v1", "config" | "status" | "plan" | "recovery"]
+            | ["v1", "services", _, "backends", _, "drain"],
+        ) => Err(OperatorFailure::new(ResultCode::MethodNotAllowed)),
+        _ => Err(OperatorFailure::new(ResultCode::PathUnknown)),
+    }
+}
+
+fn read_plan(json: &[u8]) -> Result<OperatorRequest, OperatorFailure> {
+    let mut body: serde_json::Map<String, Value> = body::parse(json)?;
+    let Some(wanted) = body.remove("document") else {
+        let text = "the document is missing";
+        return Err(body::one_fault(ResultCode::BadField, "document", text));
+    };
+    if let Some(unknown) = body.keys().next() {
+        let text = "unknown field";
+        return Err(body::one_fault(ResultCode::BadField, unknown, text));
+    }
+    let json = wanted.to_string();
+    let wanted = document::parse(json.as_bytes()).map_err(under_document)?;
+    let faults = document::check(&wanted);
+    if !faults.is_empty() {
+        return Err(under_document(faults));
+    }
+    Ok(OperatorRequest::Plan(wanted))
+}
+
+fn under_document(mut faults: Vec<document::Fault>) -> OperatorFailure {
+    for fault in &mut faults {
+        fault.path = format!("document.{}", fault.path);
+    }
+    OperatorFailure::of_faults(faults)
+}
+
+fn read_recovery(json: &[u8]) -> Result<OperatorRequest, OperatorFailure> {
+    let order: RecoveryBody = body::parse(json)?;
+    if order.confirm != RECOVERY_PHRASE {
+        let text = format!("must be: {RECOVERY_PHRASE}");
+        return Err(body::one_fault(ResultCode::BadField, "confirm", &text));
+    }
+    let mut survivors = Vec::new();
+    for (place, name) in order.survivors.iter().enumerate() {
+        let Ok(number) = u64::from_str_radix(name, 16) else {
+            let path = format!("survivors[{place}]");
+            let text = "is no identity in hexadecimal";
+            return Err(body::one_fault(ResultCode::BadField, &path, text));
+        };
+        survivors.push(NodeId(number));
+    }
+    Ok(OperatorRequest::Recover { survivors })
+}
+
+/// A path segment with its percent escapes resolved.
+fn decoded(segment: &str) -> Result<String, OperatorFailure> {
+    let decoded = percent_encoding::percent_decode_str(segment).decode_utf8();
+    let text = decoded.map_err(|_| OperatorFailure::new(ResultCode::PathUnknown))?;
+    Ok(text.into_owned())
+}
--- /dev/null
+++ b/crates/control/src/daemon/run.rs
@@ -0,0 +1,189 @@
+//! Starts the daemon and ends it cleanly.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+
+use millford_core::ResultCode;
+use millford_settings::logging::parse_level;
+use millford_settings::{LogOptions, logging};
+use millford_storage::{Disk, FileDisk};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::CONTROL;
+use super::dialling::{Connector, listen};
+use super::event::{GatewayEvent, GatewayQueue};
+use super::gateway_thread::GatewayThread;
+use super::operator_http::{self, OperatorPort};
+use super::registry_watch;
+use super::settings::ControlSettings;
+use super::shared::NodeShared;
+use crate::node::FolderOpener;
+use crate::node_input::NodeInput;
+use crate::options::ControlOptions;
+
+/// Longest time for leaderships to be handed over at the end.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Why the daemon could not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StartError {
+    /// An address is taken or not ours.
+    #[error("{code}: {address}: {reason}", code = ResultCode::AddressInUse)]
+    Bind {
+        /// The address.
+        address: String,
+        /// The system's words.
+        reason: String,
+    },
+    /// The data folder cannot be used.
+    #[error("{code}: data folder: {reason}", code = ResultCode::StartFailed)]
+    Folder {
+        /// Why.
+        reason: String,
+    },
+    /// Anything else.
+    #[error("{code}: {reason}", code = ResultCode::StartFailed)]
+    Other {
+        /// Why.
+        reason: String,
+    },
+}
+
+impl StartError {
+    fn other(reason: impl ToString) -> Self {
+        Self::Other {
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// Runs the daemon until SIGTERM or SIGINT.
+#[must_use]
+pub fn run(settings: ControlSettings) -> ExitCode {
+    let level = parse_level(&settings.log_level).unwrap_or(spdlog::Level::Info);
+    let format = settings.log_format;
+    if let Err(error) = logging::init(LogOptions { level, format }) {
+        eprintln!("millford-control: the log cannot be opened: {error}");
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&StartError::other(error)),
+    };
+    match runtime.block_on(serve(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed(&error),
+    }
+}
+
+fn failed(error: &StartError) -> ExitCode {
+    eprintln!("millford-control: {error}");
+    ExitCode::FAILURE
+}
+
+async fn serve(settings: ControlSettings) -> Result<(), StartError> {
+    let internal = bind(&settings.internal_address).await?;
+    let operator = bind(&settings.operator_address).await?;
+    let internal_address = local_address(&internal)?;
+    let operator_address = local_address(&operator)?;
+    let shared = Arc::new(NodeShared::new().map_err(StartError::other)?);
+    let (queue, events) = mpsc::channel();
+    let connector = Connector::new(tokio::runtime::Handle::current(), queue.clone());
+    let options = options_of(&settings, &internal_address, &operator_address);
+    let folders = open_folders(&settings.data_folder)?;
+    let thread = GatewayThread::open(
+        options,
+        folders,
+        events,
+        queue.clone(),
+        connector,
+        shared.clone(),
+    );
+    let thread = thread.map_err(|error| StartError::Folder {
+        reason: error.to_string(),
+    })?;
+    std::thread::Builder::new()
+        .name("gateway".to_owned())
+        .spawn(move || thread.run())
+        .map_err(StartError::other)?;
+    tokio::spawn(listen(internal, queue.clone()));
+    if !settings.registry_address.is_empty() {
+        let watch = registry_watch::watch(settings.registry_address.clone(), queue.clone());
+        tokio::spawn(watch);
+    }
+    let port = OperatorPort::new(queue.clone(), shared.clone(), &settings.operator_key_hash);
+    tokio::spawn(operator_http::serve(operator, port));
+    println!("millford-control ready internal={internal_address} operator={operator_address}");
+    wait_for_end().await?;
+    leave(&queue, &shared).await;
+    Ok(())
+}
+
+async fn bind(address: &str) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| StartError::Bind {
+        address: address.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+fn local_address(listener: &TcpListener) -> Result<String, StartError> {
+    let address = listener.local_addr().map_err(StartError::other)?;
+    Ok(address.to_string())
+}
+
+fn options_of(settings: &ControlSettings, internal: &str, operator: &str) -> ControlOptions {
+    ControlOptions {
+        zone: settings.zone.clone(),
+        internal_address: internal.to_owned(),
+        operator_address: operator.to_owned(),
+        seeds: settings.seeds.clone(),
+        data_shards: settings.data_shards,
+        replace_after: Duration::from_millis(settings.replace_after_ms),
+        seed: rand::random(),
+    }
+}
+
+/// Opens every folder once, so that a folder that cannot be used is found at the start.
+fn open_folders(data_folder: &str) -> Result<FolderOpener, StartError> {
+    let root = PathBuf::from(data_folder);
+    let folder_fault = |error: String| StartError::Folder { reason: error };
+    FileDisk::open(&root.join(crate::node::NODE_FOLDER))
+        .map_err(|error| folder_fault(error.to_string()))?;
+    Ok(Arc::new(move |name: &str| -> Box<dyn Disk> {
+        match FileDisk::open(&root.join(name)) {
+            Ok(disk) => Box::new(disk),
+            Err(error) => {
+                CONTROL.error(format!("Folder {name} cannot be opened: {error}."));
+                super::leave_with(ResultCode::DiskFailed)
+            }
+        }
+    }))
+}
+
+async fn wait_for_end() -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::other)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::other)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Hands leaderships over, so that the others need no election time-out.
+async fn leave(queue: &GatewayQueue, shared: &NodeShared) {
+    CONTROL.info("Leaving: handing leaderships over.");
+    let _ = queue.send(GatewayEvent::Input(NodeInput::Leave));
+    let limit = Instant::now() + HAND_OVER_LIMIT;
+    while shared.leads() > 0 && Instant::now() < limit {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    CONTROL.info("Left.");
+}
--- /dev/null
+++ b/crates/control/src/daemon/settings.rs
@@ -0,0 +1,132 @@
+//! Settings of the daemon.
+
+use millford_settings::fault::{require_addresses, require_texts};
+use millford_settings::logging::parse_level;
+use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
+use serde::Deserialize;
+
+/// Length of a SHA-256 in hexadecimal.
+const HASH_DIGITS: usize = 64;
+
+/// Settings of `millford-control`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlSettings {
+    /// Zone of the machine.
+    pub zone: String,
+    /// Address for control nodes and agents.
+    pub internal_address: String,
+    /// Address of the operator interface.
+    pub operator_address: String,
+    /// Internal addresses to begin with.
+    pub seeds: Vec<String>,
+    /// Folder of the node's data.
+    pub data_folder: String,
+    /// SHA-256 of the operator key, in lower-case hexadecimal.
+    pub operator_key_hash: String,
+    /// Address of the service registry; empty: none is watched.
+    pub registry_address: String,
+    /// Control nodes that form the cluster; as many as there are seeds.
+    pub cluster_size: u32,
+    /// Data shards of a cluster that this node forms.
+    pub data_shards: u32,
+    /// Silence after which a lost voter is replaced, in milliseconds.
+    pub replace_after_ms: u64,
+    /// Least severe level that is logged.
+    pub log_level: String,
+    /// Form of a log line.
+    pub log_format: LogFormat,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        Self {
+            zone: String::new(),
+            internal_address: String::new(),
+            operator_address: String::new(),
+            seeds: Vec::new(),
+            data_folder: String::new(),
+            operator_key_hash: String::new(),
+            registry_address: String::new(),
+            cluster_size: 3,
+            data_shards: 6,
+            replace_after_ms: 5000,
+            log_level: "info".to_owned(),
+            log_format: LogFormat::Text,
+        }
+    }
+}
+
+impl Settings for ControlSettings {
+    const KEYS: &'static [SettingsKey] = &[
+        SettingsKey::text("zone", "zone of this machine"),
+        SettingsKey::text("internal_address", "IP:PORT for control nodes and agents"),
+        SettingsKey::text("operator_address", "IP:PORT of the operator interface"),
+        SettingsKey::list("seeds", "internal addresses of control nodes to begin with"),
+        SettingsKey::text("data_folder", "folder of the node's data"),
+        SettingsKey::text(
+            "operator_key_hash",
+            "SHA-256 of the operator key, in hexadecimal",
+        ),
+        SettingsKey::text("registry_address", "IP:PORT of the service registry"),
+        SettingsKey::number("cluster_size", "control nodes that form the cluster"),
+        SettingsKey::number("data_shards", "data shards of a new cluster"),
+        SettingsKey::number(
+            "replace_after_ms",
+            "silence after which a lost voter is replaced",
+        ),
+        SettingsKey::text("log_level", "error, warn, info, debug or trace"),
+        SettingsKey::text("log_format", "text or json"),
+    ];
+
+    fn faults(&self) -> Vec<SettingsFault> {
+        let mut faults = Vec::new();
+        require_texts(&mut faults, &[("data_folder", &self.data_folder)]);
+        let mut addresses = vec![
+            ("internal_address", self.internal_address.as_str()),
+            ("operator_address", self.operator_address.as_str()),
+        ];
+        if !self.registry_address.is_empty() {
+            addresses.push(("registry_address", &self.registry_address));
+        }
+        addresses.extend(self.seeds.iter().map(|seed| ("seeds", seed.as_str())));
+        require_addresses(&mut faults, &addresses);
+        self.check_numbers(&mut faults);
+        self.check_hash(&mut faults);
+        faults
+    }
+}
+
+impl ControlSettings {
+    fn check_numbers(&self, faults: &mut Vec<SettingsFault>) {
+        if self.seeds.is_empty() {
+            faults.push(SettingsFault::new("seeds", "at least one is needed"));
+        }
+        if !(1..=64).contains(&self.data_shards) {
+            faults.push(SettingsFault::new("data_shards", "must be from 1 to 64"));
+        }
+        if usize::try_from(self.cluster_size) != Ok(self.seeds.len()) {
+            let text = "must be the number of seeds";
+            faults.push(SettingsFault::new("cluster_size", text));
+        }
+        if self.replace_after_ms < 1000 {
+            let text = "must be at least 1000, longer than an election";
+            faults.push(SettingsFault::new("replace_after_ms", text));
+        }
+        if parse_level(&self.log_level).is_none() {
+            faults.push(SettingsFault::new("log_level", "is no level"));
+        }
+    }
+
+    fn check_hash(&self, faults: &mut Vec<SettingsFault>) {
+        let digits = self.operator_key_hash.bytes();
+        let hexadecimal = digits.len() == HASH_DIGITS
+            && digits
+                .clone()
+                .all(|digit| matches!(digit, b'0'..=b'9' | b'a'..=b'f'));
+        if !hexadecimal {
+            let text = "must be a SHA-256 in lower-case hexadecimal";
+            faults.push(SettingsFault::new("operator_key_hash", text));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/shard_thread.rs
@@ -0,0 +1,112 @@
+//! The thread of one shard: its queue, its core, its blocking fsync.
+
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use millford_core::time::monotonic_now;
+
+use super::event::{GatewayEvent, GatewayQueue, Generation};
+use crate::shard::{ShardCore, ShardCoreOptions, ShardInput};
+use crate::timing::TICK;
+
+/// Most inputs that one flush covers.
+const BATCH: usize = 1024;
+
+enum Order {
+    Input(Box<ShardInput>),
+    Stop,
+}
+
+/// A running shard.
+pub struct ShardThread {
+    /// Number of the thread.
+    pub generation: Generation,
+    queue: Sender<Order>,
+    handle: JoinHandle<()>,
+}
+
+impl ShardThread {
+    /// Starts the thread; it opens the storage first.
+    pub fn start(
+        options: ShardCoreOptions,
+        generation: Generation,
+        gateway: GatewayQueue,
+    ) -> std::io::Result<Self> {
+        let (queue, orders) = mpsc::channel();
+        let name = format!("shard-{}", options.shard);
+        let handle = std::thread::Builder::new()
+            .name(name)
+            .spawn(move || run(options, generation, &orders, &gateway))?;
+        Ok(Self {
+            generation,
+            queue,
+            handle,
+        })
+    }
+
+    /// Queues an input. A thread that ended has told why already.
+    pub fn send(&self, input: ShardInput) {
+        let _ = self.queue.send(Order::Input(Box::new(input)));
+    }
+
+    /// Ends the thread; its folder is closed on return.
+    pub fn stop(self) {
+        let _ = self.queue.send(Order::Stop);
+        let _ = self.handle.join();
+    }
+}
+
+fn run(
+    options: ShardCoreOptions,
+    generation: Generation,
+    orders: &Receiver<Order>,
+    gateway: &GatewayQueue,
+) {
+    let shard = options.shard;
+    let mut core = match ShardCore::open(options, monotonic_now()) {
+        Ok(core) => core,
+        Err(error) => {
+            let _ = gateway.send(GatewayEvent::OpenFailed { generation, error });
+            return;
+        }
+    };
+    let mut next_tick = Instant::now() + TICK;
+    loop {
+        if !take_batch(&mut core, orders, &mut next_tick) {
+            return;
+        }
+        let outputs = core.flush(monotonic_now());
+        let event = GatewayEvent::Shard {
+            shard,
+            generation,
+            outputs,
+        };
+        if gateway.send(event).is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes what is queued, or waits for it until the next tick. False: the thread ends.
+fn take_batch(core: &mut ShardCore, orders: &Receiver<Order>, next_tick: &mut Instant) -> bool {
+    let wait = next_tick.saturating_duration_since(Instant::now());
+    match orders.recv_timeout(wait) {
+        Ok(Order::Input(input)) => core.handle(monotonic_now(), *input),
+        Ok(Order::Stop) | Err(RecvTimeoutError::Disconnected) => return false,
+        Err(RecvTimeoutError::Timeout) => {}
+    }
+    for _ in 0..BATCH {
+        match orders.try_recv() {
+            Ok(Order::Input(input)) => core.handle(monotonic_now(), *input),
+            Ok(Order::Stop) => return false,
+            Err(_) => break,
+        }
+    }
+    let now = Instant::now();
+    if now >= *next_tick {
+        *next_tick = now + TICK;
+        core.handle(monotonic_now(), ShardInput::Tick);
+    }
+    true
+}
--- /dev/null
+++ b/crates/control/src/daemon/shared.rs
@@ -0,0 +1,142 @@
+//! What the HTTP side shows of the gateway, without asking it.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+
+use crate::gateway::Gateway;
+
+/// State of the node for readiness, metrics and a clean end.
+pub struct NodeShared {
+    formed: AtomicBool,
+    in_touch: AtomicBool,
+    leads: AtomicUsize,
+    registry: Registry,
+    gauges: Gauges,
+}
+
+struct Gauges {
+    formed: IntGauge,
+    in_touch: IntGauge,
+    leaderships: IntGauge,
+    links: IntGauge,
+    requests: IntGauge,
+    term: IntGaugeVec,
+    commit_index: IntGaugeVec,
+    shard_in_touch: IntGaugeVec,
+    leads: IntGaugeVec,
+}
+
+impl NodeShared {
+    /// Nothing known yet.
+    ///
+    /// # Errors
+    /// Fails only when two metrics have the same name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let gauges = Gauges::register(&registry)?;
+        Ok(Self {
+            formed: AtomicBool::new(false),
+            in_touch: AtomicBool::new(false),
+            leads: AtomicUsize::new(0),
+            registry,
+            gauges,
+        })
+    }
+
+    /// Takes over the gateway's present state.
+    pub fn publish(&self, gateway: &Gateway, links: usize) {
+        let formed = gateway.cluster_id() != 0;
+        let in_touch = gateway.is_in_touch();
+        let standings = gateway.standings();
+        let leads = standings.values().filter(|standing| standing.leads).count();
+        self.formed.store(formed, Ordering::Relaxed);
+        self.in_touch.store(in_touch, Ordering::Relaxed);
+        self.leads.store(leads, Ordering::Relaxed);
+        self.gauges.formed.set(formed.into());
+        self.gauges.in_touch.set(in_touch.into());
+        self.gauges.leaderships.set(to_gauge(leads));
+        self.gauges.links.set(to_gauge(links));
+        self.gauges
+            .requests
+            .set(to_gauge(gateway.pending_requests()));
+        for standing in standings.values() {
+            let shard = standing.shard.to_string();
+            let labels = &[shard.as_str()];
+            let gauge =
+                |gauge: &IntGaugeVec, value: i64| gauge.with_label_values(labels).set(value);
+            gauge(&self.gauges.term, signed(standing.term));
+            gauge(&self.gauges.commit_index, signed(standing.commit_index));
+            gauge(&self.gauges.shard_in_touch, standing.in_touch.into());
+            gauge(&self.gauges.leads, standing.leads.into());
+        }
+    }
+
+    /// Whether the node belongs to a cluster.
+    #[must_use]
+    pub fn is_formed(&self) -> bool {
+        self.formed.load(Ordering::Relaxed)
+    }
+
+    /// Whether the node is in touch with the configuration shard's quorum.
+    #[must_use]
+    pub fn is_in_touch(&self) -> bool {
+        self.in_touch.load(Ordering::Relaxed)
+    }
+
+    /// Number of shards that this node leads.
+    #[must_use]
+    pub fn leads(&self) -> usize {
+        self.leads.load(Ordering::Relaxed)
+    }
+
+    /// The metrics.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+}
+
+impl Gauges {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            formed: gauge(registry, "formed", "Whether the node belongs to a cluster.")?,
+            in_touch: gauge(registry, "in_touch", "Whether agents can be served.")?,
+            leaderships: gauge(registry, "leaderships", "Shards that this node leads.")?,
+            links: gauge(registry, "links", "Open links.")?,
+            requests: gauge(
+                registry,
+                "requests_waiting",
+                "Requests that wait for a leader.",
+            )?,
+            term: gauges(registry, "shard_term", "Term of the replica.")?,
+            commit_index: gauges(registry, "shard_commit_index", "Last committed index.")?,
+            shard_in_touch: gauges(registry, "shard_in_touch", "Whether a quorum is reached.")?,
+            leads: gauges(registry, "shard_leads", "Whether the replica leads.")?,
+        })
+    }
+}
+
+fn name_of(name: &str) -> String {
+    format!("millford_control_{name}")
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name_of(name), help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str) -> Result<IntGaugeVec, prometheus::Error> {
+    let gauges = IntGaugeVec::new(Opts::new(name_of(name), help), &["shard"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
+fn to_gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -213,7 +213,8 @@
     }
 
     fn learn_from(&mut self, sender: &ControlMember, cluster_id: u64, known: &[ControlMember]) {
-        let foreign = cluster_id != 0 && self.file.is_formed() && cluster_id != self.file.cluster_id;
+        let foreign =
+            cluster_id != 0 && self.file.is_formed() && cluster_id != self.file.cluster_id;
         if foreign {
             return;
         }
@@ -270,7 +271,11 @@
             sender: Some(self.own_member()),
             cluster_id: self.file.cluster_id,
             known: self.directory.to_vec(),
-            data_shards: if holds_state { self.file.data_shards } else { 0 },
+            data_shards: if holds_state {
+                self.file.data_shards
+            } else {
+                0
+            },
             removed: same_cluster && self.directory.is_removed(asking),
         })
     }
@@ -366,8 +371,7 @@
 
     fn start_shard_with(&mut self, shard: ShardId, voters: Vec<NodeId>) {
         let identity = self.file.identity();
-        self.standings
-            .insert(shard, ShardStanding::unknown(shard));
+        self.standings.insert(shard, ShardStanding::unknown(shard));
         self.outputs.push(GatewayOutput::StartShard {
             shard,
             identity,
--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -9,12 +9,7 @@
 use crate::shard::{ShardInput, ShardOutput, ShardStanding};
 
 impl Gateway {
-    pub(super) fn handle_shard(
-        &mut self,
-        now: MonotonicTime,
-        shard: ShardId,
-        output: ShardOutput,
-    ) {
+    pub(super) fn handle_shard(&mut self, now: MonotonicTime, shard: ShardId, output: ShardOutput) {
         match output {
             ShardOutput::Replication(message) => {
                 let to = millford_core::NodeId(message.to);
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -150,6 +150,12 @@
         complete && configuration.is_some_and(|standing| standing.in_touch)
     }
 
+    /// Number of requests that wait for a leader.
+    #[must_use]
+    pub fn pending_requests(&self) -> usize {
+        self.pending.len()
+    }
+
     fn handle_node(&mut self, now: MonotonicTime, input: NodeInput) {
         match input {
             NodeInput::Frame { link, frame } => self.handle_frame(now, link, frame),
--- a/crates/control/src/gateway/operators.rs
+++ b/crates/control/src/gateway/operators.rs
@@ -162,13 +162,7 @@
         Ok(lost)
     }
 
-    fn ask(
-        &mut self,
-        now: MonotonicTime,
-        request: u64,
-        shard: ShardId,
-        kind: shard_request::Kind,
-    ) {
+    fn ask(&mut self, now: MonotonicTime, request: u64, shard: ShardId, kind: shard_request::Kind) {
         let origin = Origin::Operator { request };
         self.submit(now, origin, request_to(shard, kind), OPERATOR_PATIENCE);
     }
@@ -361,12 +355,7 @@
     failed(ResultCode::StartFailed)
 }
 
-fn drain_reply(
-    pool: &str,
-    backend_id: &str,
-    drain: bool,
-    replies: &[ShardReply],
-) -> OperatorReply {
+fn drain_reply(pool: &str, backend_id: &str, drain: bool, replies: &[ShardReply]) -> OperatorReply {
     let code = replies.first().map_or(ResultCode::ControlTimeout, code_of);
     match code {
         ResultCode::Ok => OperatorReply::Drain(DrainReply {
--- a/crates/control/src/gateway/pending.rs
+++ b/crates/control/src/gateway/pending.rs
@@ -106,6 +106,18 @@
         self.insert(now, origin, request, patience, true)
     }
 
+    /// Number of requests under way.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether no request is under way.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// A number for an answer that is kept elsewhere.
     pub fn next_ticket(&mut self) -> Ticket {
         self.next += 1;
--- a/crates/control/src/operator/reply.rs
+++ b/crates/control/src/operator/reply.rs
@@ -1,8 +1,8 @@
 //! Answers to operators.
 
 use millford_api::config::Document;
-use serde_json::Value;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use super::failure::OperatorFailure;
 use super::status::StatusReply;
--- a/crates/control/src/shard/members.rs
+++ b/crates/control/src/shard/members.rs
@@ -33,9 +33,7 @@
     pub fn candidates(&self) -> impl Iterator<Item = NodeId> {
         self.members
             .iter()
-            .filter(|(_, standing)| {
-                standing.registered && standing.connected && !standing.removed
-            })
+            .filter(|(_, standing)| standing.registered && standing.connected && !standing.removed)
             .map(|(node, _)| *node)
     }
 }
--- a/crates/control/src/shard/output.rs
+++ b/crates/control/src/shard/output.rs
@@ -1,8 +1,6 @@
 //! What a shard's core wants done.
 
-use millford_api::internal::{
-    FeedMessage, LoadPicture, QuotaRecall, QuotaReply, ShardReply,
-};
+use millford_api::internal::{FeedMessage, LoadPicture, QuotaRecall, QuotaReply, ShardReply};
 use millford_api::replication::ReplicationMessage;
 use millford_api::state::StateItem;
 use millford_core::ResultCode;
--- a/crates/control/src/shard/quota_desk.rs
+++ b/crates/control/src/shard/quota_desk.rs
@@ -48,12 +48,7 @@
 
 impl ShardCore {
     /// An agent asks for quota.
-    pub(super) fn ask_quota(
-        &mut self,
-        now: MonotonicTime,
-        ticket: Ticket,
-        request: &QuotaRequest,
-    ) {
+    pub(super) fn ask_quota(&mut self, now: MonotonicTime, ticket: Ticket, request: &QuotaRequest) {
         let outputs = self.quota.ledger.handle(now, request);
         for output in outputs {
             match output {
--- a/crates/control/src/shard/serving.rs
+++ b/crates/control/src/shard/serving.rs
@@ -2,8 +2,8 @@
 
 use millford_api::command::{Command, command, command_result};
 use millford_api::internal::{
-    SessionStatus, ShardReply, ShardRequest, ShardStatus, StateSnapshot, TouchReply,
-    TouchSessions, shard_reply, shard_request,
+    SessionStatus, ShardReply, ShardRequest, ShardStatus, StateSnapshot, TouchReply, TouchSessions,
+    shard_reply, shard_request,
 };
 use millford_api::state::StateItem;
 use millford_control_state::Applied;
@@ -154,9 +154,9 @@
     fn touch(&mut self, now: MonotonicTime, ticket: Ticket, touch: &TouchSessions) {
         let mut closed_members = Vec::new();
         for touch in &touch.touches {
-            let alive =
-                self.sessions
-                    .touch(now, &touch.member, touch.epoch, touch.shown_revision);
+            let alive = self
+                .sessions
+                .touch(now, &touch.member, touch.epoch, touch.shown_revision);
             if !alive {
                 closed_members.push(touch.member.clone());
             }
--- a/crates/control/src/shard/upkeep.rs
+++ b/crates/control/src/shard/upkeep.rs
@@ -93,8 +93,7 @@
             };
             let command = command_of(command::Kind::CloseSession(close));
             if !self.propose(&command, Purpose::Expiry) {
-                self.sessions
-                    .reopen_expired(&expired.member, expired.epoch);
+                self.sessions.reopen_expired(&expired.member, expired.epoch);
             }
         }
     }
