Prove run states and stream continuity under simulated time

Aim: each safety rule of the request path gets the fault that would break it. Considered: tokio's paused time; rejected, since the path must not need tokio.

--- /dev/null
+++ b/crates/proxy/tests/stream_continuity.rs
@@ -0,0 +1,260 @@
+//! A stream never skips, repeats or splices, and moves only as its route allows.
+
+mod support;
+
+use bytes::Bytes;
+use millford_api::config::Resume;
+use millford_api::state::BackendState;
+use millford_core::{Duration, MonotonicTime, ResultCode};
+use millford_proxy::request::completion::serve_completion;
+use millford_proxy::request::environment::RequestEnvironment as _;
+use millford_proxy::request::message::AnswerError;
+use support::environment::ScriptedEnvironment;
+use support::fixture::{Fixture, request, serve};
+use support::script::{AnswerScript, Script, Step, pieces, stream, whole_stream};
+use support::sink::{RecordingSink, Seen};
+
+fn assert_ends_in_error(seen: &Seen, pieces: u64, code: ResultCode) {
+    let expected: Vec<u64> = (0..pieces).collect();
+    assert_eq!(seen.sequences(), expected);
+    assert!(!seen.text().contains("[DONE]"));
+    assert_eq!(seen.error().code, code);
+    assert_eq!(seen.error().run, "may_have_run");
+}
+
+fn assert_whole(seen: &Seen, pieces: u64) {
+    let expected: Vec<u64> = (0..pieces).collect();
+    assert_eq!(seen.sequences(), expected);
+    assert!(seen.is_done() && seen.whole);
+}
+
+#[test]
+fn a_whole_stream_has_numbered_pieces_and_an_end() {
+    let environment = Fixture::default().environment();
+    let seen = serve(&environment, request(true));
+    assert_eq!(seen.status(), 200);
+    assert_whole(&seen, 5);
+    assert!(!seen.text().contains("\"millford\""));
+    assert!(environment.recorded().withdrawals.is_empty());
+    let releases = environment.recorded().quota_releases.clone();
+    assert!(releases.len() == 1 && releases[0].stream && !releases[0].unused);
+}
+
+#[test]
+fn a_broken_sequence_is_never_delivered() {
+    let other = "another-run".to_owned();
+    let cases = [
+        (Step::Piece(4), ResultCode::StreamOutOfOrder),
+        (Step::Piece(2), ResultCode::StreamOutOfOrder),
+        (Step::PieceOfRun(other, 3), ResultCode::AnswerMismatch),
+        (
+            raw("data: {\"choices\":[]}\n\n"),
+            ResultCode::StreamOutOfOrder,
+        ),
+        (raw("data: not json\n\n"), ResultCode::StreamOutOfOrder),
+        (raw("event: error\ndata: {}\n\n"), ResultCode::BackendError),
+        (Step::Cut(AnswerError::Cut), ResultCode::BackendLost),
+        (
+            Step::Cut(AnswerError::Malformed),
+            ResultCode::AnswerTruncated,
+        ),
+    ];
+    for (bad, code) in cases {
+        let environment = never_moving().environment();
+        let mut steps = pieces(0..3);
+        steps.push(bad);
+        steps.extend(pieces(3..6));
+        environment.usually(stream(steps, Step::Done));
+        let seen = serve(&environment, request(true));
+        assert_ends_in_error(&seen, 3, code);
+    }
+}
+
+#[test]
+fn a_body_that_ends_without_the_end_marker_is_an_error() {
+    let environment = never_moving().environment();
+    environment.usually(Script::Answer(AnswerScript::new(pieces(0..3))));
+    let seen = serve(&environment, request(true));
+    assert_ends_in_error(&seen, 3, ResultCode::AnswerTruncated);
+}
+
+#[test]
+fn bytes_after_the_end_marker_reach_nobody() {
+    let environment = Fixture::default().environment();
+    let mut steps = pieces(0..2);
+    steps.push(raw("data: [DONE]\n\ndata: {\"choices\":[\"stray\"]}\n\n"));
+    environment.usually(Script::Answer(AnswerScript::new(steps)));
+    let seen = serve(&environment, request(true));
+    assert_whole(&seen, 2);
+    assert!(!seen.text().contains("stray"));
+}
+
+#[test]
+fn a_repeatable_request_moves_before_its_first_piece() {
+    for script in [
+        Script::LoseBeforeHead,
+        stream(Vec::new(), Step::Cut(AnswerError::Cut)),
+    ] {
+        let environment = never_moving().with_backends(&["b1", "b2"]).environment();
+        environment.save_up(1);
+        environment.next("b1", script.clone());
+        environment.next("b2", script);
+        let seen = serve(&environment, request(true));
+        // Both fail: the budget allows one retry, and the runs are different ones.
+        assert_eq!(environment.sent().len(), 2);
+        assert_eq!(seen.status(), 502);
+        let sent = environment.sent();
+        assert_ne!(sent[0].request.run, sent[1].request.run);
+    }
+}
+
+#[test]
+fn without_budget_nothing_is_sent_twice() {
+    let environment = Fixture::default().environment();
+    environment.usually(Script::LoseBeforeHead);
+    let seen = serve(&environment, request(true));
+    assert_eq!(environment.sent().len(), 1);
+    assert_eq!(seen.error().run, "may_have_run");
+}
+
+#[test]
+fn a_lost_stream_is_continued_at_exactly_the_next_piece() {
+    let environment = Fixture::default()
+        .with_backends(&["b1", "b2"])
+        .environment();
+    environment.save_up(1);
+    let seen = serve_lost_then(&environment, whole_stream(3, 4));
+    assert_whole(&seen, 7);
+    let sent = environment.sent();
+    assert_eq!(sent.len(), 2);
+    assert_eq!(sent[1].request.resume_from.map(|resume| resume.0), Some(3));
+    assert_eq!(sent[0].request.run, sent[1].request.run);
+    assert_ne!(sent[0].request.attempt, sent[1].request.attempt);
+    assert_eq!(environment.state().metrics.moved_streams.get(), 1);
+}
+
+#[test]
+fn a_continuation_at_another_place_is_refused() {
+    for (resume_at, first) in [(Some(2), 2), (Some(4), 4), (None, 4), (None, 2)] {
+        let environment = Fixture::default()
+            .with_backends(&["b1", "b2"])
+            .environment();
+        environment.save_up(1);
+        let wrong = Script::Answer(AnswerScript {
+            resume_at,
+            ..AnswerScript::new(pieces(first..first + 4))
+        });
+        let seen = serve_lost_then(&environment, wrong);
+        assert_ends_in_error(&seen, 3, ResultCode::BackendLost);
+    }
+}
+
+#[test]
+fn a_stream_moves_only_where_its_route_allows() {
+    let never = never_moving();
+    let from_start = Fixture {
+        resume: Resume::FromStart,
+        ..Fixture::default()
+    };
+    let not_repeatable = Fixture {
+        repeatable: false,
+        ..Fixture::default()
+    };
+    for fixture in [never, from_start, not_repeatable] {
+        let environment = fixture.with_backends(&["b1", "b2"]).environment();
+        environment.save_up(3);
+        let seen = serve_lost_then(&environment, whole_stream(3, 4));
+        assert_ends_in_error(&seen, 3, ResultCode::BackendLost);
+        assert_eq!(environment.sent().len(), 1);
+    }
+}
+
+#[test]
+fn a_silent_stream_is_moved_and_its_backend_ejected() {
+    let environment = Fixture::default()
+        .with_backends(&["b1", "b2"])
+        .environment();
+    environment.save_up(1);
+    let silent = stream(pieces(0..3), Step::Silence);
+    let seen = serve_lost_then_by(&environment, silent, whole_stream(3, 2));
+    assert_whole(&seen, 5);
+    let first = environment.sent()[0].request.backend_id.clone();
+    assert!(!environment.state().health.is_usable(&first));
+    // No other backend was heard, so the wait is twice the limit of two seconds.
+    assert!(seen.ended_at < MonotonicTime::from_millis(4_500));
+}
+
+#[test]
+fn a_stream_leaves_a_draining_backend_within_the_drain_time() {
+    let fixture = Fixture::default().with_backends(&["b1", "b2"]);
+    let environment = fixture.environment();
+    environment.save_up(1);
+    let slow: Vec<Step> = (0..60)
+        .flat_map(|sequence| {
+            [
+                Step::Wait(Duration::from_millis(100)),
+                Step::Piece(sequence),
+            ]
+        })
+        .collect();
+    environment.usually(stream(slow, Step::Done));
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let drain = async {
+        environment.sleep(Duration::from_millis(500)).await;
+        let first = environment.sent()[0].request.backend_id.clone();
+        let draining = fixture
+            .clone()
+            .with_state(&first, BackendState::BackendDraining);
+        environment.state().set_table(draining.table());
+        let other = if first == "b1" { "b2" } else { "b1" };
+        environment.next(other, Script::Answer(resumed()));
+    };
+    let serving = serve_completion(&environment, request(true), &mut sink);
+    environment.clock.run(futures::future::join(serving, drain));
+    let sent = environment.sent();
+    assert_eq!(sent.len(), 2);
+    assert_ne!(sent[0].request.backend_id, sent[1].request.backend_id);
+    let since_drain = sent[1].at.since(MonotonicTime::from_millis(500));
+    assert!(
+        since_drain <= Duration::from_millis(1_000),
+        "{since_drain:?}"
+    );
+    assert!(sink.seen().is_done());
+}
+
+/// An answer that continues wherever it is asked to, with one more piece and the end.
+fn resumed() -> AnswerScript {
+    // The stream above has ten pieces a second and is moved 900 ms after the drain began.
+    AnswerScript::new(vec![Step::Done])
+}
+
+fn never_moving() -> Fixture {
+    Fixture {
+        resume: Resume::Never,
+        ..Fixture::default()
+    }
+}
+
+fn raw(text: &'static str) -> Step {
+    Step::Raw(Bytes::from_static(text.as_bytes()))
+}
+
+fn serve_lost_then(environment: &ScriptedEnvironment, then: Script) -> Seen {
+    let lost = stream(pieces(0..3), Step::Cut(AnswerError::Cut));
+    serve_lost_then_by(environment, lost, then)
+}
+
+/// The first attempt gets `first`, every later one `then`.
+fn serve_lost_then_by(environment: &ScriptedEnvironment, first: Script, then: Script) -> Seen {
+    environment.usually(first);
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let switch = async {
+        environment.sleep(Duration::from_millis(5)).await;
+        environment.usually(then);
+    };
+    let serving = serve_completion(environment, request(true), &mut sink);
+    environment
+        .clock
+        .run(futures::future::join(serving, switch));
+    sink.seen()
+}
--- /dev/null
+++ b/crates/proxy/tests/support/clock.rs
@@ -0,0 +1,102 @@
+//! A clock that jumps to the next timer when nothing else can run.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Wake, Waker};
+
+use millford_core::{Duration, MonotonicTime};
+
+#[derive(Debug, Default)]
+struct Timers {
+    now: MonotonicTime,
+    next_id: u64,
+    pending: BTreeMap<(MonotonicTime, u64), Waker>,
+}
+
+/// Simulated time.
+#[derive(Clone, Debug, Default)]
+pub struct SimulatedClock(Arc<Mutex<Timers>>);
+
+impl SimulatedClock {
+    pub fn now(&self) -> MonotonicTime {
+        self.0.lock().expect("clock").now
+    }
+
+    pub fn sleep(&self, duration: Duration) -> Sleep {
+        Sleep {
+            clock: self.clone(),
+            until: self.now() + duration,
+            timer: None,
+        }
+    }
+
+    /// Runs a future to its end; panics when it waits for something that can never come.
+    pub fn run<F: Future>(&self, future: F) -> F::Output {
+        let woken = Arc::new(Woken(AtomicBool::new(true)));
+        let waker = Waker::from(Arc::clone(&woken));
+        let mut context = Context::from_waker(&waker);
+        let mut future = pin!(future);
+        loop {
+            while woken.0.swap(false, Ordering::SeqCst) {
+                if let Poll::Ready(output) = future.as_mut().poll(&mut context) {
+                    return output;
+                }
+            }
+            self.advance();
+        }
+    }
+
+    fn advance(&self) {
+        let mut timers = self.0.lock().expect("clock");
+        let next = timers.pending.pop_first();
+        let ((at, _), waker) = next.expect("the future waits for something that never comes");
+        timers.now = timers.now.max(at);
+        drop(timers);
+        waker.wake();
+    }
+}
+
+struct Woken(AtomicBool);
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Resolves at its time; forgets its timer when dropped.
+pub struct Sleep {
+    clock: SimulatedClock,
+    until: MonotonicTime,
+    timer: Option<(MonotonicTime, u64)>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let clock = self.clock.clone();
+        let mut timers = clock.0.lock().expect("clock");
+        if timers.now >= self.until {
+            return Poll::Ready(());
+        }
+        let key = self.timer.unwrap_or_else(|| {
+            timers.next_id += 1;
+            (self.until, timers.next_id)
+        });
+        self.timer = Some(key);
+        timers.pending.insert(key, context.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(key) = self.timer {
+            self.clock.0.lock().expect("clock").pending.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/support/environment.rs
@@ -0,0 +1,261 @@
+//! A scripted environment under simulated time that records what the request path does.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::Bytes;
+use futures::future::pending;
+use millford_api::command::{Claim, SettleClaim};
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::proxy_state::ProxyState;
+use millford_proxy::request::environment::{BackendAnswer, RequestEnvironment};
+use millford_proxy::request::message::{
+    AnswerError, AnswerHead, BackendRequest, ClaimAnswer, DispatchError, QuotaAnswer, QuotaAsk,
+    QuotaRelease, WithdrawAnswer, WithdrawRequest,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::clock::SimulatedClock;
+use super::script::{AnswerScript, Script, Step, whole_stream};
+
+/// One recorded attempt.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    pub at: MonotonicTime,
+    pub request: BackendRequest,
+}
+
+/// Everything that the request path asked for.
+#[derive(Debug, Default)]
+pub struct Recorded {
+    pub dispatches: Vec<Dispatch>,
+    pub withdrawals: Vec<WithdrawRequest>,
+    pub claims: Vec<Claim>,
+    pub settles: Vec<SettleClaim>,
+    pub quota_asks: Vec<QuotaAsk>,
+    pub quota_releases: Vec<QuotaRelease>,
+}
+
+#[derive(Debug)]
+struct Scripts {
+    by_backend: BTreeMap<String, VecDeque<Script>>,
+    /// Used when a backend's own scripts are used up.
+    usual: Script,
+    quota: QuotaAnswer,
+    claim: ClaimAnswer,
+    withdrawal: WithdrawAnswer,
+    random: StdRng,
+}
+
+/// The scripted environment.
+#[derive(Clone, Debug)]
+pub struct ScriptedEnvironment {
+    pub clock: SimulatedClock,
+    state: Arc<ProxyState>,
+    scripts: Arc<Mutex<Scripts>>,
+    recorded: Arc<Mutex<Recorded>>,
+}
+
+impl ScriptedEnvironment {
+    pub fn new(state: ProxyState, seed: u64) -> Self {
+        let scripts = Scripts {
+            by_backend: BTreeMap::new(),
+            usual: whole_stream(0, 5),
+            quota: QuotaAnswer::Granted,
+            claim: ClaimAnswer::Granted,
+            withdrawal: WithdrawAnswer::Unknown,
+            random: StdRng::seed_from_u64(seed),
+        };
+        Self {
+            clock: SimulatedClock::default(),
+            state: Arc::new(state),
+            scripts: Arc::new(Mutex::new(scripts)),
+            recorded: Arc::default(),
+        }
+    }
+
+    /// What every backend does unless told otherwise.
+    pub fn usually(&self, script: Script) {
+        self.scripts().usual = script;
+    }
+
+    /// What one backend does with its next attempt.
+    pub fn next(&self, backend_id: &str, script: Script) {
+        let mut scripts = self.scripts();
+        let queue = scripts.by_backend.entry(backend_id.to_owned());
+        queue.or_default().push_back(script);
+    }
+
+    pub fn answer_quota(&self, answer: QuotaAnswer) {
+        self.scripts().quota = answer;
+    }
+
+    pub fn answer_claims(&self, answer: ClaimAnswer) {
+        self.scripts().claim = answer;
+    }
+
+    pub fn answer_withdrawals(&self, answer: WithdrawAnswer) {
+        self.scripts().withdrawal = answer;
+    }
+
+    pub fn recorded(&self) -> MutexGuard<'_, Recorded> {
+        self.recorded.lock().expect("record")
+    }
+
+    /// Attempts of which a byte left.
+    pub fn sent(&self) -> Vec<Dispatch> {
+        let recorded = self.recorded();
+        let dispatches = recorded.dispatches.iter();
+        let sent = dispatches.filter(|dispatch| dispatch.request.sent.is_set());
+        sent.cloned().collect()
+    }
+
+    /// Lets the state's budget allow this many second sends.
+    pub fn save_up(&self, second_sends: u32) {
+        for _ in 0..second_sends * 7 {
+            self.state.budget.earn();
+        }
+    }
+
+    fn scripts(&self) -> MutexGuard<'_, Scripts> {
+        self.scripts.lock().expect("scripts")
+    }
+
+    fn take_script(&self, backend_id: &str) -> Script {
+        let mut scripts = self.scripts();
+        let queue = scripts.by_backend.get_mut(backend_id);
+        let own = queue.and_then(VecDeque::pop_front);
+        own.unwrap_or_else(|| scripts.usual.clone())
+    }
+}
+
+impl RequestEnvironment for ScriptedEnvironment {
+    type Answer = ScriptedAnswer;
+
+    fn state(&self) -> &ProxyState {
+        &self.state
+    }
+
+    fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        self.clock.sleep(duration)
+    }
+
+    fn random(&self) -> u64 {
+        self.scripts().random.random()
+    }
+
+    async fn ask_quota(&self, ask: QuotaAsk) -> QuotaAnswer {
+        self.recorded().quota_asks.push(ask);
+        self.scripts().quota
+    }
+
+    fn release_quota(&self, release: QuotaRelease) {
+        self.recorded().quota_releases.push(release);
+    }
+
+    async fn claim(&self, claim: Claim, _timeout: Duration) -> ClaimAnswer {
+        self.recorded().claims.push(claim);
+        self.scripts().claim
+    }
+
+    fn settle(&self, settle: SettleClaim) {
+        self.recorded().settles.push(settle);
+    }
+
+    async fn dispatch(&self, request: BackendRequest) -> Result<ScriptedAnswer, DispatchError> {
+        let script = self.take_script(&request.backend_id);
+        self.recorded().dispatches.push(Dispatch {
+            at: self.now(),
+            request: request.clone(),
+        });
+        if matches!(script, Script::RefuseConnection) {
+            return Err(DispatchError::NotConnected);
+        }
+        request.sent.set();
+        let answer = match script {
+            Script::RefuseConnection | Script::LoseBeforeHead => return Err(DispatchError::Lost),
+            Script::NeverAnswer => pending().await,
+            Script::Answer(answer) => answer,
+        };
+        self.clock.sleep(answer.delay).await;
+        Ok(ScriptedAnswer::new(self.clock.clone(), &request, answer))
+    }
+
+    async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
+        self.recorded().withdrawals.push(request);
+        self.scripts().withdrawal
+    }
+
+    fn withdraw_later(&self, request: WithdrawRequest) {
+        self.recorded().withdrawals.push(request);
+    }
+}
+
+/// A scripted answer.
+#[derive(Debug)]
+pub struct ScriptedAnswer {
+    clock: SimulatedClock,
+    head: AnswerHead,
+    run: String,
+    steps: VecDeque<Step>,
+    wait_until: Option<MonotonicTime>,
+}
+
+impl ScriptedAnswer {
+    fn new(clock: SimulatedClock, request: &BackendRequest, script: AnswerScript) -> Self {
+        let resume_from = request.resume_from.map(|resume| resume.0);
+        Self {
+            clock,
+            head: script.head(&request.attempt, resume_from),
+            run: request.run.clone(),
+            steps: script.steps.into(),
+            wait_until: None,
+        }
+    }
+
+    async fn wait(&mut self, duration: Duration) {
+        let until = *self.wait_until.get_or_insert(self.clock.now() + duration);
+        self.clock.sleep(until.since(self.clock.now())).await;
+        self.wait_until = None;
+        self.steps.pop_front();
+    }
+}
+
+impl BackendAnswer for ScriptedAnswer {
+    fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        while let Some(step) = self.steps.front().cloned() {
+            let chunk = match step {
+                Step::Wait(duration) => {
+                    self.wait(duration).await;
+                    continue;
+                }
+                Step::Silence => pending().await,
+                Step::Cut(error) => return Err(error),
+                Step::Piece(sequence) => piece(&self.run, sequence),
+                Step::PieceOfRun(run, sequence) => piece(&run, sequence),
+                Step::Raw(bytes) => bytes,
+                Step::Done => Bytes::from_static(b"data: [DONE]\n\n"),
+            };
+            self.steps.pop_front();
+            return Ok(Some(chunk));
+        }
+        Ok(None)
+    }
+}
+
+fn piece(run: &str, sequence: u64) -> Bytes {
+    let choices = format!("[{{\"index\":0,\"delta\":{{\"content\":\"w{sequence} \"}}}}]");
+    let mark = format!("{{\"run\":\"{run}\",\"seq\":{sequence}}}");
+    Bytes::from(format!(
+        "data: {{\"choices\":{choices},\"millford\":{mark}}}\n\n"
+    ))
+}
--- /dev/null
+++ b/crates/proxy/tests/support/sink.rs
@@ -0,0 +1,138 @@
+//! A caller that records its answer and may leave.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use futures::future::pending;
+use millford_core::{MonotonicTime, ResultCode};
+use millford_proxy::request::caller::{CallerGone, CallerHead, CallerPresence, CallerSink};
+
+use super::clock::SimulatedClock;
+
+/// What the caller saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub head: Option<CallerHead>,
+    pub body: Vec<u8>,
+    pub whole: bool,
+    pub ended_at: MonotonicTime,
+}
+
+impl Seen {
+    pub fn status(&self) -> u16 {
+        self.head.as_ref().map_or(0, |head| head.status)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8(self.body.clone()).expect("text")
+    }
+
+    /// Sequence numbers of the pieces, in the order in which they came.
+    pub fn sequences(&self) -> Vec<u64> {
+        let text = self.text();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("sequence")).collect()
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.text().ends_with("data: [DONE]\n\n")
+    }
+
+    /// The error body, of the whole answer or of its last event.
+    pub fn error(&self) -> SeenError {
+        let text = self.text();
+        let json = match text.rsplit_once("event: error\ndata: ") {
+            Some((_, event)) => event.trim().to_owned(),
+            None => text,
+        };
+        let body: serde_json::Value = serde_json::from_str(&json).expect("error body");
+        let error = &body["error"];
+        let code = u32::try_from(error["code"].as_u64().expect("code")).expect("code");
+        SeenError {
+            code: ResultCode::from_number(code).expect("known code"),
+            run: error["run"].as_str().expect("run").to_owned(),
+            retry_after_ms: error["retry_after_ms"].as_u64(),
+        }
+    }
+}
+
+/// An error body as the caller reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenError {
+    pub code: ResultCode,
+    pub run: String,
+    pub retry_after_ms: Option<u64>,
+}
+
+/// A caller under simulated time.
+#[derive(Clone, Debug)]
+pub struct RecordingSink {
+    clock: SimulatedClock,
+    seen: Arc<Mutex<Seen>>,
+    leaves_at: Option<MonotonicTime>,
+}
+
+impl RecordingSink {
+    pub fn new(clock: SimulatedClock) -> Self {
+        Self {
+            clock,
+            seen: Arc::default(),
+            leaves_at: None,
+        }
+    }
+
+    pub fn leaving_at(mut self, at: MonotonicTime) -> Self {
+        self.leaves_at = Some(at);
+        self
+    }
+
+    pub fn seen(&self) -> Seen {
+        self.seen.lock().expect("seen").clone()
+    }
+
+    fn check_present(&self) -> Result<(), CallerGone> {
+        match self.leaves_at {
+            Some(at) if self.clock.now() >= at => Err(CallerGone),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl CallerPresence for RecordingSink {
+    async fn gone(&self) {
+        match self.leaves_at {
+            Some(at) => self.clock.sleep(at.since(self.clock.now())).await,
+            None => pending().await,
+        }
+    }
+}
+
+impl CallerSink for RecordingSink {
+    type Presence = RecordingSink;
+
+    fn presence(&self) -> RecordingSink {
+        self.clone()
+    }
+
+    async fn begin(&mut self, head: CallerHead) -> Result<(), CallerGone> {
+        self.check_present()?;
+        let mut seen = self.seen.lock().expect("seen");
+        assert!(seen.head.is_none(), "an answer has one head");
+        seen.head = Some(head);
+        Ok(())
+    }
+
+    async fn send(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        self.check_present()?;
+        let mut seen = self.seen.lock().expect("seen");
+        assert!(!seen.whole, "nothing follows the end of an answer");
+        seen.body.extend_from_slice(&bytes);
+        Ok(())
+    }
+
+    fn finish(&mut self) {
+        let mut seen = self.seen.lock().expect("seen");
+        seen.whole = true;
+        seen.ended_at = self.clock.now();
+    }
+}
