--- /dev/null
+++ b/crates/lab/src/demo/faults.rs
@@ -0,0 +1,85 @@
+//! Faults of the demonstration.
+
+use std::time::Duration;
+
+use crate::caller::http_client::get;
+use crate::emulator::execution::Execution;
+use crate::fleet::operator::configuration_leader;
+use crate::fleet::stand::wait_for;
+use crate::fleet::{Fleet, FleetError};
+
+/// Longest wait for streams to be under way.
+const STREAMS_BOUND: Duration = Duration::from_secs(10);
+/// Streams that a backend must hold to be worth killing.
+const WANTED_STREAMS: usize = 2;
+
+/// Waits until some model backend holds streams, kills it and returns its index.
+pub async fn kill_busy_backend(fleet: &mut Fleet) -> Result<usize, FleetError> {
+    let models = fleet.plan.model_backends;
+    let view = &*fleet;
+    wait_for("streams under way", STREAMS_BOUND, || async move {
+        open_streams(view, busiest_backend(view, models).await).await >= WANTED_STREAMS
+    })
+    .await?;
+    let busiest = busiest_backend(fleet, models).await;
+    fleet.backends[busiest].process.kill().await;
+    Ok(busiest)
+}
+
+async fn busiest_backend(fleet: &Fleet, models: usize) -> usize {
+    let mut busiest = (0, 0);
+    for index in 0..models {
+        let open = open_streams(fleet, index).await;
+        if open > busiest.1 {
+            busiest = (index, open);
+        }
+    }
+    busiest.0
+}
+
+async fn open_streams(fleet: &Fleet, index: usize) -> usize {
+    let address = fleet.backends[index].place.address;
+    let Ok(answer) = get(address, "/v1/executions", None).await else {
+        return 0;
+    };
+    let executions: Vec<Execution> = serde_json::from_slice(&answer.body).unwrap_or_default();
+    executions
+        .iter()
+        .filter(|execution| execution.end.is_none())
+        .count()
+}
+
+/// Kills the control node that leads the configuration shard and returns its index.
+pub async fn kill_configuration_leader(fleet: &mut Fleet) -> Result<usize, FleetError> {
+    let status = fleet.operator.status(fleet.operator_address()).await;
+    let leader = status
+        .as_ref()
+        .and_then(|status| leader_index(fleet, status));
+    let Some(leader) = leader else {
+        return Err(FleetError::Operator(
+            "the status names no configuration leader".to_owned(),
+        ));
+    };
+    fleet.controls[leader].process.kill().await;
+    Ok(leader)
+}
+
+/// Index of the control node that a status names as leader of the configuration shard.
+#[must_use]
+pub fn leader_index(fleet: &Fleet, status: &serde_json::Value) -> Option<usize> {
+    let leader = configuration_leader(status)?;
+    let members = status["members"].as_array()?;
+    let member = members
+        .iter()
+        .find(|member| text_of(&member["id"]) == leader)?;
+    fleet.controls.iter().position(|control| {
+        let operator = control.place.operator.to_string();
+        member["operator_address"].as_str() == Some(operator.as_str())
+    })
+}
+
+fn text_of(value: &serde_json::Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/lab/src/demo/mod.rs
@@ -0,0 +1,92 @@
+//! `millford-lab demo`: the whole fleet on loopback, with faults while streams run.
+
+pub mod faults;
+pub mod options;
+pub mod show;
+pub mod traffic;
+
+use std::process::ExitCode;
+use std::time::Instant;
+
+use crate::arguments::parse;
+use crate::checks::{History, check_all};
+use crate::fleet::binaries::Binaries;
+use crate::fleet::{Fleet, FleetError};
+use crate::workload::{Callers, Figures};
+use options::DemoOptions;
+
+/// Runs the demonstration; every process of it has ended when this returns.
+pub async fn run(arguments: &[String]) -> Result<ExitCode, FleetError> {
+    let mut options = options::getopts();
+    let Some(matches) = parse("demo", &mut options, arguments)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let options = DemoOptions::read(&matches)?;
+    tokio::select! {
+        result = demonstrate(options) => result,
+        // The fleet inside the other branch is dropped, and its processes with it.
+        _ = tokio::signal::ctrl_c() => Ok(ExitCode::from(130)),
+    }
+}
+
+async fn demonstrate(options: DemoOptions) -> Result<ExitCode, FleetError> {
+    let started = Instant::now();
+    let plan = options.site.plan();
+    println!("starting {}: {}", plan.name, show::plan_text(&plan));
+    let mut fleet = Fleet::start(plan, Binaries::beside_this_one()?).await?;
+    println!(
+        "all processes are ready after {:.1} s",
+        started.elapsed().as_secs_f64()
+    );
+    if options.keep_logs {
+        println!("settings, logs and data: {}", fleet.keep_folder().display());
+    }
+    let result = drive(&mut fleet, &options).await;
+    let status = match result {
+        Ok(held) => {
+            println!("took {:.1} s", started.elapsed().as_secs_f64());
+            Ok(if held {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
+        }
+        Err(error) => {
+            println!("logs are kept in {}", fleet.keep_folder().display());
+            Err(error)
+        }
+    };
+    fleet.stop().await;
+    status
+}
+
+async fn drive(fleet: &mut Fleet, options: &DemoOptions) -> Result<bool, FleetError> {
+    let output = fleet.configure().await?;
+    println!("millfordctl apply: {}", output.trim());
+    println!("every proxy shows the configuration");
+    if options.keep {
+        show::addresses(fleet);
+        crate::commands::backend::wait_for_end().await?;
+        return Ok(true);
+    }
+    let mut callers = Callers::new(traffic::callers_options(fleet));
+    traffic::run(fleet, &mut callers).await?;
+    let calls = callers.finish().await;
+    let mut history = History {
+        calls,
+        ..History::default()
+    };
+    for backend in &fleet.backends {
+        history.executions.extend(backend.executions()?);
+    }
+    history.quotas = traffic::quotas(&fleet.plan)?;
+    show::sample(&history);
+    let report = check_all(&history);
+    println!("\n{}", Figures::of(&history).text());
+    println!("{}", report.table());
+    let served = traffic::last_round_served(&history);
+    if !served {
+        println!("the calls after the faults were not all served");
+    }
+    Ok(report.held() && served)
+}
--- /dev/null
+++ b/crates/lab/src/demo/show.rs
@@ -0,0 +1,113 @@
+//! What the demonstration prints.
+
+use crate::caller::{CallOutcome, Ending};
+use crate::checks::History;
+use crate::fleet::site::LARGE_MODEL;
+use crate::fleet::{Fleet, SitePlan};
+
+/// Characters of an answer that are printed.
+const SHOWN_CHARACTERS: usize = 100;
+
+/// One line about a topology.
+#[must_use]
+pub fn plan_text(plan: &SitePlan) -> String {
+    format!(
+        "{} control nodes, {} agents with proxies in {} zones, {} model and {} lookup backends",
+        plan.controls, plan.fronts, plan.zones, plan.model_backends, plan.lookup_backends
+    )
+}
+
+/// Every address, and a line for `curl`.
+pub fn addresses(fleet: &Fleet) {
+    println!("registry         http://{}", fleet.registry_address);
+    for control in &fleet.controls {
+        let place = &control.place;
+        println!("{:<16} http://{} (operators)", place.name, place.operator);
+    }
+    println!("operator key     {}", fleet.operator.key);
+    for front in &fleet.fronts {
+        println!(
+            "{:<16} http://{} (callers)",
+            front.place.name, front.place.callers
+        );
+    }
+    for backend in &fleet.backends {
+        println!("{:<16} http://{}", backend.place.id, backend.place.address);
+    }
+    println!("tenant key       {}", fleet.plan.tenant_keys[0]);
+    println!("\n{}\n", curl_line(fleet));
+    println!("SIGTERM or ctrl-c ends every process.");
+}
+
+fn curl_line(fleet: &Fleet) -> String {
+    let body = format!(
+        r#"{{"model":"{LARGE_MODEL}","stream":true,"max_tokens":20,"messages":[{{"role":"user","content":"Hello"}}]}}"#
+    );
+    format!(
+        "curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {}' -H 'Content-Type: application/json' -d '{body}'",
+        fleet.proxy_address(0),
+        fleet.plan.tenant_keys[0],
+    )
+}
+
+/// What some callers saw: one whole stream, one that moved, and every failure's code once.
+pub fn sample(history: &History) {
+    let moved = |call: &&CallOutcome| {
+        let runs = history
+            .executions
+            .iter()
+            .filter(|run| run.marker == call.marker);
+        call.succeeded() && runs.clone().any(|run| run.resume_from > 0)
+    };
+    println!("\nwhat callers saw:");
+    if let Some(call) = history
+        .calls
+        .iter()
+        .find(|call| call.succeeded() && call.streamed)
+    {
+        print_call("a stream", call);
+    }
+    for call in history.calls.iter().filter(moved) {
+        print_call("a stream that moved", call);
+        print_runs(history, call);
+    }
+    let mut codes = std::collections::BTreeSet::new();
+    for call in &history.calls {
+        if let Ending::Failure { code, run, .. } = &call.ending
+            && codes.insert(*code)
+        {
+            print_call(&format!("a failure, {code} {run:?}"), call);
+        }
+    }
+}
+
+fn print_call(what: &str, call: &CallOutcome) {
+    let text: String = call
+        .pieces
+        .iter()
+        .map(|piece| piece.text.as_str())
+        .collect();
+    let start: String = text.chars().take(SHOWN_CHARACTERS).collect();
+    println!(
+        "  {what}: request {} at proxy {}, {} pieces: {start}",
+        call.marker,
+        call.proxy,
+        call.pieces.len()
+    );
+}
+
+fn print_runs(history: &History, call: &CallOutcome) {
+    for run in history
+        .executions
+        .iter()
+        .filter(|run| run.marker == call.marker)
+    {
+        let end = run
+            .end
+            .map_or("lost".to_owned(), |end| format!("{end:?}").to_lowercase());
+        println!(
+            "      {} from piece {}: {end}",
+            run.backend, run.resume_from
+        );
+    }
+}
--- /dev/null
+++ b/crates/lab/src/demo/traffic.rs
@@ -0,0 +1,127 @@
+//! Traffic of the demonstration, and the faults in its course.
+
+use std::collections::BTreeMap;
+
+use tokio::time::interval;
+
+use super::faults::{kill_busy_backend, kill_configuration_leader};
+use crate::arguments::argument;
+use crate::caller::CallOutcome;
+use crate::checks::History;
+use crate::checks::history::TenantQuota;
+use crate::fleet::{Fleet, FleetError, SitePlan};
+use crate::workload::callers::{CallingTenant, RequestKind};
+use crate::workload::mix::{LOOKUP_PERIOD, Mix};
+use crate::workload::{Callers, CallersOptions};
+
+/// Long streams that are started at once.
+const LONG_STREAMS: usize = 16;
+/// Beats of steady traffic after each fault: about four seconds.
+const BEATS_AFTER_FAULT: usize = 80;
+/// Calls of the last round, which must all be served.
+const LAST_ROUND: usize = 8;
+/// Prefix that tells the tenants apart: the first part of a key names the site.
+const KEY_SUFFIX: &str = "-key";
+
+/// Who calls in the demonstration.
+#[must_use]
+pub fn callers_options(fleet: &Fleet) -> CallersOptions {
+    CallersOptions {
+        proxies: fleet
+            .fronts
+            .iter()
+            .map(|front| front.place.callers)
+            .collect(),
+        tenants: tenants(&fleet.plan),
+        lookup_prefix: fleet.plan.lookup_prefix.to_owned(),
+        seed: rand::random::<u64>() >> 32,
+    }
+}
+
+/// The tenants of a site: a key is `SITE-TENANT-key`.
+#[must_use]
+pub fn tenants(plan: &SitePlan) -> Vec<CallingTenant> {
+    let prefix = format!("{}-", plan.name);
+    let name_of = |key: &str| {
+        key.trim_start_matches(&prefix)
+            .trim_end_matches(KEY_SUFFIX)
+            .to_owned()
+    };
+    let keys = plan.tenant_keys.iter();
+    keys.map(|key| CallingTenant {
+        name: name_of(key),
+        key: (*key).to_owned(),
+    })
+    .collect()
+}
+
+/// Quotas of the tenants, from the site's document.
+pub fn quotas(plan: &SitePlan) -> Result<BTreeMap<String, TenantQuota>, FleetError> {
+    let document = plan
+        .parsed_document()
+        .map_err(|error| argument(&format!("the document of {}: {error}", plan.name)))?;
+    let tenants = document.tenants.into_iter();
+    let quotas = tenants.filter_map(|tenant| {
+        let quota = tenant.quota?;
+        let held = TenantQuota {
+            requests_per_second: quota.requests_per_second,
+            burst: quota.burst,
+        };
+        Some((tenant.name, held))
+    });
+    Ok(quotas.collect())
+}
+
+/// Runs the traffic, kills a backend and the configuration leader, and ends with a last round.
+pub async fn run(fleet: &mut Fleet, callers: &mut Callers) -> Result<(), FleetError> {
+    let mut mix = Mix::default();
+    for _ in 0..LONG_STREAMS {
+        callers.start(RequestKind::Long);
+    }
+    callers.start(RequestKind::Once);
+    callers.start_keyed(2);
+    let backend = kill_busy_backend(fleet).await?;
+    println!(
+        "killed backend {} while streams ran",
+        fleet.backends[backend].place.id
+    );
+    steady(&mut mix, callers).await;
+    let leader = kill_configuration_leader(fleet).await?;
+    let name = &fleet.controls[leader].place.name;
+    println!("killed {name}, the leader of the configuration, while streams ran");
+    steady(&mut mix, callers).await;
+    fleet.controls[leader].restart().await?;
+    println!("{} is back", fleet.controls[leader].place.name);
+    steady(&mut mix, callers).await;
+    callers.finish().await;
+    last_round(callers).await;
+    Ok(())
+}
+
+async fn steady(mix: &mut Mix, callers: &mut Callers) {
+    let mut beats = interval(LOOKUP_PERIOD);
+    for _ in 0..BEATS_AFTER_FAULT {
+        beats.tick().await;
+        mix.beat(callers);
+    }
+}
+
+async fn last_round(callers: &mut Callers) {
+    for _ in 0..LAST_ROUND / 2 {
+        callers.start(RequestKind::Question);
+        callers.start_lookup();
+    }
+    callers.finish().await;
+}
+
+/// Whether every call of the last round got a whole answer.
+#[must_use]
+pub fn last_round_served(history: &History) -> bool {
+    let mut calls: Vec<&CallOutcome> = history.calls.iter().collect();
+    calls.sort_by_key(|call| call.started_micros);
+    calls
+        .iter()
+        .rev()
+        .take(LAST_ROUND)
+        .all(|call| call.succeeded())
+}
--- a/crates/lab/src/emulator/completion.rs
+++ b/crates/lab/src/emulator/completion.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -292,10 +292,12 @@
 fn cut_answer(body: &Value) -> Response<EmulatorBody> {
     let text = body.to_string().into_bytes();
     let half = Bytes::copy_from_slice(&text[..text.len() / 2]);
-    let frames = stream::iter([
-        Ok(Frame::data(half)),
-        Err(io::Error::other("cut by a fault switch")),
-    ]);
+    let cut = stream::once(async {
+        // The server sends what it holds while a body is pending, so the half leaves first.
+        tokio::task::yield_now().await;
+        Err(io::Error::other("cut by a fault switch"))
+    });
+    let frames = stream::iter([Ok(Frame::data(half))]).chain(cut);
     let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_LENGTH, length_of(body));
--- a/crates/lab/src/fleet/error.rs
+++ b/crates/lab/src/fleet/error.rs
@@ -47,7 +47,6 @@
 
 impl FleetError {
     /// Wraps an input or output error.
-    #[must_use]
     pub fn io(what: &str) -> impl FnOnce(std::io::Error) -> FleetError {
         let what = what.to_owned();
         move |source| FleetError::Io { what, source }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 
   backend      one emulated backend
   registry     the service registry stand-in
+  demo         the whole fleet on loopback, with faults while streams run
 
 Each command has --help.";
 /// Exit status of a wrong command line.
@@ -51,6 +52,7 @@
         "registry" => commands::registry::run(rest)
             .await
             .map(|()| ExitCode::SUCCESS),
+        "demo" => millford_lab::demo::run(rest).await,
         _ => {
             eprintln!("millford-lab: unknown command \"{command}\"\n{USAGE}");
             Ok(ExitCode::from(USAGE_STATUS))
--- /dev/null
+++ b/crates/lab/src/workload/callers.rs
@@ -0,0 +1,214 @@
+//! Callers that run beside each other.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::task::JoinSet;
+
+use super::texts::{QUESTIONS, shared_prefix};
+use crate::caller::{CallOutcome, CompletionRequest, LookupRequest, complete, look_up};
+use crate::fleet::site::{LARGE_MODEL, ONCE_MODEL, SMALL_MODEL};
+
+/// A tenant that calls.
+#[derive(Clone, Debug)]
+pub struct CallingTenant {
+    /// Name in the configuration.
+    pub name: String,
+    /// Key.
+    pub key: String,
+}
+
+/// Who calls whom.
+#[derive(Clone, Debug)]
+pub struct CallersOptions {
+    /// Addresses of the proxies.
+    pub proxies: Vec<SocketAddr>,
+    /// Tenants; the first ones call more often.
+    pub tenants: Vec<CallingTenant>,
+    /// Path prefix of lookups.
+    pub lookup_prefix: String,
+    /// Distinguishes the markers of several runs.
+    pub seed: u64,
+}
+
+/// Kinds of model requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// A long stream that may continue elsewhere.
+    Long,
+    /// A short question that may start again elsewhere.
+    Question,
+    /// A request that may not be repeated.
+    Once,
+}
+
+impl RequestKind {
+    fn model(self) -> &'static str {
+        match self {
+            RequestKind::Long => LARGE_MODEL,
+            RequestKind::Question => SMALL_MODEL,
+            RequestKind::Once => ONCE_MODEL,
+        }
+    }
+
+    fn pieces(self, number: u64) -> u64 {
+        match self {
+            RequestKind::Long => 80 + number % 40,
+            RequestKind::Question => 10 + number % 10,
+            RequestKind::Once => 20 + number % 10,
+        }
+    }
+}
+
+/// Callers that run beside each other. Dropping it ends them.
+#[derive(Debug)]
+pub struct Callers {
+    options: CallersOptions,
+    numbers: AtomicU64,
+    turns: AtomicUsize,
+    outcomes: Arc<Mutex<Vec<CallOutcome>>>,
+    tasks: JoinSet<()>,
+}
+
+impl Callers {
+    /// Callers that are still quiet.
+    #[must_use]
+    pub fn new(options: CallersOptions) -> Self {
+        Self {
+            options,
+            numbers: AtomicU64::new(0),
+            turns: AtomicUsize::new(0),
+            outcomes: Arc::default(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Starts one completion at the next proxy; returns its marker.
+    pub fn start(&mut self, kind: RequestKind) -> String {
+        let request = self.completion(kind);
+        let marker = request.marker.clone();
+        let repeatable = kind != RequestKind::Once;
+        let (proxy, address) = self.next_proxy();
+        let outcomes = Arc::clone(&self.outcomes);
+        self.tasks.spawn(async move {
+            let outcome = complete(proxy, address, &request, repeatable).await;
+            note(&outcomes, outcome);
+        });
+        marker
+    }
+
+    /// Starts one request that may not be repeated under an idempotency key, sent again to the
+    /// following proxies until one answer says what became of it or `sendings` are used up.
+    pub fn start_keyed(&mut self, sendings: usize) -> String {
+        let mut request = self.completion(RequestKind::Once);
+        request.stream = false;
+        request.idempotency_key = Some(request.marker.clone());
+        let marker = request.marker.clone();
+        let targets: Vec<_> = (0..sendings).map(|_| self.next_proxy()).collect();
+        let outcomes = Arc::clone(&self.outcomes);
+        self.tasks.spawn(async move {
+            for (proxy, address) in targets {
+                let outcome = complete(proxy, address, &request, false).await;
+                let succeeded = outcome.succeeded();
+                note(&outcomes, outcome);
+                if succeeded {
+                    return;
+                }
+            }
+        });
+        marker
+    }
+
+    /// Starts one lookup at the next proxy.
+    pub fn start_lookup(&mut self) {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let tenant = self.tenant(number);
+        let request = LookupRequest {
+            marker: self.marker(number),
+            tenant: tenant.name,
+            key: tenant.key,
+            path: format!("{}entry-{}", self.options.lookup_prefix, number % 200),
+        };
+        let (proxy, address) = self.next_proxy();
+        let outcomes = Arc::clone(&self.outcomes);
+        self.tasks.spawn(async move {
+            let outcome = look_up(proxy, address, &request).await;
+            note(&outcomes, outcome);
+        });
+    }
+
+    /// Calls that have not ended.
+    pub fn open_calls(&mut self) -> usize {
+        while self.tasks.try_join_next().is_some() {}
+        self.tasks.len()
+    }
+
+    /// Changes the proxies that are called from now on.
+    pub fn set_proxies(&mut self, proxies: Vec<SocketAddr>) {
+        self.options.proxies = proxies;
+    }
+
+    /// Copies of the outcomes so far.
+    #[must_use]
+    pub fn outcomes(&self) -> Vec<CallOutcome> {
+        self.outcomes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Waits for every open call and returns what all saw.
+    pub async fn finish(&mut self) -> Vec<CallOutcome> {
+        while self.tasks.join_next().await.is_some() {}
+        self.outcomes()
+    }
+
+    fn completion(&self, kind: RequestKind) -> CompletionRequest {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let tenant = self.tenant(number);
+        let index = usize::try_from(number).unwrap_or(0);
+        let long = kind != RequestKind::Question;
+        CompletionRequest {
+            marker: self.marker(number),
+            session: Some(format!("{}-session-{}", tenant.name, number % 7)),
+            tenant: tenant.name,
+            key: tenant.key,
+            model: kind.model().to_owned(),
+            shared_prefix: if long {
+                shared_prefix(number.is_multiple_of(2))
+            } else {
+                String::new()
+            },
+            question: QUESTIONS[index % QUESTIONS.len()].to_owned(),
+            stream: true,
+            pieces: kind.pieces(number),
+            idempotency_key: None,
+            deadline_ms: None,
+        }
+    }
+
+    fn marker(&self, number: u64) -> String {
+        format!("{:x}-{number}", self.options.seed)
+    }
+
+    /// Half of the calls come from the first tenant, half of the rest from the second, and so on.
+    fn tenant(&self, number: u64) -> CallingTenant {
+        let last = self.options.tenants.len() - 1;
+        let index = usize::try_from((number + 1).trailing_zeros()).unwrap_or(0);
+        self.options.tenants[index.min(last)].clone()
+    }
+
+    fn next_proxy(&self) -> (usize, SocketAddr) {
+        let turn = self.turns.fetch_add(1, Ordering::Relaxed);
+        let index = turn % self.options.proxies.len();
+        (index, self.options.proxies[index])
+    }
+}
+
+fn note(outcomes: &Arc<Mutex<Vec<CallOutcome>>>, outcome: CallOutcome) {
+    outcomes
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(outcome);
+}
--- /dev/null
+++ b/crates/lab/src/workload/figures.rs
@@ -0,0 +1,144 @@
+//! Summary of what the callers saw.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use millford_core::ResultCode;
+use serde::Serialize;
+
+use crate::caller::{CallOutcome, Ending};
+use crate::checks::History;
+use crate::emulator::lookup::LOOKUP_MODEL;
+
+/// Summary of what the callers saw. Times are in milliseconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Calls made.
+    pub requests: usize,
+    /// Calls that got a whole answer.
+    pub successes: usize,
+    /// Time to the first token of streams, median.
+    pub first_token_p50: f64,
+    /// Time to the first token of streams, 95th percentile.
+    pub first_token_p95: f64,
+    /// Time between tokens of streams, median.
+    pub between_tokens_p50: f64,
+    /// Time between tokens of streams, 95th percentile.
+    pub between_tokens_p95: f64,
+    /// Lookup time, median.
+    pub lookup_p50: f64,
+    /// Lookup time, 95th percentile.
+    pub lookup_p95: f64,
+    /// Streams that went on, whole, on a second backend.
+    pub moved_streams: usize,
+    /// Requests that a second backend got.
+    pub second_sends: usize,
+    /// Failures by numbered code.
+    pub failures_by_code: BTreeMap<u32, usize>,
+    /// Calls that found no connection.
+    pub not_connected: usize,
+    /// Calls whose connection broke visibly.
+    pub broken: usize,
+    /// Requests that may not be repeated and ran more than once.
+    pub duplicates: usize,
+}
+
+impl Figures {
+    /// Works out the summary.
+    #[must_use]
+    pub fn of(history: &History) -> Self {
+        let mut figures = Figures {
+            requests: history.calls.len(),
+            ..Self::default()
+        };
+        let mut first_tokens = new_histogram();
+        let mut gaps = new_histogram();
+        let mut lookups = new_histogram();
+        for call in &history.calls {
+            figures.count(call);
+            if call.model == LOOKUP_MODEL && call.succeeded() {
+                record(&mut lookups, call.ended_micros - call.started_micros);
+            } else if call.streamed {
+                call.first_token_micros()
+                    .into_iter()
+                    .for_each(|time| record(&mut first_tokens, time));
+                call.gaps_micros().for_each(|gap| record(&mut gaps, gap));
+            }
+        }
+        figures.first_token_p50 = millis(&first_tokens, 0.5);
+        figures.first_token_p95 = millis(&first_tokens, 0.95);
+        figures.between_tokens_p50 = millis(&gaps, 0.5);
+        figures.between_tokens_p95 = millis(&gaps, 0.95);
+        figures.lookup_p50 = millis(&lookups, 0.5);
+        figures.lookup_p95 = millis(&lookups, 0.95);
+        figures.count_runs(history);
+        figures
+    }
+
+    fn count(&mut self, call: &CallOutcome) {
+        match &call.ending {
+            Ending::Success => self.successes += 1,
+            Ending::Failure { code, .. } => *self.failures_by_code.entry(*code).or_default() += 1,
+            Ending::NotConnected => self.not_connected += 1,
+            Ending::Broken | Ending::FalseEnd => self.broken += 1,
+        }
+    }
+
+    fn count_runs(&mut self, history: &History) {
+        let executions = history.executions_by_marker();
+        for (marker, runs) in &executions {
+            self.second_sends += runs.len() - 1;
+            let moved = runs.iter().any(|run| run.resume_from > 0);
+            let mut calls = history.calls.iter().filter(|call| call.marker == *marker);
+            if let Some(call) = calls.next() {
+                self.moved_streams += usize::from(moved && call.succeeded());
+                self.duplicates += usize::from(!call.repeatable && runs.len() > 1);
+            }
+        }
+    }
+
+    /// The summary for people.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        text.push_str(&format!(
+            "requests            {} ({} whole answers)\n",
+            self.requests, self.successes
+        ));
+        text.push_str(&format!(
+            "first token         p50 {:.1} ms   p95 {:.1} ms\n",
+            self.first_token_p50, self.first_token_p95
+        ));
+        text.push_str(&format!(
+            "between tokens      p50 {:.1} ms   p95 {:.1} ms\n",
+            self.between_tokens_p50, self.between_tokens_p95
+        ));
+        text.push_str(&format!(
+            "lookups             p50 {:.1} ms   p95 {:.1} ms\n",
+            self.lookup_p50, self.lookup_p95
+        ));
+        text.push_str(&format!("moved streams       {}\n", self.moved_streams));
+        text.push_str(&format!("second sends        {}\n", self.second_sends));
+        text.push_str(&format!("no connection       {}\n", self.not_connected));
+        text.push_str(&format!("broken visibly      {}\n", self.broken));
+        for (code, count) in &self.failures_by_code {
+            let name = ResultCode::from_number(*code).map_or("?", ResultCode::name);
+            text.push_str(&format!("refused {code} {name:<24} {count}\n"));
+        }
+        text.push_str(&format!("duplicates          {}\n", self.duplicates));
+        text
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    // Three significant digits; grows with the values.
+    Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits are allowed"))
+}
+
+fn record(histogram: &mut Histogram<u64>, micros: u64) {
+    histogram.saturating_record(micros);
+}
+
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/lab/tests/emulator_protocol.rs
@@ -0,0 +1,340 @@
+//! The emulated backend keeps the backend protocol, and shows its faults on command.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use millford_lab::answer_text::{AnswerText, marker_text};
+use millford_lab::caller::http_client::{get, send, send_json};
+use millford_lab::caller::sse::SseReader;
+use millford_lab::emulator::execution::{Execution, ExecutionEnd};
+use millford_lab::emulator::execution_log::read_execution_log;
+use millford_lab::emulator::faults::FaultSwitches;
+use millford_lab::emulator::{BackendKind, BackendOptions, BackendServer};
+use millford_lab::fleet::SitePlan;
+use millford_lab::fleet::site::LARGE_MODEL;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
+
+const BOUND: Duration = Duration::from_secs(10);
+
+async fn backend() -> BackendServer {
+    let mut options = BackendOptions::standing_alone("backend", BackendKind::Model);
+    options.declarations = SitePlan::model_declarations();
+    options.speed = 20.0;
+    BackendServer::start(options).await.expect("a free port")
+}
+
+fn body(marker: &str, pieces: u64, stream: bool) -> Value {
+    json!({
+        "model": LARGE_MODEL,
+        "stream": stream,
+        "max_tokens": pieces,
+        "messages": [{"role": "user", "content": format!("Hello {}", marker_text(marker))}],
+    })
+}
+
+fn request(attempt: &str) -> http::request::Builder {
+    Request::post("/v1/chat/completions")
+        .header("host", "backend")
+        .header("content-type", "application/json")
+        .header("x-millford-attempt", attempt)
+        .header("x-millford-run", "run-1")
+}
+
+async fn post(address: SocketAddr, attempt: &str, body: &Value) -> Response<Incoming> {
+    let request = request(attempt)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a valid request");
+    timeout(BOUND, send(address, request))
+        .await
+        .expect("in time")
+        .expect("an answer")
+}
+
+async fn events(response: Response<Incoming>) -> Vec<String> {
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole body")
+        .to_bytes();
+    let mut reader = SseReader::default();
+    reader
+        .push(&bytes)
+        .into_iter()
+        .map(|event| event.data)
+        .collect()
+}
+
+async fn executions(address: SocketAddr) -> Vec<Execution> {
+    let answer = get(address, "/v1/executions", None)
+        .await
+        .expect("an answer");
+    serde_json::from_slice(&answer.body).expect("a list")
+}
+
+async fn set_faults(address: SocketAddr, faults: &FaultSwitches) {
+    let answer = send_json(address, Method::PUT, "/admin/faults", faults)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_stream_has_every_piece_in_order_and_its_end() {
+    let server = backend().await;
+    let response = post(server.address(), "a-1", &body("m1", 5, true)).await;
+    assert_eq!(response.headers()["x-millford-attempt"], "a-1");
+    let events = events(response).await;
+    assert_eq!(events.len(), 6);
+    assert_eq!(events[5], "[DONE]");
+    let answer = AnswerText::new("m1", "run-1");
+    for (sequence, event) in events[..5].iter().enumerate() {
+        let event: Value = serde_json::from_str(event).expect("JSON");
+        let sequence = sequence as u64;
+        assert_eq!(event["millford"], json!({"run": "run-1", "seq": sequence}));
+        assert_eq!(
+            event["choices"][0]["delta"]["content"],
+            answer.piece(sequence)
+        );
+        assert_eq!(event["usage"].is_object(), sequence == 4);
+    }
+    let runs = executions(server.address()).await;
+    assert_eq!(runs.len(), 1);
+    assert_eq!(
+        (runs[0].marker.as_str(), runs[0].end),
+        ("m1", Some(ExecutionEnd::Completed))
+    );
+}
+
+#[tokio::test]
+async fn a_continued_run_starts_at_the_piece_asked_for() {
+    let server = backend().await;
+    let body = body("m1", 6, true);
+    let request = request("a-2")
+        .header("x-millford-resume-from", "4")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a valid request");
+    let response = send(server.address(), request).await.expect("an answer");
+    assert_eq!(response.headers()["x-millford-resume-at"], "4");
+    let events = events(response).await;
+    let first: Value = serde_json::from_str(&events[0]).expect("JSON");
+    assert_eq!(first["millford"]["seq"], 4);
+    let expected = AnswerText::new("m1", "run-1").piece(4);
+    assert_eq!(first["choices"][0]["delta"]["content"], expected);
+    assert_eq!(events.len(), 3);
+    assert_eq!(executions(server.address()).await[0].resume_from, 4);
+}
+
+#[tokio::test]
+async fn a_withdrawn_attempt_never_runs_and_an_attempt_runs_once() {
+    let server = backend().await;
+    let address = server.address();
+    let path = "/v1/attempts/a-1";
+    let answer = send_json(address, Method::DELETE, path, &())
+        .await
+        .expect("an answer");
+    assert_eq!(&answer.body[..], br#"{"state":"withdrawn"}"#);
+    let refused = post(address, "a-1", &body("m1", 2, false)).await;
+    assert_eq!(refused.headers()["x-millford-run-state"], "not_run");
+    assert!(executions(address).await.is_empty());
+    let done = post(address, "a-2", &body("m2", 2, false)).await;
+    assert_eq!(done.status(), StatusCode::OK);
+    done.into_body().collect().await.expect("a whole body");
+    let again = post(address, "a-2", &body("m2", 2, false)).await;
+    assert_eq!(again.status(), StatusCode::CONFLICT);
+    assert_eq!(executions(address).await.len(), 1);
+    let answer = send_json(address, Method::DELETE, "/v1/attempts/a-2", &()).await;
+    assert_eq!(
+        &answer.expect("an answer").body[..],
+        br#"{"state":"finished"}"#
+    );
+}
+
+#[tokio::test]
+async fn a_refusing_backend_runs_nothing() {
+    let server = backend().await;
+    let faults = FaultSwitches {
+        refuse: true,
+        ..FaultSwitches::default()
+    };
+    set_faults(server.address(), &faults).await;
+    let refused = post(server.address(), "a-1", &body("m1", 2, true)).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers()["x-millford-run-state"], "not_run");
+    assert!(executions(server.address()).await.is_empty());
+}
+
+#[tokio::test]
+async fn a_cut_answer_has_no_end() {
+    let server = backend().await;
+    let faults = FaultSwitches {
+        cut_after: Some(2),
+        ..FaultSwitches::default()
+    };
+    set_faults(server.address(), &faults).await;
+    let stream = post(server.address(), "a-1", &body("m1", 5, true)).await;
+    assert!(stream.into_body().collect().await.is_err());
+    let plain = post(server.address(), "a-2", &body("m2", 5, false)).await;
+    assert!(plain.into_body().collect().await.is_err());
+    let ends: Vec<_> = executions(server.address())
+        .await
+        .iter()
+        .map(|run| run.end)
+        .collect();
+    assert_eq!(ends, [Some(ExecutionEnd::Cancelled); 2]);
+}
+
+#[tokio::test]
+async fn a_crossed_answer_names_another_attempt() {
+    let server = backend().await;
+    let faults = FaultSwitches {
+        crossed: true,
+        ..FaultSwitches::default()
+    };
+    set_faults(server.address(), &faults).await;
+    let response = post(server.address(), "a-1", &body("m1", 2, true)).await;
+    assert_ne!(response.headers()["x-millford-attempt"], "a-1");
+}
+
+#[tokio::test]
+async fn stray_bytes_follow_the_whole_answer() {
+    for stream in [false, true] {
+        let server = backend().await;
+        let faults = FaultSwitches {
+            stray_bytes: true,
+            ..FaultSwitches::default()
+        };
+        set_faults(server.address(), &faults).await;
+        let bytes = raw_exchange(server.address(), &body("m1", 3, stream)).await;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        assert!(text.ends_with("\r\n\r\nstray"), "{text}");
+        let end = if stream {
+            "[DONE]\n\n\r\n0\r\n\r\nHTTP/1.1 200"
+        } else {
+            "}HTTP/1.1 200"
+        };
+        assert!(text.contains(end), "{text}");
+    }
+}
+
+/// Sends one request over a plain connection and reads up to the stray bytes.
+async fn raw_exchange(address: SocketAddr, body: &Value) -> Vec<u8> {
+    let mut connection = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("a connection");
+    let body = body.to_string();
+    let length = body.len();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: b\r\nx-millford-attempt: a\r\n\
+         x-millford-run: r\r\ncontent-length: {length}\r\n\r\n"
+    );
+    connection
+        .write_all(head.as_bytes())
+        .await
+        .expect("written");
+    connection
+        .write_all(body.as_bytes())
+        .await
+        .expect("written");
+    let mut bytes = Vec::new();
+    let read = async {
+        while !bytes.ends_with(b"stray") {
+            let count = connection.read_buf(&mut bytes).await.expect("readable");
+            assert!(count > 0, "ended: {}", String::from_utf8_lossy(&bytes));
+        }
+    };
+    timeout(BOUND, read).await.expect("stray bytes in time");
+    bytes
+}
+
+#[tokio::test]
+async fn a_dark_backend_answers_nothing_until_it_is_lit() {
+    let server = backend().await;
+    let address = server.address();
+    let mut response = post(address, "a-1", &body("m1", 2000, true)).await;
+    response
+        .body_mut()
+        .frame()
+        .await
+        .expect("a frame")
+        .expect("whole");
+    set_faults(
+        address,
+        &FaultSwitches {
+            dark: true,
+            ..FaultSwitches::default()
+        },
+    )
+    .await;
+    let health = tokio::spawn(async move { get(address, "/v1/health", None).await });
+    // The administration still answers, so the request above was met by a dark backend.
+    assert_eq!(executions(address).await.len(), 1);
+    assert!(!health.is_finished());
+    set_faults(address, &FaultSwitches::default()).await;
+    let health = timeout(BOUND, health)
+        .await
+        .expect("in time")
+        .expect("joined");
+    assert_eq!(health.expect("an answer").status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_shared_prefix_is_cached_and_a_lost_connection_frees_the_run() {
+    let server = backend().await;
+    let long = "The rain of the season. ".repeat(400);
+    let mut body = body("m1", 1, false);
+    body["messages"][0]["content"] = json!(long.clone());
+    let cached = async |attempt: &str| {
+        let answer = post(server.address(), attempt, &body).await;
+        let bytes = answer
+            .into_body()
+            .collect()
+            .await
+            .expect("a whole body")
+            .to_bytes();
+        let value: Value = serde_json::from_slice(&bytes).expect("JSON");
+        value["usage"]["cached_tokens"].as_u64().expect("a number")
+    };
+    assert_eq!(cached("a-1").await, 0);
+    assert!(cached("a-2").await > 2000);
+    body["max_tokens"] = json!(100_000);
+    body["stream"] = json!(true);
+    let mut response = post(server.address(), "a-3", &body).await;
+    response
+        .body_mut()
+        .frame()
+        .await
+        .expect("a frame")
+        .expect("whole");
+    drop(response);
+    let freed = async {
+        while executions(server.address()).await[2].end.is_none() {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(BOUND, freed)
+        .await
+        .expect("the run ends with its connection");
+}
+
+#[tokio::test]
+async fn the_execution_log_is_read_back_from_its_file() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("executions");
+    let mut options = BackendOptions::standing_alone("backend", BackendKind::Lookup);
+    options.execution_log = Some(path.clone());
+    let server = BackendServer::start(options).await.expect("a free port");
+    let answer = get(server.address(), "/catalogue/7?request=m9", None)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    let runs = read_execution_log(&path).expect("readable");
+    assert_eq!(runs, executions(server.address()).await);
+    assert_eq!((runs[0].marker.as_str(), runs.len()), ("m9", 1));
+}
