Add the simulated fleet and the first run of the balance experiment

Aim: measure routing against what it replaces, on the real routing crate. Change: discrete-event fleet (proxies, hosts, reports, picture, placement, faults), reports, balance; the routing crate serves every placed version during a transition (small change outside this crate): with equal weights the first replica of a new version would have got the whole pool's work.

--- a/crates/backend-model/src/backend.rs
+++ b/crates/backend-model/src/backend.rs
@@ -24,6 +24,7 @@
     speed: f64,
     now: MonotonicTime,
     rates: Rates,
+    busy_core_micros: f64,
 }
 
 impl EmulatedBackend {
@@ -38,6 +39,7 @@
             speed: 1.0,
             now,
             rates: Rates::default(),
+            busy_core_micros: 0.0,
         }
     }
 
@@ -167,6 +169,18 @@
             .count()
     }
 
+    /// The speed factor in force.
+    #[must_use]
+    pub fn speed(&self) -> f64 {
+        self.speed
+    }
+
+    /// Processor time spent since the start, in core seconds, up to the last advance.
+    #[must_use]
+    pub fn busy_core_seconds(&self) -> f64 {
+        self.busy_core_micros / 1_000_000.0
+    }
+
     /// Demand for cores over cores; prefill takes every core that decode leaves.
     #[must_use]
     pub fn processor_utilization(&self) -> f64 {
@@ -236,6 +250,7 @@
 
     fn progress(&mut self, micros: f64) {
         let rates = &self.rates;
+        self.busy_core_micros += micros * rates.busy_cores;
         for run in self.runs.values_mut() {
             match &mut run.phase {
                 Phase::Prefill { core_micros_left } => {
--- a/crates/backend-model/src/rates.rs
+++ b/crates/backend-model/src/rates.rs
@@ -22,7 +22,9 @@
     pub prefill_cores_per_run: f64,
     /// Microseconds per token of each model's streams.
     pub token_micros: BTreeMap<String, f64>,
-    /// Demand for cores over cores, decode only up to the limit; 1 when any prefill runs.
+    /// Cores that work now.
+    pub busy_cores: f64,
+    /// Demand for cores over cores; at least 1 when any prefill runs.
     pub processor_utilization: f64,
     /// Demand for memory bandwidth at full pace over bandwidth.
     pub bandwidth_utilization: f64,
@@ -70,6 +72,7 @@
     Rates {
         prefill_cores_per_run: prefill_cores / prefills.max(1) as f64 / stall * speed,
         token_micros,
+        busy_cores: decode_granted + prefill_cores,
         processor_utilization: (decode_wanted + prefill_cores) / options.cores,
         bandwidth_utilization,
     }
--- /dev/null
+++ b/crates/experiments/src/fleet/control.rs
@@ -0,0 +1,270 @@
+//! The control plane's part of a simulated fleet: reports, plans, faults, retirements.
+
+use std::collections::BTreeSet;
+
+use millford_api::internal::LoadPicture;
+use millford_api::state::{BackendState, PoolPlacement, ReplicaState};
+use millford_backend_model::RunRequest;
+use millford_core::Duration;
+use millford_placement::{MoveReason, ReplicaKey};
+use millford_routing::EjectionReason;
+
+use crate::fleet::event::Event;
+use crate::fleet::fleet_options::FaultKind;
+use crate::fleet::host::{Host, LOADER};
+use crate::fleet::proxy_node::host_index;
+use crate::fleet::simulation::Simulation;
+
+/// Epoch of the placement role: a simulated fleet has one placer from start to end.
+const EPOCH: u64 = 1;
+/// Quiet time after which a backend in use is probed.
+const PROBE_QUIET: Duration = Duration::from_secs(1);
+/// Speed under which a probe is not answered in time.
+const PROBE_SPEED: f64 = 0.02;
+/// Core microseconds of one token of the loader's pretended prompt.
+const LOADER_CORE_MICROS: f64 = 1600.0;
+
+impl Simulation {
+    /// Proxies report their work; the picture of all goes back to each.
+    pub(crate) fn report(&mut self) {
+        for (index, proxy) in self.proxies.iter().enumerate() {
+            let member = format!("proxy-{index}");
+            for report in proxy.board.take_reports() {
+                self.placer.observe(self.now, &member, &report.loads);
+            }
+        }
+        let picture = LoadPicture {
+            service: self.options.pool.name.clone(),
+            epoch: EPOCH,
+            loads: self.placer.picture(self.now),
+        };
+        let mut open = vec![0; self.hosts.len()];
+        for proxy in &self.proxies {
+            for (total, own) in open.iter_mut().zip(&proxy.own_open) {
+                *total += own;
+            }
+        }
+        for proxy in &mut self.proxies {
+            proxy.board.merge_picture(&picture);
+            let others = open.iter().zip(&proxy.own_open);
+            proxy.others_open = others.map(|(total, own)| total - own).collect();
+        }
+    }
+
+    /// One tick of the placement role, if there is one.
+    pub(crate) fn plan(&mut self) {
+        if self.options.placement.is_none() {
+            return;
+        }
+        let outcome = self.placer.plan(
+            self.now,
+            EPOCH,
+            &self.options.pool,
+            &self.catalogue(),
+            self.placement.as_ref(),
+        );
+        for step in &outcome.reasons {
+            if step.reason.is_change() {
+                self.metrics.moves += 1;
+            }
+            self.note_transition(step.reason);
+        }
+        if let Some(placement) = outcome.placement {
+            self.apply(placement);
+        }
+    }
+
+    fn note_transition(&mut self, reason: MoveReason) {
+        let forced = reason == MoveReason::TransitionForced;
+        self.metrics.forced_steps += u64::from(forced);
+        if forced || reason == MoveReason::TransitionStep {
+            self.metrics.transition_first_step.get_or_insert(self.now);
+        }
+    }
+
+    fn apply(&mut self, placement: PoolPlacement) {
+        let first = self.placement.is_none();
+        let before = replica_states(self.placement.as_ref());
+        let after = replica_states(Some(&placement));
+        self.placement = Some(placement);
+        self.rebuild_serving();
+        let known: BTreeSet<&ReplicaKey> = before.iter().map(|(key, _)| key).collect();
+        for (key, state) in &after {
+            if !first && !known.contains(key) {
+                self.load_replica(key);
+            }
+            if *state == ReplicaState::ReplicaDraining {
+                self.draining_since.entry(key.clone()).or_insert(self.now);
+                self.hold(key);
+            }
+        }
+        let kept: BTreeSet<&ReplicaKey> = after.iter().map(|(key, _)| key).collect();
+        for (key, _) in before.iter().filter(|(key, _)| !kept.contains(key)) {
+            self.remove_replica(key);
+        }
+        self.note_transition_end(&after);
+    }
+
+    /// Requests open on a draining replica are held from now on.
+    fn hold(&mut self, key: &ReplicaKey) {
+        let host = host_index(&key.backend);
+        for request in self.requests.values_mut() {
+            let model = request.model;
+            if let Some(attempt) = request.attempt.as_mut()
+                && attempt.host == host
+                && model == key.model
+                && attempt.version == key.version
+                && attempt.first_token.is_some()
+            {
+                attempt.ticket.held();
+            }
+        }
+    }
+
+    /// A replica is gone: what still runs on it is lost.
+    fn remove_replica(&mut self, key: &ReplicaKey) {
+        self.note_drained(key);
+        let host = host_index(&key.backend);
+        let lost = self.requests_with(|request, attempt| {
+            attempt.host == host && request.model == key.model && attempt.version == key.version
+        });
+        for id in lost {
+            self.lose_attempt(id);
+        }
+    }
+
+    fn note_drained(&mut self, key: &ReplicaKey) {
+        if let Some(since) = self.draining_since.remove(key) {
+            let took = self.now.since(since);
+            self.metrics.longest_drain = self.metrics.longest_drain.max(took);
+        }
+    }
+
+    /// Drains that are still open at a sample.
+    pub(crate) fn note_open_drains(&mut self) {
+        let longest = self
+            .draining_since
+            .values()
+            .map(|since| self.now.since(*since))
+            .max()
+            .unwrap_or_default();
+        self.metrics.longest_drain = self.metrics.longest_drain.max(longest);
+    }
+
+    fn note_transition_end(&mut self, replicas: &[(ReplicaKey, ReplicaState)]) {
+        let target = &self.options.pool.target_version;
+        let all_new = replicas.iter().all(|(key, _)| &key.version == target);
+        if all_new && self.ordered_at.is_some() && self.metrics.transition_end.is_none() {
+            self.metrics.transition_end = Some(self.now);
+        }
+    }
+
+    /// Loading a replica costs processor time and memory bandwidth.
+    fn load_replica(&mut self, key: &ReplicaKey) {
+        let Some(placement) = &self.options.placement else {
+            return;
+        };
+        let tokens = placement.load_core_seconds * 1_000_000.0 / LOADER_CORE_MICROS;
+        if tokens < 1.0 {
+            return;
+        }
+        let host = host_index(&key.backend);
+        self.advance_host(host);
+        let run = self.next_run;
+        self.next_run += 1;
+        let request = RunRequest {
+            run,
+            model: LOADER.to_owned(),
+            prompt_tokens: tokens as u32,
+            prompt_blocks: Vec::new(),
+            output_tokens: 1,
+        };
+        // A host with every place taken loads the replica without the pretended work.
+        if self.hosts[host].backend.start(&request).is_ok() {
+            self.reschedule_host(host);
+        }
+    }
+
+    /// Probes of ejected backends and of those in use that are quiet.
+    pub(crate) fn probe(&mut self) {
+        if !self.options.retries.ejects {
+            return;
+        }
+        for proxy in &self.proxies {
+            for id in proxy.health.to_probe(self.now, PROBE_QUIET) {
+                let host = &self.hosts[host_index(&id)];
+                if host.alive && host.backend.speed() > PROBE_SPEED {
+                    proxy.health.probe_succeeded(&id, self.now);
+                } else if host.alive {
+                    proxy.health.probe_failed(&id);
+                } else {
+                    proxy.health.eject(&id, EjectionReason::ConnectFailed);
+                }
+            }
+        }
+    }
+
+    /// A fault or an operator's act.
+    pub(crate) fn fault(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::Kill { host } => self.kill(host),
+            FaultKind::Revive { host } => self.revive(host),
+            FaultKind::Slow { host, speed } => {
+                self.advance_host(host);
+                let now = self.now;
+                self.hosts[host].backend.set_speed(now, speed);
+                self.reschedule_host(host);
+            }
+            FaultKind::Retire { host } => self.retire(host),
+            FaultKind::TargetVersion(version) => {
+                version.clone_into(&mut self.options.pool.target_version);
+                self.ordered_at = Some(self.now);
+                self.rebuild_serving();
+            }
+        }
+    }
+
+    fn kill(&mut self, host: usize) {
+        self.advance_host(host);
+        self.hosts[host].alive = false;
+        for id in self.requests_with(|_, attempt| attempt.host == host) {
+            self.lose_attempt(id);
+        }
+        self.reschedule_host(host);
+    }
+
+    fn revive(&mut self, host: usize) {
+        let now = self.now;
+        let present: &mut Host = &mut self.hosts[host];
+        present.alive = true;
+        present.backend.restart(now);
+        self.reschedule_host(host);
+    }
+
+    fn retire(&mut self, host: usize) {
+        self.hosts[host]
+            .catalogue
+            .set_state(BackendState::BackendDraining);
+        self.retired_at.insert(host, self.now);
+        self.rebuild_serving();
+        let drain = Duration::from_millis(u64::from(self.options.pool.drain_ms));
+        self.schedule(drain, Event::Retired { host });
+    }
+
+    /// The platform ends a retired backend: what it still holds is lost.
+    pub(crate) fn end_retired(&mut self, host: usize) {
+        self.hosts[host]
+            .catalogue
+            .set_state(BackendState::BackendGone);
+        self.kill(host);
+        self.rebuild_serving();
+    }
+}
+
+fn replica_states(placement: Option<&PoolPlacement>) -> Vec<(ReplicaKey, ReplicaState)> {
+    placement
+        .into_iter()
+        .flat_map(|placement| &placement.replicas)
+        .map(|replica| (replica.into(), replica.state()))
+        .collect()
+}
--- /dev/null
+++ b/crates/experiments/src/fleet/dispatch.rs
@@ -0,0 +1,348 @@
+//! Requests on their way to backends and back.
+
+use millford_api::internal::CostSample;
+use millford_backend_model::{BackendEvent, BackendEventKind, RunRequest};
+use millford_core::MonotonicTime;
+use millford_routing::EjectionReason;
+use rand::Rng;
+
+use crate::fleet::event::Event;
+use crate::fleet::host::run_model;
+use crate::fleet::proxy_node::{Chosen, Wanted};
+use crate::fleet::request::{Attempt, Request};
+use crate::fleet::simulation::Simulation;
+use crate::fleet::workload::Prompt;
+
+impl Simulation {
+    /// Takes a request in at a random proxy and sends its first attempt.
+    pub(crate) fn accept(&mut self, model: &'static str, prompt: Prompt) {
+        let id = self.next_request;
+        self.next_request += 1;
+        let proxy = self.choices.random_range(0..self.proxies.len());
+        let request = Request {
+            model,
+            prompt,
+            arrived: self.now,
+            proxy,
+            attempts: 0,
+            failed_hosts: Vec::new(),
+            attempt: None,
+        };
+        self.requests.insert(id, request);
+        self.schedule(
+            self.options.first_token_limit,
+            Event::Deadline { request: id },
+        );
+        self.send(id);
+    }
+
+    /// Sends the next attempt, or fails the request when nothing takes it.
+    fn send(&mut self, id: u64) {
+        while let Some(chosen) = self.choose(id) {
+            self.count_send(id);
+            if self.start_attempt(id, &chosen) {
+                return;
+            }
+            if !self.may_send_again(id) {
+                break;
+            }
+        }
+        self.fail(id);
+    }
+
+    fn choose(&mut self, id: u64) -> Option<Chosen> {
+        let request = self.requests.get(&id)?;
+        let wanted = Wanted {
+            model: request.model,
+            prompt_tokens: u64::from(request.prompt.tokens),
+            affinity: request.prompt.affinity,
+            without: &request.failed_hosts,
+        };
+        let proxy = &mut self.proxies[request.proxy];
+        proxy.choose(
+            self.options.policy,
+            &self.serving,
+            &self.hosts,
+            wanted,
+            &mut self.choices,
+        )
+    }
+
+    fn count_send(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.attempts += 1;
+        let counts = self.metrics.counts(request.arrived);
+        if request.attempts == 1 {
+            self.proxies[request.proxy].budget.earn();
+            self.metrics.first_sends += u64::from(counts);
+        } else {
+            self.metrics.second_sends += u64::from(counts);
+        }
+    }
+
+    /// Whether the attempt runs. A dead or full host fails it at once.
+    fn start_attempt(&mut self, id: u64, chosen: &Chosen) -> bool {
+        self.advance_host(chosen.host);
+        let run = self.next_run;
+        self.next_run += 1;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let host = &mut self.hosts[chosen.host];
+        let proxy = &self.proxies[request.proxy];
+        if !host.alive {
+            if self.options.retries.ejects {
+                proxy.health.eject(&host.id, EjectionReason::ConnectFailed);
+            }
+            request.failed_hosts.push(chosen.host);
+            return false;
+        }
+        let run_request = RunRequest {
+            run,
+            model: run_model(request.model, &chosen.key.version),
+            prompt_tokens: request.prompt.tokens,
+            prompt_blocks: request.prompt.blocks.clone(),
+            output_tokens: request.prompt.output_tokens,
+        };
+        let Ok(started) = host.backend.start(&run_request) else {
+            request.failed_hosts.push(chosen.host);
+            return false;
+        };
+        let before = proxy.board.counts(&chosen.key);
+        let ticket = proxy
+            .board
+            .start(chosen.key.clone(), chosen.uncached_tokens);
+        if self.metrics.counts(request.arrived) {
+            self.metrics.prompt_tokens += u64::from(request.prompt.tokens);
+            self.metrics.cached_tokens += u64::from(started.cached_tokens);
+        }
+        request.attempt = Some(Attempt {
+            host: chosen.host,
+            run,
+            version: chosen.key.version.clone(),
+            sent: self.now,
+            first_token: None,
+            by_affinity: chosen.by_affinity,
+            cached_tokens: started.cached_tokens,
+            queued_tokens: before.prefill_tokens + chosen.uncached_tokens,
+            own_tokens: chosen.uncached_tokens,
+            streams_at_start: before.decode_streams,
+            ticket,
+        });
+        let attempt = request.attempts;
+        self.proxies[request.proxy].own_open[chosen.host] += 1;
+        self.runs.insert(run, id);
+        if let Some(timeout) = self.options.retries.attempt_timeout {
+            self.schedule(
+                timeout,
+                Event::AttemptTimeout {
+                    request: id,
+                    attempt,
+                },
+            );
+        }
+        self.note_late_send(chosen.host);
+        self.reschedule_host(chosen.host);
+        true
+    }
+
+    fn note_late_send(&mut self, host: usize) {
+        if let Some(retired) = self.retired_at.get(&host) {
+            let late = self.now.since(*retired);
+            self.metrics.longest_late_send = self.metrics.longest_late_send.max(late);
+        }
+    }
+
+    fn may_send_again(&mut self, id: u64) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let rules = &self.options.retries;
+        let allowed = request.attempts < rules.most_attempts;
+        allowed && (!rules.budgeted || self.proxies[request.proxy].budget.try_spend())
+    }
+
+    /// Gives up the attempt under way and takes it off its host.
+    fn drop_attempt(&mut self, id: u64) -> Option<Attempt> {
+        let request = self.requests.get_mut(&id)?;
+        let attempt = request.attempt.take()?;
+        self.proxies[request.proxy].own_open[attempt.host] -= 1;
+        self.runs.remove(&attempt.run);
+        if self.hosts[attempt.host].alive {
+            self.advance_host(attempt.host);
+            self.hosts[attempt.host].backend.cancel(attempt.run);
+            self.reschedule_host(attempt.host);
+        }
+        Some(attempt)
+    }
+
+    /// An attempt has been silent for too long: another backend, if the rules allow.
+    pub(crate) fn attempt_timed_out(&mut self, id: u64, attempt: u32) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let silent = request
+            .attempt
+            .as_ref()
+            .is_some_and(|current| current.first_token.is_none());
+        if !silent || request.attempts != attempt || !self.may_send_again(id) {
+            return;
+        }
+        let Some(dropped) = self.drop_attempt(id) else {
+            return;
+        };
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.failed_hosts.push(dropped.host);
+        }
+        self.send(id);
+    }
+
+    /// The caller gives up unless the first token has come.
+    pub(crate) fn deadline(&mut self, id: u64) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let answered = request
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.first_token.is_some());
+        if answered {
+            return;
+        }
+        let arrived = request.arrived;
+        self.drop_attempt(id);
+        if self.requests.remove(&id).is_some() {
+            self.metrics
+                .note_time_out(arrived, self.options.first_token_limit);
+        }
+    }
+
+    fn fail(&mut self, id: u64) {
+        if let Some(request) = self.requests.remove(&id) {
+            self.metrics
+                .note_failure(request.arrived, self.options.first_token_limit);
+        }
+    }
+
+    /// The attempt's backend or replica is lost: cut after the first token, sent again before it.
+    pub(crate) fn lose_attempt(&mut self, id: u64) {
+        let Some(attempt) = self.drop_attempt(id) else {
+            return;
+        };
+        if attempt.first_token.is_some() {
+            if let Some(request) = self.requests.remove(&id)
+                && self.metrics.counts(request.arrived)
+            {
+                self.metrics.cut += 1;
+            }
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.failed_hosts.push(attempt.host);
+        }
+        if self.may_send_again(id) {
+            self.send(id);
+        } else {
+            self.fail(id);
+        }
+    }
+
+    /// Requests with an attempt that the test takes.
+    pub(crate) fn requests_with(&self, test: impl Fn(&Request, &Attempt) -> bool) -> Vec<u64> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| {
+                let attempt = request.attempt.as_ref();
+                attempt.is_some_and(|attempt| test(request, attempt))
+            })
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Progresses a host to now and handles what happened on it.
+    pub(crate) fn advance_host(&mut self, host: usize) {
+        let events = self.hosts[host].advance(self.now);
+        let changed = !events.is_empty();
+        for event in events {
+            self.backend_event(event);
+        }
+        if changed {
+            self.reschedule_host(host);
+        }
+    }
+
+    /// Voids the host's pending change and schedules the present one.
+    pub(crate) fn reschedule_host(&mut self, host: usize) {
+        let present = &mut self.hosts[host];
+        present.generation += 1;
+        let generation = present.generation;
+        if let (true, Some(at)) = (present.alive, present.backend.next_change()) {
+            self.queue.add(at, Event::HostChange { host, generation });
+        }
+    }
+
+    fn backend_event(&mut self, event: BackendEvent) {
+        let Some(id) = self.runs.get(&event.run).copied() else {
+            return;
+        };
+        match event.kind {
+            BackendEventKind::FirstToken => self.first_token(id, event.at),
+            BackendEventKind::Tokens(_) => {}
+            BackendEventKind::Finished => self.finished(id, event.at),
+        }
+    }
+
+    fn first_token(&mut self, id: u64, at: MonotonicTime) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        attempt.first_token = Some(at);
+        attempt.ticket.first_piece();
+        if !self.hosts[attempt.host].is_active() {
+            attempt.ticket.held();
+        }
+        let costs = &self.proxies[request.proxy].costs;
+        let millis = at.since(attempt.sent).as_secs_f64() * 1000.0;
+        costs.add_first_token(request.model, attempt.queued_tokens, millis);
+        self.metrics
+            .note_first_token(request.arrived, at.since(request.arrived));
+    }
+
+    fn finished(&mut self, id: u64, at: MonotonicTime) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.take() else {
+            return;
+        };
+        self.runs.remove(&attempt.run);
+        let proxy = &mut self.proxies[request.proxy];
+        proxy.own_open[attempt.host] -= 1;
+        let first = attempt.first_token.unwrap_or(at);
+        let output_tokens = request.prompt.output_tokens;
+        let inter_token = at.since(first) / output_tokens.saturating_sub(1).max(1);
+        if output_tokens > 1 {
+            let millis = inter_token.as_secs_f64() * 1000.0;
+            let streams = attempt.streams_at_start + 1;
+            proxy.costs.add_inter_token(request.model, streams, millis);
+        }
+        if attempt.by_affinity {
+            let share = f64::from(attempt.cached_tokens) / f64::from(request.prompt.tokens);
+            proxy.costs.add_cached_share(request.model, share);
+        }
+        let sample = CostSample {
+            prompt_tokens: u32::try_from(attempt.own_tokens).unwrap_or(u32::MAX),
+            first_token_ms: first.since(attempt.sent).as_millis() as u32,
+            output_tokens,
+            decode_ms: at.since(first).as_millis() as u32,
+            streams_at_start: attempt.streams_at_start,
+        };
+        proxy.board.add_sample(attempt.ticket.key(), sample);
+        self.metrics.note_finish(request.arrived, inter_token);
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/fleet/proxy_node.rs
@@ -0,0 +1,224 @@
+//! One simulated proxy: what it knows and how it chooses.
+
+use std::sync::Arc;
+
+use millford_routing::{
+    BackendHealth, Candidate, CostBook, LoadBoard, ModelRequest, ReplicaKey, RetryBudget,
+    ServingPool, ServingReplica, choose, rendezvous,
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::host::Host;
+use crate::fleet::policy::Policy;
+
+/// Age of the load that backends report, in samples of a second.
+const REPORT_AGE_SAMPLES: usize = 2;
+
+/// State of one proxy.
+#[derive(Debug)]
+pub struct ProxyNode {
+    /// Work in flight by replica: the real board of the routing crate.
+    pub board: Arc<LoadBoard>,
+    /// Learned costs: the real book of the routing crate.
+    pub costs: CostBook,
+    /// Ejections: the real health of the routing crate.
+    pub health: BackendHealth,
+    /// Budget for second sends.
+    pub budget: RetryBudget,
+    /// Own open requests by host, all models alike.
+    pub own_open: Vec<u32>,
+    /// Other proxies' open requests by host, as last told.
+    pub others_open: Vec<u32>,
+    next_in_round: usize,
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Name of the model.
+    pub model: &'a str,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// Affinity key.
+    pub affinity: u64,
+    /// Hosts that failed the request.
+    pub without: &'a [usize],
+}
+
+/// A chosen replica.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// Position of the host.
+    pub host: usize,
+    /// Which counts the attempt belongs to.
+    pub key: ReplicaKey,
+    /// Whether the host is a home of the affinity key.
+    pub by_affinity: bool,
+    /// Uncached prompt tokens to expect.
+    pub uncached_tokens: u64,
+}
+
+impl ProxyNode {
+    /// A proxy before `hosts` hosts.
+    #[must_use]
+    pub fn new(hosts: usize) -> Self {
+        Self {
+            board: Arc::default(),
+            costs: CostBook::default(),
+            health: BackendHealth::default(),
+            budget: RetryBudget::default(),
+            own_open: vec![0; hosts],
+            others_open: vec![0; hosts],
+            next_in_round: 0,
+        }
+    }
+
+    /// Chooses a replica by a policy.
+    pub fn choose(
+        &mut self,
+        policy: Policy,
+        pool: &ServingPool,
+        hosts: &[Host],
+        wanted: Wanted,
+        random: &mut ChaCha8Rng,
+    ) -> Option<Chosen> {
+        let request = ModelRequest {
+            model: wanted.model.to_owned(),
+            ..ModelRequest::default()
+        };
+        let usable = |replica: &&ServingReplica| {
+            let host = host_index(&replica.backend.id);
+            !wanted.without.contains(&host) && self.health.is_usable(&replica.backend.id)
+        };
+        let replicas: Vec<&ServingReplica> = pool
+            .candidates(&request)
+            .into_iter()
+            .filter(usable)
+            .collect();
+        if replicas.is_empty() {
+            return None;
+        }
+        let (index, by_affinity) = self.pick(policy, &replicas, hosts, wanted, random)?;
+        let replica = replicas[index];
+        let uncached_tokens = if by_affinity {
+            self.costs
+                .uncached_tokens_at_home(wanted.model, wanted.prompt_tokens)
+        } else {
+            wanted.prompt_tokens
+        };
+        Some(Chosen {
+            host: host_index(&replica.backend.id),
+            key: ReplicaKey {
+                pool: pool.name.clone(),
+                backend_id: replica.backend.id.clone(),
+                model: replica.model.clone(),
+                version: replica.version.clone(),
+            },
+            by_affinity,
+            uncached_tokens,
+        })
+    }
+
+    fn pick(
+        &mut self,
+        policy: Policy,
+        replicas: &[&ServingReplica],
+        hosts: &[Host],
+        wanted: Wanted,
+        random: &mut ChaCha8Rng,
+    ) -> Option<(usize, bool)> {
+        let count = replicas.len();
+        let host_of = |index: usize| host_index(&replicas[index].backend.id);
+        let unaided = match policy {
+            Policy::RoundRobin => {
+                self.next_in_round += 1;
+                self.next_in_round % count
+            }
+            Policy::Random => random.random_range(0..count),
+            Policy::HostTotal => best_of_two(count, random, |index| self.open(host_of(index))),
+            Policy::HostTotalLeast => {
+                let start = random.random_range(0..count);
+                let rotated = (0..count).map(|step| (start + step) % count);
+                rotated.min_by(|left, right| {
+                    let left = self.open(host_of(*left));
+                    left.total_cmp(&self.open(host_of(*right)))
+                })?
+            }
+            Policy::StaleReported => {
+                best_of_two(count, random, |index| reported(&hosts[host_of(index)]))
+            }
+            Policy::PureHash => {
+                let score = |index: &usize| {
+                    rendezvous::score(wanted.affinity, &replicas[*index].backend.id, 1000)
+                };
+                (0..count).max_by(|left, right| score(left).total_cmp(&score(right)))?
+            }
+            Policy::MillfordWithoutAffinity => return self.ours(replicas, wanted, None, random),
+            Policy::Millford => {
+                return self.ours(replicas, wanted, Some(wanted.affinity), random);
+            }
+        };
+        Some((unaided, policy == Policy::PureHash))
+    }
+
+    /// As the proxy's `choose_backend` does it, on the routing crate's decisions.
+    fn ours(
+        &self,
+        replicas: &[&ServingReplica],
+        wanted: Wanted,
+        affinity: Option<u64>,
+        random: &mut ChaCha8Rng,
+    ) -> Option<(usize, bool)> {
+        let candidates: Vec<Candidate> = replicas
+            .iter()
+            .map(|replica| {
+                let backend = &replica.backend;
+                Candidate {
+                    backend_id: backend.id.clone(),
+                    weight_milli: replica.weight_milli,
+                    load: self
+                        .board
+                        .backend_load(&backend.id, backend.cores, &self.costs),
+                }
+            })
+            .collect();
+        let own_load = self.costs.work_ms(wanted.model, wanted.prompt_tokens, 1);
+        let numbers = [random.random(), random.random()];
+        let choice = choose(&candidates, affinity, own_load, numbers)?;
+        Some((choice.index, choice.by_affinity))
+    }
+
+    fn open(&self, host: usize) -> f64 {
+        f64::from(self.own_open[host] + self.others_open[host])
+    }
+}
+
+/// Draws two different positions and keeps the one with the lower load.
+fn best_of_two(count: usize, random: &mut ChaCha8Rng, load: impl Fn(usize) -> f64) -> usize {
+    let first = random.random_range(0..count);
+    if count == 1 {
+        return first;
+    }
+    let second = (first + random.random_range(1..count)) % count;
+    if load(first) <= load(second) {
+        first
+    } else {
+        second
+    }
+}
+
+/// The utilization that the host reported some seconds ago.
+fn reported(host: &Host) -> f64 {
+    let samples = host.utilizations.len();
+    match samples.checked_sub(1 + REPORT_AGE_SAMPLES) {
+        Some(index) => host.utilizations[index],
+        None => 0.0,
+    }
+}
+
+/// Position of the host with this id.
+#[must_use]
+pub fn host_index(id: &str) -> usize {
+    id.trim_start_matches('b').parse().unwrap_or(0)
+}
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -1,1 +1,8 @@
 //! Experiments under simulated time: routing, placement, transitions, retries, with reports and plots.
+
+mod command;
+pub mod fleet;
+pub mod report;
+pub mod suite;
+
+pub use command::run;
--- /dev/null
+++ b/crates/experiments/src/report/chart.rs
@@ -0,0 +1,117 @@
+//! Line charts as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+const SIZE: (u32, u32) = (900, 520);
+const HEADROOM: f64 = 1.05;
+
+/// A line chart.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Chart {
+    /// Name of the file, without ending.
+    pub name: String,
+    /// What it shows.
+    pub title: String,
+    /// Name and unit of the horizontal axis.
+    pub x_label: String,
+    /// Name and unit of the vertical axis.
+    pub y_label: String,
+    /// The lines.
+    pub series: Vec<Series>,
+}
+
+/// One line of a chart.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Series {
+    /// Name in the legend.
+    pub name: String,
+    /// Points, from left to right.
+    pub points: Vec<Point>,
+}
+
+/// One point of a line.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// Position on the horizontal axis.
+    pub x: f64,
+    /// Position on the vertical axis.
+    pub y: f64,
+}
+
+impl Series {
+    /// A line from pairs of coordinates.
+    #[must_use]
+    pub fn new(name: &str, points: impl IntoIterator<Item = (f64, f64)>) -> Self {
+        let points = points.into_iter().map(|(x, y)| Point { x, y });
+        Self {
+            name: name.to_owned(),
+            points: points.collect(),
+        }
+    }
+}
+
+impl Chart {
+    /// Writes the chart as an SVG file.
+    ///
+    /// # Errors
+    /// A text when the file cannot be written.
+    pub fn write_svg(&self, path: &Path) -> Result<(), String> {
+        let area = SVGBackend::new(path, SIZE).into_drawing_area();
+        self.draw(&area).map_err(|error| error.to_string())?;
+        area.present().map_err(|error| error.to_string())
+    }
+
+    fn draw<B: DrawingBackend>(
+        &self,
+        area: &DrawingArea<B, plotters::coord::Shift>,
+    ) -> Result<(), DrawingAreaErrorKind<B::ErrorType>> {
+        area.fill(&WHITE)?;
+        let (x_range, y_range) = self.ranges();
+        let mut chart = ChartBuilder::on(area)
+            .caption(&self.title, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(40)
+            .y_label_area_size(64)
+            .build_cartesian_2d(x_range, y_range)?;
+        chart
+            .configure_mesh()
+            .x_desc(&self.x_label)
+            .y_desc(&self.y_label)
+            .draw()?;
+        for (index, series) in self.series.iter().enumerate() {
+            let colour = Palette99::pick(index).to_rgba();
+            let points = series.points.iter().map(|point| (point.x, point.y));
+            chart
+                .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+                .label(&series.name)
+                .legend(move |(x, y)| {
+                    PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2))
+                });
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        Ok(())
+    }
+
+    fn ranges(&self) -> (std::ops::Range<f64>, std::ops::Range<f64>) {
+        let points = || self.series.iter().flat_map(|series| &series.points);
+        let least_x = points().map(|point| point.x).fold(f64::INFINITY, f64::min);
+        let most_x = points()
+            .map(|point| point.x)
+            .fold(f64::NEG_INFINITY, f64::max);
+        let most_y = points().map(|point| point.y).fold(0.0, f64::max);
+        let x_range = if least_x < most_x {
+            least_x..most_x
+        } else {
+            0.0..1.0
+        };
+        (x_range, 0.0..(most_y * HEADROOM).max(f64::MIN_POSITIVE))
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/report/document.rs
@@ -0,0 +1,75 @@
+//! A whole report.
+
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::report::chart::Chart;
+use crate::report::table::Table;
+
+/// The outcome of one experiment.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Name of the experiment.
+    pub experiment: String,
+    /// The command that gives this report again.
+    pub command: String,
+    /// What was set up and what the figures mean.
+    pub notes: Vec<String>,
+    /// Figures.
+    pub tables: Vec<Table>,
+    /// Plots.
+    pub charts: Vec<Chart>,
+}
+
+impl Report {
+    /// A report without figures.
+    #[must_use]
+    pub fn new(experiment: &str, seeds: u64) -> Self {
+        Self {
+            experiment: experiment.to_owned(),
+            command: format!("millford-lab experiment {experiment} --seeds {seeds}"),
+            notes: Vec::new(),
+            tables: Vec::new(),
+            charts: Vec::new(),
+        }
+    }
+
+    /// Adds a note.
+    pub fn note(&mut self, text: impl Into<String>) {
+        self.notes.push(text.into());
+    }
+
+    /// The report as text.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = format!("{}\n", self.command);
+        for note in &self.notes {
+            text.push_str(note);
+            text.push('\n');
+        }
+        for table in &self.tables {
+            text.push('\n');
+            text.push_str(&table.to_text());
+        }
+        text
+    }
+
+    /// Writes text, JSON and plots into a folder, which is made when it is missing.
+    ///
+    /// # Errors
+    /// A text when something cannot be written.
+    pub fn write(&self, folder: &Path) -> Result<(), String> {
+        let failed = |error: std::io::Error| error.to_string();
+        fs::create_dir_all(folder).map_err(failed)?;
+        let file = |ending: &str| folder.join(format!("{}.{ending}", self.experiment));
+        fs::write(file("txt"), self.to_text()).map_err(failed)?;
+        let json = serde_json::to_string_pretty(self).map_err(|error| error.to_string())?;
+        fs::write(file("json"), json).map_err(failed)?;
+        for chart in &self.charts {
+            chart.write_svg(&folder.join(format!("{}.svg", chart.name)))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/report/mod.rs
@@ -0,0 +1,9 @@
+//! Reports: text tables, JSON and SVG plots.
+
+pub mod chart;
+pub mod document;
+pub mod table;
+
+pub use chart::{Chart, Series};
+pub use document::Report;
+pub use table::{Table, number, percent};
--- /dev/null
+++ b/crates/experiments/src/suite/mod.rs
@@ -0,0 +1,6 @@
+//! The experiments.
+
+pub mod balance;
+pub mod parallel;
+pub mod site;
+pub mod summary;
--- a/crates/routing/src/serving_pool.rs
+++ b/crates/routing/src/serving_pool.rs
@@ -32,6 +32,8 @@
     pub weight_milli: u32,
     /// Whether new work may go to it.
     pub accepts_work: bool,
+    /// Whether the placement in force lists it.
+    pub placed: bool,
 }
 
 /// A pool, its backends and its replicas.
@@ -117,7 +119,7 @@
         found
     }
 
-    /// Without a requested version, the target version serves once any backend has it.
+    /// Without a requested version and without a placement, the target version serves once any backend has it.
     fn keep_one_version(&self, found: &mut Vec<&ServingReplica>) {
         let has_target = found
             .iter()
@@ -127,11 +129,10 @@
         } else {
             found.iter().map(|replica| replica.version.clone()).max()
         };
-        // Placement weighs versions against each other during a transition: then both serve.
-        let weighed = found
-            .iter()
-            .any(|replica| replica.weight_milli != FULL_WEIGHT_MILLI);
-        if let (Some(version), false) = (version, weighed) {
+        // A transition goes in small steps: with a placement every placed version serves, or the first
+        // replica of the target version would get the whole pool's work.
+        let placed = found.iter().any(|replica| replica.placed);
+        if let (Some(version), false) = (version, placed) {
             found.retain(|replica| replica.version == version);
         }
     }
@@ -147,6 +148,7 @@
         adapters: Vec::new(),
         weight_milli: FULL_WEIGHT_MILLI,
         accepts_work,
+        placed: false,
     };
     if backend.declarations.is_empty() {
         return vec![empty];
@@ -174,7 +176,10 @@
             continue;
         }
         match placed_weight(replica, placement) {
-            Some(weight) => replica.weight_milli = weight,
+            Some(weight) => {
+                replica.weight_milli = weight;
+                replica.placed = true;
+            }
             None => replica.accepts_work = false,
         }
     }
