Lab: chaos over real processes and the overhead measurement

Considered: one fault at a time against overlapping ones; each kind comes once before any comes twice, and service is awaited by probes after each. Change: chaos command (28 kinds of faults, seeded order, JSON report), bench overhead, a site for measurements, refusals of the emulator as the backend protocol has them (503).

--- /dev/null
+++ b/crates/lab/src/bench/held_streams.rs
@@ -0,0 +1,101 @@
+//! Streams that one proxy holds open at once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::process_usage::ProcessUsage;
+use crate::caller::CompletionRequest;
+use crate::caller::http_client::send;
+
+/// Longest wait for every stream's first piece.
+const OPEN_BOUND: Duration = Duration::from_secs(20);
+
+/// Streams that one proxy held.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct HeldStreams {
+    /// Streams asked for.
+    pub asked: usize,
+    /// Streams open at once, each past its first piece.
+    pub held: usize,
+    /// Memory of the proxy with them, in KiB.
+    pub resident_kib: u64,
+    /// Memory of the proxy before, in KiB.
+    pub resident_before_kib: u64,
+}
+
+#[derive(Debug, Default)]
+struct Count {
+    open: AtomicUsize,
+    settled: AtomicUsize,
+    changed: Notify,
+}
+
+/// Opens `asked` streams and counts those that are open together.
+pub async fn measure(
+    address: SocketAddr,
+    proxy_id: u32,
+    asked: usize,
+    request: &CompletionRequest,
+) -> Option<HeldStreams> {
+    let before = ProcessUsage::of(proxy_id)?;
+    let count = Arc::new(Count::default());
+    let mut tasks = JoinSet::new();
+    for number in 0..asked {
+        let mut request = request.clone();
+        request.marker = format!("{}-{number}", request.marker);
+        tasks.spawn(hold(address, request, Arc::clone(&count)));
+    }
+    let all = async {
+        while count.settled.load(Ordering::Acquire) < asked {
+            count.changed.notified().await;
+        }
+    };
+    let _ = timeout(OPEN_BOUND, all).await;
+    let held = count.open.load(Ordering::Acquire);
+    let with = ProcessUsage::of(proxy_id)?;
+    tasks.shutdown().await;
+    Some(HeldStreams {
+        asked,
+        held,
+        resident_kib: with.resident_kib,
+        resident_before_kib: before.resident_kib,
+    })
+}
+
+/// Opens one stream and reads it to its end.
+async fn hold(address: SocketAddr, request: CompletionRequest, count: Arc<Count>) {
+    let Some(body) = open(address, &request).await else {
+        count.settled.fetch_add(1, Ordering::AcqRel);
+        count.changed.notify_one();
+        return;
+    };
+    count.open.fetch_add(1, Ordering::AcqRel);
+    count.settled.fetch_add(1, Ordering::AcqRel);
+    count.changed.notify_one();
+    let _ = body.collect().await;
+    count.open.fetch_sub(1, Ordering::AcqRel);
+}
+
+async fn open(address: SocketAddr, request: &CompletionRequest) -> Option<hyper::body::Incoming> {
+    let http_request = Request::post("/v1/chat/completions")
+        .header(header::HOST, "millford")
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::AUTHORIZATION, format!("Bearer {}", request.key))
+        .body(Full::new(Bytes::from(request.body().to_string())))
+        .ok()?;
+    let mut response = send(address, http_request).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    matches!(response.body_mut().frame().await, Some(Ok(_))).then(|| response.into_body())
+}
--- /dev/null
+++ b/crates/lab/src/chaos/driver.rs
@@ -0,0 +1,203 @@
+//! Chooses and carries out the faults.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use super::fault_kind::FaultKind;
+use super::history_log::HistoryLog;
+use super::options::ChaosOptions;
+use super::service_probe::ServiceProbe;
+use super::status_view::wait_for_repair;
+use crate::checks::history::{Disturbance, RecoverySeen};
+use crate::fleet::{Fleet, FleetError};
+use crate::protocol::machine_micros;
+use crate::workload::CallersOptions;
+
+/// Quiet time after each fault, in which adoption and revocation are judged.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// One fault that was carried out.
+#[derive(Clone, Debug, Serialize)]
+pub struct FaultDone {
+    /// Kind of the fault.
+    pub kind: &'static str,
+    /// What it struck.
+    pub target: String,
+    /// Machine clock at its start, in microseconds.
+    pub from_micros: u64,
+    /// Milliseconds from the repair to whole service; absent if it never came.
+    pub recovery_ms: Option<u64>,
+}
+
+/// Chooses and carries out the faults.
+#[derive(Debug)]
+pub struct Driver {
+    /// The fleet under test.
+    pub fleet: Fleet,
+    /// The history of the run.
+    pub log: HistoryLog,
+    /// Choices.
+    pub random: ChaCha8Rng,
+    /// Who calls, for the probes and the revocations.
+    pub callers: CallersOptions,
+    /// What was done.
+    pub faults_done: Vec<FaultDone>,
+    probe: ServiceProbe,
+    orders: u64,
+    seed: u64,
+}
+
+/// What a fault struck, and when everything it took was back.
+#[derive(Debug)]
+pub struct Healed {
+    /// What was struck.
+    pub target: String,
+    /// Machine clock when the last machine was back, in microseconds.
+    pub at_micros: u64,
+}
+
+impl Healed {
+    /// Everything is back now.
+    #[must_use]
+    pub fn now(target: &str) -> Self {
+        Self {
+            target: target.to_owned(),
+            at_micros: machine_micros(),
+        }
+    }
+}
+
+impl Driver {
+    /// A driver of `fleet`.
+    #[must_use]
+    pub fn new(fleet: Fleet, log: HistoryLog, seed: u64, callers: CallersOptions) -> Self {
+        let prober = callers.tenants[0].clone();
+        Self {
+            fleet,
+            log,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            probe: ServiceProbe::new(prober, seed),
+            callers,
+            faults_done: Vec::new(),
+            orders: 0,
+            seed,
+        }
+    }
+
+    /// Carries out faults until the time is over. Each kind comes once before any comes twice.
+    pub async fn run(&mut self, options: &ChaosOptions) -> Result<(), FleetError> {
+        let start = Instant::now();
+        let length = Duration::from_secs_f64(options.minutes * 60.0);
+        let mut kinds = Vec::new();
+        while start.elapsed() < length {
+            let kind = match options.only {
+                Some(only) => only,
+                None => {
+                    if kinds.is_empty() {
+                        kinds = FaultKind::shuffled(&mut self.random);
+                    }
+                    kinds.pop().unwrap_or(FaultKind::BackendKill)
+                }
+            };
+            self.strike(kind).await?;
+        }
+        let outcomes = std::mem::take(&mut self.probe.outcomes);
+        self.log.add(|history| history.calls.extend(outcomes));
+        Ok(())
+    }
+
+    async fn strike(&mut self, kind: FaultKind) -> Result<(), FleetError> {
+        let from_micros = machine_micros();
+        let healed = self.carry_out(kind).await?;
+        let served_micros = self.probe.wait(&self.fleet).await;
+        let recovery_ms =
+            served_micros.map(|served| served.saturating_sub(healed.at_micros) / 1_000);
+        println!(
+            "{:<22} {:<28} service after {recovery_ms:?} ms",
+            kind.name(),
+            healed.target
+        );
+        let recovery = RecoverySeen {
+            what: format!("{} of {}", kind.name(), healed.target),
+            healed_micros: healed.at_micros,
+            served_micros,
+        };
+        let until_micros = served_micros.unwrap_or_else(machine_micros);
+        self.log.add(|history| {
+            history.recoveries.push(recovery);
+            if kind.disturbs_control() {
+                history.disturbances.push(Disturbance {
+                    from_micros,
+                    until_micros,
+                });
+            }
+        });
+        let target = healed.target;
+        self.faults_done.push(FaultDone {
+            kind: kind.name(),
+            target,
+            from_micros,
+            recovery_ms,
+        });
+        if kind.disturbs_control() {
+            wait_for_repair(&self.fleet).await?;
+        }
+        sleep(QUIET).await;
+        Ok(())
+    }
+
+    async fn carry_out(&mut self, kind: FaultKind) -> Result<Healed, FleetError> {
+        match kind {
+            FaultKind::BackendKill
+            | FaultKind::BackendReplace
+            | FaultKind::BackendStop
+            | FaultKind::OperatorDrain
+            | FaultKind::PlatformDrain => self.strike_backend(kind).await,
+            FaultKind::BackendDark
+            | FaultKind::BackendRefuse
+            | FaultKind::BackendSlow
+            | FaultKind::BackendLate
+            | FaultKind::BackendCrossed
+            | FaultKind::BackendStray
+            | FaultKind::BackendCut => self.switch_backend(kind).await,
+            FaultKind::AgentKill
+            | FaultKind::ProxyKill
+            | FaultKind::FrontHerd
+            | FaultKind::FrontRolling => self.strike_front(kind).await,
+            FaultKind::OperatorRace => self.race_operators().await,
+            FaultKind::OrderResent => self.resend_order().await,
+            FaultKind::KeyRevocation => self.revoke_keys().await,
+            FaultKind::FullRestart => self.restart_after_changes().await,
+            _ => self.strike_control(kind).await,
+        }
+    }
+
+    /// An id that no other order of the run has.
+    pub fn next_order_id(&mut self) -> String {
+        self.orders += 1;
+        format!("chaos-{}-{}", self.seed, self.orders)
+    }
+
+    /// Operator address of the control node whose turn it is.
+    #[must_use]
+    pub fn control_address(&self, turn: usize) -> SocketAddr {
+        self.fleet.controls[turn % self.fleet.controls.len()]
+            .place
+            .operator
+    }
+
+    /// A number below `limit`.
+    pub fn draw(&mut self, limit: usize) -> usize {
+        self.random.random_range(0..limit)
+    }
+
+    /// A time between two bounds.
+    pub fn draw_time(&mut self, from: Duration, until: Duration) -> Duration {
+        self.random.random_range(from..until)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/chaos/fault_kind.rs
@@ -0,0 +1,126 @@
+//! The faults that the chaos command knows.
+
+use std::str::FromStr;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+macro_rules! fault_kinds {
+    ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
+        /// One kind of fault.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum FaultKind { $($(#[$doc])* $name,)* }
+
+        impl FaultKind {
+            /// Every kind.
+            pub const ALL: &'static [FaultKind] = &[$(FaultKind::$name),*];
+
+            /// Name on the command line and in reports.
+            #[must_use]
+            pub fn name(self) -> &'static str {
+                match self { $(FaultKind::$name => $text,)* }
+            }
+        }
+    };
+}
+
+fault_kinds! {
+    /// A backend is killed and comes back under its identity.
+    BackendKill = "backend-kill";
+    /// A backend is killed and another takes its place at a new address.
+    BackendReplace = "backend-replace";
+    /// A backend goes dark in the middle of its streams.
+    BackendDark = "backend-dark";
+    /// A backend is stopped for a while.
+    BackendStop = "backend-stop";
+    /// A backend refuses everything.
+    BackendRefuse = "backend-refuse";
+    /// A backend is ten times slower.
+    BackendSlow = "backend-slow";
+    /// A backend holds back its answers.
+    BackendLate = "backend-late";
+    /// A backend crosses its answers.
+    BackendCrossed = "backend-crossed";
+    /// A backend sends stray bytes after its answers.
+    BackendStray = "backend-stray";
+    /// A backend cuts its answers.
+    BackendCut = "backend-cut";
+    /// An operator drains a backend and readmits it.
+    OperatorDrain = "operator-drain";
+    /// The platform retires a backend and takes that back.
+    PlatformDrain = "platform-drain";
+    /// A control node is killed and comes back.
+    ControlKill = "control-kill";
+    /// The leader of the configuration is killed and comes back.
+    LeaderKill = "leader-kill";
+    /// A control node is stopped for more than twenty seconds.
+    ControlStop = "control-stop";
+    /// A control node is killed, its disk wiped, and it comes back at its address.
+    ControlWipe = "control-wipe";
+    /// A control node is replaced by an empty one at a new address.
+    ControlReplace = "control-replace";
+    /// The same, and another control node is killed right after the repair.
+    ControlSecondLoss = "control-second-loss";
+    /// The control nodes leave and come back one by one.
+    ControlRolling = "control-rolling";
+    /// Every control node is killed and comes back.
+    ControlHerd = "control-herd";
+    /// An agent is killed and comes back.
+    AgentKill = "agent-kill";
+    /// A proxy is killed and comes back.
+    ProxyKill = "proxy-kill";
+    /// All agents and proxies of one half of the site are killed and come back.
+    FrontHerd = "front-herd";
+    /// The front machines leave and come back one by one.
+    FrontRolling = "front-rolling";
+    /// Two operators build on the same number, at two nodes.
+    OperatorRace = "operator-race";
+    /// An order's answer is lost; it is sent again to another node.
+    OrderResent = "order-resent";
+    /// A tenant's keys are revoked, and restored later.
+    KeyRevocation = "key-revocation";
+    /// Three hundred changes, then a full restart of the control plane.
+    FullRestart = "full-restart";
+}
+
+impl FromStr for FaultKind {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|kind| kind.name() == text)
+            .ok_or(())
+    }
+}
+
+impl FaultKind {
+    /// Every kind once, in an order drawn from `random`.
+    pub fn shuffled(random: &mut impl Rng) -> Vec<FaultKind> {
+        let mut kinds = Self::ALL.to_vec();
+        kinds.shuffle(random);
+        kinds
+    }
+
+    /// Whether the fault may cut front machines off the control plane for a while.
+    #[must_use]
+    pub fn disturbs_control(self) -> bool {
+        matches!(
+            self,
+            FaultKind::ControlKill
+                | FaultKind::LeaderKill
+                | FaultKind::ControlStop
+                | FaultKind::ControlWipe
+                | FaultKind::ControlReplace
+                | FaultKind::ControlSecondLoss
+                | FaultKind::ControlRolling
+                | FaultKind::ControlHerd
+                | FaultKind::AgentKill
+                | FaultKind::ProxyKill
+                | FaultKind::FrontHerd
+                | FaultKind::FrontRolling
+                | FaultKind::FullRestart
+        )
+    }
+}
--- /dev/null
+++ b/crates/lab/src/chaos/mod.rs
@@ -0,0 +1,92 @@
+//! `millford-lab chaos`: real processes under every fault of the brief, with the promises checked
+//! over the whole history.
+
+pub mod backend_faults;
+pub mod control_faults;
+pub mod driver;
+pub mod fault_kind;
+pub mod front_faults;
+pub mod history_log;
+pub mod operator_faults;
+pub mod options;
+pub mod orders;
+pub mod report;
+pub mod service_probe;
+pub mod status_view;
+pub mod traffic_task;
+pub mod watcher;
+
+use std::process::ExitCode;
+
+use crate::arguments::parse;
+use crate::checks::check_all;
+use crate::demo::traffic::{callers_options, quotas};
+use crate::fleet::binaries::Binaries;
+use crate::fleet::{Fleet, FleetError};
+use crate::workload::Figures;
+use driver::Driver;
+use history_log::HistoryLog;
+use options::ChaosOptions;
+use report::ChaosReport;
+use traffic_task::TrafficTask;
+use watcher::Watcher;
+
+/// Runs the faults; every process has ended when this returns.
+pub async fn run(arguments: &[String]) -> Result<ExitCode, FleetError> {
+    let mut options = options::getopts();
+    let Some(matches) = parse("chaos", &mut options, arguments)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let options = ChaosOptions::read(&matches)?;
+    tokio::select! {
+        result = wreak(options) => result,
+        // The fleet inside the other branch is dropped, and its processes with it.
+        _ = tokio::signal::ctrl_c() => Ok(ExitCode::from(130)),
+    }
+}
+
+async fn wreak(options: ChaosOptions) -> Result<ExitCode, FleetError> {
+    let plan = options.site.plan();
+    let mut fleet = Fleet::start(plan, Binaries::beside_this_one()?).await?;
+    println!("logs: {}", fleet.folder().display());
+    if options.keep_logs {
+        fleet.keep_folder();
+    }
+    fleet.configure().await?;
+    let log = HistoryLog::default();
+    let mut calling = callers_options(&fleet);
+    calling.seed = options.seed << 8;
+    let traffic = TrafficTask::start(calling.clone());
+    let watcher = Watcher::start(&fleet, log.clone());
+    let mut driver = Driver::new(fleet, log.clone(), options.seed, calling);
+    let result = driver.run(&options).await;
+    watcher.stop().await;
+    let calls = traffic.stop().await;
+    let mut history = log.take();
+    history.calls.extend(calls);
+    history.executions = driver.fleet.executions()?;
+    history.quotas = quotas(&driver.fleet.plan)?;
+    let report = ChaosReport {
+        site: driver.fleet.plan.name,
+        seed: options.seed,
+        minutes: options.minutes,
+        faults: driver.faults_done.clone(),
+        figures: Figures::of(&history),
+        promises: check_all(&history),
+    };
+    report.publish(options.json.as_deref())?;
+    if let Err(error) = result {
+        println!("logs are kept in {}", driver.fleet.keep_folder().display());
+        driver.fleet.stop().await;
+        return Err(error);
+    }
+    if !report.promises.held() {
+        println!("logs are kept in {}", driver.fleet.keep_folder().display());
+    }
+    driver.fleet.stop().await;
+    Ok(if report.promises.held() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/lab/src/chaos/operator_faults.rs
@@ -0,0 +1,139 @@
+//! Races and losses of operators' orders.
+
+use std::time::Duration;
+
+use millford_api::config::Document;
+use tokio::time::{sleep, timeout};
+
+use super::driver::{Driver, Healed};
+use crate::checks::history::RevocationSeen;
+use crate::fleet::FleetError;
+use crate::fleet::operator::{Order, OrderAnswer};
+use crate::protocol::machine_micros;
+
+/// Changes before a full restart.
+const CHANGES: usize = 300;
+/// How long a key stays revoked: past its bound, so that late use would show.
+const REVOKED_TIME: Duration = Duration::from_secs(5);
+/// Shortest time after which an answer is lost.
+const SOONEST_LOSS: Duration = Duration::from_micros(200);
+/// Longest time after which an answer is lost.
+const LATEST_LOSS: Duration = Duration::from_millis(30);
+/// Base of the drain times that the orders set.
+const DRAIN_MS_BASE: u32 = 3_000;
+
+impl Driver {
+    /// Two operators build on the same number; the winner's order is sent again elsewhere.
+    pub async fn race_operators(&mut self) -> Result<Healed, FleetError> {
+        let (base_revision, document) = self.read_configuration().await?;
+        let orders = [1, 2].map(|variant| Order {
+            base_revision,
+            order_id: self.next_order_id(),
+            document: varied(&document, variant),
+        });
+        let (first, second) = tokio::join!(
+            self.send_order(self.control_address(0), &orders[0]),
+            self.send_order(self.control_address(1), &orders[1]),
+        );
+        for (order, answer) in orders.iter().zip([first, second]) {
+            // Sent again everywhere: the winner must be acknowledged, the other must not win.
+            for turn in 0..self.fleet.controls.len() {
+                self.send_order(self.control_address(turn), order).await;
+            }
+            if matches!(answer, OrderAnswer::Accepted { .. }) {
+                self.settle_order(order).await?;
+            }
+        }
+        Ok(Healed::now("two operators"))
+    }
+
+    /// The operator goes away before the answer and sends the order to another node.
+    pub async fn resend_order(&mut self) -> Result<Healed, FleetError> {
+        let (base_revision, document) = self.read_configuration().await?;
+        let order = Order {
+            base_revision,
+            order_id: self.next_order_id(),
+            document: varied(&document, 3),
+        };
+        let patience = self.draw_time(SOONEST_LOSS, LATEST_LOSS);
+        let _ = timeout(patience, self.send_order(self.control_address(0), &order)).await;
+        self.send_order(self.control_address(1), &order).await;
+        let settled = self.settle_order(&order).await?;
+        for turn in 0..self.fleet.controls.len() {
+            self.send_order(self.control_address(turn), &order).await;
+        }
+        Ok(Healed::now(&format!("revision {}", settled.revision)))
+    }
+
+    /// Revokes the keys of the last tenant and restores them.
+    pub async fn revoke_keys(&mut self) -> Result<Healed, FleetError> {
+        let last = self.callers.tenants.len() - 1;
+        let tenant = self.callers.tenants[last].name.clone();
+        let (_, before) = self.read_configuration().await?;
+        let named = before.tenants.iter().find(|known| known.name == tenant);
+        let hashes = named
+            .map(|known| known.key_hashes.clone())
+            .unwrap_or_default();
+        let revoked = self
+            .change(|document| set_keys(document, &tenant, &[]))
+            .await?;
+        sleep(REVOKED_TIME).await;
+        let restored_micros = Some(machine_micros());
+        self.change(|document| set_keys(document, &tenant, &hashes))
+            .await?;
+        let revocation = RevocationSeen {
+            tenant: tenant.clone(),
+            acknowledged_micros: revoked.at_micros,
+            restored_micros,
+        };
+        self.log.add(|history| history.revocations.push(revocation));
+        Ok(Healed::now(&tenant))
+    }
+
+    /// Many changes, then every control node is killed and started again; an order from before
+    /// the changes must still be acknowledged.
+    pub async fn restart_after_changes(&mut self) -> Result<Healed, FleetError> {
+        let (base_revision, document) = self.read_configuration().await?;
+        let first = Order {
+            base_revision,
+            order_id: self.next_order_id(),
+            document: varied(&document, 4),
+        };
+        let mut base_revision = self.settle_order(&first).await?.revision;
+        for number in 0..CHANGES {
+            let variant = u32::try_from(number % 50).unwrap_or(0) + 5;
+            let document = varied(&document, variant);
+            let order = Order {
+                base_revision,
+                order_id: self.next_order_id(),
+                document,
+            };
+            base_revision = self.settle_order(&order).await?.revision;
+        }
+        self.kill_every_control().await;
+        self.restart_every_control().await?;
+        let healed = Healed::now(&format!("the control plane at {base_revision}"));
+        self.settle_order(&first).await?;
+        self.read_configuration().await?;
+        Ok(healed)
+    }
+}
+
+/// The document with other drain times.
+fn varied(document: &Document, variant: u32) -> Document {
+    let mut document = document.clone();
+    for pool in &mut document.pools {
+        pool.drain_ms = DRAIN_MS_BASE - variant;
+    }
+    document
+}
+
+fn set_keys(document: &mut Document, tenant: &str, hashes: &[String]) {
+    for known in document
+        .tenants
+        .iter_mut()
+        .filter(|known| known.name == tenant)
+    {
+        known.key_hashes = hashes.to_vec();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/chaos/report.rs
@@ -0,0 +1,46 @@
+//! Report of a chaos run.
+
+use std::path::Path;
+
+use serde::Serialize;
+
+use super::driver::FaultDone;
+use crate::checks::Report;
+use crate::fleet::FleetError;
+use crate::workload::Figures;
+
+/// Report of a chaos run.
+#[derive(Clone, Debug, Serialize)]
+pub struct ChaosReport {
+    /// Topology.
+    pub site: &'static str,
+    /// Seed of the choice of faults.
+    pub seed: u64,
+    /// Length asked for.
+    pub minutes: f64,
+    /// What was done.
+    pub faults: Vec<FaultDone>,
+    /// What callers saw.
+    pub figures: Figures,
+    /// The promises.
+    pub promises: Report,
+}
+
+impl ChaosReport {
+    /// Prints the report and writes the file, if one is asked for.
+    pub fn publish(&self, json: Option<&Path>) -> Result<(), FleetError> {
+        println!(
+            "\n{} faults at {}, seed {}\n",
+            self.faults.len(),
+            self.site,
+            self.seed
+        );
+        println!("{}", self.figures.text());
+        println!("{}", self.promises.table());
+        let Some(path) = json else {
+            return Ok(());
+        };
+        let text = serde_json::to_vec_pretty(self).unwrap_or_default();
+        std::fs::write(path, text).map_err(FleetError::io("writing the report"))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/chaos/service_probe.rs
@@ -0,0 +1,119 @@
+//! Whether service is whole: every proxy serves, and a confirmed read succeeds.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use tokio::time::{sleep, timeout};
+
+use crate::caller::{CallOutcome, CompletionRequest, LookupRequest, complete, look_up};
+use crate::fleet::Fleet;
+use crate::fleet::site::SMALL_MODEL;
+use crate::protocol::machine_micros;
+use crate::workload::callers::CallingTenant;
+
+/// Longest wait for service.
+const SERVICE_BOUND: Duration = Duration::from_secs(40);
+/// Longest wait for one probe.
+const PROBE_BOUND: Duration = Duration::from_secs(3);
+/// Pause between rounds of probes.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Probes every proxy until all serve; the probes' outcomes are kept.
+#[derive(Debug)]
+pub struct ServiceProbe {
+    tenant: CallingTenant,
+    number: u64,
+    seed: u64,
+    /// What the probes saw.
+    pub outcomes: Vec<CallOutcome>,
+}
+
+impl ServiceProbe {
+    /// A probe that calls as `tenant`.
+    #[must_use]
+    pub fn new(tenant: CallingTenant, seed: u64) -> Self {
+        Self {
+            tenant,
+            number: 0,
+            seed,
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Time at which service was whole, or `None` if it was not in the longest wait.
+    pub async fn wait(&mut self, fleet: &Fleet) -> Option<u64> {
+        let rounds = async {
+            loop {
+                if self.round(fleet).await {
+                    return machine_micros();
+                }
+                sleep(ROUND_PAUSE).await;
+            }
+        };
+        timeout(SERVICE_BOUND, rounds).await.ok()
+    }
+
+    async fn round(&mut self, fleet: &Fleet) -> bool {
+        let calls: Vec<_> = (0..fleet.fronts.len())
+            .map(|proxy| self.probe(fleet, proxy))
+            .collect();
+        let answers = join_all(calls).await;
+        let served = answers
+            .iter()
+            .all(|outcomes| outcomes.iter().all(CallOutcome::succeeded));
+        let complete = answers.iter().all(|outcomes| outcomes.len() == 2);
+        self.outcomes.extend(answers.into_iter().flatten());
+        served && complete && confirms_read(fleet).await
+    }
+
+    /// One question and one lookup. A call that is given up leaves no outcome, since its caller
+    /// saw no answer.
+    fn probe(
+        &mut self,
+        fleet: &Fleet,
+        proxy: usize,
+    ) -> impl Future<Output = Vec<CallOutcome>> + use<> {
+        let address = fleet.proxy_address(proxy);
+        let question = self.question();
+        let lookup = LookupRequest {
+            marker: self.marker(),
+            tenant: self.tenant.name.clone(),
+            key: self.tenant.key.clone(),
+            path: format!("{}probe", fleet.plan.lookup_prefix),
+        };
+        async move {
+            let answered = timeout(PROBE_BOUND, complete(proxy, address, &question, true)).await;
+            let found = timeout(PROBE_BOUND, look_up(proxy, address, &lookup)).await;
+            [answered.ok(), found.ok()].into_iter().flatten().collect()
+        }
+    }
+
+    fn question(&mut self) -> CompletionRequest {
+        CompletionRequest {
+            marker: self.marker(),
+            tenant: self.tenant.name.clone(),
+            key: self.tenant.key.clone(),
+            model: SMALL_MODEL.to_owned(),
+            shared_prefix: String::new(),
+            question: "Are you there?".to_owned(),
+            stream: true,
+            pieces: 2,
+            session: None,
+            idempotency_key: None,
+            deadline_ms: None,
+        }
+    }
+
+    fn marker(&mut self) -> String {
+        self.number += 1;
+        format!("probe-{:x}-{}", self.seed, self.number)
+    }
+}
+
+async fn confirms_read(fleet: &Fleet) -> bool {
+    let reads = fleet
+        .controls
+        .iter()
+        .map(|control| fleet.operator.get_config(control.place.operator));
+    join_all(reads).await.iter().all(Option::is_some)
+}
--- /dev/null
+++ b/crates/lab/src/chaos/watcher.rs
@@ -0,0 +1,64 @@
+//! Looks at what the control nodes show, all the time.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::history_log::HistoryLog;
+use crate::checks::history::ConfirmedReadSeen;
+use crate::fleet::Fleet;
+use crate::fleet::operator::Operator;
+use crate::protocol::machine_micros;
+
+/// Time between two confirmed reads.
+const READ_PERIOD: Duration = Duration::from_millis(250);
+
+/// Reads the configuration from one control node after the other.
+#[derive(Debug)]
+pub struct Watcher {
+    task: JoinHandle<()>,
+}
+
+/// Operator addresses, which change when a control node is replaced.
+pub type OperatorAddresses = Arc<Mutex<Vec<SocketAddr>>>;
+
+impl Watcher {
+    /// Starts to read.
+    #[must_use]
+    pub fn start(fleet: &Fleet, log: HistoryLog) -> Self {
+        let operator = fleet.operator.clone();
+        let addresses = Arc::clone(&fleet.operator_addresses);
+        Self {
+            task: tokio::spawn(watch(operator, addresses, log)),
+        }
+    }
+
+    /// Stops.
+    pub async fn stop(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+async fn watch(operator: Operator, addresses: OperatorAddresses, log: HistoryLog) {
+    let mut period = interval(READ_PERIOD);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    for turn in 0_usize.. {
+        period.tick().await;
+        let address = {
+            let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
+            addresses[turn % addresses.len()]
+        };
+        let asked_micros = machine_micros();
+        if let Some((revision, _)) = operator.get_config(address).await {
+            let read = ConfirmedReadSeen {
+                asked_micros,
+                revision,
+            };
+            log.add(|history| history.reads.push(read));
+        }
+    }
+}
--- a/crates/lab/src/emulator/completion.rs
+++ b/crates/lab/src/emulator/completion.rs
@@ -23,7 +23,7 @@
 };
 
 /// Status of a withdrawn or repeated attempt.
-const ATTEMPT_CLOSED: StatusCode = StatusCode::CONFLICT;
+const ATTEMPT_CLOSED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 /// Text of an answer that was crossed with another.
 const CROSSED: &str = "crossed-with-another";
 
@@ -37,10 +37,20 @@
     let attempt = header_text(&headers, ATTEMPT_HEADER);
     let prompt = match serde_json::from_slice::<Prompt>(&body) {
         Ok(prompt) => prompt,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &attempt, &error.to_string()),
+        Err(error) => {
+            return refusal(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &attempt,
+                &error.to_string(),
+            );
+        }
     };
     if !declares(&state, &prompt.model) {
-        return refusal(StatusCode::NOT_FOUND, &attempt, "model not declared here");
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &attempt,
+            "model not declared here",
+        );
     }
     if state.faults.borrow().refuse {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, &attempt, "refusing");
--- a/crates/lab/src/fleet/site.rs
+++ b/crates/lab/src/fleet/site.rs
@@ -14,6 +14,7 @@
 pub const LOOKUP_DECLARATION: &str = "lookup";
 
 const DEMO_DOCUMENT: &str = include_str!("../../../../config/demo.json");
+const BENCH_DOCUMENT: &str = include_str!("../../../../config/bench.json");
 const REYKJAVIK_DOCUMENT: &str = include_str!("../../../../config/reykjavik.json");
 const DAKAR_DOCUMENT: &str = include_str!("../../../../config/dakar.json");
 
@@ -26,6 +27,8 @@
     Reykjavik,
     /// Six front machines, three core machines.
     Dakar,
+    /// One front machine without limits, for measurements.
+    Bench,
 }
 
 /// What a site consists of.
@@ -51,6 +54,7 @@
     pub lookup_prefix: &'static str,
 }
 
+const BENCH_KEYS: &[&str] = &["bench-load-key"];
 const DEMO_KEYS: &[&str] = &["demo-library-key", "demo-station-key"];
 const REYKJAVIK_KEYS: &[&str] = &[
     "reykjavik-library-key",
@@ -100,6 +104,13 @@
         };
         match self {
             Site::Demo => demo,
+            Site::Bench => SitePlan {
+                name: "bench",
+                fronts: 1,
+                document: BENCH_DOCUMENT,
+                tenant_keys: BENCH_KEYS,
+                ..demo
+            },
             Site::Reykjavik => SitePlan {
                 name: "reykjavik",
                 fronts: 8,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod answer_text;
 pub mod arguments;
+pub mod bench;
 pub mod caller;
+pub mod chaos;
 pub mod checks;
 pub mod commands;
 pub mod demo;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,8 @@
   backend      one emulated backend
   registry     the service registry stand-in
   demo         the whole fleet on loopback, with faults while streams run
+  chaos        a whole site under every fault, the promises checked
+  bench        measurements: bench overhead
 
 Each command has --help.";
 /// Exit status of a wrong command line.
@@ -52,6 +54,8 @@
         "registry" => commands::registry::run(rest)
             .await
             .map(|()| ExitCode::SUCCESS),
+        "bench" => millford_lab::bench::run(rest).await,
+        "chaos" => millford_lab::chaos::run(rest).await,
         "demo" => millford_lab::demo::run(rest).await,
         _ => {
             eprintln!("millford-lab: unknown command \"{command}\"\n{USAGE}");
