--- /dev/null
+++ b/crates/routing/tests/load.rs
@@ -0,0 +1,177 @@
+//! Counts in flight, cost fit, fair turns, health.
+
+use std::sync::Arc;
+
+use millford_api::internal::{LoadPicture, ReplicaLoad};
+use millford_core::{Duration, MonotonicTime};
+use millford_routing::load_board::ReplicaCounts;
+use millford_routing::{
+    AdmissionEstimate, BackendHealth, CostBook, EjectionReason, FairQueue, LoadBoard, ReplicaKey,
+};
+use quickcheck::quickcheck;
+
+fn key(backend: &str, model: &str) -> ReplicaKey {
+    ReplicaKey {
+        pool: "models".to_owned(),
+        backend_id: backend.to_owned(),
+        model: model.to_owned(),
+        version: "1".to_owned(),
+    }
+}
+
+quickcheck! {
+    /// Whatever a request went through, its end leaves nothing behind.
+    fn ended_requests_leave_no_count(phases: Vec<(u8, u16)>) -> bool {
+        let board: Arc<LoadBoard> = Arc::default();
+        let mut tickets = Vec::new();
+        for (phase, tokens) in phases {
+            let mut ticket = board.start(key("b", "saga"), u64::from(tokens));
+            if phase % 3 > 0 {
+                ticket.first_piece();
+            }
+            if phase % 3 > 1 {
+                ticket.held();
+            }
+            tickets.push(ticket);
+        }
+        drop(tickets);
+        board.counts(&key("b", "saga")) == ReplicaCounts::default()
+    }
+
+    /// The fit of a straight line finds the line.
+    fn a_line_is_found(base: u8, slope: u8) -> bool {
+        let costs = CostBook::default();
+        let (base, slope) = (f64::from(base), f64::from(slope) / 100.0);
+        for tokens in (0..4000u64).step_by(100) {
+            costs.add_first_token("saga", tokens, base + slope * tokens as f64);
+        }
+        let expected = base + slope * 2000.0;
+        (costs.first_token_ms("saga", 2000) - expected).abs() < 0.01 * expected + 0.5
+    }
+}
+
+#[test]
+fn reports_hold_only_what_changed() {
+    let board: Arc<LoadBoard> = Arc::default();
+    let ticket = board.start(key("b1", "saga"), 100);
+    let reports = board.take_reports();
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].loads[0].prefill_tokens, 100);
+    assert!(board.take_reports().is_empty());
+    drop(ticket);
+    let reports = board.take_reports();
+    assert_eq!(reports[0].loads[0].prefill_tokens, 0);
+    assert!(board.take_reports().is_empty());
+}
+
+#[test]
+fn the_picture_adds_the_other_nodes_without_counting_this_one_twice() {
+    let board: Arc<LoadBoard> = Arc::default();
+    let _ticket = board.start(key("b1", "saga"), 100);
+    let _ = board.take_reports();
+    board.merge_picture(&LoadPicture {
+        service: "models".to_owned(),
+        epoch: 1,
+        loads: vec![ReplicaLoad {
+            backend_id: "b1".to_owned(),
+            model: "saga".to_owned(),
+            version: "1".to_owned(),
+            prefill_tokens: 350,
+            ..ReplicaLoad::default()
+        }],
+    });
+    assert_eq!(board.counts(&key("b1", "saga")).prefill_tokens, 350);
+    let _second = board.start(key("b1", "saga"), 50);
+    assert_eq!(board.counts(&key("b1", "saga")).prefill_tokens, 400);
+}
+
+#[test]
+fn a_heavy_model_weighs_more_than_a_light_one() {
+    let costs = CostBook::default();
+    for tokens in (0..4000u64).step_by(100) {
+        costs.add_first_token("heavy", tokens, 2.0 * tokens as f64);
+        costs.add_first_token("light", tokens, 0.01 * tokens as f64);
+    }
+    let board: Arc<LoadBoard> = Arc::default();
+    let _heavy = board.start(key("b1", "heavy"), 1000);
+    let _light: Vec<_> = (0..5)
+        .map(|_| board.start(key("b2", "light"), 1000))
+        .collect();
+    let heavy = board.backend_load("b1", 8, &costs);
+    let light = board.backend_load("b2", 8, &costs);
+    assert!(heavy > 10.0 * light, "{heavy} against {light}");
+}
+
+#[test]
+fn an_idle_backend_always_admits() {
+    let costs = CostBook::default();
+    let estimate = AdmissionEstimate {
+        queued_tokens: 0,
+        own_tokens: 10_000_000,
+    };
+    assert!(estimate.admits("saga", &costs, Duration::from_secs(1)));
+    let queued = AdmissionEstimate {
+        queued_tokens: 10_000_000,
+        own_tokens: 1,
+    };
+    assert!(!queued.admits("saga", &costs, Duration::from_secs(1)));
+}
+
+#[test]
+fn the_tenant_with_the_least_work_goes_first() {
+    let queue = FairQueue::default();
+    queue.begin("hot", 900);
+    queue.begin("small", 100);
+    assert!(queue.is_over_share("hot"));
+    assert!(!queue.is_over_share("small"));
+    assert!(!queue.is_over_share("newcomer"));
+    let hot = queue.join("hot");
+    let small = queue.join("small");
+    assert!(!queue.is_next("hot", hot));
+    assert!(queue.is_next("small", small));
+    queue.leave("small", small);
+    assert!(queue.is_next("hot", hot));
+    queue.leave("hot", hot);
+    assert!(!queue.has_waiters());
+}
+
+#[test]
+fn a_tenant_alone_is_never_over_its_share() {
+    let queue = FairQueue::default();
+    queue.begin("only", 1_000_000);
+    assert!(!queue.is_over_share("only"));
+}
+
+#[test]
+fn only_probes_bring_an_ejected_backend_back() {
+    let health = BackendHealth::default();
+    let now = MonotonicTime::from_millis(5_000);
+    assert!(health.eject("b1", EjectionReason::ConnectFailed));
+    assert!(!health.eject("b1", EjectionReason::Silent));
+    health.heard("b1", now);
+    assert!(!health.is_usable("b1"));
+    assert!(!health.probe_succeeded("b1", now));
+    assert!(!health.probe_failed("b1"));
+    assert!(!health.probe_succeeded("b1", now));
+    assert!(health.probe_succeeded("b1", now));
+    assert!(health.is_usable("b1"));
+}
+
+#[test]
+fn a_quiet_backend_in_use_is_probed_and_ejected() {
+    let health = BackendHealth::default();
+    let quiet = Duration::from_secs(1);
+    let used_at = MonotonicTime::from_millis(1_000);
+    health.used("b1", used_at);
+    health.heard("b1", used_at);
+    let soon = used_at + Duration::from_millis(500);
+    assert!(health.to_probe(soon, quiet).is_empty());
+    let later = used_at + Duration::from_millis(1_100);
+    assert_eq!(health.to_probe(later, quiet), ["b1"]);
+    assert!(!health.probe_failed("b1"));
+    assert!(health.probe_failed("b1"));
+    assert!(!health.is_usable("b1"));
+    // Long after its last use only an ejected backend is still probed.
+    let much_later = later + Duration::from_secs(120);
+    assert_eq!(health.to_probe(much_later, quiet), ["b1"]);
+}
--- /dev/null
+++ b/crates/routing/tests/table.rs
@@ -0,0 +1,284 @@
+//! Matching and the candidates of a pool.
+
+use millford_api::config::{Pool, Route, RouteMatch, Tenant};
+use millford_api::state::state_value::Kind;
+use millford_api::state::{
+    Backend, BackendState, ConfigHead, Declaration, PoolPlacement, Replica, ReplicaState,
+    StateValue,
+};
+use millford_core::ResultCode;
+use millford_routing::{ModelRequest, RoutingTable};
+use quickcheck::quickcheck;
+
+struct Items(Vec<(String, StateValue)>);
+
+impl Items {
+    fn new() -> Self {
+        let mut items = Self(Vec::new());
+        items.add(
+            "config/head",
+            Kind::ConfigHead(ConfigHead {
+                revision: 9,
+                digest: Vec::new(),
+            }),
+        );
+        items.add(
+            "config/pool/models",
+            Kind::Pool(Pool {
+                name: "models".to_owned(),
+                ..Pool::default()
+            }),
+        );
+        items
+    }
+
+    fn add(&mut self, key: &str, kind: Kind) {
+        self.0
+            .push((key.to_owned(), StateValue { kind: Some(kind) }));
+    }
+
+    fn route(&mut self, name: &str, matches: RouteMatch) {
+        self.add(
+            &format!("config/route/{name}"),
+            Kind::Route(Route {
+                name: name.to_owned(),
+                r#match: Some(matches),
+                pool: "models".to_owned(),
+                ..Route::default()
+            }),
+        );
+    }
+
+    fn backend(&mut self, id: &str, version: &str, state: BackendState) {
+        self.add(
+            &format!("backend/models/{id}"),
+            Kind::Backend(Backend {
+                id: id.to_owned(),
+                declarations: vec![Declaration {
+                    model: "saga".to_owned(),
+                    version: version.to_owned(),
+                    adapters: vec!["captions".to_owned()],
+                    ..Declaration::default()
+                }],
+                state: state.into(),
+                ..Backend::default()
+            }),
+        );
+    }
+
+    fn place(&mut self, replicas: Vec<Replica>) {
+        self.add(
+            "placement/models",
+            Kind::Placement(PoolPlacement {
+                pool: "models".to_owned(),
+                epoch: 1,
+                replicas,
+            }),
+        );
+    }
+
+    fn table(&self) -> RoutingTable {
+        RoutingTable::build(self.0.iter().map(|(key, value)| (key.as_str(), value)))
+    }
+
+    fn candidates(&self, wanted: &ModelRequest) -> Vec<String> {
+        let table = self.table();
+        let pool = table.pool("models").expect("pool");
+        let found = pool.candidates(wanted).into_iter();
+        found.map(|replica| replica.backend.id.clone()).collect()
+    }
+}
+
+fn model(name: &str) -> RouteMatch {
+    RouteMatch {
+        model: name.to_owned(),
+        ..RouteMatch::default()
+    }
+}
+
+fn wanted(field: &str) -> ModelRequest {
+    ModelRequest::from_model_field(field)
+}
+
+fn placed(id: &str, version: &str, weight_milli: u32, state: ReplicaState) -> Replica {
+    Replica {
+        backend_id: id.to_owned(),
+        model: "saga".to_owned(),
+        version: version.to_owned(),
+        state: state.into(),
+        weight_milli,
+    }
+}
+
+#[test]
+fn the_most_specific_route_wins() {
+    let mut items = Items::new();
+    items.route("any", RouteMatch::default());
+    items.route("saga", model("saga"));
+    let exact = RouteMatch {
+        version: "2".to_owned(),
+        ..model("saga")
+    };
+    items.route("saga-two", exact);
+    let table = items.table();
+    let name = |field: &str| {
+        let route = table.match_model(&wanted(field)).expect("a route");
+        route.name.clone()
+    };
+    assert_eq!(name("saga@2"), "saga-two");
+    assert_eq!(name("saga@1"), "saga");
+    assert_eq!(name("other"), "any");
+    assert_eq!(table.revision(), 9);
+}
+
+#[test]
+fn an_unknown_model_is_told_apart_from_an_unrouted_version() {
+    let mut items = Items::new();
+    let exact = RouteMatch {
+        version: "2".to_owned(),
+        ..model("saga")
+    };
+    items.route("saga-two", exact);
+    let table = items.table();
+    let code = |field: &str| table.match_model(&wanted(field)).map(|_| ()).err();
+    assert_eq!(code("saga@1"), Some(ResultCode::NoRoute));
+    assert_eq!(code("unknown"), Some(ResultCode::ModelUnknown));
+    assert_eq!(code("saga@2"), None);
+}
+
+#[test]
+fn the_longest_path_prefix_wins_and_ends_at_a_segment() {
+    let mut items = Items::new();
+    for prefix in ["/catalogue", "/catalogue/new"] {
+        items.route(
+            prefix,
+            RouteMatch {
+                path_prefix: prefix.to_owned(),
+                ..RouteMatch::default()
+            },
+        );
+    }
+    let table = items.table();
+    let name = |path: &str| table.match_path(path).map(|route| route.name.clone());
+    assert_eq!(name("/catalogue/7"), Ok("/catalogue".to_owned()));
+    assert_eq!(name("/catalogue/new/7"), Ok("/catalogue/new".to_owned()));
+    assert_eq!(name("/catalogues"), Err(ResultCode::PathUnknown));
+}
+
+#[test]
+fn every_key_of_a_tenant_is_known() {
+    let mut items = Items::new();
+    items.add(
+        "config/tenant/library",
+        Kind::Tenant(Tenant {
+            name: "library".to_owned(),
+            key_hashes: vec!["aa".to_owned(), "BB".to_owned()],
+            quota: None,
+        }),
+    );
+    let table = items.table();
+    assert!(table.tenant_of_key_hash("aa").is_some());
+    assert!(table.tenant_of_key_hash("bb").is_some());
+    assert!(table.tenant_of_key_hash("cc").is_none());
+}
+
+#[test]
+fn without_placement_the_highest_version_serves() {
+    let mut items = Items::new();
+    items.backend("old", "1", BackendState::BackendActive);
+    items.backend("new", "2", BackendState::BackendActive);
+    assert_eq!(items.candidates(&wanted("saga")), ["new"]);
+    assert_eq!(items.candidates(&wanted("saga@1")), ["old"]);
+}
+
+#[test]
+fn placement_decides_while_one_of_its_replicas_lives() {
+    let mut items = Items::new();
+    items.backend("one", "1", BackendState::BackendActive);
+    items.backend("two", "1", BackendState::BackendActive);
+    items.backend("three", "1", BackendState::BackendActive);
+    items.place(vec![
+        placed("one", "1", 1000, ReplicaState::ReplicaActive),
+        placed("two", "1", 1000, ReplicaState::ReplicaDraining),
+    ]);
+    assert_eq!(items.candidates(&wanted("saga")), ["one"]);
+}
+
+#[test]
+fn a_model_whose_placed_replicas_are_lost_is_served_by_declaration() {
+    let mut items = Items::new();
+    items.backend("one", "1", BackendState::BackendGone);
+    items.backend("two", "1", BackendState::BackendActive);
+    items.place(vec![placed("one", "1", 1000, ReplicaState::ReplicaActive)]);
+    assert_eq!(items.candidates(&wanted("saga")), ["two"]);
+}
+
+#[test]
+fn two_weighed_versions_share_a_transition() {
+    let mut items = Items::new();
+    items.backend("old", "1", BackendState::BackendActive);
+    items.backend("new", "2", BackendState::BackendActive);
+    items.place(vec![
+        placed("old", "1", 750, ReplicaState::ReplicaActive),
+        placed("new", "2", 250, ReplicaState::ReplicaActive),
+    ]);
+    assert_eq!(items.candidates(&wanted("saga")), ["old", "new"]);
+}
+
+#[test]
+fn an_adapter_must_be_declared() {
+    let mut items = Items::new();
+    items.backend("one", "1", BackendState::BackendActive);
+    let mut request = wanted("saga");
+    request.adapter = "captions".to_owned();
+    assert_eq!(items.candidates(&request), ["one"]);
+    request.adapter = "unknown".to_owned();
+    assert!(items.candidates(&request).is_empty());
+}
+
+fn state_of(number: u8) -> BackendState {
+    match number % 3 {
+        0 => BackendState::BackendActive,
+        1 => BackendState::BackendDraining,
+        _ => BackendState::BackendGone,
+    }
+}
+
+quickcheck! {
+    /// Whatever the placement says, a draining or gone backend is never a candidate.
+    fn no_draining_or_gone_backend_is_a_candidate(states: Vec<u8>, placements: Vec<u8>) -> bool {
+        let mut items = Items::new();
+        for (index, state) in states.iter().enumerate() {
+            items.backend(&index.to_string(), "1", state_of(*state));
+        }
+        let replicas = placements.iter().map(|index| {
+            let state = if index % 2 == 0 {
+                ReplicaState::ReplicaActive
+            } else {
+                ReplicaState::ReplicaDraining
+            };
+            placed(&(index / 2).to_string(), "1", u32::from(*index) * 10, state)
+        });
+        items.place(replicas.collect());
+        let found = items.candidates(&wanted("saga"));
+        let active = |id: &String| {
+            let index: usize = id.parse().expect("index");
+            state_of(states[index]) == BackendState::BackendActive
+        };
+        found.iter().all(active)
+    }
+
+    /// While any backend is active, there is a candidate.
+    fn an_active_backend_is_never_ignored(states: Vec<u8>, placements: Vec<u8>) -> bool {
+        let mut items = Items::new();
+        for (index, state) in states.iter().enumerate() {
+            items.backend(&index.to_string(), "1", state_of(*state));
+        }
+        let replicas = placements.iter().map(|index| {
+            placed(&index.to_string(), "1", 1000, ReplicaState::ReplicaActive)
+        });
+        items.place(replicas.collect());
+        let any_active = states.iter().any(|state| state % 3 == 0);
+        items.candidates(&wanted("saga")).is_empty() != any_active
+    }
+}
