--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
   demo         the whole fleet on loopback, with faults while streams run
   chaos        a whole site under every fault, the promises checked
   bench        measurements: bench overhead
+  scale        what a fleet of a given size costs, by hollow nodes
 
 Each command has --help.";
 /// Exit status of a wrong command line.
@@ -27,6 +28,10 @@
         println!("{USAGE}");
         return ExitCode::SUCCESS;
     }
+    // The scale rig brings runtimes of its own, whose threads it tells apart.
+    if command == "scale" {
+        return millford_scale::run(rest);
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use millford_settings::{LogFormat, LogOptions, logging};
 use tokio::runtime::{Builder, Runtime};
 
 use crate::error::ScaleError;
@@ -24,6 +25,7 @@
 /// Fails when a size could not be measured, or the report not be written; sizes before it are
 /// reported all the same.
 pub fn run(options: &ScaleOptions) -> Result<(), ScaleError> {
+    quiet_logs();
     std::fs::create_dir_all(&options.output)
         .map_err(ScaleError::system("make the output folder"))?;
     let mut report = Report::default();
@@ -54,6 +56,16 @@
     )))
 }
 
+/// Hundreds of agents would log each change of their links.
+fn quiet_logs() {
+    let options = LogOptions {
+        level: spdlog::Level::Error,
+        format: LogFormat::Text,
+    };
+    // Without a logger of its own the library writes more, not less; the run goes on all the same.
+    let _ = logging::init(options);
+}
+
 /// Each size has fresh runtimes and a fresh folder, so that none leaves anything to the next.
 fn run_one(options: &ScaleOptions, size: FleetSize) -> Result<SizeResult, ScaleError> {
     let folder = tempfile::tempdir().map_err(ScaleError::system("make a folder"))?;
