--- a/crates/agent/src/daemon/traffic_meter.rs
+++ b/crates/agent/src/daemon/traffic_meter.rs
@@ -1,8 +1,10 @@
 //! Bytes and frames on the link to the control plane.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 
-use millford_api::internal::Frame;
+use millford_api::internal::{Frame, feed_message, frame};
 use prost::Message;
 
 /// Length prefix of a frame, in bytes.
@@ -15,21 +17,37 @@
     bytes_out: AtomicU64,
     frames_in: AtomicU64,
     frames_out: AtomicU64,
+    bytes_by_kind: Mutex<BTreeMap<&'static str, u64>>,
 }
 
 impl TrafficMeter {
     /// Counts a received frame.
     pub fn received(&self, frame: &Frame) {
+        self.count_kind(frame);
         add(&self.bytes_in, frame_bytes(frame));
         add(&self.frames_in, 1);
     }
 
     /// Counts a sent frame.
     pub fn sent(&self, frame: &Frame) {
+        self.count_kind(frame);
         add(&self.bytes_out, frame_bytes(frame));
         add(&self.frames_out, 1);
     }
 
+    /// Bytes of each kind of frame, both ways.
+    #[must_use]
+    pub fn bytes_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        let kinds = self.bytes_by_kind.lock();
+        kinds.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn count_kind(&self, frame: &Frame) {
+        let kinds = self.bytes_by_kind.lock();
+        let mut kinds = kinds.unwrap_or_else(PoisonError::into_inner);
+        *kinds.entry(kind_of(frame)).or_default() += frame_bytes(frame);
+    }
+
     /// Bytes received.
     #[must_use]
     pub fn bytes_in(&self) -> u64 {
@@ -55,6 +73,29 @@
     }
 }
 
+fn kind_of(frame: &Frame) -> &'static str {
+    match &frame.body {
+        Some(frame::Body::Feed(message)) => match &message.kind {
+            Some(feed_message::Kind::Snapshot(_) | feed_message::Kind::PackedSnapshot(_)) => {
+                "feed snapshot"
+            }
+            Some(feed_message::Kind::Change(_)) => "feed change",
+            _ => "feed progress",
+        },
+        Some(frame::Body::Heartbeat(_)) => "heartbeat",
+        Some(frame::Body::HeartbeatReply(_)) => "heartbeat reply",
+        Some(frame::Body::ShardRequest(_)) => "claim and settle",
+        Some(frame::Body::ShardReply(_)) => "claim and settle reply",
+        Some(frame::Body::QuotaRequest(_)) => "quota request",
+        Some(frame::Body::QuotaReply(_)) => "quota reply",
+        Some(frame::Body::QuotaRecall(_)) => "quota recall",
+        Some(frame::Body::LoadReport(_)) => "load report",
+        Some(frame::Body::LoadPicture(_)) => "load picture",
+        Some(frame::Body::Subscribe(_)) => "subscribe",
+        _ => "other",
+    }
+}
+
 fn add(counter: &AtomicU64, amount: u64) {
     counter.fetch_add(amount, Ordering::Relaxed);
 }
--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use millford_api::internal::{
     FeedMessage, FeedProgress, FeedStale, StateChange, StateSnapshot, Subscribe, feed_message,
 };
 use millford_api::state::{StateItem, StateValue};
 use millford_core::ShardId;
+use prost::Message;
 
 use crate::change_ring::ChangeRing;
 use crate::delivery::{FeedDelivery, SubscriberId};
@@ -27,6 +29,8 @@
     recent: ChangeRing,
     terms: TermHistory,
     subscribers: BTreeMap<SubscriberId, Follower>,
+    /// The whole state as last encoded, and the position that it holds.
+    packed: Option<(FeedPosition, Bytes)>,
 }
 
 impl FeedPublisher {
@@ -40,6 +44,7 @@
             recent: ChangeRing::default(),
             terms: TermHistory::starting_at(FeedPosition::START),
             subscribers: BTreeMap::new(),
+            packed: None,
         }
     }
 
@@ -73,7 +78,9 @@
         self.store(items);
         self.recent = ChangeRing::starting_at(position.offset);
         self.terms = TermHistory::starting_at(position);
-        let mut deliveries = self.deliver(&self.snapshot());
+        self.packed = None;
+        let snapshot = self.snapshot(position);
+        let mut deliveries = self.deliver(&snapshot);
         deliveries.append(&mut self.release_waiting());
         deliveries
     }
@@ -99,6 +106,7 @@
             shard: self.shard.0,
         };
         self.store(changed);
+        self.packed = None;
         self.recent.push(change.clone());
         self.terms.trim(self.recent.floor());
         let message = self.message(feed_message::Kind::Change(change));
@@ -168,19 +176,29 @@
         }
     }
 
-    fn catch_up(&self, from: FeedPosition) -> Vec<FeedMessage> {
+    fn catch_up(&mut self, from: FeedPosition) -> Vec<FeedMessage> {
         let known = from == FeedPosition::START || self.terms.contains(from);
-        let changes = self.recent.after(from.offset).filter(|_| known);
-        let Some(changes) = changes else {
-            return vec![self.snapshot()];
+        let changes = self.changes_after(from.offset).filter(|_| known);
+        let Some(mut messages) = changes else {
+            return vec![self.snapshot(from), self.progress_message()];
         };
-        let mut messages: Vec<FeedMessage> = changes
-            .map(|change| self.message(feed_message::Kind::Change(change.clone())))
-            .collect();
         messages.push(self.progress_message());
         messages
     }
 
+    /// The changes after `offset`, if they are known and smaller than the whole state.
+    fn changes_after(&self, offset: u64) -> Option<Vec<FeedMessage>> {
+        let changes: Vec<&StateChange> = self.recent.after(offset)?.collect();
+        let items: usize = changes.iter().map(|change| change.items.len()).sum();
+        if items > self.items.len() {
+            return None;
+        }
+        let kinds = changes
+            .into_iter()
+            .map(|change| feed_message::Kind::Change(change.clone()));
+        Some(kinds.map(|kind| self.message(kind)).collect())
+    }
+
     /// Brings up to date the subscribers that were ahead of this replica until now.
     fn release_waiting(&mut self) -> Vec<FeedDelivery> {
         let position = self.position;
@@ -220,8 +238,19 @@
         }
     }
 
-    fn snapshot(&self) -> FeedMessage {
-        self.message(feed_message::Kind::Snapshot(self.state()))
+    /// The whole state, encoded once for however many subscribers: encoding it for each would keep
+    /// the replica's thread from its heartbeats when many nodes start at once.
+    ///
+    /// Entries that change nothing public leave the encoded state as it is; the progress message
+    /// that follows brings a view on from its position. It must not be older than `from`.
+    fn snapshot(&mut self, from: FeedPosition) -> FeedMessage {
+        let reusable = self.packed.take().filter(|(position, _)| *position >= from);
+        let (position, packed) = reusable.unwrap_or_else(|| {
+            let packed = Bytes::from(self.state().encode_to_vec());
+            (self.position, packed)
+        });
+        self.packed = Some((position, packed.clone()));
+        self.message(feed_message::Kind::PackedSnapshot(packed))
     }
 
     fn progress_message(&self) -> FeedMessage {
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -7,6 +7,7 @@
 };
 use millford_api::state::{StateItem, StateValue};
 use millford_core::ShardId;
+use prost::Message;
 
 use crate::outcome::FeedOutcome;
 use crate::position::FeedPosition;
@@ -82,12 +83,21 @@
         }
         match message.kind {
             Some(feed_message::Kind::Snapshot(snapshot)) => self.apply_snapshot(snapshot),
+            Some(feed_message::Kind::PackedSnapshot(packed)) => self.apply_packed(&packed),
             Some(feed_message::Kind::Change(change)) => self.apply_change(change),
             Some(feed_message::Kind::Progress(progress)) => self.apply_progress(&progress),
             Some(feed_message::Kind::Stale(_)) | None => FeedOutcome::Stale,
         }
     }
 
+    /// Takes a whole state as bytes. One that cannot be read is treated like a lost message.
+    fn apply_packed(&mut self, packed: &[u8]) -> FeedOutcome {
+        match StateSnapshot::decode(packed) {
+            Ok(snapshot) if snapshot.shard == self.shard.0 => self.apply_snapshot(snapshot),
+            _ => FeedOutcome::Resubscribe,
+        }
+    }
+
     /// Takes a whole state. An older one is refused; one at the same position is taken, as it can
     /// only differ by amendments of the agent.
     pub fn apply_snapshot(&mut self, snapshot: StateSnapshot) -> FeedOutcome {
--- a/crates/scale/src/report/text.rs
+++ b/crates/scale/src/report/text.rs
@@ -31,6 +31,13 @@
         result.node_cpu_percent,
         result.node_memory_bytes / MEBIBYTE,
     )?;
+    let mut kinds: Vec<_> = result.node_bytes_by_kind.iter().collect();
+    kinds.sort_by(|left, right| right.1.total_cmp(left.1));
+    let kinds = kinds.into_iter().filter(|(_, rate)| **rate >= 1.0);
+    let kinds: Vec<String> = kinds
+        .map(|(kind, rate)| format!("{kind} {:.2}", rate / KIBIBYTE))
+        .collect();
+    writeln!(text, "  KB/s by kind: {}", kinds.join(", "))?;
     writeln!(
         text,
         "  real agent process: {:.2}% of a core, {:.1} MB",
--- a/crates/scale/src/run_size.rs
+++ b/crates/scale/src/run_size.rs
@@ -1,5 +1,6 @@
 //! One run: a fleet of one size, from start to full restart.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -138,6 +139,11 @@
         result.steady_seconds = seconds;
         result.node_bytes_in = (after.bytes_in - before.bytes_in) / seconds / nodes;
         result.node_bytes_out = (after.bytes_out - before.bytes_out) / seconds / nodes;
+        for (kind, bytes) in &after.bytes_by_kind {
+            let earlier = before.bytes_by_kind.get(kind).copied().unwrap_or(0);
+            let rate = (bytes - earlier) as f64 / seconds / nodes;
+            result.node_bytes_by_kind.insert(kind, rate);
+        }
         result.node_frames = (after.frames - before.frames) / seconds / nodes;
         result.node_cpu_percent = percent(after.agents_cpu - before.agents_cpu, seconds) / nodes;
         result.real_agent_cpu_percent = percent(after.agent_cpu - before.agent_cpu, seconds);
@@ -224,6 +230,16 @@
         meters.map(|meter| meter.bytes_in() as f64).sum()
     }
 
+    fn bytes_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        let mut total = BTreeMap::new();
+        for node in &self.nodes {
+            for (kind, bytes) in node.meter().bytes_by_kind() {
+                *total.entry(kind).or_default() += bytes;
+            }
+        }
+        total
+    }
+
     fn mark(&self) -> Mark {
         let meters = || self.nodes.iter().map(HollowNode::meter);
         let agent = self.agent.sample();
@@ -232,6 +248,7 @@
         Mark {
             at: Instant::now(),
             bytes_in: self.bytes_in(),
+            bytes_by_kind: self.bytes_by_kind(),
             bytes_out: meters().map(|meter| meter.bytes_out() as f64).sum(),
             frames: meters()
                 .map(|meter| (meter.frames_in() + meter.frames_out()) as f64)
@@ -253,6 +270,7 @@
 struct Mark {
     at: Instant,
     bytes_in: f64,
+    bytes_by_kind: BTreeMap<&'static str, u64>,
     bytes_out: f64,
     frames: f64,
     agents_cpu: f64,
--- a/crates/scale/src/size_result.rs
+++ b/crates/scale/src/size_result.rs
@@ -20,6 +20,8 @@
     pub node_bytes_in: f64,
     /// Bytes a second from one node to control.
     pub node_bytes_out: f64,
+    /// Bytes a second of one node, both ways, by kind of frame.
+    pub node_bytes_by_kind: std::collections::BTreeMap<&'static str, f64>,
     /// Frames a second, both ways, of one node.
     pub node_frames: f64,
     /// Processor time of one hollow agent, in percent of a core.
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -49,6 +49,8 @@
         "#[serde(with = \"crate::json::hexadecimal\")]",
     );
     config.out_dir(Path::new("crates/api/src/generated"));
+    // Shared by all subscribers of a feed instead of copied for each.
+    config.bytes([".millford.internal.FeedMessage.packed_snapshot"]);
     config.btree_map(["."]);
     config.compile_fds(descriptors)?;
     Ok(())
