Test the control node under simulated time; mend registration of removed nodes

Cause: in a run with real processes a removed node that came back put itself on the list of control nodes again before it learned of its removal, and was taken off a second time. Ruled out: a second removal by the leader alone (the list had it again). Change: a node registers only once it knows the present list; a change of voters follows the last one without a pause, which shortens the time in which a group has two voters.

--- a/crates/control/src/daemon/gateway_thread.rs
+++ b/crates/control/src/daemon/gateway_thread.rs
@@ -167,7 +167,7 @@
         for output in outputs {
             match output {
                 GatewayOutput::Node(output) => self.carry_out_node(output),
-                GatewayOutput::Shard { shard, input } => self.to_shard(shard, input),
+                GatewayOutput::Shard { shard, input } => self.tell_shard(shard, input),
                 GatewayOutput::StartShard {
                     shard,
                     identity,
@@ -211,7 +211,7 @@
         }
     }
 
-    fn to_shard(&mut self, shard: ShardId, input: ShardInput) {
+    fn tell_shard(&mut self, shard: ShardId, input: ShardInput) {
         if let Some(thread) = self.shards.get(&shard) {
             thread.send(input);
         }
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -154,10 +154,10 @@
 fn open_folders(data_folder: &str) -> Result<FolderOpener, StartError> {
     let root = PathBuf::from(data_folder);
     let folder_fault = |error: String| StartError::Folder { reason: error };
-    FileDisk::open(&root.join(crate::node::NODE_FOLDER))
+    FileDisk::open(root.join(crate::node::NODE_FOLDER))
         .map_err(|error| folder_fault(error.to_string()))?;
     Ok(Arc::new(move |name: &str| -> Box<dyn Disk> {
-        match FileDisk::open(&root.join(name)) {
+        match FileDisk::open(root.join(name)) {
             Ok(disk) => Box::new(disk),
             Err(error) => {
                 CONTROL.error(format!("Folder {name} cannot be opened: {error}."));
--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -175,7 +175,7 @@
             return;
         }
         self.leaving = Some(Leaving { since: now });
-        self.to_every_shard(&ShardInput::Leave);
+        self.tell_every_shard(&ShardInput::Leave);
     }
 
     /// Starts over once no group holds a replica of this node any more.
@@ -379,9 +379,9 @@
             data_shards: self.file.data_shards,
         });
         let configuration = self.members.configuration().to_vec();
-        self.to_shard(shard, ShardInput::Configuration(configuration));
+        self.tell_shard(shard, ShardInput::Configuration(configuration));
         let view = self.view.clone();
-        self.to_shard(shard, ShardInput::Members(view));
+        self.tell_shard(shard, ShardInput::Members(view));
     }
 
     /// The nodes known, for messages to agents.
--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -17,7 +17,7 @@
             }
             ShardOutput::Reply { ticket, reply } => self.handle_reply(now, ticket, reply),
             ShardOutput::Quota { ticket, reply } => self.handle_quota_reply(ticket, reply),
-            ShardOutput::Recall(recall) => self.to_all_agents(&frame::Body::QuotaRecall(recall)),
+            ShardOutput::Recall(recall) => self.tell_all_agents(&frame::Body::QuotaRecall(recall)),
             ShardOutput::AskLeader { read } => self.ask_leader(now, shard, read),
             ShardOutput::Feed {
                 subscriber,
@@ -26,7 +26,7 @@
             ShardOutput::PublicChange(items) => self.public_change(now, shard, items),
             ShardOutput::Standing(standing) => self.standing_changed(standing),
             ShardOutput::Picture(picture) => {
-                self.to_all_agents(&frame::Body::LoadPicture(picture));
+                self.tell_all_agents(&frame::Body::LoadPicture(picture));
             }
             ShardOutput::Note(note) => self.note(note),
             ShardOutput::Failed(code) => self.note(NodeNote::ReplicaFailed { shard, code }),
@@ -37,7 +37,7 @@
         let shard = ShardId(subscribe.shard);
         if self.standings.contains_key(&shard) {
             let subscriber = link;
-            self.to_shard(
+            self.tell_shard(
                 shard,
                 ShardInput::Subscribe {
                     subscriber,
@@ -54,7 +54,7 @@
     }
 
     pub(super) fn unsubscribe_everywhere(&mut self, link: LinkId) {
-        self.to_every_shard(&ShardInput::Unsubscribe { subscriber: link });
+        self.tell_every_shard(&ShardInput::Unsubscribe { subscriber: link });
     }
 
     fn feed(&mut self, link: LinkId, message: FeedMessage) {
@@ -64,8 +64,8 @@
     }
 
     /// To the agents of this node and, through the other control nodes, to all others.
-    fn to_all_agents(&mut self, body: &frame::Body) {
-        self.to_own_agents(body);
+    fn tell_all_agents(&mut self, body: &frame::Body) {
+        self.tell_own_agents(body);
         self.send_to_every_node(body);
     }
 
--- a/crates/control/src/gateway/frames.rs
+++ b/crates/control/src/gateway/frames.rs
@@ -34,7 +34,7 @@
                     self.handle_quota_reply(relayed.relay_id, reply);
                 }
             }
-            Body::QuotaRecall(_) | Body::LoadPicture(_) => self.to_own_agents(&body),
+            Body::QuotaRecall(_) | Body::LoadPicture(_) => self.tell_own_agents(&body),
             // These only ever go from control nodes to agents.
             Body::Feed(_) | Body::HeartbeatReply(_) | Body::QuotaReply(_) => {}
         }
@@ -52,7 +52,7 @@
                 return;
             }
         }
-        self.to_shard(shard, ShardInput::Replication(message));
+        self.tell_shard(shard, ShardInput::Replication(message));
     }
 
     fn handle_shard_request(&mut self, now: MonotonicTime, link: LinkId, request: ShardRequest) {
@@ -72,7 +72,7 @@
             return;
         };
         if standing.leads {
-            self.to_shard(shard, ShardInput::Load(report));
+            self.tell_shard(shard, ShardInput::Load(report));
             return;
         }
         // Passed on once only, so that no report travels in circles.
@@ -83,7 +83,7 @@
         }
     }
 
-    pub(super) fn to_own_agents(&mut self, body: &frame::Body) {
+    pub(super) fn tell_own_agents(&mut self, body: &frame::Body) {
         let links: Vec<LinkId> = self.links.agents().collect();
         for link in links {
             self.send(link, body.clone());
--- a/crates/control/src/gateway/member_list.rs
+++ b/crates/control/src/gateway/member_list.rs
@@ -19,6 +19,7 @@
 pub struct MemberList {
     registered: BTreeMap<NodeId, ControlMember>,
     configuration: Vec<StateItem>,
+    read_from_leader: bool,
     next_check: MonotonicTime,
 }
 
@@ -78,11 +79,20 @@
                 REGISTRATION_PERIOD,
             );
         }
-        if !listed {
+        if !listed && self.knows_member_list() {
             self.register(now, own);
         }
     }
 
+    /// Whether the list that this node has is the present one. Until then it may have been removed
+    /// from it without knowing, and must not put itself back.
+    fn knows_member_list(&self) -> bool {
+        match self.standings.get(&ShardId::CONFIGURATION) {
+            Some(standing) => standing.in_touch,
+            None => self.members.read_from_leader,
+        }
+    }
+
     /// Items of a shard changed in this node's replica.
     pub(super) fn public_change(
         &mut self,
@@ -103,12 +113,13 @@
             .filter(|item| item.key.starts_with(keys::CONFIG_PREFIX))
             .collect();
         if !configuration.is_empty() {
-            self.to_every_shard(&ShardInput::Configuration(configuration));
+            self.tell_every_shard(&ShardInput::Configuration(configuration));
         }
     }
 
     /// The leader's list, on a node without a replica of it.
     pub(super) fn member_list_read(&mut self, now: MonotonicTime, state: &StateSnapshot) {
+        self.members.read_from_leader = true;
         for item in &state.items {
             self.control_item(now, item);
         }
@@ -125,7 +136,7 @@
             return;
         }
         self.view = view.clone();
-        self.to_every_shard(&ShardInput::Members(view));
+        self.tell_every_shard(&ShardInput::Members(view));
     }
 
     fn register(&mut self, now: MonotonicTime, own: ControlMember) {
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -162,9 +162,9 @@
             NodeInput::LinkOpened { link, .. } => self.link_opened(now, link),
             NodeInput::LinkClosed { link } => self.link_closed(now, link),
             NodeInput::Operator { request, body } => self.handle_operator(now, request, body),
-            NodeInput::Registry(view) => self.to_every_shard(&ShardInput::Registry(view)),
+            NodeInput::Registry(view) => self.tell_every_shard(&ShardInput::Registry(view)),
             NodeInput::Tick => self.tick(now),
-            NodeInput::Leave => self.to_every_shard(&ShardInput::Leave),
+            NodeInput::Leave => self.tell_every_shard(&ShardInput::Leave),
         }
     }
 
@@ -245,14 +245,14 @@
         }
     }
 
-    fn to_shard(&mut self, shard: ShardId, input: ShardInput) {
+    fn tell_shard(&mut self, shard: ShardId, input: ShardInput) {
         self.outputs.push(GatewayOutput::Shard { shard, input });
     }
 
-    fn to_every_shard(&mut self, input: &ShardInput) {
+    fn tell_every_shard(&mut self, input: &ShardInput) {
         let shards: Vec<ShardId> = self.standings.keys().copied().collect();
         for shard in shards {
-            self.to_shard(shard, input.clone());
+            self.tell_shard(shard, input.clone());
         }
     }
 
--- a/crates/control/src/gateway/operators.rs
+++ b/crates/control/src/gateway/operators.rs
@@ -126,7 +126,7 @@
         let reply = match self.recoverable(survivors) {
             Ok(shards) => {
                 for shard in &shards {
-                    self.to_shard(*shard, ShardInput::ForceRecovery);
+                    self.tell_shard(*shard, ShardInput::ForceRecovery);
                 }
                 OperatorReply::Recovery(RecoveryReply {
                     shards: shards.iter().map(|shard| shard.0).collect(),
--- a/crates/control/src/gateway/requests.rs
+++ b/crates/control/src/gateway/requests.rs
@@ -111,7 +111,7 @@
         let shard = ShardId(request.shard);
         let standing = self.standings.get(&shard);
         if standing.is_some_and(|standing| standing.leads) {
-            self.to_shard(shard, ShardInput::Quota { ticket, request });
+            self.tell_shard(shard, ShardInput::Quota { ticket, request });
             return;
         }
         let leader = standing.map_or(NodeId::NONE, |standing| standing.leader);
@@ -140,7 +140,7 @@
         let ticket = self.wait_for_quota(now, link, Some(relayed.relay_id));
         let shard = ShardId(request.shard);
         if self.standings.contains_key(&shard) {
-            self.to_shard(shard, ShardInput::Quota { ticket, request });
+            self.tell_shard(shard, ShardInput::Quota { ticket, request });
             return;
         }
         let reply = quota_refusal(shard, request.request_id, ResultCode::ShardUnknown);
@@ -186,7 +186,7 @@
         let leads = standing.is_some_and(|standing| standing.leads);
         if leads || forwarded && standing.is_some() {
             let request = attempt.request;
-            self.to_shard(shard, ShardInput::Request { ticket, request });
+            self.tell_shard(shard, ShardInput::Request { ticket, request });
             return;
         }
         if forwarded {
@@ -255,7 +255,7 @@
         };
         let shard = ShardId(reply.shard);
         if self.standings.contains_key(&shard) {
-            self.to_shard(shard, ShardInput::LeaderIndex { read, index });
+            self.tell_shard(shard, ShardInput::LeaderIndex { read, index });
         }
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -63,7 +63,7 @@
         if matches!(input, NodeInput::Tick) {
             self.tick_cores(now);
         }
-        self.to_gateway(now, GatewayInput::Node(input));
+        self.tell_gateway(now, GatewayInput::Node(input));
         self.run_queue(now);
         std::mem::take(&mut self.outputs)
     }
@@ -89,7 +89,7 @@
     fn tick_cores(&mut self, now: MonotonicTime) {
         let shards: Vec<ShardId> = self.cores.keys().copied().collect();
         for shard in shards {
-            self.to_core(now, shard, ShardInput::Tick);
+            self.tell_core(now, shard, ShardInput::Tick);
         }
     }
 
@@ -97,7 +97,7 @@
         while let Some(output) = self.queue.pop_front() {
             match output {
                 GatewayOutput::Node(output) => self.outputs.push(output),
-                GatewayOutput::Shard { shard, input } => self.to_core(now, shard, input),
+                GatewayOutput::Shard { shard, input } => self.tell_core(now, shard, input),
                 GatewayOutput::StartShard {
                     shard,
                     identity,
@@ -112,23 +112,23 @@
         }
     }
 
-    fn to_gateway(&mut self, now: MonotonicTime, input: GatewayInput) {
+    fn tell_gateway(&mut self, now: MonotonicTime, input: GatewayInput) {
         let outputs = self.gateway.handle(now, input);
         self.queue.extend(outputs);
     }
 
-    fn to_core(&mut self, now: MonotonicTime, shard: ShardId, input: ShardInput) {
+    fn tell_core(&mut self, now: MonotonicTime, shard: ShardId, input: ShardInput) {
         let Some(core) = self.cores.get_mut(&shard) else {
             return;
         };
         core.handle(now, input);
         for output in core.flush(now) {
-            self.from_core(now, shard, output);
+            self.take_from_core(now, shard, output);
         }
     }
 
-    fn from_core(&mut self, now: MonotonicTime, shard: ShardId, output: ShardOutput) {
-        self.to_gateway(now, GatewayInput::Shard { shard, output });
+    fn take_from_core(&mut self, now: MonotonicTime, shard: ShardId, output: ShardOutput) {
+        self.tell_gateway(now, GatewayInput::Shard { shard, output });
     }
 
     fn start(
@@ -154,7 +154,7 @@
                 self.cores.insert(shard, core);
             }
             Err(StorageError::Corrupt { .. }) => {
-                self.to_gateway(now, GatewayInput::StorageCorrupt);
+                self.tell_gateway(now, GatewayInput::StorageCorrupt);
             }
             Err(error) => {
                 let code = code_of(&error);
--- a/crates/control/src/shard/upkeep.rs
+++ b/crates/control/src/shard/upkeep.rs
@@ -14,7 +14,7 @@
 /// Period at which the gateway hears of the replica although nothing changed.
 const STANDING_PERIOD: Duration = Duration::from_millis(250);
 
-/// Shortest time between two changes of the group, so that each is seen to take effect.
+/// Shortest time between a change that was refused and the next try.
 const REPAIR_PERIOD: Duration = Duration::from_millis(100);
 
 /// When the regular duties are due.
@@ -100,7 +100,7 @@
 
     /// Replaces voters that are lost, one change at a time.
     fn repair_group(&mut self, now: MonotonicTime) {
-        if !is_due(&mut self.upkeep.next_repair, now, REPAIR_PERIOD) {
+        if now < self.upkeep.next_repair {
             return;
         }
         let status = self.replica.status();
@@ -111,18 +111,19 @@
         let group = group_of(own, &status, now);
         let step = self.repair.decide(now, own, &group, &self.members);
         if let Some(step) = step {
-            self.change_group(step);
+            self.change_group(now, step);
         }
     }
 
-    fn change_group(&mut self, step: RepairStep) {
+    fn change_group(&mut self, now: MonotonicTime, step: RepairStep) {
         let (change, name, node) = match step {
             RepairStep::AddLearner(node) => (VoterChange::AddLearner(node), "add learner", node),
             RepairStep::Remove(node) => (VoterChange::Remove(node), "remove", node),
             RepairStep::Promote(node) => (VoterChange::Promote(node), "promote", node),
         };
         if self.replica.change_voters(change).is_err() {
-            // Decided again at the next occasion, on what then is.
+            // Decided again a little later, on what then is.
+            self.upkeep.next_repair = now + REPAIR_PERIOD;
             return;
         }
         let note = NodeNote::VotersChange {
--- /dev/null
+++ b/crates/control/tests/feed.rs
@@ -0,0 +1,199 @@
+//! Feeds and sessions of agents.
+
+mod support;
+
+use std::time::Duration;
+
+use millford_api::state::state_value::Kind;
+use millford_core::{ShardId, ShardLayout, session_key};
+use support::orders::{accept, document, led};
+use support::{Cluster, TestAgent};
+
+fn tenants(agent: &TestAgent) -> Vec<String> {
+    let keys = agent.view.items().keys();
+    keys.filter_map(|key| key.strip_prefix("config/tenant/").map(str::to_owned))
+        .collect()
+}
+
+fn shown_revision(agent: &TestAgent) -> u64 {
+    let head = agent.view.items().get("config/head");
+    match head.and_then(|head| head.kind.as_ref()) {
+        Some(Kind::ConfigHead(head)) => head.revision,
+        _ => 0,
+    }
+}
+
+fn follow(cluster: &mut Cluster, agents: &mut [TestAgent], time: Duration) {
+    let end = cluster.now + time;
+    while cluster.now < end {
+        cluster.run(Duration::from_millis(20));
+        for agent in agents.iter_mut() {
+            agent.receive(cluster);
+        }
+    }
+}
+
+fn agents_everywhere(cluster: &mut Cluster) -> Vec<TestAgent> {
+    let nodes = ["node-1", "node-2", "node-3"].into_iter();
+    nodes
+        .map(|node| TestAgent::connect(cluster, &format!("agent-{node}"), node, ShardId(0)))
+        .collect()
+}
+
+#[test]
+fn an_accepted_order_reaches_every_agent_and_a_revoked_key_is_gone_everywhere() {
+    let mut cluster = led(3, 1);
+    let mut agents = agents_everywhere(&mut cluster);
+    accept(&mut cluster, "node-2", 0, "one", document(&["a", "b"]));
+    let accepted = cluster.now;
+    follow(&mut cluster, &mut agents, Duration::from_millis(500));
+    for agent in &agents {
+        assert_eq!(tenants(agent), ["a", "b"], "{}", agent.name);
+    }
+    accept(&mut cluster, "node-3", 1, "two", document(&["a"]));
+    let revoked = cluster.now;
+    assert!(revoked > accepted);
+    follow(&mut cluster, &mut agents, Duration::from_millis(500));
+    for agent in &agents {
+        assert_eq!(tenants(agent), ["a"], "{}", agent.name);
+    }
+}
+
+#[test]
+fn a_node_that_lost_the_quorum_says_so_within_a_second_and_a_half() {
+    let mut cluster = led(3, 2);
+    let mut agents = agents_everywhere(&mut cluster);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    follow(&mut cluster, &mut agents, Duration::from_millis(300));
+    // Two nodes die: the third keeps its links to agents and has no quorum.
+    cluster.kill("node-2");
+    cluster.kill("node-3");
+    follow(&mut cluster, &mut agents, Duration::from_millis(1500));
+    assert!(agents[0].stale, "the agent was told to go elsewhere");
+    agents[0].heartbeat(&mut cluster);
+    follow(&mut cluster, &mut agents, Duration::from_millis(60));
+    let reply = agents[0]
+        .last_heartbeat
+        .clone()
+        .expect("a heartbeat's answer");
+    assert!(!reply.in_touch);
+    // A newcomer gets no state, however old.
+    let mut newcomer = TestAgent::connect(&mut cluster, "newcomer", "node-1", ShardId(0));
+    cluster.run(Duration::from_secs(3));
+    newcomer.receive(&mut cluster);
+    assert!(newcomer.stale);
+    assert!(newcomer.view.items().is_empty());
+}
+
+#[test]
+fn a_node_back_from_a_long_cut_serves_nothing_stale() {
+    for seed in 1..=10 {
+        let mut cluster = led(3, seed);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        cluster.run(Duration::from_millis(200));
+        let cut = cluster.leader(ShardId(0)).expect("a leader");
+        cluster.cut.insert(cut.clone());
+        // Shorter than the time after which it is replaced, so that it comes back as a voter.
+        cluster.run(Duration::from_secs(3));
+        let other = cluster.leader(ShardId(0)).expect("another leader");
+        accept(&mut cluster, &other, 1, "two", document(&["a", "b"]));
+        cluster.cut.clear();
+        let mut agent = TestAgent::connect(&mut cluster, "agent", &cut, ShardId(0));
+        for _ in 0..100 {
+            cluster.run(Duration::from_millis(20));
+            agent.receive(&mut cluster);
+            let shown = shown_revision(&agent);
+            assert!(
+                shown == 0 || shown == 2,
+                "seed {seed}: revision {shown} is old"
+            );
+            if agent.stale {
+                agent.move_to(&mut cluster, &cut);
+            }
+        }
+        assert_eq!(shown_revision(&agent), 2, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_agent_that_moves_between_nodes_never_steps_back() {
+    let mut cluster = led(3, 3);
+    let mut agent = TestAgent::connect(&mut cluster, "agent", "node-1", ShardId(0));
+    let mut shown = 0;
+    for base in 0..30u64 {
+        let name = format!("tenant-{base}");
+        accept(
+            &mut cluster,
+            "node-2",
+            base,
+            &format!("order-{base}"),
+            document(&[&name]),
+        );
+        let to = ["node-1", "node-2", "node-3"][base as usize % 3];
+        agent.move_to(&mut cluster, to);
+        cluster.run(Duration::from_millis(60));
+        // The support panics when a message is older than what is shown.
+        agent.receive(&mut cluster);
+        let now_shown = shown_revision(&agent);
+        assert!(now_shown >= shown);
+        shown = now_shown;
+    }
+    assert_eq!(shown, 30);
+}
+
+#[test]
+fn a_session_lives_on_heartbeats_over_a_change_of_leader_and_expires_without() {
+    let mut cluster = led(3, 4);
+    let mut agent = TestAgent::connect(&mut cluster, "agent", "node-1", ShardId(0));
+    agent.open_session(&mut cluster, 1);
+    let first = agent.epoch;
+    agent.beat_for(&mut cluster, Duration::from_secs(8));
+    assert!(
+        agent
+            .last_heartbeat
+            .as_ref()
+            .expect("an answer")
+            .session_alive
+    );
+    let shard = ShardLayout::new(2).shard_of(&session_key("agent"));
+    let leader = cluster.leader(shard).expect("a leader");
+    if leader != "node-1" {
+        cluster.kill(&leader);
+    }
+    agent.beat_for(&mut cluster, Duration::from_secs(8));
+    assert!(
+        agent
+            .last_heartbeat
+            .as_ref()
+            .expect("an answer")
+            .session_alive
+    );
+    // Silence longer than the lease: the session is closed, and the next heartbeat says so.
+    cluster.run(Duration::from_secs(5));
+    agent.beat_for(&mut cluster, Duration::from_secs(1));
+    assert!(
+        !agent
+            .last_heartbeat
+            .as_ref()
+            .expect("an answer")
+            .session_alive
+    );
+    agent.open_session(&mut cluster, 1);
+    assert!(
+        agent.epoch > first,
+        "a new session is fenced from the old one"
+    );
+}
+
+#[test]
+fn a_resent_open_gives_the_same_epoch_and_a_restart_a_new_one() {
+    let mut cluster = led(3, 5);
+    let mut agent = TestAgent::connect(&mut cluster, "agent", "node-1", ShardId(0));
+    agent.open_session(&mut cluster, 1);
+    let first = agent.epoch;
+    agent.move_to(&mut cluster, "node-2");
+    agent.open_session(&mut cluster, 1);
+    assert_eq!(agent.epoch, first);
+    agent.open_session(&mut cluster, 2);
+    assert!(agent.epoch > first);
+}
--- /dev/null
+++ b/crates/control/tests/formation.rs
@@ -0,0 +1,124 @@
+//! First start: who forms, who joins, who waits.
+
+mod support;
+
+use std::time::Duration;
+
+use millford_control::{NodeNote, OperatorReply, OperatorRequest};
+use millford_core::ShardId;
+use support::Cluster;
+
+fn formed(cluster: &Cluster) -> usize {
+    let notes = cluster.notes.iter();
+    notes
+        .filter(|(_, note)| matches!(note, NodeNote::ClusterFormed(_)))
+        .count()
+}
+
+#[test]
+fn three_empty_nodes_form_one_cluster_under_many_seeds() {
+    for seed in 1..=30 {
+        let mut cluster = Cluster::start(3, seed);
+        cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+        assert_eq!(formed(&cluster), 1, "seed {seed}");
+        assert_eq!(cluster.voters(ShardId(0)).len(), 3, "seed {seed}");
+    }
+}
+
+#[test]
+fn two_of_three_empty_seeds_never_form() {
+    let seeds = ["node-1", "node-2", "node-3"].map(str::to_owned).to_vec();
+    let mut cluster = Cluster::empty(seeds, 7);
+    cluster.boot("node-1");
+    cluster.boot("node-2");
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(formed(&cluster), 0);
+    cluster.boot("node-3");
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    assert_eq!(formed(&cluster), 1);
+}
+
+#[test]
+fn a_wiped_node_beside_formed_ones_joins_and_never_forms() {
+    let mut cluster = Cluster::start(3, 3);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    let former = cluster.identity("node-2");
+    cluster.kill("node-2");
+    cluster.machines["node-2"].disk.wipe();
+    cluster.boot("node-2");
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(formed(&cluster), 1);
+    assert_ne!(
+        cluster.identity("node-2"),
+        former,
+        "a wiped disk is a new identity"
+    );
+    let joined = cluster
+        .notes
+        .iter()
+        .any(|(address, note)| address == "node-2" && matches!(note, NodeNote::JoinedAsSpare(_)));
+    assert!(joined);
+}
+
+#[test]
+fn a_founder_that_missed_the_forming_takes_its_place() {
+    let mut cluster = Cluster::start(3, 5);
+    cluster.run_until(Duration::from_secs(4), "the forming", |cluster| {
+        formed(cluster) == 1
+    });
+    let (former, _) = cluster
+        .notes
+        .iter()
+        .find(|(_, note)| matches!(note, NodeNote::ClusterFormed(_)))
+        .unwrap()
+        .clone();
+    // The frames of the forming are still under way: one founder dies before it gets its own.
+    let missed = cluster
+        .machines
+        .keys()
+        .find(|address| **address != former)
+        .unwrap()
+        .clone();
+    let identity = cluster.identity(&missed);
+    cluster.kill(&missed);
+    cluster.run(Duration::from_secs(2));
+    cluster.boot(&missed);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    assert_eq!(cluster.identity(&missed), identity);
+    cluster.run(Duration::from_secs(1));
+    assert!(cluster.node(&missed).gateway().is_in_touch());
+}
+
+#[test]
+fn an_unformed_node_says_so() {
+    let mut cluster = Cluster::empty(vec!["node-1".to_owned(), "node-2".to_owned()], 1);
+    cluster.boot("node-1");
+    let request = cluster.ask("node-1", OperatorRequest::GetConfig);
+    let reply = cluster.answer(request);
+    let OperatorReply::Failed(failure) = reply else {
+        panic!("an answer: {reply:?}");
+    };
+    assert_eq!(failure.code, millford_core::ResultCode::NotFormed);
+}
+
+#[test]
+fn all_nodes_restart_and_go_on() {
+    let mut cluster = Cluster::start(3, 9);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    let identities: Vec<_> = (1..=3)
+        .map(|n| cluster.identity(&format!("node-{n}")))
+        .collect();
+    for n in 1..=3 {
+        cluster.kill(&format!("node-{n}"));
+    }
+    cluster.run(Duration::from_secs(5));
+    for n in 1..=3 {
+        cluster.boot(&format!("node-{n}"));
+    }
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    let after: Vec<_> = (1..=3)
+        .map(|n| cluster.identity(&format!("node-{n}")))
+        .collect();
+    assert_eq!(identities, after);
+    assert_eq!(formed(&cluster), 1);
+}
--- /dev/null
+++ b/crates/control/tests/repair.rs
@@ -0,0 +1,178 @@
+//! Replacement of lost control nodes.
+
+mod support;
+
+use std::time::Duration;
+
+use millford_control::{NodeNote, OperatorReply, OperatorRequest};
+use millford_core::{ResultCode, ShardId};
+use support::Cluster;
+use support::orders::{accept, document, led, revision};
+
+fn whole(cluster: &Cluster, addresses: &[&str]) -> bool {
+    let mut expected: Vec<_> = addresses
+        .iter()
+        .map(|address| cluster.identity(address))
+        .collect();
+    expected.sort();
+    (0..=2).all(|shard| cluster.voters(ShardId(shard)) == expected)
+}
+
+fn wait_until_whole(cluster: &mut Cluster, addresses: &[&str]) {
+    cluster.run_until(Duration::from_secs(12), "the repair", |cluster| {
+        whole(cluster, addresses)
+    });
+}
+
+#[test]
+fn an_empty_node_at_a_new_address_takes_the_place_of_a_lost_one() {
+    for seed in 1..=10 {
+        let mut cluster = led(3, seed);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        cluster.kill("node-1");
+        cluster.boot("node-4");
+        wait_until_whole(&mut cluster, &["node-2", "node-3", "node-4"]);
+        cluster.run(Duration::from_secs(2));
+        assert_eq!(revision(&mut cluster, "node-4"), 1, "seed {seed}");
+        assert!(
+            cluster.node("node-4").gateway().is_in_touch(),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn a_second_loss_right_after_the_repair_is_survived() {
+    for seed in 1..=10 {
+        let mut cluster = led(3, seed);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        cluster.kill("node-1");
+        cluster.boot("node-4");
+        wait_until_whole(&mut cluster, &["node-2", "node-3", "node-4"]);
+        cluster.kill("node-2");
+        cluster.run_until(Duration::from_secs(12), "leaders", Cluster::is_led);
+        assert_eq!(revision(&mut cluster, "node-4"), 1, "seed {seed}");
+        accept(&mut cluster, "node-3", 1, "two", document(&["b"]));
+        cluster.boot("node-5");
+        wait_until_whole(&mut cluster, &["node-3", "node-4", "node-5"]);
+        assert_eq!(revision(&mut cluster, "node-5"), 2, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_wiped_node_is_replaced_by_itself_under_a_new_identity() {
+    let mut cluster = led(3, 2);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    let former = cluster.identity("node-3");
+    cluster.kill("node-3");
+    cluster.machines["node-3"].disk.wipe();
+    cluster.boot("node-3");
+    wait_until_whole(&mut cluster, &["node-1", "node-2", "node-3"]);
+    assert_ne!(cluster.identity("node-3"), former);
+    assert_eq!(revision(&mut cluster, "node-3"), 1);
+}
+
+#[test]
+fn a_corrupt_log_makes_a_new_identity_that_is_filled_by_the_others() {
+    let mut cluster = led(3, 3);
+    for base in 0..20 {
+        accept(
+            &mut cluster,
+            "node-1",
+            base,
+            &format!("order-{base}"),
+            document(&["a"]),
+        );
+    }
+    let former = cluster.identity("node-3");
+    cluster.kill("node-3");
+    cluster.machines["node-3"].disk.damage("shard-0");
+    cluster.boot("node-3");
+    wait_until_whole(&mut cluster, &["node-1", "node-2", "node-3"]);
+    assert_ne!(cluster.identity("node-3"), former);
+    assert_eq!(revision(&mut cluster, "node-3"), 20);
+}
+
+#[test]
+fn a_removed_node_that_returns_starts_over_as_a_spare() {
+    let mut cluster = led(3, 4);
+    let former = cluster.identity("node-1");
+    cluster.kill("node-1");
+    cluster.boot("node-4");
+    wait_until_whole(&mut cluster, &["node-2", "node-3", "node-4"]);
+    cluster.run(Duration::from_secs(3));
+    cluster.boot("node-1");
+    cluster.run(Duration::from_secs(3));
+    assert_ne!(cluster.identity("node-1"), former);
+    assert!(whole(&cluster, &["node-2", "node-3", "node-4"]));
+    // It is of use again.
+    cluster.kill("node-3");
+    wait_until_whole(&mut cluster, &["node-1", "node-2", "node-4"]);
+}
+
+#[test]
+fn a_cut_node_without_a_spare_stays_a_voter() {
+    let mut cluster = led(3, 5);
+    cluster.cut.insert("node-2".to_owned());
+    cluster.run(Duration::from_secs(25));
+    cluster.cut.clear();
+    cluster.run(Duration::from_secs(3));
+    assert!(whole(&cluster, &["node-1", "node-2", "node-3"]));
+    assert!(cluster.node("node-2").gateway().is_in_touch());
+}
+
+#[test]
+fn members_found_later_are_kept_over_a_restart_when_the_seeds_are_gone() {
+    let mut cluster = led(3, 6);
+    cluster.kill("node-1");
+    cluster.boot("node-4");
+    wait_until_whole(&mut cluster, &["node-2", "node-3", "node-4"]);
+    cluster.kill("node-2");
+    cluster.boot("node-5");
+    wait_until_whole(&mut cluster, &["node-3", "node-4", "node-5"]);
+    cluster.kill("node-3");
+    cluster.run(Duration::from_secs(3));
+    // No seed is left. The others know each other from their disks.
+    for address in ["node-4", "node-5"] {
+        cluster.kill(address);
+    }
+    for address in ["node-4", "node-5"] {
+        cluster.boot(address);
+    }
+    cluster.run_until(Duration::from_secs(12), "leaders", Cluster::is_led);
+}
+
+#[test]
+fn forced_recovery_needs_a_lost_quorum_and_then_goes_on_alone() {
+    let mut cluster = led(3, 7);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    let own = cluster.identity("node-1");
+    let recover = OperatorRequest::Recover {
+        survivors: vec![own],
+    };
+    let request = cluster.ask("node-1", recover.clone());
+    let OperatorReply::Failed(failure) = cluster.answer(request) else {
+        panic!("a recovery beside a quorum");
+    };
+    assert_eq!(failure.code, ResultCode::RecoveryRefused);
+    cluster.kill("node-2");
+    cluster.kill("node-3");
+    cluster.run(Duration::from_secs(3));
+    let request = cluster.ask("node-1", recover);
+    let OperatorReply::Recovery(reply) = cluster.answer(request) else {
+        panic!("no recovery");
+    };
+    assert_eq!(reply.shards, [0, 1, 2]);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    assert_eq!(revision(&mut cluster, "node-1"), 1);
+    accept(&mut cluster, "node-1", 1, "two", document(&["b"]));
+    let forced = cluster
+        .notes
+        .iter()
+        .filter(|(_, note)| matches!(note, NodeNote::RecoveryForced(_)));
+    assert_eq!(forced.count(), 3);
+    // Empty machines make it whole again.
+    cluster.boot("node-4");
+    cluster.boot("node-5");
+    wait_until_whole(&mut cluster, &["node-1", "node-4", "node-5"]);
+}
--- /dev/null
+++ b/crates/control/tests/support/cluster.rs
@@ -0,0 +1,351 @@
+//! Control nodes, a network between them and simulated time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use millford_api::internal::Frame;
+use millford_control::{
+    ControlNode, ControlOptions, LinkId, NodeInput, NodeNote, NodeOutput, OperatorReply,
+    OperatorRequest, PeerKind,
+};
+use millford_core::{MonotonicTime, NodeId, ShardId};
+
+use super::memory_disk::MemoryMachine;
+
+/// Time that a frame is under way.
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Step of the simulated time.
+const TICK: Duration = Duration::from_millis(20);
+
+/// One end of a link.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct End {
+    pub address: String,
+    pub link: LinkId,
+}
+
+enum Event {
+    Frame(End, Frame),
+    Opened(End, PeerKind),
+    Closed(End),
+}
+
+pub struct Machine {
+    pub disk: MemoryMachine,
+    pub node: Option<ControlNode>,
+    boots: u64,
+}
+
+pub struct Cluster {
+    pub now: MonotonicTime,
+    pub machines: BTreeMap<String, Machine>,
+    pub notes: Vec<(String, NodeNote)>,
+    pub replies: BTreeMap<u64, OperatorReply>,
+    /// Frames that arrived at ends that are no node: test agents read them.
+    pub inbox: BTreeMap<End, VecDeque<Frame>>,
+    /// Addresses whose frames are lost, in both directions.
+    pub cut: BTreeSet<String>,
+    seeds: Vec<String>,
+    seed: u64,
+    events: BTreeMap<(MonotonicTime, u64), Event>,
+    order: u64,
+    others: BTreeMap<End, End>,
+    last_link: u64,
+    last_request: u64,
+    replace_after: Duration,
+}
+
+impl Cluster {
+    /// `nodes` empty machines that are each other's seeds, started.
+    pub fn start(nodes: usize, seed: u64) -> Self {
+        let seeds: Vec<String> = (1..=nodes).map(|number| format!("node-{number}")).collect();
+        let mut cluster = Self::empty(seeds.clone(), seed);
+        for address in &seeds {
+            cluster.boot(address);
+        }
+        cluster
+    }
+
+    /// No machine yet.
+    pub fn empty(seeds: Vec<String>, seed: u64) -> Self {
+        Self {
+            now: MonotonicTime::from_millis(1000),
+            machines: BTreeMap::new(),
+            notes: Vec::new(),
+            replies: BTreeMap::new(),
+            inbox: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            seeds,
+            seed,
+            events: BTreeMap::new(),
+            order: 0,
+            others: BTreeMap::new(),
+            last_link: 0,
+            last_request: 0,
+            replace_after: Duration::from_secs(5),
+        }
+    }
+
+    /// Starts the machine at this address, with the disk that it has.
+    pub fn boot(&mut self, address: &str) {
+        let number = self.machines.len() as u64;
+        let machine = self
+            .machines
+            .entry(address.to_owned())
+            .or_insert_with(|| Machine {
+                disk: MemoryMachine::default(),
+                node: None,
+                boots: 0,
+            });
+        machine.boots += 1;
+        let options = ControlOptions {
+            zone: "zone".to_owned(),
+            internal_address: address.to_owned(),
+            operator_address: format!("{address}-operator"),
+            seeds: self.seeds.clone(),
+            data_shards: 2,
+            replace_after: self.replace_after,
+            seed: self.seed * 1000 + number * 100 + machine.boots * 7 + 1,
+        };
+        let disk = machine.disk.clone();
+        let node = ControlNode::open(options, move |name| disk.folder(name), self.now);
+        machine.node = Some(node.expect("the node opens"));
+    }
+
+    /// Ends the process; its links break.
+    pub fn kill(&mut self, address: &str) {
+        self.machines.get_mut(address).expect("a machine").node = None;
+        let ends: Vec<End> = self
+            .others
+            .keys()
+            .filter(|end| end.address == address)
+            .cloned()
+            .collect();
+        for end in ends {
+            self.close(&end);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until the condition holds.
+    pub fn run_until(&mut self, limit: Duration, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = self.now + limit;
+        while !condition(self) {
+            assert!(
+                self.now < end,
+                "not within {limit:?}: {what}; last notes {:#?}",
+                self.notes.iter().rev().take(24).collect::<Vec<_>>()
+            );
+            self.step();
+        }
+    }
+
+    /// Whether every shard has a leader on a running node that reaches a quorum.
+    pub fn is_led(&self) -> bool {
+        (0..=2).all(|shard| self.leader(ShardId(shard)).is_some())
+    }
+
+    /// Address of the shard's leader with the largest term.
+    pub fn leader(&self, shard: ShardId) -> Option<String> {
+        let nodes = self.machines.iter().filter_map(|(address, machine)| {
+            let core = machine.node.as_ref()?.core(shard)?;
+            let status = core.status();
+            let confirmed = status.leads_confirmed && core.standing().leads;
+            confirmed.then(|| (status.term, address.clone()))
+        });
+        nodes.max().map(|(_, address)| address)
+    }
+
+    /// Identities of the voters, as the shard's leader has them committed.
+    pub fn voters(&self, shard: ShardId) -> Vec<NodeId> {
+        let Some(leader) = self.leader(shard) else {
+            return Vec::new();
+        };
+        let core = self.node(&leader).core(shard).expect("the leader's core");
+        let status = core.status();
+        if status.configuration_committed {
+            status.voters
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub fn node(&self, address: &str) -> &ControlNode {
+        let machine = self.machines.get(address).expect("a machine");
+        machine.node.as_ref().expect("a running node")
+    }
+
+    pub fn identity(&self, address: &str) -> NodeId {
+        self.node(address).identity()
+    }
+
+    /// Sends an operator's request; the answer is awaited with [`Cluster::answer`].
+    pub fn ask(&mut self, address: &str, body: OperatorRequest) -> u64 {
+        self.last_request += 1;
+        let request = self.last_request;
+        self.input(address, NodeInput::Operator { request, body });
+        request
+    }
+
+    /// Waits for the answer to an operator's request.
+    pub fn answer(&mut self, request: u64) -> OperatorReply {
+        self.run_until(Duration::from_secs(8), "an operator's answer", |cluster| {
+            cluster.replies.contains_key(&request)
+        });
+        self.replies.remove(&request).expect("the answer is there")
+    }
+
+    /// Opens a link from a test's own end to a node.
+    pub fn open_link(&mut self, from: &str, to: &str) -> End {
+        self.last_link += 1;
+        let near = End {
+            address: from.to_owned(),
+            link: LinkId(self.last_link),
+        };
+        let far = self.far_end(to);
+        self.join(near.clone(), far);
+        near
+    }
+
+    /// Sends a frame from a test's own end.
+    pub fn send(&mut self, end: &End, frame: Frame) {
+        self.post(end, frame);
+    }
+
+    /// Closes a link at both ends.
+    pub fn close(&mut self, end: &End) {
+        let Some(other) = self.others.remove(end) else {
+            return;
+        };
+        self.others.remove(&other);
+        self.schedule(Event::Closed(other));
+    }
+
+    /// Takes the frames that arrived at a test's own end.
+    pub fn take_frames(&mut self, end: &End) -> Vec<Frame> {
+        let frames = self.inbox.remove(end);
+        frames.unwrap_or_default().into_iter().collect()
+    }
+
+    /// Gives an input to a node at once.
+    pub fn input(&mut self, address: &str, input: NodeInput) {
+        let now = self.now;
+        let machine = self.machines.get_mut(address);
+        let Some(node) = machine.and_then(|machine| machine.node.as_mut()) else {
+            return;
+        };
+        let outputs = node.handle(now, input);
+        for output in outputs {
+            self.carry_out(address, output);
+        }
+    }
+
+    fn step(&mut self) {
+        let next_tick = self.now + TICK;
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > next_tick {
+                break;
+            }
+            let ((time, _), event) = entry.remove_entry();
+            self.now = self.now.max(time);
+            self.happen(event);
+        }
+        self.now = next_tick;
+        let addresses: Vec<String> = self.machines.keys().cloned().collect();
+        for address in addresses {
+            self.input(&address, NodeInput::Tick);
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Frame(end, frame) => {
+                if !self.others.contains_key(&end) || self.cut.contains(&end.address) {
+                    return;
+                }
+                if self.machines.contains_key(&end.address) {
+                    let link = end.link;
+                    self.input(&end.address, NodeInput::Frame { link, frame });
+                } else {
+                    self.inbox.entry(end).or_default().push_back(frame);
+                }
+            }
+            Event::Opened(end, peer) => {
+                let link = end.link;
+                self.input(&end.address, NodeInput::LinkOpened { link, peer });
+            }
+            Event::Closed(end) => {
+                let link = end.link;
+                self.input(&end.address, NodeInput::LinkClosed { link });
+            }
+        }
+    }
+
+    fn carry_out(&mut self, address: &str, output: NodeOutput) {
+        let end = |link| End {
+            address: address.to_owned(),
+            link,
+        };
+        match output {
+            NodeOutput::Send { link, frame } => self.post(&end(link), frame),
+            NodeOutput::Connect { link, address: to } => self.connect(end(link), &to),
+            NodeOutput::Close { link } => self.close(&end(link)),
+            NodeOutput::OperatorReply { request, reply } => {
+                self.replies.insert(request, reply);
+            }
+            NodeOutput::Note(note) => self.notes.push((address.to_owned(), note)),
+            NodeOutput::Fatal { code } => panic!("{address} gave up: {code}"),
+        }
+    }
+
+    fn connect(&mut self, near: End, to: &str) {
+        let running = self
+            .machines
+            .get(to)
+            .is_some_and(|machine| machine.node.is_some());
+        let reachable = !self.cut.contains(to) && !self.cut.contains(&near.address);
+        if !running || !reachable {
+            self.schedule(Event::Closed(near));
+            return;
+        }
+        let far = self.far_end(to);
+        self.join(near, far);
+    }
+
+    fn far_end(&mut self, to: &str) -> End {
+        self.last_link += 1;
+        End {
+            address: to.to_owned(),
+            link: LinkId(self.last_link),
+        }
+    }
+
+    fn join(&mut self, near: End, far: End) {
+        self.others.insert(near.clone(), far.clone());
+        self.others.insert(far.clone(), near.clone());
+        self.schedule(Event::Opened(far, PeerKind::Incoming));
+        self.schedule(Event::Opened(near, PeerKind::Outgoing));
+    }
+
+    fn post(&mut self, from: &End, frame: Frame) {
+        let Some(to) = self.others.get(from).cloned() else {
+            return;
+        };
+        if !self.cut.contains(&from.address) {
+            self.schedule(Event::Frame(to, frame));
+        }
+    }
+
+    fn schedule(&mut self, event: Event) {
+        self.order += 1;
+        self.events.insert((self.now + LATENCY, self.order), event);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/support/memory_disk.rs
@@ -0,0 +1,84 @@
+//! Files in memory, shared by everyone who opens the same folder.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use millford_storage::{Disk, StorageError};
+
+type Files = BTreeMap<String, Vec<u8>>;
+
+/// The disk of one machine: folders with files.
+#[derive(Clone, Default)]
+pub struct MemoryMachine {
+    folders: Arc<Mutex<BTreeMap<String, Files>>>,
+}
+
+impl MemoryMachine {
+    pub fn folder(&self, name: &str) -> Box<dyn Disk> {
+        Box::new(MemoryFolder {
+            machine: self.clone(),
+            name: name.to_owned(),
+        })
+    }
+
+    pub fn wipe(&self) {
+        self.folders.lock().unwrap().clear();
+    }
+
+    /// Flips a bit in the middle of the largest file of a folder.
+    pub fn damage(&self, folder: &str) {
+        let mut folders = self.folders.lock().unwrap();
+        let files = folders.get_mut(folder).expect("the folder exists");
+        let largest = files.values_mut().max_by_key(|bytes| bytes.len());
+        let bytes = largest.expect("the folder has a file");
+        let middle = bytes.len() / 3;
+        bytes[middle] ^= 0x10;
+    }
+}
+
+struct MemoryFolder {
+    machine: MemoryMachine,
+    name: String,
+}
+
+impl MemoryFolder {
+    fn with<T>(&self, action: impl FnOnce(&mut Files) -> T) -> T {
+        let mut folders = self.machine.folders.lock().unwrap();
+        action(folders.entry(self.name.clone()).or_default())
+    }
+}
+
+impl Disk for MemoryFolder {
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        Ok(self.with(|files| files.keys().cloned().collect()))
+    }
+
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, StorageError> {
+        Ok(self.with(|files| files.get(name).cloned()))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        self.with(|files| files.entry(name.to_owned()).or_default().extend(bytes));
+        Ok(())
+    }
+
+    fn sync(&mut self, _name: &str) -> Result<(), StorageError> {
+        Ok(())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        self.with(|files| files.insert(name.to_owned(), bytes.to_vec()));
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> Result<(), StorageError> {
+        let length = usize::try_from(len).unwrap();
+        self.with(|files| files.entry(name.to_owned()).or_default().truncate(length));
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), StorageError> {
+        self.with(|files| files.remove(name));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/tests/support/orders.rs
@@ -0,0 +1,71 @@
+//! Orders of operators in tests.
+
+use std::time::Duration;
+
+use millford_api::command::PutConfig;
+use millford_api::config::{Document, Pool, Quota, Selector, Tenant};
+use millford_control::{OperatorReply, OperatorRequest};
+use millford_control_state::document;
+
+use super::cluster::Cluster;
+
+/// A document with one pool and these tenants, each with one key.
+pub fn document(tenants: &[&str]) -> Document {
+    let tenants = tenants.iter().map(|name| Tenant {
+        name: (*name).to_owned(),
+        key_hashes: vec![millford_core::hash_tenant_key(name)],
+        quota: Some(Quota {
+            requests_per_second: 10,
+            burst: 20,
+            concurrent_streams: 4,
+        }),
+    });
+    Document {
+        routes: Vec::new(),
+        pools: vec![Pool {
+            name: "pool".to_owned(),
+            selector: Some(Selector {
+                model: "saga".to_owned(),
+                ..Selector::default()
+            }),
+            drain_ms: 3000,
+            ..Pool::default()
+        }],
+        tenants: tenants.collect(),
+    }
+}
+
+pub fn order(base: u64, id: &str, wanted: Document) -> OperatorRequest {
+    OperatorRequest::PutConfig(PutConfig {
+        base_revision: base,
+        order_id: id.to_owned(),
+        digest: document::digest(&wanted),
+        document: Some(wanted),
+    })
+}
+
+/// Sends an order and expects it to be accepted under this number.
+pub fn accept(cluster: &mut Cluster, address: &str, base: u64, id: &str, wanted: Document) {
+    let request = cluster.ask(address, order(base, id, wanted));
+    match cluster.answer(request) {
+        OperatorReply::Order(reply) => assert_eq!(reply.revision, base + 1),
+        other => panic!("order {id}: {other:?}"),
+    }
+}
+
+/// Revision that a confirmed read at this node gives.
+pub fn revision(cluster: &mut Cluster, address: &str) -> u64 {
+    let request = cluster.ask(address, OperatorRequest::GetConfig);
+    match cluster.answer(request) {
+        OperatorReply::Config(reply) => reply.revision,
+        other => panic!("no configuration: {other:?}"),
+    }
+}
+
+/// A formed cluster with leaders everywhere.
+pub fn led(nodes: usize, seed: u64) -> Cluster {
+    let mut cluster = Cluster::start(nodes, seed);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    cluster.run(Duration::from_secs(1));
+    cluster
+}
