Bound control traffic, spread leaderships, notice a stalled disk; test the agents' side

Aim: hold the budget of 8 KB a second a node, keep shards' leaders apart, and not answer agents from a node whose disk stands still. Considered: whole load pictures twice a second (at 1,200 replicas about 100 KB/s a node, by the size of the message, not measured) against differences at a bounded rate; the latter is kept, with the whole picture every 10 s. The list of control nodes goes out with heartbeats only when it changed.

--- a/crates/control/src/gateway/agents.rs
+++ b/crates/control/src/gateway/agents.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 
 use millford_api::internal::{Heartbeat, SessionTouch};
-use millford_core::{ShardId, ShardLayout, session_key};
+use millford_core::{Duration, MonotonicTime, ShardId, ShardLayout, session_key};
 
 use crate::link::LinkId;
 
+/// The list of control nodes is sent again after this long, though unchanged.
+const LIST_REPEATED_AFTER: Duration = Duration::from_secs(10);
+
 #[derive(Debug)]
 struct Heard {
     link: Option<LinkId>,
@@ -16,10 +19,18 @@
     closed: bool,
 }
 
+/// Which list of control nodes was last sent on a link.
+#[derive(Debug, Default)]
+pub struct ListSent {
+    digest: u64,
+    at: MonotonicTime,
+}
+
 /// Sessions heard here, to be passed on to the leaders of their shards.
 #[derive(Debug, Default)]
 pub struct AgentTable {
     members: BTreeMap<String, Heard>,
+    lists: BTreeMap<LinkId, ListSent>,
 }
 
 impl AgentTable {
@@ -81,8 +92,21 @@
         touches
     }
 
+    /// Whether a list of control nodes is due on a link: when it changed, and now and then, so
+    /// that heartbeats stay small.
+    pub fn list_due(&mut self, now: MonotonicTime, link: LinkId, digest: u64) -> bool {
+        let sent = self.lists.get(&link);
+        let known = sent
+            .is_some_and(|sent| sent.digest == digest && now.since(sent.at) < LIST_REPEATED_AFTER);
+        if !known {
+            self.lists.insert(link, ListSent { digest, at: now });
+        }
+        !known
+    }
+
     /// A link ended: its members are heard elsewhere from now on.
     pub fn forget_link(&mut self, ended: LinkId) {
+        self.lists.remove(&ended);
         self.members.retain(|_, entry| entry.link != Some(ended));
     }
 
--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -194,6 +194,7 @@
         self.leaving = None;
         self.outputs.push(GatewayOutput::EraseShards);
         self.standings.clear();
+        self.stalls.clear();
         let former = self.file.node_id;
         self.directory.remove(NodeId(former));
         self.file.removed.push(former);
--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -5,7 +5,7 @@
 
 use super::Gateway;
 use crate::link::LinkId;
-use crate::node_output::NodeNote;
+use crate::node_output::{NodeNote, NodeOutput};
 use crate::shard::{ShardInput, ShardOutput, ShardStanding};
 
 impl Gateway {
@@ -24,12 +24,17 @@
                 message,
             } => self.feed(subscriber, message),
             ShardOutput::PublicChange(items) => self.public_change(now, shard, items),
-            ShardOutput::Standing(standing) => self.standing_changed(standing),
+            ShardOutput::Standing(standing) => self.standing_changed(now, standing),
             ShardOutput::Picture(picture) => {
                 self.tell_all_agents(&frame::Body::LoadPicture(picture));
             }
             ShardOutput::Note(note) => self.note(note),
-            ShardOutput::Failed(code) => self.note(NodeNote::ReplicaFailed { shard, code }),
+            ShardOutput::Failed(code) => {
+                // What the disk holds is unknown. A new process reads it again; if none comes, a
+                // spare takes this node's place.
+                self.note(NodeNote::ReplicaFailed { shard, code });
+                self.emit(NodeOutput::Fatal { code });
+            }
         }
     }
 
@@ -69,8 +74,9 @@
         self.send_to_every_node(body);
     }
 
-    fn standing_changed(&mut self, standing: ShardStanding) {
+    fn standing_changed(&mut self, now: MonotonicTime, standing: ShardStanding) {
         let shard = standing.shard;
+        self.stalls.heard(now, shard);
         let Some(former) = self.standings.insert(shard, standing.clone()) else {
             // A core that was stopped in the meantime.
             self.standings.remove(&shard);
--- a/crates/control/src/gateway/frames.rs
+++ b/crates/control/src/gateway/frames.rs
@@ -23,7 +23,7 @@
             Body::ShardRequest(request) => self.handle_shard_request(now, link, request),
             Body::ShardReply(reply) => self.handle_reply(now, reply.request_id, reply),
             Body::Subscribe(subscribe) => self.handle_subscribe(link, subscribe),
-            Body::Heartbeat(heartbeat) => self.handle_heartbeat(link, &heartbeat),
+            Body::Heartbeat(heartbeat) => self.handle_heartbeat(now, link, &heartbeat),
             Body::LoadReport(report) => self.handle_load(link, report),
             Body::QuotaRequest(request) => self.handle_quota_request(now, link, request),
             Body::RelayedQuotaRequest(relayed) => {
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! that each can run on a thread of its own.
 
 pub mod agents;
+pub mod balance;
 pub mod cluster;
 pub mod dialer;
 pub mod feeds;
@@ -17,6 +18,7 @@
 pub mod pending;
 pub mod requests;
 pub mod sessions;
+pub mod stalls;
 
 use std::collections::BTreeMap;
 
@@ -34,6 +36,7 @@
 use crate::options::ControlOptions;
 use crate::shard::{MemberView, ShardInput, ShardStanding};
 use agents::AgentTable;
+use balance::Balance;
 use cluster::Leaving;
 use dialer::Dialer;
 use links::LinkTable;
@@ -43,6 +46,7 @@
 use pending::PendingRequests;
 use requests::QuotaRelay;
 use sessions::OwnSession;
+use stalls::Stalls;
 
 pub use input::{GatewayInput, GatewayOutput};
 
@@ -59,12 +63,14 @@
     links: LinkTable,
     dialer: Dialer,
     standings: BTreeMap<ShardId, ShardStanding>,
+    stalls: Stalls,
     pending: PendingRequests,
     quota: QuotaRelay,
     agents: AgentTable,
     own_session: OwnSession,
     desk: OperatorDesk,
     view: MemberView,
+    balance: Balance,
     next_touch: MonotonicTime,
     outputs: Vec<GatewayOutput>,
 }
@@ -97,12 +103,14 @@
             links: LinkTable::default(),
             dialer: Dialer::default(),
             standings: BTreeMap::new(),
+            stalls: Stalls::default(),
             pending: PendingRequests::default(),
             quota: QuotaRelay::default(),
             agents: AgentTable::default(),
             own_session,
             desk: OperatorDesk::default(),
             view: MemberView::default(),
+            balance: Balance::new(now),
             next_touch: now,
             outputs: Vec::new(),
         };
@@ -147,7 +155,8 @@
         let held = self.standings.values().filter(|standing| !standing.removed);
         let complete = self.file.is_formed() && held.count() == self.shard_count();
         let configuration = self.standings.get(&ShardId::CONFIGURATION);
-        complete && configuration.is_some_and(|standing| standing.in_touch)
+        let in_touch = configuration.is_some_and(|standing| standing.in_touch);
+        complete && in_touch && !self.stalls.any()
     }
 
     /// Number of requests that wait for a leader.
@@ -169,12 +178,14 @@
     }
 
     fn tick(&mut self, now: MonotonicTime) {
+        self.stalls.tick(now);
         self.tick_dialer(now);
         self.tick_formation(now);
         self.tick_member_list(now);
         self.tick_leaving(now);
         self.tick_sessions(now);
         self.push_member_view(now);
+        self.tick_balance(now);
         self.settle_overdue(now);
         self.quota.expire(now);
     }
--- a/crates/control/src/gateway/pending.rs
+++ b/crates/control/src/gateway/pending.rs
@@ -80,6 +80,8 @@
 pub struct PendingRequests {
     next: Ticket,
     pending: BTreeMap<Ticket, Pending>,
+    /// No request is due before this time.
+    quiet_until: MonotonicTime,
 }
 
 impl PendingRequests {
@@ -138,6 +140,7 @@
             let named = pending.hint.is_some();
             let delay = if named { RETRY_HINTED } else { RETRY_NO_LEADER };
             pending.next_attempt = now + delay;
+            self.quiet_until = self.quiet_until.min(now + delay);
             return None;
         }
         let pending = self.pending.remove(&ticket)?;
@@ -149,11 +152,14 @@
 
     /// Requests that are due now; each is due again later unless answered.
     pub fn take_due(&mut self, now: MonotonicTime) -> Vec<Attempt> {
+        if now < self.quiet_until {
+            return Vec::new();
+        }
         let due = self
             .pending
             .iter_mut()
             .filter(|(_, pending)| pending.next_attempt <= now && !pending.is_spent());
-        due.map(|(ticket, pending)| {
+        let attempts = due.map(|(ticket, pending)| {
             pending.next_attempt = now + RESEND;
             pending.attempts += 1;
             Attempt {
@@ -162,8 +168,12 @@
                 hint: pending.hint,
                 attempts: pending.attempts - 1,
             }
-        })
-        .collect()
+        });
+        let attempts = attempts.collect();
+        let open = self.pending.values().filter(|pending| !pending.is_spent());
+        let next = open.map(|pending| pending.next_attempt).min();
+        self.quiet_until = next.unwrap_or(now + RESEND);
+        attempts
     }
 
     /// No node could be found for the attempt: it is due again soon.
@@ -171,6 +181,7 @@
         if let Some(pending) = self.pending.get_mut(&ticket) {
             pending.next_attempt = now + RETRY_NO_LEADER;
             pending.hint = NodeId::NONE;
+            self.quiet_until = self.quiet_until.min(pending.next_attempt);
         }
     }
 
@@ -220,6 +231,7 @@
             single,
         };
         self.pending.insert(ticket, pending);
+        self.quiet_until = self.quiet_until.min(now);
         ticket
     }
 }
--- a/crates/control/src/gateway/sessions.rs
+++ b/crates/control/src/gateway/sessions.rs
@@ -5,7 +5,9 @@
     Heartbeat, HeartbeatReply, SessionTouch, ShardReply, ShardRequest, TouchSessions, frame,
     shard_reply, shard_request,
 };
+use millford_api::state::ControlMember;
 use millford_core::{MonotonicTime, ShardId, session_key};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
 use super::pending::Origin;
@@ -33,14 +35,19 @@
 }
 
 impl Gateway {
-    pub(super) fn handle_heartbeat(&mut self, link: LinkId, heartbeat: &Heartbeat) {
+    pub(super) fn handle_heartbeat(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        heartbeat: &Heartbeat,
+    ) {
         self.links.set_agent(link);
         let session_alive = self.agents.heartbeat(Some(link), heartbeat);
         let reply = HeartbeatReply {
             sequence: heartbeat.sequence,
             session_alive,
             in_touch: self.is_in_touch(),
-            members: self.members_for_agents(),
+            members: self.members_for_agent(now, link),
             data_shards: self.file.data_shards,
         };
         self.send(link, frame::Body::HeartbeatReply(reply));
@@ -117,9 +124,14 @@
         format!("control-{}", self.file.identity())
     }
 
-    fn members_for_agents(&self) -> Vec<millford_api::state::ControlMember> {
+    /// The control nodes, or nothing when the agent has the list already.
+    fn members_for_agent(&mut self, now: MonotonicTime, link: LinkId) -> Vec<ControlMember> {
         let mut members = self.directory().to_vec();
         members.push(self.own_member());
+        let digest = xxh3_64(format!("{members:?}").as_bytes());
+        if !self.agents.list_due(now, link, digest) {
+            members.clear();
+        }
         members
     }
 }
--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -130,6 +130,7 @@
             ShardInput::Configuration(items) => self.configuration(now, &items),
             ShardInput::Members(view) => self.members = view,
             ShardInput::ForceRecovery => self.force_recovery(now),
+            ShardInput::HandOver { to } => self.hand_over_to(to),
             ShardInput::Leave => self.hand_over(),
         }
     }
@@ -329,12 +330,17 @@
         let status = self.replica.status();
         let mut peers = status.peers.iter();
         let successor = peers.find(|peer| peer.is_voter && peer.caught_up);
-        if let Some(successor) = successor {
-            // A refusal leaves the election to the others, as after a crash.
-            let _ = self.replica.transfer_leadership(successor.node);
+        if let Some(node) = successor.map(|successor| successor.node) {
+            self.hand_over_to(node);
         }
     }
 
+    fn hand_over_to(&mut self, node: NodeId) {
+        // A refusal leaves things as they are; a leader that goes all the same is missed and
+        // replaced by an election, as after a crash.
+        let _ = self.replica.transfer_leadership(node);
+    }
+
     pub(super) fn fail(&mut self, error: &StorageError) {
         self.failed = true;
         let deliveries = self.publisher.stale();
--- a/crates/control/src/shard/input.rs
+++ b/crates/control/src/shard/input.rs
@@ -5,6 +5,7 @@
 use millford_api::internal::{LoadReport, QuotaRequest, ShardRequest, Subscribe};
 use millford_api::replication::ReplicationMessage;
 use millford_api::state::StateItem;
+use millford_core::NodeId;
 
 use super::members::MemberView;
 use crate::link::LinkId;
@@ -63,6 +64,11 @@
     Members(MemberView),
     /// An operator forces recovery: this replica becomes the only voter.
     ForceRecovery,
+    /// Hand leadership to this voter.
+    HandOver {
+        /// The voter.
+        to: NodeId,
+    },
     /// The process leaves: hand leadership over if possible.
     Leave,
 }
--- a/crates/control/src/shard/mod.rs
+++ b/crates/control/src/shard/mod.rs
@@ -6,6 +6,7 @@
 pub mod input;
 pub mod members;
 pub mod output;
+pub mod picture_feed;
 pub mod placement_role;
 pub mod proposals;
 pub mod quota_desk;
--- /dev/null
+++ b/crates/control/src/shard/picture_feed.rs
@@ -0,0 +1,94 @@
+//! The load picture on its way to the nodes: differences only, and a bounded rate.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::ReplicaLoad;
+use millford_core::{Duration, MonotonicTime};
+
+use crate::timing::PICTURE_PERIOD;
+
+/// Bytes a second that a shard's pictures may cost each node.
+const BYTES_PER_SECOND: u64 = 1024;
+
+/// The whole picture is sent again after this long, for nodes that came since.
+const WHOLE_AFTER: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PictureKey {
+    backend_id: String,
+    model: String,
+    version: String,
+}
+
+#[derive(Debug, Default)]
+struct Sent {
+    loads: BTreeMap<PictureKey, ReplicaLoad>,
+    whole_at: MonotonicTime,
+}
+
+/// What was sent last for each service.
+#[derive(Debug, Default)]
+pub struct PictureFeed {
+    services: BTreeMap<String, Sent>,
+    next: MonotonicTime,
+}
+
+impl PictureFeed {
+    /// Whether pictures are to be sent now.
+    #[must_use]
+    pub fn is_due(&self, now: MonotonicTime) -> bool {
+        now >= self.next
+    }
+
+    /// Pictures of this size were sent. Large ones are sent more rarely, so that a node's share of
+    /// control traffic stays bounded; between them nodes go by their own counts.
+    pub fn sent(&mut self, now: MonotonicTime, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let paced = Duration::from_millis(bytes.saturating_mul(1000) / BYTES_PER_SECOND);
+        self.next = now + paced.max(PICTURE_PERIOD);
+    }
+
+    /// The loads that changed since the last picture. A replica that is gone from the picture is
+    /// listed once more, as idle.
+    pub fn difference(
+        &mut self,
+        now: MonotonicTime,
+        service: &str,
+        loads: Vec<ReplicaLoad>,
+    ) -> Vec<ReplicaLoad> {
+        let sent = self.services.entry(service.to_owned()).or_default();
+        let present: BTreeMap<PictureKey, ReplicaLoad> = loads
+            .into_iter()
+            .map(|load| (key_of(&load), load))
+            .collect();
+        let gone = sent.loads.keys().filter(|key| !present.contains_key(*key));
+        let mut difference: Vec<ReplicaLoad> = gone.map(idle).collect();
+        let whole = now.since(sent.whole_at) >= WHOLE_AFTER;
+        if whole {
+            sent.whole_at = now;
+        }
+        let changed = present
+            .iter()
+            .filter(|(key, load)| whole || sent.loads.get(key) != Some(*load));
+        difference.extend(changed.map(|(_, load)| load.clone()));
+        sent.loads = present;
+        difference
+    }
+}
+
+fn key_of(load: &ReplicaLoad) -> PictureKey {
+    PictureKey {
+        backend_id: load.backend_id.clone(),
+        model: load.model.clone(),
+        version: load.version.clone(),
+    }
+}
+
+fn idle(key: &PictureKey) -> ReplicaLoad {
+    ReplicaLoad {
+        backend_id: key.backend_id.clone(),
+        model: key.model.clone(),
+        version: key.version.clone(),
+        ..ReplicaLoad::default()
+    }
+}
--- a/crates/control/src/shard/placement_role.rs
+++ b/crates/control/src/shard/placement_role.rs
@@ -9,27 +9,29 @@
 use millford_control_state::keys;
 use millford_core::{MonotonicTime, ShardId};
 use millford_placement::{Placer, PlacerOptions};
+use prost::Message;
 
 use super::core::ShardCore;
 use super::output::ShardOutput;
+use super::picture_feed::PictureFeed;
 use super::proposals::Purpose;
 use super::upkeep::command_of;
-use crate::timing::{PICTURE_PERIOD, PLACEMENT_PERIOD};
+use crate::timing::PLACEMENT_PERIOD;
 
 /// Placers of the pools that this shard owns, on its leader only.
 #[derive(Debug, Default)]
 pub struct PlacementRole {
     placers: BTreeMap<String, Placer>,
+    pictures: PictureFeed,
     next_plan: MonotonicTime,
-    next_picture: MonotonicTime,
 }
 
 impl PlacementRole {
     /// The replica leads from now on. What the predecessor learned is learned again from reports.
     pub fn lead(&mut self, now: MonotonicTime) {
         self.placers.clear();
+        self.pictures = PictureFeed::default();
         self.next_plan = now + PLACEMENT_PERIOD;
-        self.next_picture = now + PICTURE_PERIOD;
     }
 
     /// The replica does not lead any more.
@@ -62,8 +64,7 @@
         if self.options.shard == ShardId::CONFIGURATION {
             return;
         }
-        if now >= self.placement.next_picture {
-            self.placement.next_picture = now + PICTURE_PERIOD;
+        if self.placement.pictures.is_due(now) {
             self.send_pictures(now);
         }
         if now >= self.placement.next_plan {
@@ -74,17 +75,22 @@
 
     fn send_pictures(&mut self, now: MonotonicTime) {
         let epoch = self.standing.term;
-        let placers = self.placement.placers.iter();
-        let pictures = placers.map(|(service, placer)| LoadPicture {
-            service: service.clone(),
-            epoch,
-            loads: placer.picture(now),
-        });
-        let pictures: Vec<LoadPicture> = pictures
-            .filter(|picture| !picture.loads.is_empty())
-            .collect();
-        self.outputs
-            .extend(pictures.into_iter().map(ShardOutput::Picture));
+        let mut bytes = 0;
+        for (service, placer) in &self.placement.placers {
+            let loads = placer.picture(now);
+            let loads = self.placement.pictures.difference(now, service, loads);
+            if loads.is_empty() {
+                continue;
+            }
+            let picture = LoadPicture {
+                service: service.clone(),
+                epoch,
+                loads,
+            };
+            bytes += picture.encoded_len();
+            self.outputs.push(ShardOutput::Picture(picture));
+        }
+        self.placement.pictures.sent(now, bytes);
     }
 
     fn plan_placements(&mut self, now: MonotonicTime) {
--- /dev/null
+++ b/crates/control/tests/work.rs
@@ -0,0 +1,332 @@
+//! What agents send for the request path: claims, quota, load; and the registry.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use millford_api::command::{Claim, RunOutcome, SettleClaim, command, command_result};
+use millford_api::internal::{
+    Frame, LoadReport, QuotaAsk, QuotaReply, QuotaRequest, ReplicaLoad, frame, shard_reply,
+};
+use millford_api::state::{BackendState, state_value::Kind};
+use millford_control::registry::view::RegistryDeclaration;
+use millford_control::{NodeInput, OperatorReply, OperatorRequest, RegistryEntry, RegistryView};
+use millford_core::{ResultCode, ShardId, ShardLayout, service_key, tenant_key};
+use support::orders::{accept, document, led};
+use support::{Cluster, TestAgent};
+
+fn layout() -> ShardLayout {
+    ShardLayout::new(2)
+}
+
+fn entry(id: &str, state: &str) -> RegistryEntry {
+    RegistryEntry {
+        id: id.to_owned(),
+        address: format!("{id}:1"),
+        cores: 8,
+        bandwidth_gbps: 100.0,
+        state: state.to_owned(),
+        declarations: vec![RegistryDeclaration {
+            model: "saga".to_owned(),
+            version: "1".to_owned(),
+            ..RegistryDeclaration::default()
+        }],
+        ..RegistryEntry::default()
+    }
+}
+
+/// Lets every node read the registry and gives the change time to be committed.
+fn read_registry(cluster: &mut Cluster, backends: Vec<RegistryEntry>) {
+    let view = Arc::new(RegistryView { backends });
+    for address in ["node-1", "node-2", "node-3"] {
+        cluster.input(address, NodeInput::Registry(view.clone()));
+    }
+    cluster.run(Duration::from_millis(200));
+}
+
+/// States of the pool's backends as the agent sees them.
+fn states(agent: &TestAgent) -> Vec<(String, BackendState)> {
+    let items = agent.view.items().values();
+    items
+        .filter_map(|value| match &value.kind {
+            Some(Kind::Backend(backend)) => Some((backend.id.clone(), backend.state())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn follow_service(cluster: &mut Cluster, node: &str) -> TestAgent {
+    let shard = layout().shard_of(&service_key("pool"));
+    TestAgent::connect(cluster, &format!("follower-{node}"), node, shard)
+}
+
+#[test]
+fn the_registry_s_changes_reach_agents_at_every_node_and_an_operator_can_drain() {
+    let mut cluster = led(3, 1);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    let mut agents = ["node-1", "node-2", "node-3"].map(|node| follow_service(&mut cluster, node));
+    read_registry(
+        &mut cluster,
+        vec![entry("m1", "active"), entry("m2", "active")],
+    );
+    let expect =
+        |cluster: &mut Cluster, agents: &mut [TestAgent], wanted: &[(&str, BackendState)]| {
+            for agent in agents {
+                agent.receive(cluster);
+                let wanted: Vec<_> = wanted
+                    .iter()
+                    .map(|(id, state)| ((*id).to_owned(), *state))
+                    .collect();
+                assert_eq!(states(agent), wanted, "{}", agent.name);
+            }
+        };
+    use BackendState::{BackendActive, BackendDraining};
+    expect(
+        &mut cluster,
+        &mut agents,
+        &[("m1", BackendActive), ("m2", BackendActive)],
+    );
+    read_registry(
+        &mut cluster,
+        vec![entry("m1", "draining"), entry("m2", "active")],
+    );
+    expect(
+        &mut cluster,
+        &mut agents,
+        &[("m1", BackendDraining), ("m2", BackendActive)],
+    );
+    read_registry(&mut cluster, vec![entry("m2", "active")]);
+    expect(&mut cluster, &mut agents, &[("m2", BackendActive)]);
+    let drain = OperatorRequest::Drain {
+        pool: "pool".to_owned(),
+        backend_id: "m2".to_owned(),
+        drain: true,
+    };
+    let request = cluster.ask("node-3", drain);
+    assert!(matches!(cluster.answer(request), OperatorReply::Drain(_)));
+    // The registry knows nothing of the order and does not undo it.
+    read_registry(&mut cluster, vec![entry("m2", "active")]);
+    expect(&mut cluster, &mut agents, &[("m2", BackendDraining)]);
+    let unknown = OperatorRequest::Drain {
+        pool: "pool".to_owned(),
+        backend_id: "m9".to_owned(),
+        drain: true,
+    };
+    let request = cluster.ask("node-1", unknown);
+    let OperatorReply::Failed(failure) = cluster.answer(request) else {
+        panic!("an unknown backend was drained");
+    };
+    assert_eq!(failure.code, ResultCode::BackendUnknown);
+}
+
+#[test]
+fn the_registry_goes_on_after_the_leader_of_the_service_died() {
+    let mut cluster = led(3, 2);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    read_registry(&mut cluster, vec![entry("m1", "active")]);
+    let shard = layout().shard_of(&service_key("pool"));
+    let leader = cluster.leader(shard).expect("a leader");
+    let survivor = if leader == "node-1" {
+        "node-2"
+    } else {
+        "node-1"
+    };
+    let mut agent = follow_service(&mut cluster, survivor);
+    cluster.kill(&leader);
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    read_registry(&mut cluster, vec![entry("m1", "draining")]);
+    agent.receive(&mut cluster);
+    assert_eq!(
+        states(&agent),
+        [("m1".to_owned(), BackendState::BackendDraining)]
+    );
+}
+
+fn claim(attempt: &str) -> command::Kind {
+    command::Kind::Claim(Claim {
+        tenant: "a".to_owned(),
+        request_id: "request".to_owned(),
+        attempt_id: attempt.to_owned(),
+        digest: vec![1],
+    })
+}
+
+fn granted(agent: &mut TestAgent, cluster: &mut Cluster, attempt: &str) -> (bool, RunOutcome) {
+    let shard = layout().shard_of(&tenant_key("a"));
+    agent.propose(cluster, shard, claim(attempt));
+    let reply = agent.reply(cluster);
+    let Some(shard_reply::Kind::Result(result)) = reply.kind else {
+        panic!("no result: {reply:?}");
+    };
+    let Some(command_result::Kind::Claim(claim)) = result.kind else {
+        panic!("no claim: {result:?}");
+    };
+    (claim.granted, claim.outcome())
+}
+
+#[test]
+fn a_claim_is_granted_to_one_attempt_whichever_node_and_leader_takes_it() {
+    for seed in 1..=10 {
+        let mut cluster = led(3, seed);
+        let mut agents = ["node-1", "node-2", "node-3"].map(|node| {
+            TestAgent::connect(&mut cluster, &format!("agent-{node}"), node, ShardId(0))
+        });
+        assert!(granted(&mut agents[0], &mut cluster, "first").0);
+        assert!(
+            granted(&mut agents[1], &mut cluster, "first").0,
+            "the same attempt, resent"
+        );
+        assert!(!granted(&mut agents[2], &mut cluster, "second").0);
+        let shard = layout().shard_of(&tenant_key("a"));
+        let leader = cluster.leader(shard).expect("a leader");
+        cluster.kill(&leader);
+        let other = agents
+            .iter()
+            .position(|agent| !agent.name.ends_with(&leader))
+            .expect("one");
+        // Asked at once, while the shard has no leader: the answer waits for the election.
+        let refused = granted(&mut agents[other], &mut cluster, "third");
+        assert_eq!(refused, (false, RunOutcome::RunUnknown), "seed {seed}");
+        let settle = command::Kind::SettleClaim(SettleClaim {
+            tenant: "a".to_owned(),
+            request_id: "request".to_owned(),
+            attempt_id: "first".to_owned(),
+            outcome: RunOutcome::RunCompleted.into(),
+        });
+        agents[other].propose(&mut cluster, shard, settle);
+        assert_eq!(agents[other].reply(&mut cluster).code, 0);
+        let known = granted(&mut agents[other], &mut cluster, "fourth");
+        assert_eq!(known, (false, RunOutcome::RunCompleted), "seed {seed}");
+    }
+}
+
+fn ask_quota(cluster: &mut Cluster, agent: &mut TestAgent, request_id: u64) -> QuotaReply {
+    let shard = layout().shard_of(&tenant_key("a"));
+    let request = QuotaRequest {
+        shard: shard.0,
+        request_id,
+        member: agent.name.clone(),
+        epoch: 1,
+        asks: vec![QuotaAsk {
+            tenant: "a".to_owned(),
+            tokens: 4,
+            ..QuotaAsk::default()
+        }],
+    };
+    let body = Some(frame::Body::QuotaRequest(request));
+    cluster.send(&agent.end, Frame { body });
+    cluster.run(Duration::from_millis(60));
+    let frames = cluster.take_frames(&agent.end);
+    let replies = frames.into_iter().filter_map(|frame| match frame.body {
+        Some(frame::Body::QuotaReply(reply)) => Some(reply),
+        _ => None,
+    });
+    replies.last().expect("a quota answer")
+}
+
+#[test]
+fn quota_holds_over_agents_at_all_nodes_together() {
+    let mut cluster = led(3, 3);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    cluster.run(Duration::from_secs(6));
+    let mut agents = ["node-1", "node-2", "node-3"]
+        .map(|node| TestAgent::connect(&mut cluster, &format!("agent-{node}"), node, ShardId(0)));
+    let began = cluster.now;
+    let mut tokens = 0;
+    for round in 0..12u64 {
+        let agent = &mut agents[round as usize % 3];
+        let reply = ask_quota(&mut cluster, agent, round + 1);
+        assert_eq!(reply.code, 0, "{reply:?}");
+        assert_eq!(reply.request_id, round + 1);
+        tokens += reply.grants[0].tokens;
+    }
+    // Burst 20 and 10 a second.
+    let seconds = cluster.now.since(began).as_secs_f64();
+    let most = 20.0 + 10.0 * seconds;
+    assert!(f64::from(tokens) <= most, "{tokens} tokens in {seconds} s");
+    assert!(
+        tokens >= 20,
+        "a tenant under its quota gets its burst: {tokens}"
+    );
+    let last = ask_quota(&mut cluster, &mut agents[0], 99);
+    assert!(last.grants[0].refused || last.grants[0].retry_after_ms > 0);
+}
+
+#[test]
+fn load_reports_come_back_as_one_picture_at_every_node_and_a_placement_is_set() {
+    let mut cluster = led(3, 4);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    read_registry(
+        &mut cluster,
+        vec![entry("m1", "active"), entry("m2", "active")],
+    );
+    let shard = layout().shard_of(&service_key("pool"));
+    let agents = ["node-1", "node-2", "node-3"]
+        .map(|node| TestAgent::connect(&mut cluster, &format!("agent-{node}"), node, ShardId(0)));
+    for agent in &agents {
+        let report = LoadReport {
+            member: agent.name.clone(),
+            epoch: 1,
+            service: "pool".to_owned(),
+            shard: shard.0,
+            loads: vec![ReplicaLoad {
+                backend_id: "m1".to_owned(),
+                model: "saga".to_owned(),
+                version: "1".to_owned(),
+                decode_streams: 2,
+                ..ReplicaLoad::default()
+            }],
+        };
+        let body = Some(frame::Body::LoadReport(report));
+        cluster.send(&agent.end, Frame { body });
+    }
+    cluster.run(Duration::from_millis(800));
+    for agent in &agents {
+        let frames = cluster.take_frames(&agent.end);
+        let pictures = frames.into_iter().filter_map(|frame| match frame.body {
+            Some(frame::Body::LoadPicture(picture)) => Some(picture),
+            _ => None,
+        });
+        let picture = pictures
+            .last()
+            .unwrap_or_else(|| panic!("no picture for {}", agent.name));
+        let load = picture
+            .loads
+            .iter()
+            .find(|load| load.backend_id == "m1")
+            .expect("m1");
+        assert_eq!(load.decode_streams, 6, "{}", agent.name);
+    }
+    let mut follower = follow_service(&mut cluster, "node-2");
+    cluster.run(Duration::from_secs(3));
+    follower.receive(&mut cluster);
+    let placement = follower.view.items().get("placement/pool");
+    let Some(Kind::Placement(placement)) = placement.and_then(|value| value.kind.as_ref()) else {
+        panic!("no placement");
+    };
+    let leader = cluster.leader(shard).expect("a leader");
+    let term = cluster
+        .node(&leader)
+        .core(shard)
+        .expect("a core")
+        .status()
+        .term;
+    assert_eq!(placement.epoch, term, "fenced by the leader's term");
+}
+
+#[test]
+fn leaderships_spread_over_the_nodes_again_after_one_was_away() {
+    let mut cluster = led(3, 8);
+    cluster.kill("node-1");
+    cluster.kill("node-2");
+    cluster.run(Duration::from_secs(1));
+    cluster.boot("node-2");
+    cluster.run_until(Duration::from_secs(4), "leaders", Cluster::is_led);
+    cluster.boot("node-1");
+    cluster.run(Duration::from_secs(60));
+    let leaders: std::collections::BTreeSet<_> = (0..=2)
+        .map(|shard| cluster.leader(ShardId(shard)).expect("a leader"))
+        .collect();
+    assert!(leaders.len() >= 2, "one node leads everything: {leaders:?}");
+}
