--- a/crates/control/tests/work.rs
+++ b/crates/control/tests/work.rs
@@ -218,11 +218,11 @@
     cluster.send(&agent.end, Frame { body });
     cluster.run(Duration::from_millis(60));
     let frames = cluster.take_frames(&agent.end);
-    let replies = frames.into_iter().filter_map(|frame| match frame.body {
+    let mut replies = frames.into_iter().filter_map(|frame| match frame.body {
         Some(frame::Body::QuotaReply(reply)) => Some(reply),
         _ => None,
     });
-    replies.last().expect("a quota answer")
+    replies.next_back().expect("a quota answer")
 }
 
 #[test]
@@ -284,12 +284,12 @@
     cluster.run(Duration::from_millis(800));
     for agent in &agents {
         let frames = cluster.take_frames(&agent.end);
-        let pictures = frames.into_iter().filter_map(|frame| match frame.body {
+        let mut pictures = frames.into_iter().filter_map(|frame| match frame.body {
             Some(frame::Body::LoadPicture(picture)) => Some(picture),
             _ => None,
         });
         let picture = pictures
-            .last()
+            .next_back()
             .unwrap_or_else(|| panic!("no picture for {}", agent.name));
         let load = picture
             .loads
