Prove the quota ledger under lost replies, crashes and changes of leader

Aim: granted and spent is at most burst + rate * window, and nobody under the quota is refused.

Simulated time, nodes and network around the ledger; quickcheck over quotas, fleets and faults. The first runs failed and showed two faults. Requests that wait while there is no leader were refused once it came: an exact bucket would have served them when they came and refilled since, so the optimistic count, by which is judged whether to refuse, now exceeds the burst by what waits. And the test dated a resent answer by its resend; it counts from when the tokens were lent.

Planted defects that the tests catch: no wait for the former leader's step-down, a full bucket at takeover, no kept answers for resent requests, spare tokens not counted against the burst, refusal without recall, refusal by the conservative count, crashed nodes' tokens taken as spent. Not caught: the half-burst cap of a new leader's first lease, which matters only when spare tokens of several nodes add up to half a burst.

--- a/crates/control-state/src/quota/account.rs
+++ b/crates/control-state/src/quota/account.rs
@@ -95,6 +95,8 @@
         }
         let waiting = if answer.refused { 0 } else { missing };
         self.slice(now, ask).set_waiting(waiting);
+        let all_waiting = waiting + self.waiting_elsewhere(ask.member);
+        self.bucket.set_waiting(all_waiting);
         answer
     }
 
@@ -130,6 +132,8 @@
         }
         self.bucket.doubt(unknown);
         self.slices.retain(|_, slice| !slice.is_empty());
+        let waiting = self.slices.values().map(MemberSlice::waiting).sum();
+        self.bucket.set_waiting(waiting);
     }
 
     /// Goes over to another quota.
--- a/crates/control-state/src/quota/bucket.rs
+++ b/crates/control-state/src/quota/bucket.rs
@@ -6,6 +6,9 @@
 /// Millionths of a token in one token. With microseconds, rates stay whole numbers.
 pub(super) const MICRO: u64 = 1_000_000;
 
+/// Longest time without a leader for which the requests that came meanwhile are not refused.
+const LONGEST_VACANCY: Duration = Duration::from_secs(5);
+
 /// When a leader may lend, and when its buckets may be full.
 ///
 /// A new leader does not know what its predecessor lent. From `start` on the predecessor lends
@@ -36,23 +39,33 @@
     updated: MonotonicTime,
     /// May be lent. `free` and the spare tokens at the nodes together are never more than `burst`.
     free: u64,
-    /// At least as much as would be there if every token whose fate is unknown had not been spent.
+    /// At least as much as would be there if every token whose fate is unknown had not been spent,
+    /// and nothing had been taken out yet for the requests that wait.
     optimistic: u64,
+    /// Requests that wait. A bucket that had served them when they came would have refilled since,
+    /// so the optimistic count may exceed the burst by their number.
+    waiting: u64,
 }
 
 impl Bucket {
     /// The bucket of a tenant that has not been seen since the leader's takeover, at `now`.
     pub(super) fn new(quota: &Quota, takeover: Takeover, now: MonotonicTime) -> Self {
         let burst = u64::from(quota.burst) * MICRO;
+        let rate = u64::from(quota.requests_per_second);
         let mut bucket = Self {
-            rate: u64::from(quota.requests_per_second),
+            rate,
             burst,
             spare_limit: spare_limit(quota.burst) * MICRO,
             takeover,
             updated: takeover.start,
             free: 0,
             optimistic: burst,
+            waiting: 0,
         };
+        if now < takeover.full_after {
+            // Requests that came while there was no leader wait in the nodes.
+            bucket.optimistic += bucket.earned(LONGEST_VACANCY);
+        }
         bucket.refill(now, 0);
         bucket
     }
@@ -121,6 +134,11 @@
         self.add_optimistic(tokens * MICRO);
     }
 
+    /// Notes how many requests wait at the nodes.
+    pub(super) fn set_waiting(&mut self, requests: u64) {
+        self.waiting = requests * MICRO;
+    }
+
     /// Time until the next whole token may be lent.
     pub(super) fn until_next(&self, now: MonotonicTime) -> Duration {
         let wait = self.takeover.start.since(now);
@@ -139,7 +157,7 @@
         self.burst = burst;
         self.spare_limit = spare_limit(quota.burst) * MICRO;
         self.free = (self.free + more).min(burst.saturating_sub(spare));
-        self.optimistic = (self.optimistic + more).min(burst);
+        self.optimistic = (self.optimistic + more).min(burst + self.waiting);
     }
 
     fn add_time(&mut self, until: MonotonicTime, cap: u64, spare: u64) {
@@ -159,6 +177,8 @@
     }
 
     fn add_optimistic(&mut self, micro_tokens: u64) {
-        self.optimistic = self.optimistic.saturating_add(micro_tokens).min(self.burst);
+        let cap = self.burst + self.waiting;
+        let more = self.optimistic.saturating_add(micro_tokens).min(cap);
+        self.optimistic = self.optimistic.max(more);
     }
 }
--- a/crates/control-state/src/quota/mod.rs
+++ b/crates/control-state/src/quota/mod.rs
@@ -19,5 +19,5 @@
 mod tenant_account;
 
 pub use ledger::QuotaLedger;
-pub use options::QuotaOptions;
+pub use options::{QUOTA_LEASE, QuotaOptions, STEP_DOWN_BOUND};
 pub use output::QuotaOutput;
--- /dev/null
+++ b/crates/control-state/tests/quota.rs
@@ -0,0 +1,273 @@
+//! The quota holds over every window, and nobody under it is refused, in simulated time.
+
+#[path = "support/quota_world.rs"]
+mod quota_world;
+
+use millford_api::config::Quota;
+use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
+use quota_world::{QuotaWorld, fits_bucket, served_by_exact_bucket};
+
+const SECOND: u64 = 1_000_000;
+/// Time in which arrivals come.
+const RUN: u64 = 8 * SECOND;
+
+/// A random quota, fleet and seed.
+#[derive(Clone, Debug)]
+struct Setting {
+    seed: u64,
+    rate: u32,
+    burst: u32,
+    nodes: usize,
+    elections: u64,
+    crashes: u64,
+    loss_percent: u64,
+}
+
+impl Arbitrary for Setting {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let mut below = |limit: u64| u64::arbitrary(generator) % limit;
+        Setting {
+            seed: below(u64::MAX),
+            rate: u32::try_from(below(60) + 1).expect("small"),
+            burst: u32::try_from(below(40) + 1).expect("small"),
+            nodes: usize::try_from(below(5) + 1).expect("small"),
+            elections: below(4),
+            crashes: below(3),
+            loss_percent: below(10),
+        }
+    }
+}
+
+impl Setting {
+    fn quota(&self) -> Quota {
+        Quota {
+            requests_per_second: self.rate,
+            burst: self.burst,
+            concurrent_streams: 0,
+        }
+    }
+
+    fn world(&self) -> QuotaWorld {
+        QuotaWorld::new(self.seed, self.quota(), self.nodes)
+    }
+
+    /// Elections and crashes at random times.
+    fn add_faults(&self, world: &mut QuotaWorld) {
+        let start = world.start();
+        world.loss_percent = self.loss_percent;
+        // One election for each stretch, so that a leader stops before the next is elected.
+        for election in 0..self.elections {
+            let at = start + (election * 2 + 1) * SECOND + world.random(SECOND);
+            world.elect(at);
+        }
+        for _ in 0..self.crashes {
+            let at = start + world.random(RUN);
+            let node = world.random(self.nodes as u64);
+            world.crash(at, usize::try_from(node).expect("small"));
+        }
+    }
+
+    /// Arrivals at three times the rate, in bursts, at random nodes.
+    fn add_heavy_demand(&self, world: &mut QuotaWorld) {
+        let start = world.start();
+        let arrivals = u64::from(self.rate) * 3 * RUN / SECOND + u64::from(self.burst);
+        for _ in 0..arrivals {
+            let at = start + world.random(RUN);
+            let node = world.random(self.nodes as u64);
+            world.arrival(at, usize::try_from(node).expect("small"));
+        }
+    }
+
+    /// Arrivals that an exact bucket allows, with the slack that the network's delays need.
+    fn add_demand_under_quota(&self, world: &mut QuotaWorld, slack_micros: u64) -> u64 {
+        let slack = 1 + u64::from(self.rate) * slack_micros / SECOND;
+        let Some(burst) = u64::from(self.burst).checked_sub(slack) else {
+            return 0;
+        };
+        let mut level = burst * SECOND;
+        let mut now = world.start();
+        let end = now + RUN;
+        let mut arrivals = 0;
+        while now < end {
+            let pause = match world.random(4) {
+                0 => 0,
+                1 => world.random(2 * SECOND / u64::from(self.rate)),
+                _ => SECOND / u64::from(self.rate),
+            };
+            now += pause;
+            level = (level + pause * u64::from(self.rate)).min(burst * SECOND);
+            if level >= SECOND {
+                level -= SECOND;
+                let node = world.random(self.nodes as u64);
+                world.arrival(now, usize::try_from(node).expect("small"));
+                arrivals += 1;
+            } else {
+                now += 1_000;
+                level += 1_000 * u64::from(self.rate);
+            }
+        }
+        arrivals
+    }
+}
+
+/// The result with what it takes to look into a failure.
+fn judge(held: bool, setting: &Setting, world: &QuotaWorld) -> TestResult {
+    if held {
+        return TestResult::passed();
+    }
+    let tally = &world.tally;
+    TestResult::error(format!(
+        "{setting:?}: arrived {}, spent {}, refused {}, waiting {}, lost in crashes {}",
+        tally.arrivals.len(),
+        tally.spent.len(),
+        tally.refused,
+        tally.left_waiting,
+        tally.lost_in_crashes
+    ))
+}
+
+/// A quota and a pace at which spare tokens are lent to the busy node.
+#[derive(Clone, Debug)]
+struct Busy {
+    setting: Setting,
+    /// Pause between the busy time of one node and the burst at another, in microseconds.
+    pause: u64,
+    elect_in_pause: bool,
+    crash_in_pause: bool,
+}
+
+impl Arbitrary for Busy {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let mut setting = Setting::arbitrary(generator);
+        setting.rate = 20 + setting.rate * 4;
+        setting.burst = 10 + setting.burst * 2;
+        setting.nodes = 2;
+        Busy {
+            setting,
+            pause: u64::arbitrary(generator) % 1_300_000,
+            elect_in_pause: bool::arbitrary(generator),
+            crash_in_pause: bool::arbitrary(generator),
+        }
+    }
+}
+
+impl Busy {
+    /// Node 0 is busy at half the rate for three seconds; gives the end of that time.
+    fn add_busy_time(&self, world: &mut QuotaWorld) -> u64 {
+        let between = 2 * SECOND / u64::from(self.setting.rate);
+        let mut at = world.start();
+        let end = at + 3 * SECOND;
+        while at < end {
+            world.arrival(at, 0);
+            at += between;
+        }
+        end
+    }
+}
+
+/// A slow bucket: what a crashed node took with it is missing for several seconds.
+#[test]
+fn tokens_that_a_crashed_node_held_make_others_wait_and_refuse_nobody() {
+    let quota = Quota {
+        requests_per_second: 1,
+        burst: 100,
+        concurrent_streams: 0,
+    };
+    let mut world = QuotaWorld::new(1, quota, 2);
+    let start = world.start();
+    for _ in 0..40 {
+        world.arrival(start, 0);
+    }
+    world.arrival(start + SECOND + SECOND / 10, 0);
+    world.crash(start + SECOND + SECOND / 5, 0);
+    for _ in 0..58 {
+        world.arrival(start + 3 * SECOND, 1);
+    }
+    world.run_until(start + 3 * SECOND + SECOND / 10);
+    assert!(
+        world.tally.left_waiting > 0,
+        "the crashed node held spare tokens"
+    );
+    world.run_until(start + 20 * SECOND);
+    assert_eq!((world.tally.refused, world.tally.left_waiting), (0, 0));
+    assert!(fits_bucket(&quota, &world.tally.spent));
+}
+
+quickcheck! {
+    /// Spare tokens that lie at a node are called back before another node's burst, which is under
+    /// the quota, would be refused; those of a crashed node only make it wait.
+    fn idle_slices_come_back_before_a_refusal(busy: Busy) -> TestResult {
+        let setting = &busy.setting;
+        let mut world = setting.world();
+        let end = busy.add_busy_time(&mut world);
+        let slack = 2 + setting.rate / 50;
+        if busy.crash_in_pause {
+            world.crash(end + busy.pause / 2, 0);
+        }
+        for _ in slack..setting.burst {
+            world.arrival(end + busy.pause, 1);
+        }
+        world.run_until(end + 30 * SECOND);
+        let tally = &world.tally;
+        let served = tally.spent.len() as u64 + tally.lost_in_crashes;
+        let held = tally.refused == 0 && served == tally.arrivals.len() as u64;
+        judge(held, setting, &world)
+    }
+
+    /// Spare tokens that are spent late, also those of a former leader, stay within the quota.
+    fn spare_tokens_stay_within_the_quota(busy: Busy) -> TestResult {
+        let setting = &busy.setting;
+        let mut world = setting.world();
+        let end = busy.add_busy_time(&mut world);
+        if busy.elect_in_pause {
+            world.elect(end);
+        }
+        // Until long after the election both nodes want more than there is.
+        let blast = end + busy.pause;
+        for step in 0..20 {
+            for node in [0, 1] {
+                for _ in 0..setting.burst {
+                    world.arrival(blast + step * 100_000, node);
+                }
+            }
+        }
+        world.run_until(blast + 4 * SECOND);
+        judge(fits_bucket(&setting.quota(), &world.tally.spent), setting, &world)
+    }
+
+    /// Granted and spent is at most burst + rate * window, whatever is lost or elected.
+    fn no_window_exceeds_the_quota(setting: Setting) -> TestResult {
+        let mut world = setting.world();
+        setting.add_heavy_demand(&mut world);
+        setting.add_faults(&mut world);
+        world.run_until(world.start() + RUN + 3 * SECOND);
+        let fits = fits_bucket(&setting.quota(), &world.tally.spent);
+        judge(fits, &setting, &world)
+    }
+
+    /// Demand under the quota is never refused, also when replies are lost, nodes crash and
+    /// leaders change; without faults all of it is served.
+    fn demand_under_the_quota_is_never_refused(setting: Setting) -> TestResult {
+        let mut world = setting.world();
+        let arrivals = setting.add_demand_under_quota(&mut world, 200_000);
+        if arrivals == 0 {
+            return TestResult::discard();
+        }
+        setting.add_faults(&mut world);
+        world.run_until(world.start() + RUN + 60 * SECOND);
+        let tally = &world.tally;
+        let served = tally.spent.len() as u64 + tally.lost_in_crashes;
+        let held = tally.refused == 0 && tally.left_waiting == 0 && served == tally.arrivals.len() as u64;
+        judge(held, &setting, &world)
+    }
+
+    /// Nothing is wasted: under heavy demand and without faults as much is served as by one bucket.
+    fn heavy_demand_gets_the_whole_quota(setting: Setting) -> TestResult {
+        let mut world = setting.world();
+        setting.add_heavy_demand(&mut world);
+        world.run_until(world.start() + RUN);
+        let spent = world.tally.spent.len() as u64;
+        let exact = served_by_exact_bucket(&setting.quota(), &world.tally.arrivals);
+        judge(spent + 2 >= exact * 95 / 100, &setting, &world)
+    }
+}
--- /dev/null
+++ b/crates/control-state/tests/quota_slots.rs
@@ -0,0 +1,308 @@
+//! Stream slots, sessions and idle accounts of the quota ledger.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::Quota;
+use millford_api::internal::{QuotaAsk, QuotaGrant, QuotaReply, QuotaRequest};
+use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
+use millford_core::{MonotonicTime, ResultCode, ShardId};
+use quickcheck::quickcheck;
+
+const HOUR_MS: u64 = 3_600_000;
+
+struct Leader {
+    ledger: QuotaLedger,
+    now_ms: u64,
+    next_request: u64,
+    recalled: Vec<String>,
+}
+
+impl Leader {
+    /// A ledger that has led for an hour, with one tenant.
+    fn new(concurrent_streams: u32) -> Self {
+        let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
+        ledger.lead(MonotonicTime::ZERO, 1);
+        let quota = Quota {
+            requests_per_second: 100,
+            burst: 100,
+            concurrent_streams,
+        };
+        ledger.set_quota(MonotonicTime::ZERO, "library", Some(quota));
+        Self {
+            ledger,
+            now_ms: HOUR_MS,
+            next_request: 0,
+            recalled: Vec::new(),
+        }
+    }
+
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime::from_millis(self.now_ms)
+    }
+
+    fn send(&mut self, member: &str, epoch: u64, ask: QuotaAsk) -> QuotaReply {
+        self.next_request += 1;
+        let request = QuotaRequest {
+            shard: 1,
+            request_id: self.next_request,
+            member: member.to_owned(),
+            epoch,
+            asks: vec![ask],
+        };
+        self.deliver(&request)
+    }
+
+    fn deliver(&mut self, request: &QuotaRequest) -> QuotaReply {
+        let mut replies = Vec::new();
+        for output in self.ledger.handle(self.now(), request) {
+            match output {
+                QuotaOutput::Reply { reply, .. } => replies.push(reply),
+                QuotaOutput::Recall { member, .. } => self.recalled.push(member),
+            }
+        }
+        assert_eq!(replies.len(), 1, "one answer to each request");
+        replies.remove(0)
+    }
+
+    fn slots(&mut self, member: &str, wanted: u32, in_use: u32) -> QuotaGrant {
+        self.slots_of(member, 1, wanted, in_use)
+    }
+
+    fn slots_of(&mut self, member: &str, epoch: u64, wanted: u32, in_use: u32) -> QuotaGrant {
+        let ask = QuotaAsk {
+            tenant: "library".to_owned(),
+            slots_wanted: wanted,
+            slots_in_use: in_use,
+            ..QuotaAsk::default()
+        };
+        self.send(member, epoch, ask).grants.remove(0)
+    }
+
+    fn tokens(&mut self, member: &str, tokens: u32) -> QuotaGrant {
+        let ask = QuotaAsk {
+            tenant: "library".to_owned(),
+            tokens,
+            ..QuotaAsk::default()
+        };
+        self.send(member, 1, ask).grants.remove(0)
+    }
+}
+
+#[test]
+fn slots_are_lent_up_to_the_limit_and_then_refused() {
+    let mut leader = Leader::new(4);
+    assert_eq!(leader.slots("a", 3, 3).slots, 3);
+    let b = leader.slots("b", 2, 0);
+    assert_eq!((b.slots, b.slots_refused), (1, true));
+    assert!(b.retry_after_ms > 0);
+    assert_eq!(leader.slots("a", 1, 1).slots, 1);
+    assert_eq!(leader.slots("b", 2, 1).slots, 2);
+}
+
+#[test]
+fn without_a_limit_every_slot_is_lent() {
+    let mut leader = Leader::new(0);
+    assert_eq!(leader.slots("a", 1_000, 0).slots, 1_000);
+}
+
+#[test]
+fn idle_slots_are_called_back_before_a_refusal() {
+    let mut leader = Leader::new(4);
+    leader.slots("a", 4, 1);
+    let b = leader.slots("b", 2, 0);
+    assert_eq!((b.slots, b.slots_refused), (0, false));
+    assert_eq!(leader.recalled, ["a"]);
+    leader.slots("a", 1, 1);
+    leader.now_ms += u64::from(b.retry_after_ms);
+    assert_eq!(leader.slots("b", 2, 0).slots, 2);
+}
+
+#[test]
+fn slots_of_a_silent_node_count_on_and_come_back_in_the_end() {
+    let mut leader = Leader::new(4);
+    leader.slots("a", 4, 4);
+    leader.now_ms += 20_000;
+    leader.ledger.tick(leader.now());
+    assert!(
+        leader.slots("b", 1, 0).slots_refused,
+        "a may only be cut off"
+    );
+    leader.now_ms += 10_000;
+    leader.ledger.tick(leader.now());
+    assert_eq!(leader.slots("b", 1, 0).slots, 1);
+}
+
+#[test]
+fn a_restarted_node_gives_up_what_it_does_not_claim_again() {
+    let mut leader = Leader::new(4);
+    leader.slots("a", 4, 4);
+    leader.tokens("b", 1);
+    let ask = QuotaAsk {
+        tenant: "other".to_owned(),
+        ..QuotaAsk::default()
+    };
+    leader.send("a", 2, ask);
+    assert!(leader.slots("b", 1, 0).slots_refused);
+    leader.now_ms += 2_001;
+    assert_eq!(leader.slots("b", 4, 0).slots, 4);
+}
+
+#[test]
+fn an_older_epoch_is_fenced() {
+    let mut leader = Leader::new(4);
+    leader.slots_of("a", 2, 1, 1);
+    let ask = QuotaAsk {
+        tenant: "library".to_owned(),
+        tokens: 1,
+        ..QuotaAsk::default()
+    };
+    let reply = leader.send("a", 1, ask);
+    assert_eq!(reply.code, ResultCode::EpochFenced.number());
+    assert!(reply.grants.is_empty());
+}
+
+#[test]
+fn a_resent_request_gets_the_same_answer() {
+    let mut leader = Leader::new(4);
+    let ask = QuotaAsk {
+        tenant: "library".to_owned(),
+        tokens: 60,
+        ..QuotaAsk::default()
+    };
+    let request = QuotaRequest {
+        shard: 1,
+        request_id: 77,
+        member: "a".to_owned(),
+        epoch: 1,
+        asks: vec![ask],
+    };
+    let first = leader.deliver(&request);
+    leader.now_ms += 1;
+    assert_eq!(leader.deliver(&request), first);
+    assert_eq!(leader.tokens("b", 60).tokens, 40, "60 were taken once");
+}
+
+#[test]
+fn a_late_ask_does_not_change_what_a_newer_one_settled() {
+    let mut leader = Leader::new(4);
+    let late = QuotaRequest {
+        shard: 1,
+        request_id: 1,
+        member: "a".to_owned(),
+        epoch: 1,
+        asks: vec![QuotaAsk {
+            tenant: "library".to_owned(),
+            ..QuotaAsk::default()
+        }],
+    };
+    leader.next_request = 1;
+    leader.slots("a", 4, 4);
+    leader.deliver(&late);
+    assert!(leader.slots("b", 1, 0).slots_refused, "a still uses four");
+}
+
+#[test]
+fn a_new_leader_learns_what_is_in_use_before_it_lends() {
+    let mut leader = Leader::new(4);
+    leader.ledger.lead(leader.now(), 2);
+    let early = leader.slots("b", 2, 0);
+    assert_eq!((early.slots, early.slots_refused), (0, false));
+    leader.now_ms += 400;
+    assert_eq!(leader.slots("a", 3, 3).slots, 3, "streams in use go on");
+    leader.now_ms += u64::from(early.retry_after_ms) - 400 + 1;
+    let b = leader.slots("b", 2, 0);
+    assert_eq!((b.slots, b.slots_refused), (1, true));
+}
+
+#[test]
+fn without_leadership_nothing_is_lent() {
+    let mut leader = Leader::new(4);
+    leader.ledger.resign();
+    let ask = QuotaAsk {
+        tenant: "library".to_owned(),
+        tokens: 1,
+        ..QuotaAsk::default()
+    };
+    let reply = leader.send("a", 1, ask);
+    assert_eq!(reply.code, ResultCode::NotLeader.number());
+}
+
+#[test]
+fn an_unknown_tenant_waits_for_its_configuration() {
+    let mut leader = Leader::new(4);
+    let ask = QuotaAsk {
+        tenant: "new".to_owned(),
+        tokens: 1,
+        ..QuotaAsk::default()
+    };
+    let grant = leader.send("a", 1, ask).grants.remove(0);
+    assert_eq!((grant.tokens, grant.refused), (0, false));
+    assert!(grant.retry_after_ms > 0);
+}
+
+#[test]
+fn a_smaller_quota_holds_at_once() {
+    let mut leader = Leader::new(4);
+    leader.tokens("a", 1);
+    let smaller = Quota {
+        requests_per_second: 1,
+        burst: 5,
+        concurrent_streams: 1,
+    };
+    leader
+        .ledger
+        .set_quota(leader.now(), "library", Some(smaller));
+    let grant = leader.tokens("a", 50);
+    assert_eq!((grant.tokens, grant.refused), (5, true));
+    assert!(
+        grant.retry_after_ms >= 900,
+        "the next token is a second away"
+    );
+}
+
+#[test]
+fn sixteen_thousand_tenants_cost_memory_only_while_active() {
+    let mut leader = Leader::new(4);
+    let quota = Quota {
+        requests_per_second: 1,
+        burst: 2,
+        concurrent_streams: 4,
+    };
+    for number in 0..16_000 {
+        let tenant = format!("tenant-{number}");
+        leader.ledger.set_quota(leader.now(), &tenant, Some(quota));
+    }
+    assert_eq!(leader.ledger.active_tenants(), 0);
+    leader.tokens("a", 3);
+    leader.slots("a", 1, 1);
+    assert_eq!(leader.ledger.active_tenants(), 1);
+    leader.slots("a", 0, 0);
+    for _ in 0..5 {
+        leader.now_ms += 1_000;
+        leader.ledger.tick(leader.now());
+    }
+    assert_eq!(leader.ledger.active_tenants(), 0);
+}
+
+quickcheck! {
+    /// Whatever the nodes ask for, all that they may hold together stays within the limit.
+    fn held_slots_never_exceed_the_limit(limit: u8, asks: Vec<(u8, u8, u8, u8)>) -> bool {
+        let limit = u32::from(limit % 20) + 1;
+        let mut leader = Leader::new(limit);
+        let mut held: BTreeMap<u8, u32> = BTreeMap::new();
+        for (node, wanted, in_use, pause) in asks {
+            let node = node % 4;
+            let wanted = u32::from(wanted % 20);
+            let may_use = held.get(&node).copied().unwrap_or(0);
+            let in_use = u32::from(in_use).min(may_use).min(wanted);
+            leader.now_ms += u64::from(pause) * 4;
+            leader.ledger.tick(leader.now());
+            let grant = leader.slots(&node.to_string(), wanted, in_use);
+            held.insert(node, grant.slots);
+            if grant.slots < in_use || held.values().sum::<u32>() > limit {
+                return false;
+            }
+        }
+        true
+    }
+}
