Work out what a change of configuration moves

Aim: operators see routes, pools, keys, quotas, replicas and session homes that a change moves before they apply it.

The plan uses what the fleet decides by: the items that an accepted order sends, the selection of a pool's backends, and the proxies' routing table with its rendezvous scores. Session homes are compared on a sample of hashes, because homes depend on nothing but the hash; no node keeps a table of sessions. Considered: a rendezvous hash of the planner's own; it could drift from the proxies'. Warnings name pools without backend, removed routes and tenants without key.

--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod machine;
 pub mod planner;
 pub mod quota;
+pub mod selection;
 
 pub use machine::{Applied, RestoreError, ShardMachine};
--- /dev/null
+++ b/crates/control-state/src/planner/catalogue.rs
@@ -0,0 +1,70 @@
+//! Backends and placements that a plan is worked out against.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::{Document, Pool};
+use millford_api::state::{Backend, PoolPlacement, StateValue, state_value::Kind};
+
+use crate::document;
+use crate::keys;
+use crate::selection::selects;
+
+/// Every known backend, whichever pool it is in, and the placements in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PlanCatalogue {
+    /// Backends by identity.
+    pub backends: BTreeMap<String, Backend>,
+    /// Placements by pool.
+    pub placements: BTreeMap<String, PoolPlacement>,
+}
+
+impl PlanCatalogue {
+    /// Takes the backends and placements out of the public state of the data shards.
+    #[must_use]
+    pub fn from_values<'values>(values: impl IntoIterator<Item = &'values StateValue>) -> Self {
+        let mut catalogue = Self::default();
+        for value in values {
+            match &value.kind {
+                Some(Kind::Backend(backend)) => catalogue.add_backend(backend.clone()),
+                Some(Kind::Placement(placement)) => {
+                    let pool = placement.pool.clone();
+                    catalogue.placements.insert(pool, placement.clone());
+                }
+                _ => {}
+            }
+        }
+        catalogue
+    }
+
+    /// Adds a backend, for instance one of the registry that no pool takes now.
+    pub fn add_backend(&mut self, backend: Backend) {
+        self.backends.insert(backend.id.clone(), backend);
+    }
+
+    /// The backends that a pool takes.
+    pub(super) fn members(&self, pool: &Pool) -> impl Iterator<Item = &Backend> {
+        let selector = pool.selector.as_ref();
+        let backends = self.backends.values();
+        backends.filter(move |backend| selects(selector, backend))
+    }
+
+    /// The items that all shards would hold under this document.
+    pub(super) fn items(&self, document: &Document) -> BTreeMap<String, StateValue> {
+        let mut kinds = document::items(document);
+        for pool in &document.pools {
+            for backend in self.members(pool) {
+                let key = keys::backend(&pool.name, &backend.id);
+                kinds.insert(key, Kind::Backend(backend.clone()));
+            }
+            if let Some(placement) = self.placements.get(&pool.name) {
+                let key = keys::placement(&pool.name);
+                kinds.insert(key, Kind::Placement(placement.clone()));
+            }
+        }
+        let value = |kind| StateValue { kind: Some(kind) };
+        kinds
+            .into_iter()
+            .map(|(key, kind)| (key, value(kind)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/control-state/src/planner/plan.rs
@@ -0,0 +1,34 @@
+//! The whole plan.
+
+use millford_api::config::Document;
+use millford_api::operator::Plan;
+
+use super::catalogue::PlanCatalogue;
+use super::document_changes::DocumentChanges;
+use super::replica_moves::replica_moves;
+use super::session_moves::session_moves;
+use super::warnings::warnings;
+
+/// What replacing `before` by `after` moves. `sessions` are the hashes of sessions whose homes are
+/// compared, real ones or those of [`super::sample_sessions`].
+#[must_use]
+pub fn plan(
+    before: &Document,
+    after: &Document,
+    catalogue: &PlanCatalogue,
+    sessions: &[u64],
+) -> Plan {
+    let changes = DocumentChanges::between(before, after);
+    Plan {
+        keys: changes.keys(),
+        quotas: changes.quotas(),
+        replicas: replica_moves(before, after, catalogue),
+        sessions: session_moves(before, after, catalogue, sessions),
+        warnings: warnings(before, after, catalogue),
+        changed_items: changes.item_count(),
+        changed_bytes: changes.item_bytes(),
+        routes: changes.routes,
+        pools: changes.pools,
+        tenants: changes.tenants,
+    }
+}
--- /dev/null
+++ b/crates/control-state/src/planner/replica_moves.rs
@@ -0,0 +1,47 @@
+//! Backends that join or leave pools.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_api::config::Document;
+use millford_api::operator::{ChangeKind, ReplicaMove};
+
+use super::catalogue::PlanCatalogue;
+
+/// Backends that a pool takes after the change and not before, or the other way.
+pub(super) fn replica_moves(
+    before: &Document,
+    after: &Document,
+    catalogue: &PlanCatalogue,
+) -> Vec<ReplicaMove> {
+    let old = members_by_pool(before, catalogue);
+    let new = members_by_pool(after, catalogue);
+    let pools: BTreeSet<&str> = old.keys().chain(new.keys()).copied().collect();
+    let none = BTreeSet::new();
+    let mut moves = Vec::new();
+    for pool in pools {
+        let left = old.get(pool).unwrap_or(&none);
+        let right = new.get(pool).unwrap_or(&none);
+        let removed = left.difference(right).map(|id| (id, ChangeKind::Removed));
+        let added = right.difference(left).map(|id| (id, ChangeKind::Added));
+        for (backend_id, change) in removed.chain(added) {
+            moves.push(ReplicaMove {
+                pool: pool.to_owned(),
+                backend_id: (*backend_id).to_owned(),
+                change,
+            });
+        }
+    }
+    moves
+}
+
+fn members_by_pool<'plan>(
+    document: &'plan Document,
+    catalogue: &'plan PlanCatalogue,
+) -> BTreeMap<&'plan str, BTreeSet<&'plan str>> {
+    let mut members = BTreeMap::new();
+    for pool in &document.pools {
+        let ids = catalogue.members(pool).map(|backend| backend.id.as_str());
+        members.insert(pool.name.as_str(), ids.collect());
+    }
+    members
+}
--- /dev/null
+++ b/crates/control-state/src/selection.rs
@@ -0,0 +1,28 @@
+//! Which backends belong to a pool.
+
+use millford_api::config::Selector;
+use millford_api::state::{Backend, Declaration};
+
+/// Whether a pool's selector takes a backend: one of its declarations must fit. An absent selector
+/// takes every backend.
+#[must_use]
+pub fn selects(selector: Option<&Selector>, backend: &Backend) -> bool {
+    let Some(selector) = selector else {
+        return true;
+    };
+    // A backend that declares nothing, such as a plain lookup server, fits an empty selector only.
+    if *selector == Selector::default() {
+        return true;
+    }
+    let mut declarations = backend.declarations.iter();
+    declarations.any(|declaration| fits(selector, declaration))
+}
+
+fn fits(selector: &Selector, declaration: &Declaration) -> bool {
+    let takes = |wanted: &str, declared: &str| wanted.is_empty() || wanted == declared;
+    let mut adapters = selector.adapters.iter();
+    takes(&selector.model, &declaration.model)
+        && takes(&selector.version, &declaration.version)
+        && takes(&selector.stage, &declaration.stage)
+        && adapters.all(|adapter| declaration.adapters.contains(adapter))
+}
