--- /dev/null
+++ b/crates/api/src/http_status.rs
@@ -0,0 +1,46 @@
+//! HTTP status of each numbered result, the same for callers and operators.
+
+use millford_core::ResultCode;
+
+/// The status that an HTTP answer with this code has.
+///
+/// Codes that never leave the control plane or the command line have 503 here, the status of
+/// anything that is not expected to reach a client.
+#[must_use]
+pub fn http_status(code: ResultCode) -> u16 {
+    match code {
+        ResultCode::Ok => 200,
+        ResultCode::BadJson
+        | ResultCode::BadField
+        | ResultCode::BadHeader
+        | ResultCode::BodyIncomplete
+        | ResultCode::DocumentInvalid => 400,
+        ResultCode::KeyMissing | ResultCode::KeyUnknown | ResultCode::OperatorKeyWrong => 401,
+        ResultCode::NoRoute
+        | ResultCode::ModelUnknown
+        | ResultCode::PathUnknown
+        | ResultCode::BackendUnknown => 404,
+        ResultCode::MethodNotAllowed => 405,
+        ResultCode::AlreadyCompleted
+        | ResultCode::MayHaveRun
+        | ResultCode::AlreadyFailed
+        | ResultCode::RevisionConflict
+        | ResultCode::OrderIdReused
+        | ResultCode::RecoveryRefused => 409,
+        ResultCode::BodyTooLarge => 413,
+        ResultCode::ContentTypeUnsupported => 415,
+        ResultCode::IdempotencyKeyReused => 422,
+        ResultCode::QuotaExceeded | ResultCode::StreamLimit => 429,
+        ResultCode::HeadersTooLarge => 431,
+        ResultCode::BackendLost
+        | ResultCode::AnswerMismatch
+        | ResultCode::AnswerTruncated
+        | ResultCode::StreamOutOfOrder
+        | ResultCode::BackendError
+        | ResultCode::BackendSilent => 502,
+        ResultCode::DeadlineBeforeSend
+        | ResultCode::DeadlineAfterSend
+        | ResultCode::OrderUncertain => 504,
+        _ => 503,
+    }
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -3,6 +3,7 @@
 //! The types under `generated` come from the files in `proto`; `tools/generate` writes them and
 //! they are committed, so that a build needs no generator.
 
+pub mod http_status;
 pub mod json;
 pub mod operator;
 
