Add millfordctl: check, plan, apply, get, status, drain and recover

The key comes from a file or the environment, never from the command line. recover goes to exactly one node, once: a second one that also went on alone would make two clusters.

Found by the tests: the report's line wrapping broke the command in the advice in two; lines stay whole now. Exit statuses are held against docs/ERRORS.md by a test.

--- /dev/null
+++ b/crates/ctl/src/command/apply.rs
@@ -0,0 +1,93 @@
+//! `apply`: replaces the configuration.
+
+use hyper::Method;
+use millford_api::operator::{ConfigReply, PutConfigBody, PutConfigReply};
+use millford_core::ResultCode;
+use rand::Rng;
+use serde::Serialize;
+
+use super::document_file::read_document;
+use crate::client::{ControlClient, Request};
+use crate::failure::Failure;
+use crate::invocation::ApplyOptions;
+use crate::report::Report;
+
+/// An accepted order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ApplyReport {
+    /// Number that the order got.
+    pub revision: u64,
+    /// Whether it had been accepted before.
+    pub repeated: bool,
+    /// Revision that it was built on.
+    pub base_revision: u64,
+    /// Identity of the order.
+    pub order_id: String,
+}
+
+/// Checks the document, then sends the same order, under one id, until it is acknowledged or
+/// refused: after a lost answer the same or another node acknowledges it again.
+///
+/// # Errors
+/// Faults, a conflict, or [`ResultCode::OrderUncertain`] with the id to send again.
+pub async fn apply(client: &ControlClient, options: &ApplyOptions) -> Result<ApplyReport, Failure> {
+    let document = read_document(&options.file)?;
+    let base_revision = match options.base_revision {
+        Some(base_revision) => base_revision,
+        None => present_revision(client).await?,
+    };
+    let order_id = options.order_id.clone().unwrap_or_else(new_order_id);
+    let body = PutConfigBody {
+        base_revision,
+        order_id: order_id.clone(),
+        document,
+    };
+    let reply: PutConfigReply = client
+        .send(&request(&body)?)
+        .await
+        .map_err(|failure| advise(failure, base_revision, &order_id))?;
+    Ok(ApplyReport {
+        revision: reply.revision,
+        repeated: reply.repeated,
+        base_revision,
+        order_id,
+    })
+}
+
+async fn present_revision(client: &ControlClient) -> Result<u64, Failure> {
+    let reply: ConfigReply = client.send(&Request::get("/v1/config")).await?;
+    Ok(reply.revision)
+}
+
+fn request(body: &PutConfigBody) -> Result<Request, Failure> {
+    let body = serde_json::to_vec(body)
+        .map_err(|error| Failure::with_message(ResultCode::BadJson, error.to_string()))?;
+    Ok(Request::with_body(Method::PUT, "/v1/config", body))
+}
+
+fn advise(failure: Failure, base_revision: u64, order_id: &str) -> Failure {
+    if failure.code != ResultCode::OrderUncertain {
+        return failure;
+    }
+    failure.with_help(format!(
+        "find out with the same order: millfordctl apply --base {base_revision} --order-id {order_id} FILE"
+    ))
+}
+
+fn new_order_id() -> String {
+    format!("order-{:032x}", rand::rng().random::<u128>())
+}
+
+impl Report for ApplyReport {
+    fn text(&self) -> String {
+        let accepted = if self.repeated {
+            "had been accepted before"
+        } else {
+            "accepted"
+        };
+        format!(
+            "revision {} {accepted} (built on {}, order {})\n",
+            self.revision, self.base_revision, self.order_id
+        )
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,10 @@
+//! One function for each command.
+
+pub mod apply;
+pub mod check;
+pub mod document_file;
+pub mod drain;
+pub mod get;
+pub mod plan;
+pub mod recover;
+pub mod status;
--- /dev/null
+++ b/crates/ctl/src/command/status.rs
@@ -0,0 +1,107 @@
+//! `status`: the control plane as one node sees it.
+
+use std::fmt::Write;
+
+use millford_api::operator::{MemberBody, SessionBody, ShardBody, StatusReply};
+
+use crate::client::{ControlClient, Request};
+use crate::failure::Failure;
+use crate::report::Report;
+
+/// Asks the first node in reach.
+///
+/// # Errors
+/// A refusal, or no node in reach.
+pub async fn status(client: &ControlClient) -> Result<StatusReply, Failure> {
+    client.send(&Request::get("/v1/status")).await
+}
+
+impl Report for StatusReply {
+    fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "node {} of cluster {}",
+            self.node,
+            or_none(&self.cluster)
+        );
+        let _ = writeln!(text, "configuration revision {}", self.revision);
+        let _ = writeln!(text, "\ncontrol members ({}):", self.members.len());
+        self.members
+            .iter()
+            .for_each(|member| add_member(&mut text, member));
+        let _ = writeln!(text, "\nshards ({}):", self.shards.len());
+        self.shards
+            .iter()
+            .for_each(|shard| add_shard(&mut text, shard));
+        let _ = writeln!(text, "\nsessions ({}):", self.sessions.len());
+        self.sessions
+            .iter()
+            .for_each(|session| add_session(&mut text, session, self.revision));
+        let _ = writeln!(text, "\nplacements ({}):", self.placements.len());
+        for placement in &self.placements {
+            let count = placement.replicas.len();
+            let _ = writeln!(
+                text,
+                "  {} epoch {}: {count} replicas",
+                placement.pool, placement.epoch
+            );
+            for replica in &placement.replicas {
+                let _ = writeln!(
+                    text,
+                    "    {} {} {} {} weight {}",
+                    replica.backend_id,
+                    replica.model,
+                    replica.version,
+                    replica.state,
+                    replica.weight_milli
+                );
+            }
+        }
+        text
+    }
+}
+
+fn add_member(text: &mut String, member: &MemberBody) {
+    let touch = if member.in_touch {
+        "in touch"
+    } else {
+        "OUT OF TOUCH"
+    };
+    let _ = writeln!(
+        text,
+        "  {} zone {} internal {} operator {} {touch}",
+        member.node, member.zone, member.internal_address, member.operator_address
+    );
+}
+
+fn add_shard(text: &mut String, shard: &ShardBody) {
+    let _ = writeln!(
+        text,
+        "  {} leader {} term {} commit {} voters {} learners {}",
+        shard.shard,
+        or_none(&shard.leader),
+        shard.term,
+        shard.commit_index,
+        shard.voters.len(),
+        shard.learners.len()
+    );
+}
+
+fn add_session(text: &mut String, session: &SessionBody, revision: u64) {
+    let behind = if session.shown_revision < revision {
+        " BEHIND"
+    } else {
+        ""
+    };
+    let _ = writeln!(
+        text,
+        "  {} zone {} {} epoch {} shows {}{behind}",
+        session.member, session.zone, session.address, session.epoch, session.shown_revision
+    );
+}
+
+fn or_none(text: &str) -> &str {
+    if text.is_empty() { "none" } else { text }
+}
--- /dev/null
+++ b/crates/ctl/src/command_line.rs
@@ -0,0 +1,215 @@
+//! Reads the command line.
+
+use std::path::PathBuf;
+
+use getopts::{Matches, Options};
+use millford_core::{Duration, ResultCode};
+
+use crate::failure::Failure;
+use crate::invocation::RecoverOptions;
+use crate::invocation::{ApplyOptions, Command, CommonOptions, DrainOptions, Invocation};
+
+/// Environment variable with the control nodes' operator addresses, separated by commas.
+pub const ADDRESSES_VARIABLE: &str = "MILLFORD_CONTROL";
+/// How long to go on trying, in milliseconds.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+
+const BRIEF: &str = "Usage: millfordctl [options] COMMAND
+
+Commands:
+    check FILE              check a document offline; every fault is printed
+    plan FILE               print what the document would move
+    apply FILE              replace the configuration by the document
+    get                     print the configuration in force, by a confirmed read
+    status                  print members, shards, sessions and replicas
+    drain POOL BACKEND      keep new work off a backend
+    recover                 go on with the named survivors after a quorum was lost for good
+
+The operator key comes from --key-file or from the environment variable MILLFORD_OPERATOR_KEY.";
+
+/// Reads the arguments, the program's name left out. `environment` has the addresses to use when
+/// the command line names none.
+///
+/// # Errors
+/// [`ResultCode::BadArgument`] with what is wrong.
+pub fn parse(arguments: &[String], environment: Option<&str>) -> Result<Invocation, Failure> {
+    let matches = options()
+        .parse(arguments)
+        .map_err(|error| wrong(error.to_string()))?;
+    let command = command(&matches)?;
+    let common = common(&matches, environment)?;
+    Ok(Invocation { common, command })
+}
+
+/// The help text.
+#[must_use]
+pub fn help() -> String {
+    options().usage(BRIEF)
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optmulti("c", "control", "operator address of a control node, IP:PORT; several are tried in turn (default: MILLFORD_CONTROL, separated by commas)", "ADDRESS");
+    options.optopt("k", "key-file", "file with the operator key", "FILE");
+    options.optflag("j", "json", "print JSON, also for failures");
+    options.optopt(
+        "t",
+        "timeout-ms",
+        "how long to go on trying, in milliseconds (default: 30000)",
+        "MS",
+    );
+    options.optopt(
+        "b",
+        "base",
+        "apply: revision that the document was built on (default: the one in force)",
+        "REVISION",
+    );
+    options.optopt(
+        "o",
+        "order-id",
+        "apply: identity of the order, to resend one whose fate is unknown (default: made up)",
+        "ID",
+    );
+    options.optflag("u", "undo", "drain: lift the order");
+    options.optmulti(
+        "s",
+        "survivor",
+        "recover: identity of a control node that remains, as `status` prints it",
+        "ID",
+    );
+    options.optopt(
+        "",
+        "confirm",
+        "recover: \"I accept that orders may be lost\"",
+        "TEXT",
+    );
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn command(matches: &Matches) -> Result<Command, Failure> {
+    if matches.opt_present("help") {
+        return Ok(Command::Help);
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Version);
+    }
+    let Some((name, operands)) = matches.free.split_first() else {
+        return Err(wrong("no command is named"));
+    };
+    let command = match name.as_str() {
+        "check" => Command::Check {
+            file: file(operands)?,
+        },
+        "plan" => Command::Plan {
+            file: file(operands)?,
+        },
+        "apply" => Command::Apply(apply_options(matches, operands)?),
+        "get" => no_operands(operands, Command::Get)?,
+        "status" => no_operands(operands, Command::Status)?,
+        "drain" => Command::Drain(drain_options(matches, operands)?),
+        "recover" => Command::Recover(recover_options(matches, operands)?),
+        other => return Err(wrong(format!("there is no command \"{other}\""))),
+    };
+    check_options(name, matches)?;
+    Ok(command)
+}
+
+/// An option that the command does not take is a mistake, not a thing to pass over.
+fn check_options(command: &str, matches: &Matches) -> Result<(), Failure> {
+    let belongs = [
+        ("base", "apply"),
+        ("order-id", "apply"),
+        ("undo", "drain"),
+        ("survivor", "recover"),
+        ("confirm", "recover"),
+    ];
+    for (option, owner) in belongs {
+        if matches.opt_present(option) && owner != command {
+            return Err(wrong(format!("--{option} belongs to `{owner}`")));
+        }
+    }
+    Ok(())
+}
+
+fn common(matches: &Matches, environment: Option<&str>) -> Result<CommonOptions, Failure> {
+    let mut addresses = matches.opt_strs("control");
+    if addresses.is_empty() {
+        let listed = environment.unwrap_or_default().split(',');
+        let named = listed.map(str::trim).filter(|address| !address.is_empty());
+        addresses = named.map(str::to_owned).collect();
+    }
+    for address in &addresses {
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(wrong(format!("\"{address}\" is not IP:PORT")));
+        }
+    }
+    let timeout_ms = number(matches, "timeout-ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
+    Ok(CommonOptions {
+        addresses,
+        key_file: matches.opt_str("key-file").map(PathBuf::from),
+        json: matches.opt_present("json"),
+        timeout: Duration::from_millis(timeout_ms),
+    })
+}
+
+fn apply_options(matches: &Matches, operands: &[String]) -> Result<ApplyOptions, Failure> {
+    Ok(ApplyOptions {
+        file: file(operands)?,
+        base_revision: number(matches, "base")?,
+        order_id: matches.opt_str("order-id"),
+    })
+}
+
+fn drain_options(matches: &Matches, operands: &[String]) -> Result<DrainOptions, Failure> {
+    let [pool, backend_id] = operands else {
+        return Err(wrong("drain takes a pool and a backend"));
+    };
+    Ok(DrainOptions {
+        pool: pool.clone(),
+        backend_id: backend_id.clone(),
+        undo: matches.opt_present("undo"),
+    })
+}
+
+fn recover_options(matches: &Matches, operands: &[String]) -> Result<RecoverOptions, Failure> {
+    let survivors = matches.opt_strs("survivor");
+    if survivors.is_empty() || !operands.is_empty() {
+        return Err(wrong("recover takes --survivor for each node that remains"));
+    }
+    let Some(confirm) = matches.opt_str("confirm") else {
+        return Err(wrong("recover takes --confirm with the words of the help"));
+    };
+    Ok(RecoverOptions { survivors, confirm })
+}
+
+fn file(operands: &[String]) -> Result<PathBuf, Failure> {
+    match operands {
+        [file] => Ok(PathBuf::from(file)),
+        _ => Err(wrong("the command takes one file")),
+    }
+}
+
+fn no_operands(operands: &[String], command: Command) -> Result<Command, Failure> {
+    match operands.first() {
+        None => Ok(command),
+        Some(extra) => Err(wrong(format!("\"{extra}\" is one argument too many"))),
+    }
+}
+
+fn number(matches: &Matches, option: &str) -> Result<Option<u64>, Failure> {
+    let Some(text) = matches.opt_str(option) else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(number) => Ok(Some(number)),
+        Err(_) => Err(wrong(format!(
+            "--{option} takes a whole number, not \"{text}\""
+        ))),
+    }
+}
+
+fn wrong(message: impl Into<String>) -> Failure {
+    Failure::with_message(ResultCode::BadArgument, message).with_help("see millfordctl --help")
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,8 @@
 //! The `millfordctl` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    millford_ctl::run::run(&arguments)
+}
--- /dev/null
+++ b/crates/ctl/src/operator_key.rs
@@ -0,0 +1,60 @@
+//! The operator key. It is never taken from the command line, where other users could see it.
+
+use std::fmt;
+use std::path::Path;
+
+use millford_core::ResultCode;
+
+use crate::failure::Failure;
+
+/// Environment variable with the operator key.
+pub const KEY_VARIABLE: &str = "MILLFORD_OPERATOR_KEY";
+
+/// A key that is not shown when it is printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct OperatorKey(String);
+
+impl OperatorKey {
+    /// Reads the key from a file or, without one, takes that of the environment.
+    ///
+    /// # Errors
+    /// When there is none, or the file cannot be read.
+    pub fn find(file: Option<&Path>, environment: Option<String>) -> Result<Self, Failure> {
+        let text = match file {
+            Some(file) => read(file)?,
+            None => environment.unwrap_or_default(),
+        };
+        let key = text.trim();
+        if key.is_empty() {
+            return Err(missing(
+                "no operator key: use --key-file or MILLFORD_OPERATOR_KEY",
+            ));
+        }
+        if !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(missing(
+                "the operator key has characters that a header cannot carry",
+            ));
+        }
+        Ok(Self(key.to_owned()))
+    }
+
+    /// Value of the authorization header.
+    #[must_use]
+    pub fn header(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+}
+
+impl fmt::Debug for OperatorKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("OperatorKey(hidden)")
+    }
+}
+
+fn read(file: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(file).map_err(|error| missing(format!("{}: {error}", file.display())))
+}
+
+fn missing(message: impl Into<String>) -> Failure {
+    Failure::with_message(ResultCode::BadArgument, message)
+}
--- /dev/null
+++ b/crates/ctl/tests/support/mod.rs
@@ -0,0 +1,122 @@
+//! A control node that answers by a script, and the program run against it.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+
+/// What the node does with one request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Answers with a status and a body.
+    Answer(u16, String),
+    /// Reads the request and closes the connection.
+    Lose,
+}
+
+/// One request that the node got.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub line: String,
+    pub authorization: String,
+    pub body: String,
+}
+
+/// A control node on loopback; the last step of the script is repeated.
+pub struct ScriptedNode {
+    pub address: String,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl ScriptedNode {
+    pub fn start(script: Vec<Step>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let shared = Arc::clone(&seen);
+        std::thread::spawn(move || serve(&listener, &script, &shared));
+        Self { address, seen }
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("no panic").clone()
+    }
+}
+
+fn serve(listener: &TcpListener, script: &[Step], seen: &Mutex<Vec<Seen>>) {
+    for (number, stream) in listener.incoming().enumerate() {
+        let Ok(mut stream) = stream else { return };
+        let request = read(&stream);
+        seen.lock().expect("no panic").push(request);
+        let step = script.get(number).or(script.last()).expect("a step");
+        if let Step::Answer(status, body) = step {
+            let length = body.len();
+            let head = format!(
+                "HTTP/1.1 {status} Scripted\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(body.as_bytes());
+        }
+    }
+}
+
+fn read(stream: &TcpStream) -> Seen {
+    let mut reader = BufReader::new(stream);
+    let mut seen = Seen::default();
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).unwrap_or(0) == 0 || line.trim().is_empty() {
+            break;
+        }
+        let line = line.trim().to_owned();
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.parse().expect("a length");
+        } else if let Some(value) = line.strip_prefix("authorization: ") {
+            seen.authorization = value.to_owned();
+        } else if seen.line.is_empty() {
+            seen.line = line;
+        }
+    }
+    let mut body = vec![0; length];
+    let _ = reader.read_exact(&mut body);
+    seen.body = String::from_utf8_lossy(&body).into_owned();
+    seen
+}
+
+/// Runs `millfordctl` with the key in the environment.
+pub fn ctl(arguments: &[&str]) -> Output {
+    program(arguments)
+        .env("MILLFORD_OPERATOR_KEY", "the-operator-key")
+        .output()
+        .expect("millfordctl runs")
+}
+
+/// `millfordctl` without a key.
+pub fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_millfordctl"));
+    command
+        .args(arguments)
+        .env_remove("MILLFORD_OPERATOR_KEY")
+        .env_remove("MILLFORD_CONTROL");
+    command
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// An address that nobody listens on.
+pub fn closed_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+/// A refusal's body.
+pub fn error(code: u32, name: &str, extra: &str) -> String {
+    format!("{{\"error\":{{\"code\":{code},\"name\":\"{name}\",\"message\":\"scripted\"}}{extra}}}")
+}
