Plan changes, take the interface's own types, and test the daemon as processes

Aim: /v1/plan answers, and the operator interface is held against its description. Change: the plan is worked out on a confirmed read of every shard plus what the registry lists; the bodies are those of millford-api; the selection of a pool's backends is the one of control-state. Tests: three processes on loopback: order at any node, resent, conflict, a machine lost and replaced at a new address and a second one lost, rolling and full restart with SIGTERM ending in status 0, every path, 37 bad bodies and paths and 9 bad credentials, types, sizes and lines, each with its code.

--- a/crates/control/src/daemon/operator_http/answer.rs
+++ b/crates/control/src/daemon/operator_http/answer.rs
@@ -1,5 +1,6 @@
 //! Answers to operators as HTTP.
 
+use millford_api::operator::{ErrorBody, FaultBody};
 use millford_core::{Duration, ResultCode};
 use serde::Serialize;
 use warp::http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -10,30 +11,6 @@
 /// An answer as warp sends it.
 pub type Answer = Response<String>;
 
-#[derive(Serialize)]
-struct ErrorBody<'a> {
-    error: ErrorDetail<'a>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    revision: Option<u64>,
-}
-
-#[derive(Serialize)]
-struct ErrorDetail<'a> {
-    code: u32,
-    name: &'static str,
-    message: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry_after_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    faults: Vec<FaultBody<'a>>,
-}
-
-#[derive(Serialize)]
-struct FaultBody<'a> {
-    path: &'a str,
-    message: &'a str,
-}
-
 /// The answer to a request that the gateway took.
 #[must_use]
 pub fn of_reply(reply: &OperatorReply) -> Answer {
@@ -51,20 +28,14 @@
 /// The answer to a request that was refused or failed.
 #[must_use]
 pub fn of_failure(failure: &OperatorFailure) -> Answer {
+    let mut body = ErrorBody::with_message(failure.code, failure.text());
+    body.revision = failure.revision;
+    body.error.retry_after_ms = failure.retry_after.map(to_millis);
     let faults = failure.faults.iter().map(|fault| FaultBody {
-        path: &fault.path,
-        message: &fault.text,
+        path: fault.path.clone(),
+        message: fault.text.clone(),
     });
-    let body = ErrorBody {
-        error: ErrorDetail {
-            code: failure.code.number(),
-            name: failure.code.name(),
-            message: failure.text(),
-            retry_after_ms: failure.retry_after.map(to_millis),
-            faults: faults.collect(),
-        },
-        revision: failure.revision,
-    };
+    body.error.faults = faults.collect();
     let mut answer = json(&body);
     *answer.status_mut() = status_of(failure.code);
     if let Some(delay) = failure.retry_after {
--- a/crates/control/src/daemon/operator_http/body.rs
+++ b/crates/control/src/daemon/operator_http/body.rs
@@ -4,7 +4,6 @@
 use futures::{Stream, StreamExt};
 use millford_control_state::document::Fault;
 use millford_core::ResultCode;
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use warp::http::HeaderMap;
 use warp::http::header::CONTENT_TYPE;
@@ -14,24 +13,6 @@
 /// Largest body, in bytes. A document at the limits of its lists fits.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Body of `POST /v1/services/{pool}/backends/{id}/drain`.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct DrainBody {
-    /// True keeps new work off the backend.
-    pub drain: bool,
-}
-
-/// Body of `POST /v1/recovery`.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RecoveryBody {
-    /// Identities of the control nodes that remain, in hexadecimal.
-    pub survivors: Vec<String>,
-    /// The operator's acceptance, word for word.
-    pub confirm: String,
-}
-
 /// Reads a JSON body whole.
 pub async fn read<B: Buf>(
     headers: &HeaderMap,
--- a/crates/control/src/daemon/operator_http/requests.rs
+++ b/crates/control/src/daemon/operator_http/requests.rs
@@ -2,6 +2,7 @@
 
 use bytes::Buf;
 use futures::Stream;
+use millford_api::operator::{DrainBody, RecoveryBody};
 use millford_control_state::document;
 use millford_core::{NodeId, ResultCode};
 use millford_settings::metrics;
@@ -9,13 +10,10 @@
 use warp::http::{HeaderMap, Method};
 
 use super::answer::{self, Answer};
-use super::body::{self, DrainBody, RecoveryBody};
+use super::body;
 use super::port::OperatorPort;
 use crate::operator::{OperatorFailure, OperatorRequest};
 
-/// What an operator has to write to force a recovery.
-const RECOVERY_PHRASE: &str = "I accept that orders may be lost";
-
 /// Reads a request, asks the gateway and answers.
 pub async fn handle<B: Buf>(
     port: &OperatorPort,
@@ -127,8 +125,8 @@
 
 fn read_recovery(json: &[u8]) -> Result<OperatorRequest, OperatorFailure> {
     let order: RecoveryBody = body::parse(json)?;
-    if order.confirm != RECOVERY_PHRASE {
-        let text = format!("must be: {RECOVERY_PHRASE}");
+    if order.confirm != RecoveryBody::CONFIRMATION {
+        let text = format!("must be: {}", RecoveryBody::CONFIRMATION);
         return Err(body::one_fault(ResultCode::BadField, "confirm", &text));
     }
     let mut survivors = Vec::new();
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod member_list;
 pub mod node_file;
+pub mod operator_answers;
 pub mod operator_desk;
 pub mod operators;
 pub mod pending;
@@ -21,6 +22,7 @@
 pub mod stalls;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use millford_api::internal::{Frame, frame};
 use millford_api::state::ControlMember;
@@ -34,6 +36,7 @@
 use crate::node_input::NodeInput;
 use crate::node_output::{NodeNote, NodeOutput};
 use crate::options::ControlOptions;
+use crate::registry::RegistryView;
 use crate::shard::{MemberView, ShardInput, ShardStanding};
 use agents::AgentTable;
 use balance::Balance;
@@ -70,6 +73,8 @@
     own_session: OwnSession,
     desk: OperatorDesk,
     view: MemberView,
+    /// The service registry as last read.
+    registry: Option<Arc<RegistryView>>,
     balance: Balance,
     next_touch: MonotonicTime,
     outputs: Vec<GatewayOutput>,
@@ -110,6 +115,7 @@
             own_session,
             desk: OperatorDesk::default(),
             view: MemberView::default(),
+            registry: None,
             balance: Balance::new(now),
             next_touch: now,
             outputs: Vec::new(),
@@ -171,7 +177,10 @@
             NodeInput::LinkOpened { link, .. } => self.link_opened(now, link),
             NodeInput::LinkClosed { link } => self.link_closed(now, link),
             NodeInput::Operator { request, body } => self.handle_operator(now, request, body),
-            NodeInput::Registry(view) => self.tell_every_shard(&ShardInput::Registry(view)),
+            NodeInput::Registry(view) => {
+                self.registry = Some(view.clone());
+                self.tell_every_shard(&ShardInput::Registry(view));
+            }
             NodeInput::Tick => self.tick(now),
             NodeInput::Leave => self.tell_every_shard(&ShardInput::Leave),
         }
--- /dev/null
+++ b/crates/control/src/gateway/operator_answers.rs
@@ -0,0 +1,158 @@
+//! Answers to operators, made of the answers of shards.
+
+use millford_api::command::command_result;
+use millford_api::config::Document;
+use millford_api::internal::{ShardReply, StateSnapshot, shard_reply};
+use millford_api::operator::{ConfigReply, DrainReply, PlanReply, PutConfigReply, StatusReply};
+use millford_api::state::state_value;
+use millford_control_state::document;
+use millford_control_state::planner::{self, PlanCatalogue, SAMPLED_SESSIONS, sample_sessions};
+use millford_core::{ResultCode, ShardId};
+
+use super::is_ok;
+use crate::operator::status::placement_body;
+use crate::operator::{OperatorFailure, OperatorReply};
+use crate::registry::RegistryView;
+
+/// Adds what a shard's public state tells to a status.
+pub fn add_state(status: &mut StatusReply, state: &StateSnapshot) {
+    let values = state.items.iter().filter_map(|item| item.value.as_ref());
+    for value in values {
+        match &value.kind {
+            Some(state_value::Kind::Placement(placement)) => {
+                status.placements.push(placement_body(placement));
+            }
+            Some(state_value::Kind::ConfigHead(head)) => status.revision = head.revision,
+            _ => {}
+        }
+    }
+}
+
+/// A failure with the code's own sentence.
+#[must_use]
+pub fn failed(code: ResultCode) -> OperatorReply {
+    OperatorReply::Failed(OperatorFailure::new(code))
+}
+
+fn code_of(reply: &ShardReply) -> ResultCode {
+    ResultCode::from_number(reply.code).unwrap_or(ResultCode::ProtocolViolation)
+}
+
+/// The code of an order whose fate nobody told: it may have been accepted.
+fn uncertain(code: ResultCode) -> ResultCode {
+    match code {
+        ResultCode::ControlTimeout | ResultCode::NotLeader => ResultCode::OrderUncertain,
+        other => other,
+    }
+}
+
+/// Answer to an order.
+#[must_use]
+pub fn order(replies: &[ShardReply]) -> OperatorReply {
+    let Some(reply) = replies.first() else {
+        return failed(ResultCode::OrderUncertain);
+    };
+    let code = code_of(reply);
+    let result = match &reply.kind {
+        Some(shard_reply::Kind::Result(result)) => match &result.kind {
+            Some(command_result::Kind::PutConfig(result)) => Some(result),
+            _ => None,
+        },
+        _ => None,
+    };
+    match result {
+        Some(result) if is_ok(reply.code) => OperatorReply::Order(PutConfigReply {
+            revision: result.revision,
+            repeated: result.repeated_order,
+        }),
+        Some(result) => {
+            let failure = OperatorFailure::new(code);
+            OperatorReply::Failed(failure.with_revision(result.revision))
+        }
+        None => failed(uncertain(code)),
+    }
+}
+
+/// The configuration in force.
+#[must_use]
+pub fn configuration(replies: &[ShardReply]) -> OperatorReply {
+    let (Some(state), _) = states(replies) else {
+        return failed(first_failure(replies));
+    };
+    OperatorReply::Config(Box::new(config_of(state)))
+}
+
+/// The configuration's state if it was read, and every state that was read.
+fn states(replies: &[ShardReply]) -> (Option<&StateSnapshot>, Vec<&StateSnapshot>) {
+    let states = replies.iter().filter_map(|reply| match &reply.kind {
+        Some(shard_reply::Kind::State(state)) => Some(state),
+        _ => None,
+    });
+    let states: Vec<&StateSnapshot> = states.collect();
+    let configuration = states
+        .iter()
+        .find(|state| state.shard == ShardId::CONFIGURATION.0)
+        .copied();
+    (configuration, states)
+}
+
+fn first_failure(replies: &[ShardReply]) -> ResultCode {
+    let mut failures = replies.iter().filter(|reply| !is_ok(reply.code));
+    failures.next().map_or(ResultCode::ControlTimeout, code_of)
+}
+
+fn config_of(state: &StateSnapshot) -> ConfigReply {
+    let values = state.items.iter().filter_map(|item| item.value.as_ref());
+    let head = values.clone().find_map(|value| match &value.kind {
+        Some(state_value::Kind::ConfigHead(head)) => Some(head.clone()),
+        _ => None,
+    });
+    let head = head.unwrap_or_default();
+    ConfigReply {
+        revision: head.revision,
+        digest: hex::encode(&head.digest),
+        document: document::document_of(values),
+    }
+}
+
+/// What a change would move, worked out against what every shard told and, for pools that are
+/// new, against what the service registry lists.
+#[must_use]
+pub fn plan(
+    wanted: &Document,
+    replies: &[ShardReply],
+    registry: Option<&RegistryView>,
+) -> OperatorReply {
+    let (configuration, states) = states(replies);
+    let complete = states.len() == replies.len();
+    let Some(configuration) = configuration.filter(|_| complete) else {
+        return failed(first_failure(replies));
+    };
+    let present = config_of(configuration);
+    let items = states.iter().flat_map(|state| state.items.iter());
+    let mut catalogue = PlanCatalogue::from_values(items.filter_map(|item| item.value.as_ref()));
+    for entry in registry.iter().flat_map(|view| view.backends.iter()) {
+        if !catalogue.backends.contains_key(&entry.id) {
+            catalogue.add_backend(entry.to_backend());
+        }
+    }
+    let sessions = sample_sessions(SAMPLED_SESSIONS);
+    OperatorReply::Plan(Box::new(PlanReply {
+        revision: present.revision,
+        plan: planner::plan(&present.document, wanted, &catalogue, &sessions),
+    }))
+}
+
+/// Answer to a drain order.
+#[must_use]
+pub fn drain(pool: &str, backend_id: &str, drain: bool, replies: &[ShardReply]) -> OperatorReply {
+    let code = replies.first().map_or(ResultCode::ControlTimeout, code_of);
+    match code {
+        ResultCode::Ok => OperatorReply::Drain(DrainReply {
+            pool: pool.to_owned(),
+            backend_id: backend_id.to_owned(),
+            drain,
+        }),
+        other => failed(uncertain(other)),
+    }
+}
--- a/crates/control/src/gateway/operators.rs
+++ b/crates/control/src/gateway/operators.rs
@@ -1,21 +1,20 @@
 //! Requests of operators: sent to the shards' leaders, answered once all answers are there.
 
-use millford_api::command::{DrainBackend, PutConfig, command, command_result};
-use millford_api::config::Document;
+use millford_api::command::{DrainBackend, PutConfig, command};
 use millford_api::internal::{
-    ReadState, ShardReply, ShardStatusRequest, StateSnapshot, shard_reply, shard_request,
+    ReadState, ShardReply, ShardStatusRequest, shard_reply, shard_request,
 };
-use millford_api::state::state_value;
-use millford_control_state::{document, keys};
+use millford_api::operator::{MemberBody, RecoveryReply, StatusReply};
+use millford_control_state::keys;
 use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId, service_key};
 
+use super::Gateway;
+use super::operator_answers as answers;
 use super::operator_desk::DeskEntry;
 use super::pending::Origin;
 use super::sessions::request_to;
-use super::{Gateway, is_ok};
 use crate::node_output::NodeOutput;
-use crate::operator::reply::{ConfigReply, DrainReply, OrderReply, RecoveryReply};
-use crate::operator::status::{MemberBody, PlacementBody, SessionBody, ShardBody, StatusReply};
+use crate::operator::status::{leaderless_body, member_body, session_body, shard_body};
 use crate::operator::{OperatorFailure, OperatorReply, OperatorRequest};
 use crate::shard::ShardInput;
 use crate::shard::upkeep::command_of;
@@ -169,16 +168,19 @@
 
     fn conclude(&self, entry: DeskEntry) -> OperatorReply {
         match &entry.body {
-            OperatorRequest::PutConfig(_) => order_reply(&entry.replies),
-            OperatorRequest::GetConfig => config_reply(&entry.replies),
-            OperatorRequest::Plan(wanted) => plan_reply(wanted, &entry.replies),
+            OperatorRequest::PutConfig(_) => answers::order(&entry.replies),
+            OperatorRequest::GetConfig => answers::configuration(&entry.replies),
+            OperatorRequest::Plan(wanted) => {
+                let registry = self.registry.as_deref();
+                answers::plan(wanted, &entry.replies, registry)
+            }
             OperatorRequest::Status => self.status_reply(&entry.replies),
             OperatorRequest::Drain {
                 pool,
                 backend_id,
                 drain,
-            } => drain_reply(pool, backend_id, *drain, &entry.replies),
-            OperatorRequest::Recover { .. } => failed(ResultCode::RecoveryRefused),
+            } => answers::drain(pool, backend_id, *drain, &entry.replies),
+            OperatorRequest::Recover { .. } => answers::failed(ResultCode::RecoveryRefused),
         }
     }
 
@@ -189,11 +191,11 @@
             match &reply.kind {
                 Some(shard_reply::Kind::Status(shard)) => {
                     answered.insert(shard.shard);
-                    status.shards.push(ShardBody::from(shard));
-                    let sessions = shard.sessions.iter().map(SessionBody::from);
+                    status.shards.push(shard_body(shard));
+                    let sessions = shard.sessions.iter().map(session_body);
                     status.sessions.extend(sessions);
                 }
-                Some(shard_reply::Kind::State(state)) => take_state(&mut status, state),
+                Some(shard_reply::Kind::State(state)) => answers::add_state(&mut status, state),
                 _ => {}
             }
         }
@@ -202,14 +204,7 @@
             .standings
             .values()
             .filter(|standing| !answered.contains(&standing.shard.0));
-        status.shards.extend(silent.map(|standing| ShardBody {
-            shard: standing.shard.0,
-            leader: String::new(),
-            term: standing.term,
-            commit_index: standing.commit_index,
-            voters: standing.voters.iter().map(NodeId::to_string).collect(),
-            learners: standing.learners.iter().map(NodeId::to_string).collect(),
-        }));
+        status.shards.extend(silent.map(leaderless_body));
         status.shards.sort_by_key(|shard| shard.shard);
         status
             .sessions
@@ -218,10 +213,10 @@
     }
 
     fn status_head(&self) -> StatusReply {
-        let own = MemberBody::new(&self.own_member(), true);
+        let own = member_body(&self.own_member(), true);
         let others = self.directory().iter().map(|member| {
             let connected = self.view.get(NodeId(member.node_id)).connected;
-            MemberBody::new(member, connected)
+            member_body(member, connected)
         });
         let mut members: Vec<MemberBody> = others.chain([own]).collect();
         members.sort_by(|left, right| left.node.cmp(&right.node));
@@ -240,7 +235,7 @@
     }
 
     fn fail_operator(&mut self, request: u64, code: ResultCode) {
-        let reply = failed(code);
+        let reply = answers::failed(code);
         self.emit(NodeOutput::OperatorReply { request, reply });
     }
 }
@@ -250,119 +245,3 @@
         key_prefix: prefix.to_owned(),
     })
 }
-
-fn take_state(status: &mut StatusReply, state: &StateSnapshot) {
-    let values = state.items.iter().filter_map(|item| item.value.as_ref());
-    for value in values {
-        match &value.kind {
-            Some(state_value::Kind::Placement(placement)) => {
-                status.placements.push(PlacementBody::from(placement));
-            }
-            Some(state_value::Kind::ConfigHead(head)) => status.revision = head.revision,
-            _ => {}
-        }
-    }
-}
-
-fn failed(code: ResultCode) -> OperatorReply {
-    OperatorReply::Failed(OperatorFailure::new(code))
-}
-
-fn code_of(reply: &ShardReply) -> ResultCode {
-    ResultCode::from_number(reply.code).unwrap_or(ResultCode::ProtocolViolation)
-}
-
-/// The code of an order whose fate nobody told: it may have been accepted.
-fn uncertain(code: ResultCode) -> ResultCode {
-    match code {
-        ResultCode::ControlTimeout | ResultCode::NotLeader => ResultCode::OrderUncertain,
-        other => other,
-    }
-}
-
-fn order_reply(replies: &[ShardReply]) -> OperatorReply {
-    let Some(reply) = replies.first() else {
-        return failed(ResultCode::OrderUncertain);
-    };
-    let code = code_of(reply);
-    let result = match &reply.kind {
-        Some(shard_reply::Kind::Result(result)) => match &result.kind {
-            Some(command_result::Kind::PutConfig(result)) => Some(result),
-            _ => None,
-        },
-        _ => None,
-    };
-    match result {
-        Some(result) if is_ok(reply.code) => OperatorReply::Order(OrderReply {
-            revision: result.revision,
-            repeated: result.repeated_order,
-        }),
-        Some(result) => {
-            let failure = OperatorFailure::new(code);
-            OperatorReply::Failed(failure.with_revision(result.revision))
-        }
-        None => failed(uncertain(code)),
-    }
-}
-
-fn config_reply(replies: &[ShardReply]) -> OperatorReply {
-    let (Some(state), _) = states(replies) else {
-        return failed(first_failure(replies));
-    };
-    OperatorReply::Config(Box::new(config_of(state)))
-}
-
-/// The configuration's state if it was read, and every state that was read.
-fn states(replies: &[ShardReply]) -> (Option<&StateSnapshot>, Vec<&StateSnapshot>) {
-    let states = replies.iter().filter_map(|reply| match &reply.kind {
-        Some(shard_reply::Kind::State(state)) => Some(state),
-        _ => None,
-    });
-    let states: Vec<&StateSnapshot> = states.collect();
-    let configuration = states
-        .iter()
-        .find(|state| state.shard == ShardId::CONFIGURATION.0)
-        .copied();
-    (configuration, states)
-}
-
-fn first_failure(replies: &[ShardReply]) -> ResultCode {
-    let mut failures = replies.iter().filter(|reply| !is_ok(reply.code));
-    failures.next().map_or(ResultCode::ControlTimeout, code_of)
-}
-
-fn config_of(state: &StateSnapshot) -> ConfigReply {
-    let values = state.items.iter().filter_map(|item| item.value.as_ref());
-    let head = values.clone().find_map(|value| match &value.kind {
-        Some(state_value::Kind::ConfigHead(head)) => Some(head.clone()),
-        _ => None,
-    });
-    let head = head.unwrap_or_default();
-    ConfigReply {
-        revision: head.revision,
-        digest: hex::encode(&head.digest),
-        document: document::document_of(values),
-    }
-}
-
-fn plan_reply(wanted: &Document, replies: &[ShardReply]) -> OperatorReply {
-    let (configuration, states) = states(replies);
-    let complete = states.len() == replies.len();
-    let Some(configuration) = configuration.filter(|_| complete) else {
-        return failed(first_failure(replies));
-    };
-    let _ = (configuration, wanted);
-    failed(ResultCode::StartFailed)
-}
-
-fn drain_reply(pool: &str, backend_id: &str, drain: bool, replies: &[ShardReply]) -> OperatorReply {
-    let code = replies.first().map_or(ResultCode::ControlTimeout, code_of);
-    match code {
-        ResultCode::Ok => OperatorReply::Drain(DrainReply {
-            pool: pool.to_owned(),
-            backend_id: backend_id.to_owned(),
-            drain,
-        }),
-        other => failed(uncertain(other)),
-    }
-}
--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -8,4 +8,3 @@
 pub use failure::OperatorFailure;
 pub use reply::OperatorReply;
 pub use request::OperatorRequest;
-pub use status::StatusReply;
--- a/crates/control/src/shard/catalogue.rs
+++ b/crates/control/src/shard/catalogue.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use millford_api::command::command;
-use millford_api::config::{Pool, Selector};
-use millford_api::state::{Backend, Declaration, StateItem, state_value};
+use millford_api::config::Pool;
+use millford_api::state::{Backend, StateItem, state_value};
 use millford_control_state::keys;
+use millford_control_state::selection::selects;
 use millford_core::{MonotonicTime, ShardId, service_key};
 
 use super::core::ShardCore;
@@ -119,26 +120,6 @@
     }
 }
 
-/// Whether a pool's selector takes a backend: one of its declarations must fit.
-#[must_use]
-pub fn selects(selector: Option<&Selector>, backend: &Backend) -> bool {
-    let Some(selector) = selector else {
-        return true;
-    };
-    let mut declarations = backend.declarations.iter();
-    declarations.any(|declaration| fits(selector, declaration))
-}
-
-fn fits(selector: &Selector, declaration: &Declaration) -> bool {
-    let same = |wanted: &str, declared: &str| wanted.is_empty() || wanted == declared;
-    let adapters = selector.adapters.iter();
-    let mut missing = adapters.filter(|adapter| !declaration.adapters.contains(adapter));
-    same(&selector.model, &declaration.model)
-        && same(&selector.version, &declaration.version)
-        && same(&selector.stage, &declaration.stage)
-        && missing.next().is_none()
-}
-
 fn service_of(key: &str) -> Option<String> {
     let rest = key.strip_prefix(keys::BACKEND_PREFIX)?;
     let (service, _) = rest.split_once('/')?;
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod agent;
 pub mod cluster;
+pub mod daemons;
+pub mod http;
 pub mod memory_disk;
 pub mod orders;
 
