Explore small groups exhaustively over the real replica

Aim: every order of timeouts, deliveries, repeats, a crash and a proposal to a bounded depth, beside the random runs.

Runs are replayed from the start instead, and situations seen before are cut.

Change: the exploration, and a Debug form of the replica without times for comparing situations. A leader checks its quorum before it takes a message, so that answers that waited while its process was stopped do not count as fresh.

A planted forgotten vote is found at depth 9.

--- a/crates/replication/src/configuration.rs
+++ b/crates/replication/src/configuration.rs
@@ -126,6 +126,12 @@
         self.items[self.items.len() - 1].index
     }
 
+    /// Whether the node was a member in any configuration that is still known.
+    pub fn ever_contained(&self, node: NodeId) -> bool {
+        let mut items = self.items.iter();
+        items.any(|item| item.configuration.contains(node))
+    }
+
     /// The configuration as of an index.
     pub fn as_of(&self, index: u64) -> &NumberedConfiguration {
         let found = self.items.iter().rev().find(|item| item.index <= index);
--- a/crates/replication/src/flush.rs
+++ b/crates/replication/src/flush.rs
@@ -1,7 +1,7 @@
 //! The flush: one fsync, then everything that may leave because of it.
 
 use millford_api::replication::{HardState, LogEntry};
-use millford_core::{MonotonicTime, NodeId};
+use millford_core::MonotonicTime;
 use millford_storage::{SnapshotMeta, StorageError};
 
 use crate::options::FULL_DISK_PAUSE;
@@ -181,12 +181,13 @@
         }
     }
 
-    /// Told so by a voter, or known from the own committed log.
+    /// Told so by a voter, or known from the own committed log. A learner whose first snapshot is
+    /// older than its addition was no member yet, so it is not taken for removed.
     fn is_removed(&self) -> bool {
-        let committed = self.configurations.as_of(self.commit_index);
-        let is_known = !committed.configuration.voters.is_empty();
-        let is_out = |node: NodeId| !self.configurations.latest().contains(node);
-        self.removed || is_known && is_out(self.options.node)
+        let node = self.options.node;
+        let committed = &self.configurations.as_of(self.commit_index).configuration;
+        let is_out = !committed.contains(node) && !self.configurations.latest().contains(node);
+        self.removed || is_out && self.configurations.ever_contained(node)
     }
 
     fn peer_statuses(&self) -> Vec<PeerStatus> {
--- a/crates/replication/src/leader_state.rs
+++ b/crates/replication/src/leader_state.rs
@@ -17,7 +17,7 @@
 }
 
 /// A transfer of the leadership under way.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct Transfer {
     pub to: NodeId,
     /// When proposals are taken again if the transfer has not succeeded.
@@ -27,7 +27,6 @@
 }
 
 /// State of a leader in one term.
-#[derive(Debug)]
 pub struct LeaderState {
     /// Every other replica of the configuration in force.
     pub peers: BTreeMap<NodeId, Progress>,
--- a/crates/replication/src/leadership.rs
+++ b/crates/replication/src/leadership.rs
@@ -50,11 +50,7 @@
     }
 
     pub(crate) fn tick_leader(&mut self) {
-        if !self.hears_quorum_of(self.configurations.latest()) {
-            // Cut off: the others may elect another leader, and nobody should wait for this one.
-            self.step_down();
-            return;
-        }
+        self.check_quorum();
         let now = self.now;
         let heartbeat = self.options.timing.heartbeat;
         let Some(state) = self.leader_state() else {
@@ -67,6 +63,15 @@
         }
     }
 
+    /// Steps down when cut off: the others may elect another leader, and nobody should wait for this
+    /// one. Done before any message is taken, so that answers which waited while the process was
+    /// stopped do not count as fresh.
+    pub(crate) fn check_quorum(&mut self) {
+        if self.is_leader() && !self.hears_quorum_of(self.configurations.latest()) {
+            self.step_down();
+        }
+    }
+
     /// Whether a quorum of a configuration was heard from lately, this replica included.
     pub(crate) fn hears_quorum_of(&self, configuration: &Configuration) -> bool {
         let RoleState::Leader(state) = &self.role else {
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -18,6 +18,7 @@
 mod ballot;
 mod commit;
 mod configuration;
+mod debug;
 mod election;
 mod flush;
 mod incoming_snapshot;
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -20,7 +20,6 @@
 }
 
 /// A snapshot on its way to a replica, one chunk at a time.
-#[derive(Debug)]
 pub struct SnapshotTransfer {
     pub snapshot: Snapshot,
     /// Start of the chunk to send or under way.
@@ -30,7 +29,6 @@
 }
 
 /// Progress of one replica.
-#[derive(Debug)]
 pub struct Progress {
     pub state: SendState,
     /// Last index known to be durable there.
@@ -38,7 +36,7 @@
     /// Next index to send.
     pub next_index: u64,
     /// Last index of each message with entries that is under way.
-    in_flight: VecDeque<u64>,
+    pub(crate) in_flight: VecDeque<u64>,
     /// Highest commit index sent.
     pub sent_commit: u64,
     /// Highest read round answered.
--- a/crates/replication/src/step.rs
+++ b/crates/replication/src/step.rs
@@ -18,6 +18,7 @@
         if self.failure.is_some() || !is_ours {
             return;
         }
+        self.check_quorum();
         let from = NodeId(message.from);
         let Some(body) = message.body else {
             return;
--- a/crates/replication/tests/group/history.rs
+++ b/crates/replication/tests/group/history.rs
@@ -40,6 +40,11 @@
 }
 
 impl History {
+    /// The facts that later violations are judged by.
+    pub fn facts(&self) -> String {
+        format!("{:?} {:?} {:?}", self.leaders, self.votes, self.committed)
+    }
+
     fn violate(&mut self, text: String) {
         self.violations.push(text);
     }
--- a/crates/replication/tests/group/simulation.rs
+++ b/crates/replication/tests/group/simulation.rs
@@ -246,7 +246,8 @@
     }
 }
 
-fn forget_vote(machine: &Machine) {
+/// The planted defect: a restarted replica does not know whom it voted for.
+pub fn forget_vote(machine: &Machine) {
     let options = millford_storage::StorageOptions::default();
     let disk = Box::new(machine.disk.clone());
     let Ok(mut storage) = millford_storage::ReplicaStorage::open(disk, options) else {
--- /dev/null
+++ b/crates/replication/tests/model_check.rs
@@ -0,0 +1,331 @@
+//! Exhaustive exploration of a group of three real replicas, to a bounded depth.
+//!
+//! Every order of timeouts, deliveries, crashes and a proposal is tried; a message that is never
+//! delivered is a lost one, and one may be delivered twice. A situation that was seen before, in
+//! whatever order it came about, is not explored again. Each replica has a clock of its own that
+//! moves at its timeouts only.
+
+mod group;
+
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use group::history::History;
+use group::machine::Machine;
+use millford_api::replication::{ReplicationMessage, VoterSet};
+use millford_core::{Duration, MonotonicTime, NodeId};
+use prost::Message;
+
+const NODES: [u64; 3] = [1, 2, 3];
+/// Longer than any election timeout, and longer than a quorum may be silent.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Something that may happen next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Action {
+    Timeout(usize),
+    Crash(usize),
+    Propose(usize),
+    /// Delivers a message, by its place among those under way.
+    Deliver(usize),
+    /// Delivers a message and keeps it under way.
+    Repeat(usize),
+}
+
+/// How often each kind of action may happen in one run.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    depth: usize,
+    timeouts: usize,
+    crashes: usize,
+    proposals: usize,
+    repeats: usize,
+}
+
+struct World {
+    machines: Vec<Machine>,
+    clocks: [MonotonicTime; 3],
+    under_way: Vec<ReplicationMessage>,
+    history: History,
+    /// A crash also loses the vote: the planted defect.
+    forgets_votes: bool,
+}
+
+impl World {
+    fn new(forgets_votes: bool) -> Self {
+        let voters = VoterSet {
+            voters: NODES.to_vec(),
+            learners: Vec::new(),
+        };
+        let machines = NODES.map(|node| Machine::new(NodeId(node), Some(voters.clone())));
+        let mut world = Self {
+            machines: machines.into(),
+            clocks: [MonotonicTime::ZERO; 3],
+            under_way: Vec::new(),
+            history: History::default(),
+            forgets_votes,
+        };
+        for position in 0..NODES.len() {
+            world.start(position);
+        }
+        world
+    }
+
+    fn start(&mut self, position: usize) {
+        let machine = &mut self.machines[position];
+        machine
+            .start(self.clocks[position], NODES[position])
+            .expect("the disk is whole");
+    }
+
+    fn run(path: &[Action], forgets_votes: bool) -> Self {
+        let mut world = Self::new(forgets_votes);
+        for action in path {
+            world.act(*action);
+        }
+        world
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Timeout(position) => self.time_out(position),
+            Action::Crash(position) => self.crash(position),
+            Action::Propose(position) => self.propose(position),
+            Action::Deliver(place) => {
+                let message = self.under_way.remove(place);
+                self.deliver(message);
+            }
+            Action::Repeat(place) => self.deliver(self.under_way[place].clone()),
+        }
+        self.check_logs();
+    }
+
+    fn time_out(&mut self, position: usize) {
+        self.clocks[position] = self.clocks[position] + TIMEOUT;
+        let now = self.clocks[position];
+        if let Some(replica) = &mut self.machines[position].replica {
+            replica.tick(now);
+        }
+        self.flush(position);
+    }
+
+    fn crash(&mut self, position: usize) {
+        let machine = &mut self.machines[position];
+        machine.lose_power(0);
+        if self.forgets_votes {
+            group::simulation::forget_vote(machine);
+        }
+        self.start(position);
+        self.flush(position);
+    }
+
+    fn propose(&mut self, position: usize) {
+        if let Some(replica) = &mut self.machines[position].replica {
+            // Refused on a replica that does not lead.
+            let _ = replica.propose(b"command".to_vec());
+        }
+        self.flush(position);
+    }
+
+    fn deliver(&mut self, message: ReplicationMessage) {
+        let position = usize::try_from(message.to - 1).expect("small");
+        let now = self.clocks[position];
+        if let Some(replica) = &mut self.machines[position].replica {
+            replica.step(now, message);
+        }
+        self.flush(position);
+    }
+
+    fn flush(&mut self, position: usize) {
+        let now = self.clocks[position];
+        let ready = self.machines[position].flush(now, &mut self.history);
+        self.under_way
+            .extend(ready.expect("the disk is whole").messages);
+    }
+
+    fn check_logs(&mut self) {
+        for (left, right) in [(0, 1), (0, 2), (1, 2)] {
+            let left = self.machines[left].replica.as_ref().expect("runs");
+            let right = self.machines[right].replica.as_ref().expect("runs");
+            self.history.check_logs_match(left, right);
+        }
+    }
+
+    /// A number that is the same for the same situation.
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for machine in &self.machines {
+            format!("{:?}", machine.replica).hash(&mut hasher);
+        }
+        let mut messages: Vec<Vec<u8>> =
+            self.under_way.iter().map(Message::encode_to_vec).collect();
+        messages.sort_unstable();
+        messages.hash(&mut hasher);
+        self.history.facts().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// What may happen next, given what has happened.
+    fn actions(&self, path: &[Action], bounds: Bounds) -> Vec<Action> {
+        let count = |kind: fn(&Action) -> bool| path.iter().filter(|action| kind(action)).count();
+        let mut actions: Vec<Action> = (0..self.under_way.len()).map(Action::Deliver).collect();
+        if count(|action| matches!(action, Action::Repeat(_))) < bounds.repeats {
+            actions.extend((0..self.under_way.len()).map(Action::Repeat));
+        }
+        let positions = 0..NODES.len();
+        if count(|action| matches!(action, Action::Timeout(_))) < bounds.timeouts {
+            actions.extend(positions.clone().map(Action::Timeout));
+        }
+        if count(|action| matches!(action, Action::Crash(_))) < bounds.crashes {
+            actions.extend(positions.clone().map(Action::Crash));
+        }
+        if count(|action| matches!(action, Action::Propose(_))) < bounds.proposals {
+            let leaders = positions.filter(|position| {
+                let replica = self.machines[*position].replica.as_ref();
+                let role = replica.map(|replica| replica.status().role);
+                role == Some(millford_replication::Role::Leader)
+            });
+            actions.extend(leaders.map(Action::Propose));
+        }
+        actions
+    }
+}
+
+/// What an exploration found.
+#[derive(Debug, Default)]
+struct Findings {
+    situations: usize,
+    elected: usize,
+    committed: usize,
+    violation: Option<String>,
+}
+
+/// Explores breadth first, so that a violation comes with a shortest run.
+fn explore(prefix: &[Action], bounds: Bounds, forgets_votes: bool) -> Findings {
+    let mut findings = Findings::default();
+    let mut seen = HashSet::new();
+    let mut paths = vec![prefix.to_vec()];
+    for _ in 0..=bounds.depth {
+        let mut next_paths = Vec::new();
+        for path in paths {
+            let world = World::run(&path, forgets_votes);
+            if !seen.insert((world.fingerprint(), budget(&path, prefix.len()))) {
+                continue;
+            }
+            findings.note(&world, &path);
+            if findings.violation.is_some() {
+                return findings;
+            }
+            for action in world.actions(&path[prefix.len()..], bounds) {
+                let mut longer = path.clone();
+                longer.push(action);
+                next_paths.push(longer);
+            }
+        }
+        paths = next_paths;
+    }
+    findings
+}
+
+/// Actions used of each bounded kind: the same situation with more left is another one.
+fn budget(path: &[Action], prefix: usize) -> [usize; 4] {
+    let mut used = [0; 4];
+    for action in &path[prefix..] {
+        match action {
+            Action::Timeout(_) => used[0] += 1,
+            Action::Crash(_) => used[1] += 1,
+            Action::Propose(_) => used[2] += 1,
+            Action::Repeat(_) => used[3] += 1,
+            Action::Deliver(_) => {}
+        }
+    }
+    used
+}
+
+impl Findings {
+    fn note(&mut self, world: &World, path: &[Action]) {
+        self.situations += 1;
+        self.elected += usize::from(world.history.elections > 0);
+        self.committed += usize::from(world.history.committed_index() > 1);
+        if let Some(violation) = world.history.violations.first() {
+            self.violation = Some(format!("{violation} after {path:?}"));
+        }
+    }
+}
+
+/// Depth of the explorations; `MILLFORD_DEPTH` adds to it.
+fn depth(usual: usize) -> usize {
+    let more = std::env::var("MILLFORD_DEPTH").ok();
+    usual + more.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Times one replica out and delivers everything until nothing is under way.
+fn settled(first: Action) -> Vec<Action> {
+    let mut path = vec![first];
+    while !World::run(&path, false).under_way.is_empty() {
+        path.push(Action::Deliver(0));
+    }
+    path
+}
+
+/// A settled leader whose next proposal has reached one of the two others, unanswered.
+fn half_replicated() -> Vec<Action> {
+    let mut path = settled(Action::Timeout(0));
+    path.extend([Action::Propose(0), Action::Deliver(0)]);
+    path
+}
+
+fn assert_holds(findings: &Findings) {
+    println!("{findings:?}");
+    assert_eq!(findings.violation, None);
+    assert!(findings.elected > 0 && findings.committed > 0);
+}
+
+#[test]
+fn elections_from_the_start() {
+    let bounds = Bounds {
+        depth: depth(9),
+        timeouts: 2,
+        crashes: 1,
+        proposals: 1,
+        repeats: 0,
+    };
+    assert_holds(&explore(&[], bounds, false));
+}
+
+#[test]
+fn repeated_messages_from_the_start() {
+    let bounds = Bounds {
+        depth: depth(8),
+        timeouts: 2,
+        crashes: 0,
+        proposals: 1,
+        repeats: 1,
+    };
+    assert_holds(&explore(&[], bounds, false));
+}
+
+#[test]
+fn a_change_of_leaders_with_an_entry_half_replicated() {
+    let bounds = Bounds {
+        depth: depth(6),
+        timeouts: 3,
+        crashes: 1,
+        proposals: 1,
+        repeats: 0,
+    };
+    assert_holds(&explore(&half_replicated(), bounds, false));
+}
+
+#[test]
+fn a_forgotten_vote_is_found() {
+    let bounds = Bounds {
+        depth: 9,
+        timeouts: 2,
+        crashes: 1,
+        proposals: 0,
+        repeats: 0,
+    };
+    let violation = explore(&[], bounds, true).violation.expect("found");
+    assert!(violation.contains("voted for"), "{violation}");
+}
