--- /dev/null
+++ b/crates/replication/tests/disks.rs
@@ -0,0 +1,118 @@
+//! Full, failing, foreign and damaged disks under a replica.
+
+mod group;
+
+use group::network::Weather;
+use group::simulation::{Defect, Simulation};
+use group::support::crash_disk::{CrashDisk, Faults};
+use millford_core::{Duration, MonotonicTime, NodeId, ShardId};
+use millford_replication::{OpenError, Replica, ReplicaOptions, SnapshotRefused};
+use millford_storage::{ReplicaStorage, StorageError, StorageOptions};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn started(seed: u64) -> (Simulation, NodeId) {
+    let mut simulation = Simulation::new(seed, 3, Weather::CALM, Defect::None);
+    simulation.run_for(SECOND * 3);
+    let leader = simulation.leaders()[0];
+    (simulation, leader)
+}
+
+fn set_space(simulation: &Simulation, node: NodeId, space_left: Option<u64>) {
+    simulation.machines[&node].disk.set_faults(Faults {
+        space_left,
+        ..Faults::default()
+    });
+}
+
+fn propose(simulation: &mut Simulation, node: NodeId) {
+    let replica = simulation.replica(node).expect("runs");
+    replica.propose(b"command".to_vec()).expect("leads");
+}
+
+#[test]
+fn a_leader_whose_disk_is_full_gives_way_and_comes_back_as_follower() {
+    let (mut simulation, leader) = started(1);
+    set_space(&simulation, leader, Some(10));
+    propose(&mut simulation, leader);
+    simulation.step();
+    assert_eq!(simulation.leaders(), []);
+    simulation.run_for(SECOND * 3);
+    let next = simulation.leaders()[0];
+    assert_ne!(next, leader);
+    for _ in 0..5 {
+        propose(&mut simulation, next);
+        simulation.run_for(SECOND);
+    }
+    let goal = simulation.machines[&next].applied_index;
+    assert!(simulation.machines[&leader].applied_index < goal);
+    set_space(&simulation, leader, None);
+    simulation.run_for(SECOND * 2);
+    assert_eq!(simulation.machines[&leader].applied_index, goal);
+    assert_eq!(simulation.history.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_snapshot_that_finds_no_space_leaves_the_replica_running() {
+    let (mut simulation, leader) = started(2);
+    set_space(&simulation, leader, Some(0));
+    let applied = simulation.machines[&leader].applied_index;
+    let replica = simulation.replica(leader).expect("runs");
+    let refused = replica.save_snapshot(applied, vec![1; 100]);
+    assert!(matches!(
+        refused,
+        Err(SnapshotRefused::Storage(StorageError::Full { .. }))
+    ));
+    let ahead = replica.save_snapshot(applied + 1, Vec::new());
+    assert_eq!(ahead, Err(SnapshotRefused::NotDelivered));
+    set_space(&simulation, leader, None);
+    let replica = simulation.replica(leader).expect("runs");
+    replica
+        .save_snapshot(applied, vec![1; 100])
+        .expect("space again");
+    let again = replica.save_snapshot(applied, vec![1; 100]);
+    assert_eq!(again, Err(SnapshotRefused::Outdated));
+}
+
+#[test]
+fn a_replica_whose_sync_failed_is_dead_and_says_nothing_more() {
+    let (mut simulation, leader) = started(3);
+    let disk = simulation.machines[&leader].disk.clone();
+    disk.set_faults(Faults {
+        fail_sync: true,
+        ..Faults::default()
+    });
+    propose(&mut simulation, leader);
+    let now = simulation.now;
+    let replica = simulation.replica(leader).expect("runs");
+    assert!(matches!(replica.flush(now), Err(StorageError::Io { .. })));
+    let syncs = disk.syncs();
+    replica.tick(now + SECOND);
+    assert!(replica.flush(now + SECOND).is_err());
+    assert_eq!(disk.syncs(), syncs);
+    simulation.run_for(SECOND * 3);
+    assert_ne!(simulation.leaders()[0], leader);
+}
+
+#[test]
+fn another_identity_may_not_use_the_disk() {
+    let disk = CrashDisk::default();
+    let open = |node: u64| {
+        let boxed = Box::new(disk.clone());
+        let storage = ReplicaStorage::open(boxed, StorageOptions::default()).expect("opens");
+        let options = ReplicaOptions::new(NodeId(node), ShardId(0), 1);
+        Replica::open(options, storage, MonotonicTime::ZERO)
+    };
+    let mut first = open(1).expect("empty");
+    first
+        .flush(MonotonicTime::ZERO)
+        .expect("stores the identity");
+    drop(first);
+    open(1).expect("its own disk");
+    let foreign = open(2).err();
+    assert_eq!(
+        foreign,
+        Some(OpenError::ForeignStorage { owner: NodeId(1) })
+    );
+    assert_eq!(open(0).err(), Some(OpenError::NodeIdMissing));
+}
--- /dev/null
+++ b/crates/replication/tests/membership.rs
@@ -0,0 +1,215 @@
+//! Learners, promotions and removals, step by step.
+
+mod group;
+
+use group::network::Weather;
+use group::simulation::{Defect, Simulation};
+use millford_core::{Duration, NodeId};
+use millford_replication::{ChangeRefused, ReplicaStatus, Role, VoterChange};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn started(size: u64) -> (Simulation, NodeId) {
+    let mut simulation = Simulation::new(5, size, Weather::CALM, Defect::None);
+    simulation.run_for(SECOND * 3);
+    let leader = only_leader(&simulation);
+    (simulation, leader)
+}
+
+fn only_leader(simulation: &Simulation) -> NodeId {
+    let leaders = simulation.leaders();
+    assert_eq!(leaders.len(), 1);
+    leaders[0]
+}
+
+fn change(
+    simulation: &mut Simulation,
+    leader: NodeId,
+    change: VoterChange,
+) -> Result<u64, ChangeRefused> {
+    let replica = simulation.replica(leader).expect("runs");
+    replica.change_voters(change)
+}
+
+fn status(simulation: &mut Simulation, node: NodeId) -> ReplicaStatus {
+    simulation.replica(node).expect("runs").status()
+}
+
+fn propose(simulation: &mut Simulation, leader: NodeId, count: u64) {
+    for number in 0..count {
+        let replica = simulation.replica(leader).expect("runs");
+        replica
+            .propose(number.to_le_bytes().to_vec())
+            .expect("leads");
+        simulation.step();
+    }
+    simulation.run_for(SECOND);
+}
+
+#[test]
+fn an_empty_disk_replaces_a_lost_voter_and_a_second_loss_is_survived() {
+    let (mut simulation, leader) = started(3);
+    propose(&mut simulation, leader, 50);
+    simulation
+        .machines
+        .get_mut(&leader)
+        .expect("machine")
+        .save_snapshot();
+    let lost = *simulation
+        .machines
+        .keys()
+        .find(|node| **node != leader)
+        .expect("other");
+    simulation.machines.remove(&lost);
+    let spare = simulation.add_machine(None);
+    change(&mut simulation, leader, VoterChange::AddLearner(spare)).expect("added");
+    simulation.run_for(SECOND);
+    assert_eq!(status(&mut simulation, spare).role, Role::Learner);
+    change(&mut simulation, leader, VoterChange::Promote(spare)).expect("promoted");
+    simulation.run_for(SECOND);
+    change(&mut simulation, leader, VoterChange::Remove(lost)).expect("removed");
+    simulation.run_for(SECOND);
+    // The second loss, right after: the old leader, whose disk held everything.
+    simulation.machines.remove(&leader);
+    simulation.run_for(SECOND * 4);
+    let next = only_leader(&simulation);
+    propose(&mut simulation, next, 5);
+    assert!(status(&mut simulation, next).commit_index > 60);
+    assert_eq!(simulation.history.snapshots_received, 1);
+    assert_eq!(simulation.history.violations, Vec::<String>::new());
+}
+
+#[test]
+fn one_change_at_a_time_and_not_before_an_entry_of_the_own_term() {
+    let mut simulation = Simulation::new(5, 3, Weather::CALM, Defect::None);
+    let spare = simulation.add_machine(None);
+    while simulation.leaders().is_empty() {
+        simulation.step();
+    }
+    let leader = only_leader(&simulation);
+    let add = VoterChange::AddLearner(spare);
+    assert_eq!(
+        change(&mut simulation, leader, add),
+        Err(ChangeRefused::TermNotCommitted)
+    );
+    simulation.run_for(SECOND);
+    change(&mut simulation, leader, add).expect("added");
+    let remove = VoterChange::Remove(spare);
+    assert_eq!(
+        change(&mut simulation, leader, remove),
+        Err(ChangeRefused::ChangePending)
+    );
+    let promote = VoterChange::Promote(spare);
+    assert_eq!(
+        change(&mut simulation, leader, promote),
+        Err(ChangeRefused::ChangePending)
+    );
+    simulation.run_for(SECOND);
+    change(&mut simulation, leader, promote).expect("caught up");
+    simulation.run_for(SECOND);
+    assert_eq!(status(&mut simulation, leader).voters.len(), 4);
+}
+
+#[test]
+fn a_learner_out_of_touch_is_not_promoted() {
+    let (mut simulation, leader) = started(3);
+    let spare = simulation.add_machine(None);
+    change(&mut simulation, leader, VoterChange::AddLearner(spare)).expect("added");
+    simulation.run_for(SECOND);
+    simulation.lose_power(spare);
+    simulation.run_for(SECOND);
+    let promote = VoterChange::Promote(spare);
+    assert_eq!(
+        change(&mut simulation, leader, promote),
+        Err(ChangeRefused::NotCaughtUp)
+    );
+}
+
+#[test]
+fn a_change_that_would_leave_no_quorum_in_touch_is_refused() {
+    let (mut simulation, leader) = started(3);
+    let mut others = simulation
+        .machines
+        .keys()
+        .copied()
+        .filter(|node| *node != leader);
+    let (lost, healthy) = (others.next().expect("other"), others.next().expect("other"));
+    simulation.lose_power(lost);
+    simulation.run_for(SECOND);
+    let remove = VoterChange::Remove(healthy);
+    assert_eq!(
+        change(&mut simulation, leader, remove),
+        Err(ChangeRefused::NoQuorum)
+    );
+    change(&mut simulation, leader, VoterChange::Remove(lost)).expect("the lost one may go");
+}
+
+#[test]
+fn a_removed_leader_hands_over_and_does_not_come_back() {
+    let (mut simulation, leader) = started(3);
+    propose(&mut simulation, leader, 3);
+    change(&mut simulation, leader, VoterChange::Remove(leader)).expect("appended");
+    simulation.run_for(Duration::from_millis(300));
+    let next = only_leader(&simulation);
+    assert_ne!(next, leader);
+    let term = status(&mut simulation, next).term;
+    simulation.run_for(SECOND * 5);
+    assert_eq!(status(&mut simulation, next).term, term);
+    assert!(status(&mut simulation, leader).removed);
+    assert_eq!(simulation.history.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_voter_that_was_removed_while_cut_off_learns_it_and_disturbs_nobody() {
+    let (mut simulation, leader) = started(3);
+    let cut = *simulation
+        .machines
+        .keys()
+        .find(|node| **node != leader)
+        .expect("other");
+    let others: Vec<NodeId> = simulation.machines.keys().copied().collect();
+    for other in others {
+        simulation.network.cut.insert((cut, other));
+        simulation.network.cut.insert((other, cut));
+    }
+    simulation.run_for(SECOND);
+    change(&mut simulation, leader, VoterChange::Remove(cut)).expect("removed");
+    simulation.run_for(SECOND * 3);
+    let term = status(&mut simulation, leader).term;
+    simulation.network.cut.clear();
+    simulation.run_for(SECOND * 3);
+    assert_eq!(status(&mut simulation, leader).term, term);
+    assert_eq!(only_leader(&simulation), leader);
+    let removed = status(&mut simulation, cut);
+    assert!(removed.removed);
+    assert_eq!(removed.role, Role::Follower);
+    // It may come back with its old disk and identity.
+    change(&mut simulation, leader, VoterChange::AddLearner(cut)).expect("added");
+    simulation.run_for(SECOND);
+    change(&mut simulation, leader, VoterChange::Promote(cut)).expect("promoted");
+    simulation.run_for(SECOND);
+    assert!(!status(&mut simulation, cut).removed);
+}
+
+#[test]
+fn a_change_that_a_new_leader_replaces_is_taken_back() {
+    let (mut simulation, leader) = started(3);
+    let others: Vec<NodeId> = simulation
+        .machines
+        .keys()
+        .copied()
+        .filter(|node| *node != leader)
+        .collect();
+    for other in &others {
+        simulation.network.cut.insert((leader, *other));
+        simulation.network.cut.insert((*other, leader));
+    }
+    change(&mut simulation, leader, VoterChange::AddLearner(NodeId(77))).expect("appended");
+    simulation.run_for(SECOND * 4);
+    simulation.network.cut.clear();
+    simulation.run_for(SECOND * 2);
+    let back = status(&mut simulation, leader);
+    assert_eq!(back.learners, Vec::new());
+    assert!(back.configuration_committed);
+    assert_eq!(simulation.history.violations, Vec::<String>::new());
+}
