--- a/crates/replication/src/append_receiving.rs
+++ b/crates/replication/src/append_receiving.rs
@@ -7,9 +7,6 @@
 
 impl Replica {
     pub(crate) fn on_append_request(&mut self, from: NodeId, request: AppendRequest) {
-        if !is_contiguous(&request) {
-            return;
-        }
         if !self.holds(request.previous_index, request.previous_term) {
             let hint = self.back_off_hint(request.previous_index);
             self.reply_append(from, &request, false, hint);
@@ -87,9 +84,3 @@
         self.send(from, Body::AppendReply(AppendReply::default()));
     }
 }
-
-fn is_contiguous(request: &AppendRequest) -> bool {
-    let expected = request.previous_index + 1..;
-    let indices = request.entries.iter().map(|entry| entry.index);
-    indices.zip(expected).all(|(index, wanted)| index == wanted)
-}
--- a/crates/replication/src/flush.rs
+++ b/crates/replication/src/flush.rs
@@ -162,6 +162,7 @@
             commit_index: self.commit_index,
             last_index: self.storage.last_index(),
             snapshot_index: self.snapshot_index(),
+            log_bytes: self.storage.log_bytes(),
             voters: configuration.voters.iter().copied().collect(),
             learners: configuration.learners.iter().copied().collect(),
             configuration_committed: self.configurations.latest_index() <= self.commit_index,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -25,6 +25,7 @@
 mod leader_state;
 mod leadership;
 mod membership;
+mod message_check;
 mod options;
 mod progress;
 mod reads;
--- /dev/null
+++ b/crates/replication/src/message_check.rs
@@ -0,0 +1,67 @@
+//! Which messages a replica takes at all.
+//!
+//! Peers are trusted to follow the protocol, not to be of the same version or free of faults: what
+//! could not have been sent by a correct replica is ignored, as if it had been lost.
+
+use millford_api::replication::{
+    AppendRequest, LogEntry, ReplicationMessage, SnapshotChunk, replication_message::Body,
+};
+
+/// Terms and indices stay below, so that sums with them cannot overflow.
+const LARGEST_NUMBER: u64 = u64::MAX / 4;
+
+/// Whether a correct replica could have sent the message.
+pub fn is_plausible(message: &ReplicationMessage) -> bool {
+    let body_is_plausible = match &message.body {
+        Some(Body::VoteRequest(request)) => {
+            fits(&[request.last_index, request.last_term]) && request.last_term <= message.term
+        }
+        Some(Body::VoteReply(_) | Body::TimeoutNow(_)) => true,
+        Some(Body::AppendRequest(request)) => append_is_plausible(request, message.term),
+        Some(Body::AppendReply(reply)) => {
+            fits(&[reply.match_index, reply.read_round, reply.previous_index])
+        }
+        Some(Body::SnapshotChunk(chunk)) => chunk_is_plausible(chunk, message.term),
+        Some(Body::SnapshotReply(reply)) => fits(&[reply.last_index, reply.next_position]),
+        None => false,
+    };
+    body_is_plausible && fits(&[message.term])
+}
+
+fn fits(numbers: &[u64]) -> bool {
+    numbers.iter().all(|number| *number <= LARGEST_NUMBER)
+}
+
+fn append_is_plausible(request: &AppendRequest, term: u64) -> bool {
+    let numbers = [
+        request.previous_index,
+        request.previous_term,
+        request.commit_index,
+        request.read_round,
+    ];
+    let mut previous = (request.previous_index, request.previous_term);
+    fits(&numbers)
+        && request.entries.iter().all(|entry| {
+            let follows = entry_follows(entry, previous, term);
+            previous = (entry.index, entry.term);
+            follows
+        })
+}
+
+/// Indices have no gap and terms do not fall. An entry without a payload is of a kind that only a
+/// newer version knows: storing it would lose it.
+fn entry_follows(entry: &LogEntry, previous: (u64, u64), term: u64) -> bool {
+    let (previous_index, previous_term) = previous;
+    let is_next = entry.index == previous_index.saturating_add(1);
+    let is_ordered = entry.term >= previous_term && entry.term <= term;
+    is_next && is_ordered && entry.payload.is_some()
+}
+
+fn chunk_is_plausible(chunk: &SnapshotChunk, term: u64) -> bool {
+    let has_voters = chunk
+        .voters
+        .as_ref()
+        .is_some_and(|voters| !voters.voters.is_empty());
+    let covers_entry = chunk.last_index > 0 && chunk.last_term > 0 && chunk.last_term <= term;
+    fits(&[chunk.last_index, chunk.position]) && covers_entry && has_voters
+}
--- a/crates/replication/src/status.rs
+++ b/crates/replication/src/status.rs
@@ -21,6 +21,8 @@
     pub last_index: u64,
     /// Index of the newest snapshot; 0 without one.
     pub snapshot_index: u64,
+    /// Bytes of the log on disk.
+    pub log_bytes: u64,
     /// Voters of the configuration in force.
     pub voters: Vec<NodeId>,
     /// Learners of the configuration in force.
--- a/crates/replication/src/step.rs
+++ b/crates/replication/src/step.rs
@@ -4,17 +4,19 @@
 use millford_core::{MonotonicTime, NodeId};
 
 use crate::Replica;
+use crate::message_check::is_plausible;
 
 impl Replica {
     /// Takes a message of another replica. Answers leave with the next flush.
     ///
-    /// Messages may be lost, repeated, late or out of order; damaged ones are ignored.
+    /// Messages may be lost, repeated, late or out of order; implausible ones are ignored.
     pub fn step(&mut self, now: MonotonicTime, message: ReplicationMessage) {
         self.advance_clock(now);
         let is_ours = message.shard == self.options.shard.0
             && message.to == self.options.node.0
             && message.from != self.options.node.0
-            && message.from != NodeId::NONE.0;
+            && message.from != NodeId::NONE.0
+            && is_plausible(&message);
         if self.failure.is_some() || !is_ours {
             return;
         }
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -52,6 +52,12 @@
         self.synced_index
     }
 
+    /// Bytes of all segments.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.segments.iter().map(Segment::bytes).sum()
+    }
+
     /// The entry at an index.
     #[must_use]
     pub fn entry(&self, index: u64) -> Option<&LogEntry> {
--- a/crates/storage/src/replica_storage.rs
+++ b/crates/storage/src/replica_storage.rs
@@ -87,6 +87,12 @@
         self.log.synced_index()
     }
 
+    /// Bytes of the log on disk.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        self.log.bytes()
+    }
+
     /// Term of the entry at an index; 0 for index 0, `None` when unknown.
     #[must_use]
     pub fn term_at(&self, index: u64) -> Option<u64> {
--- a/crates/storage/tests/disk_faults.rs
+++ b/crates/storage/tests/disk_faults.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use millford_api::replication::{HardState, LogEntry};
-use millford_storage::{Disk, FileDisk, ReplicaStorage, StorageError, StorageOptions};
+use millford_api::replication::{HardState, LogEntry, VoterSet};
+use millford_storage::{
+    Disk, FileDisk, ReplicaStorage, SnapshotMeta, StorageError, StorageOptions,
+};
 use quickcheck::quickcheck;
 use support::command;
 use support::crash_disk::{CrashDisk, Faults};
@@ -102,6 +104,49 @@
     assert_eq!(storage.last_index(), 9);
 }
 
+#[test]
+fn compaction_removes_segments_and_keeps_some_entries() {
+    let options = StorageOptions {
+        segment_bytes: 500,
+        kept_entries: 10,
+    };
+    let disk = CrashDisk::default();
+    let boxed = Box::new(disk.clone());
+    let mut storage = ReplicaStorage::open(boxed, options).expect("empty disk");
+    storage
+        .set_hard_state(HardState::default())
+        .expect("hard state");
+    for index in 1..=200 {
+        storage.append([command(index, 1, &[1; 40])]);
+        storage.sync().expect("sync");
+        if index % 50 == 0 {
+            let meta = SnapshotMeta {
+                index,
+                term: 1,
+                voters: VoterSet::default(),
+            };
+            storage.save_snapshot(meta, Vec::new()).expect("saved");
+        }
+    }
+    assert_eq!(storage.first_index(), 190);
+    assert_eq!(storage.term_at(189), None);
+    assert_eq!(storage.last_index(), 200);
+    assert!(disk.names("log-").len() <= 4);
+    assert!(storage.log_bytes() < 2000);
+    assert_eq!(disk.names("snapshot-").len(), 1);
+    let again = ReplicaStorage::open(Box::new(disk), options).expect("opens");
+    assert_eq!(again.entries(190, u64::MAX, usize::MAX).len(), 11);
+}
+
+#[test]
+fn a_file_without_space_is_reported_as_full() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut disk = FileDisk::open(folder.path()).expect("folder");
+    std::os::unix::fs::symlink("/dev/full", folder.path().join("full")).expect("link");
+    let result = disk.append("full", b"bytes");
+    assert!(result.expect_err("no space").is_full());
+}
+
 quickcheck! {
     fn what_is_written_is_read_back(bodies: Vec<(Vec<u8>, u8)>, segment_bytes: u16) -> bool {
         let options = StorageOptions {
