--- a/crates/replication/src/flush.rs
+++ b/crates/replication/src/flush.rs
@@ -149,16 +149,11 @@
     #[must_use]
     pub fn status(&self) -> ReplicaStatus {
         let configuration = self.configurations.latest();
-        let is_leader = self.is_leader();
         ReplicaStatus {
             role: self.public_role(),
             term: self.term,
             leader: self.leader,
-            leader_heard: if is_leader {
-                Some(self.now)
-            } else {
-                self.leader_heard
-            },
+            leader_heard: self.quorum_heard().or(self.leader_heard),
             commit_index: self.commit_index,
             last_index: self.storage.last_index(),
             snapshot_index: self.snapshot_index(),
--- a/crates/replication/src/leadership.rs
+++ b/crates/replication/src/leadership.rs
@@ -1,7 +1,7 @@
 //! Becoming leader, staying leader, stepping down.
 
 use millford_api::replication::{Empty, log_entry::Payload};
-use millford_core::NodeId;
+use millford_core::{MonotonicTime, NodeId};
 
 use crate::Replica;
 use crate::configuration::Configuration;
@@ -85,6 +85,19 @@
         })
     }
 
+    /// On a leader: the latest time at which a quorum had been heard from since.
+    pub(crate) fn quorum_heard(&self) -> Option<MonotonicTime> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        let micros = self.configurations.latest().quorum_value(|voter| {
+            let peer = state.peers.get(&voter);
+            let heard = peer.map_or(self.now, |peer| peer.last_heard);
+            heard.as_micros()
+        });
+        Some(MonotonicTime::from_micros(micros))
+    }
+
     /// Notes that a replica answered in the present term.
     pub(crate) fn note_heard(&mut self, from: NodeId) {
         let now = self.now;
--- a/crates/replication/src/status.rs
+++ b/crates/replication/src/status.rs
@@ -13,7 +13,8 @@
     pub term: u64,
     /// The leader as far as known; [`NodeId::NONE`] otherwise.
     pub leader: NodeId,
-    /// When the leader was last heard from; `None` before the first time. Now on the leader.
+    /// When the leader was last heard from; `None` before the first time. On the leader: when a
+    /// quorum was last heard from.
     pub leader_heard: Option<MonotonicTime>,
     /// Last committed index.
     pub commit_index: u64,
--- a/crates/replication/tests/group/history.rs
+++ b/crates/replication/tests/group/history.rs
@@ -6,7 +6,7 @@
 use millford_api::replication::{
     LogEntry, ReplicationMessage, VoteReply, VoteRequest, replication_message::Body,
 };
-use millford_core::NodeId;
+use millford_core::{Duration, NodeId};
 use millford_replication::{ConfirmedRead, Replica};
 
 /// Digest of all entries up to one.
@@ -36,6 +36,10 @@
     pub confirmed_reads: u64,
     pub elections: u64,
     pub snapshots_received: u64,
+    /// After all faults: time until a leader had committed an entry of its own term.
+    pub leaderless: Option<Duration>,
+    /// After all faults: time until the group was whole and all voters had applied a new entry.
+    pub recovery: Option<Duration>,
     pub violations: Vec<String>,
 }
 
--- a/crates/replication/tests/group/machine.rs
+++ b/crates/replication/tests/group/machine.rs
@@ -13,6 +13,7 @@
 const STORAGE: StorageOptions = StorageOptions {
     segment_bytes: 600,
     kept_entries: 6,
+    kept_bytes: 150,
 };
 const LIMITS: Limits = Limits {
     append_bytes: 200,
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -85,6 +85,23 @@
         result
     }
 
+    /// First entry to keep when a snapshot covers everything up to `covered`.
+    pub(crate) fn kept_from(&self, covered: u64, options: &StorageOptions) -> u64 {
+        let mut first = covered + 1;
+        let mut bytes = 0;
+        while covered + 1 - first < options.kept_entries {
+            let Some(entry) = self.entry(first - 1) else {
+                break;
+            };
+            bytes += entry.encoded_len();
+            if bytes > options.kept_bytes {
+                break;
+            }
+            first -= 1;
+        }
+        first
+    }
+
     /// Appends in memory. Each entry must follow the last one.
     pub(crate) fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
         for entry in entries {
--- a/crates/storage/src/options.rs
+++ b/crates/storage/src/options.rs
@@ -6,13 +6,18 @@
 /// Entries kept behind a snapshot, so that a replica that is a little behind needs no snapshot.
 pub const DEFAULT_KEPT_ENTRIES: u64 = 2_000;
 
+/// Bytes of entries kept behind a snapshot: a few large entries must not fill memory.
+pub const DEFAULT_KEPT_BYTES: usize = 8 * 1024 * 1024;
+
 /// Sizes of a replica's storage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StorageOptions {
     /// A segment that has reached this many bytes is closed.
     pub segment_bytes: u64,
-    /// Entries kept behind the snapshot.
+    /// Most entries kept behind the snapshot.
     pub kept_entries: u64,
+    /// Most bytes of entries kept behind the snapshot.
+    pub kept_bytes: usize,
 }
 
 impl Default for StorageOptions {
@@ -20,6 +25,7 @@
         Self {
             segment_bytes: DEFAULT_SEGMENT_BYTES,
             kept_entries: DEFAULT_KEPT_ENTRIES,
+            kept_bytes: DEFAULT_KEPT_BYTES,
         }
     }
 }
--- a/crates/storage/src/replica_storage.rs
+++ b/crates/storage/src/replica_storage.rs
@@ -157,7 +157,8 @@
     pub fn save_snapshot(&mut self, meta: SnapshotMeta, data: Vec<u8>) -> Result<(), StorageError> {
         let index = meta.index;
         self.write_snapshot(meta, data)?;
-        self.compact(index.saturating_sub(self.options.kept_entries))
+        let kept_from = self.log.kept_from(index, &self.options);
+        self.compact(kept_from)
     }
 
     /// Stores a snapshot received from the leader. The log is kept if it holds the snapshot's last
--- a/crates/storage/tests/crash_points.rs
+++ b/crates/storage/tests/crash_points.rs
@@ -11,6 +11,7 @@
 const OPTIONS: StorageOptions = StorageOptions {
     segment_bytes: 300,
     kept_entries: 3,
+    kept_bytes: usize::MAX,
 };
 const TEARS: u64 = 12;
 /// Within the log, at its end and behind it.
--- a/crates/storage/tests/recovery_damage.rs
+++ b/crates/storage/tests/recovery_damage.rs
@@ -11,6 +11,7 @@
 const SMALL_SEGMENTS: StorageOptions = StorageOptions {
     segment_bytes: 60,
     kept_entries: 0,
+    kept_bytes: usize::MAX,
 };
 
 fn open(disk: &CrashDisk, options: StorageOptions) -> Result<ReplicaStorage, StorageError> {
