--- /dev/null
+++ b/crates/proxy/tests/daemon_path.rs
@@ -0,0 +1,285 @@
+//! The daemon's own parts over loopback: agent link, HTTP server, backend connections.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use millford_api::local::{ProxyHello, local_frame};
+use millford_core::Duration;
+use millford_proxy::daemon::agent_link::agent_link;
+use millford_proxy::daemon::backend_client::BackendClient;
+use millford_proxy::daemon::environment::DaemonEnvironment;
+use millford_proxy::daemon::server::{HttpLimits, service};
+use millford_proxy::limits::RequestLimits;
+use millford_proxy::proxy_state::ProxyState;
+use support::fixture::{Fixture, KEY};
+use support::raw_backend::{Answer, RawRequest, Requests, exchange, get, post};
+use support::{raw_backend, stub_agent};
+use tokio::net::TcpListener;
+
+const CHAT: &str = r#"{"model":"saga","messages":[{"role":"user","content":"One."}]}"#;
+const CHAT_STREAM: &str =
+    r#"{"model":"saga","stream":true,"messages":[{"role":"user","content":"One."}]}"#;
+
+struct Proxy {
+    address: SocketAddr,
+    state: Arc<ProxyState>,
+    agent_received: stub_agent::Received,
+    backend_requests: Requests,
+}
+
+async fn start(fixture: &Fixture, answer: Answer) -> Proxy {
+    let (backend, backend_requests) = raw_backend::start(answer).await;
+    let items = fixture.feed_items(&backend.to_string());
+    let (agent_address, agent_received) = stub_agent::start(items).await;
+    let state = Arc::new(ProxyState::new(RequestLimits::default()));
+    let hello = ProxyHello::default();
+    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    tokio::spawn(task.run());
+    let environment = DaemonEnvironment {
+        shared: Arc::clone(&state),
+        agent,
+        backends: BackendClient {
+            connect_timeout: Duration::from_millis(300),
+        },
+    };
+    let limits = HttpLimits {
+        max_body_bytes: 64 * 1024,
+        max_header_bytes: 4 * 1024,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let filter = service(Arc::new(environment), limits);
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    until("the proxy is ready", || state.is_ready()).await;
+    Proxy {
+        address,
+        state,
+        agent_received,
+        backend_requests,
+    }
+}
+
+/// Waits for an event with a bound.
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..5_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    panic!("not in time: {what}");
+}
+
+fn headers(extra: &str) -> String {
+    format!("authorization: Bearer {KEY}\r\ncontent-type: application/json\r\n{extra}")
+}
+
+/// The same answer to every request except withdrawals.
+fn answering(make: impl Fn(&RawRequest) -> String + Send + Sync + 'static) -> Answer {
+    Arc::new(move |request| {
+        if request.head.starts_with("DELETE") {
+            let body = r#"{"state":"withdrawn"}"#;
+            return with_length(request, body).into_bytes();
+        }
+        make(request).into_bytes()
+    })
+}
+
+fn with_length(request: &RawRequest, body: &str) -> String {
+    let attempt = request.header("x-millford-attempt");
+    let length = body.len();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+    format!("{head}x-millford-attempt: {attempt}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+fn chunked(request: &RawRequest, events: &str, last_chunk: bool) -> String {
+    let attempt = request.header("x-millford-attempt");
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+    let end = if last_chunk { "0\r\n\r\n" } else { "" };
+    let size = events.len();
+    format!(
+        "{head}x-millford-attempt: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n{size:x}\r\n{events}\r\n{end}"
+    )
+}
+
+fn events(request: &RawRequest, count: u64, done: bool) -> String {
+    let run = request.header("x-millford-run");
+    let piece = |sequence: u64| {
+        let mark = format!("{{\"run\":\"{run}\",\"seq\":{sequence}}}");
+        format!("data: {{\"choices\":[],\"millford\":{mark}}}\n\n")
+    };
+    let mut events: String = (0..count).map(piece).collect();
+    if done {
+        events.push_str("data: [DONE]\n\n");
+    }
+    events
+}
+
+#[tokio::test]
+async fn a_plain_answer_passes_and_the_key_does_not() {
+    let answer = answering(|request| with_length(request, r#"{"choices":[1]}"#));
+    let proxy = start(&Fixture::once(), answer).await;
+    let extra = "idempotency-key: order-9\r\nx-millford-session: s1\r\n";
+    let seen = exchange(proxy.address, &post(&headers(extra), CHAT)).await;
+    assert!(seen.starts_with("HTTP/1.1 200 OK\r\n"), "{seen}");
+    assert!(seen.contains("x-millford-revision: 3"), "{seen}");
+    assert!(seen.ends_with(r#"{"choices":[1]}"#), "{seen}");
+    let requests = proxy.backend_requests.lock().expect("requests").clone();
+    assert_eq!(requests.len(), 1);
+    let whole = format!("{}\n{}", requests[0].head, requests[0].body);
+    assert!(!whole.contains(KEY) && !whole.to_ascii_lowercase().contains("authorization"));
+    assert!(!whole.contains("library") && !whole.contains("order-9"));
+    assert_eq!(requests[0].body, CHAT);
+    let settled = || {
+        let received = proxy.agent_received.lock().expect("received");
+        let mut frames = received.iter();
+        frames.any(|body| matches!(body, local_frame::Body::Settle(_)))
+    };
+    until("the claim is settled", settled).await;
+}
+
+#[tokio::test]
+async fn bytes_after_the_announced_length_reach_nobody() {
+    let answer = answering(|request| {
+        let whole = with_length(request, r#"{"choices":[1]}"#);
+        format!(
+            "{whole}{}",
+            with_length(request, r#"{"choices":["stray"]}"#)
+        )
+    });
+    let proxy = start(&Fixture::default(), answer).await;
+    for _ in 0..3 {
+        let seen = exchange(proxy.address, &post(&headers(""), CHAT)).await;
+        assert!(seen.ends_with(r#"{"choices":[1]}"#), "{seen}");
+    }
+    let requests = proxy.backend_requests.lock().expect("requests").len();
+    assert_eq!(requests, 3);
+}
+
+#[tokio::test]
+async fn a_body_shorter_than_announced_is_no_success() {
+    let answer = answering(|request| {
+        let whole = with_length(request, r#"{"choices":[1]}"#);
+        whole[..whole.len() - 4].to_owned()
+    });
+    let proxy = start(&Fixture::once(), answer).await;
+    let seen = exchange(proxy.address, &post(&headers(""), CHAT)).await;
+    assert!(seen.starts_with("HTTP/1.1 502"), "{seen}");
+    assert!(
+        seen.contains("\"code\":3006") && seen.contains("not_run"),
+        "{seen}"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_passes_to_its_end() {
+    let answer = answering(|request| chunked(request, &events(request, 3, true), true));
+    let proxy = start(&Fixture::default(), answer).await;
+    let seen = exchange(proxy.address, &post(&headers(""), CHAT_STREAM)).await;
+    assert!(seen.contains("content-type: text/event-stream"), "{seen}");
+    for expected in ["id: 0\n", "id: 1\n", "id: 2\n", "data: [DONE]\n\n"] {
+        assert!(seen.contains(expected), "{seen}");
+    }
+    assert!(!seen.contains("event: error"));
+    assert_eq!(
+        proxy.state.metrics.first_token_seconds.get_sample_count(),
+        1
+    );
+}
+
+#[tokio::test]
+async fn a_stream_that_is_cut_ends_with_an_error_event() {
+    let fixture = Fixture {
+        resume: millford_api::config::Resume::Never,
+        ..Fixture::default()
+    };
+    for last_chunk in [true, false] {
+        let answer =
+            answering(move |request| chunked(request, &events(request, 3, false), last_chunk));
+        let proxy = start(&fixture, answer).await;
+        let seen = exchange(proxy.address, &post(&headers(""), CHAT_STREAM)).await;
+        assert!(
+            seen.contains("id: 2\n") && seen.contains("event: error\n"),
+            "{seen}"
+        );
+        assert!(!seen.contains("[DONE]"), "{seen}");
+    }
+}
+
+#[tokio::test]
+async fn a_crossed_answer_is_dropped() {
+    let answer = answering(|_| {
+        let crossed = RawRequest {
+            head: "x-millford-attempt: another".to_owned(),
+            ..RawRequest::default()
+        };
+        with_length(&crossed, r#"{"choices":["crossed"]}"#)
+    });
+    let proxy = start(&Fixture::once(), answer).await;
+    let seen = exchange(proxy.address, &post(&headers(""), CHAT)).await;
+    assert!(seen.contains("\"code\":3005"), "{seen}");
+    assert!(!seen.contains("crossed\"]"), "{seen}");
+}
+
+#[tokio::test]
+async fn a_lookup_keeps_its_path_and_query() {
+    let answer = answering(|request| with_length(request, r#"{"station":"Dakar"}"#));
+    let proxy = start(&Fixture::default(), answer).await;
+    let seen = exchange(
+        proxy.address,
+        &get("/stations/61641?from=1981", &headers("")),
+    )
+    .await;
+    assert!(seen.ends_with(r#"{"station":"Dakar"}"#), "{seen}");
+    let head = proxy.backend_requests.lock().expect("requests")[0]
+        .head
+        .clone();
+    assert!(
+        head.starts_with("GET /stations/61641?from=1981 HTTP/1.1"),
+        "{head}"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_stream_slot() {
+    let answer: Answer = Arc::new(|_| Vec::new());
+    let proxy = start(&Fixture::default(), answer).await;
+    let mut stream = tokio::net::TcpStream::connect(proxy.address)
+        .await
+        .expect("connect");
+    let request = post(&headers(""), CHAT_STREAM);
+    tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
+        .await
+        .expect("write");
+    drop(stream);
+    let released = || {
+        let received = proxy.agent_received.lock().expect("received");
+        let mut frames = received.iter();
+        frames.any(|body| matches!(body, local_frame::Body::QuotaRelease(_)))
+    };
+    until("the slot is released", released).await;
+    until("no request is open", || {
+        proxy.state.metrics.open_requests.get() == 0
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_leaving_proxy_refuses_and_says_not_run() {
+    let answer = answering(|request| with_length(request, "{}"));
+    let proxy = start(&Fixture::default(), answer).await;
+    let ready = exchange(proxy.address, &get("/readyz", "")).await;
+    assert!(ready.starts_with("HTTP/1.1 200"), "{ready}");
+    proxy.state.set_draining();
+    let ready = exchange(proxy.address, &get("/readyz", "")).await;
+    assert!(ready.starts_with("HTTP/1.1 503"), "{ready}");
+    let seen = exchange(proxy.address, &post(&headers(""), CHAT)).await;
+    assert!(
+        seen.contains("\"code\":2006") && seen.contains("\"run\":\"not_run\""),
+        "{seen}"
+    );
+    assert!(seen.contains("retry-after: 1"), "{seen}");
+    assert!(proxy.backend_requests.lock().expect("requests").is_empty());
+}
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use millford_api::config::{Hedge, Pool, Quota, Resume, Route, RouteMatch, Tenant};
 use millford_api::state::state_value::Kind;
-use millford_api::state::{Backend, BackendState, ConfigHead, Declaration, StateValue};
+use millford_api::state::{Backend, BackendState, ConfigHead, Declaration, StateItem, StateValue};
 use millford_core::{MonotonicTime, hash_tenant_key};
 use millford_proxy::limits::RequestLimits;
 use millford_proxy::proxy_state::ProxyState;
@@ -86,6 +86,20 @@
         RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
     }
 
+    /// The same as feed items, with the backends at these addresses.
+    pub fn feed_items(&self, address: &str) -> Vec<StateItem> {
+        let items = self.items().into_iter().map(|(key, mut value)| {
+            if let Some(Kind::Backend(backend)) = &mut value.kind {
+                address.clone_into(&mut backend.address);
+            }
+            StateItem {
+                key,
+                value: Some(value),
+            }
+        });
+        items.collect()
+    }
+
     fn items(&self) -> Vec<(String, StateValue)> {
         let mut items = vec![
             item(
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -4,5 +4,7 @@
 pub mod clock;
 pub mod environment;
 pub mod fixture;
+pub mod raw_backend;
 pub mod script;
 pub mod sink;
+pub mod stub_agent;
--- /dev/null
+++ b/crates/proxy/tests/support/stub_agent.rs
@@ -0,0 +1,84 @@
+//! An agent on loopback that shows one configuration and grants everything.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use futures::{SinkExt, StreamExt};
+use millford_api::command::ClaimResult;
+use millford_api::internal::StateSnapshot;
+use millford_api::local::{
+    AgentStatus, LocalClaimReply, LocalFrame, LocalQuotaReply, LocalSettleReply, local_frame,
+};
+use millford_api::state::StateItem;
+use millford_transport::accept;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Frames that the proxy sent.
+pub type Received = Arc<Mutex<Vec<local_frame::Body>>>;
+
+/// Starts the agent; it lives as long as the runtime.
+pub async fn start(items: Vec<StateItem>) -> (SocketAddr, Received) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let received = Received::default();
+    let shared = Arc::clone(&received);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, items.clone(), Arc::clone(&shared)));
+        }
+    });
+    (address, received)
+}
+
+async fn serve(stream: TcpStream, items: Vec<StateItem>, received: Received) {
+    let (mut reader, mut writer) = accept::<LocalFrame>(stream).expect("socket");
+    while let Some(Ok(frame)) = reader.next().await {
+        let body = frame.body.expect("body");
+        received.lock().expect("received").push(body.clone());
+        for answer in answers(body, &items) {
+            let frame = LocalFrame { body: Some(answer) };
+            if writer.send(frame).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn answers(body: local_frame::Body, items: &[StateItem]) -> Vec<local_frame::Body> {
+    match body {
+        local_frame::Body::ProxyHello(_) => vec![
+            local_frame::Body::Snapshot(StateSnapshot {
+                shard: 0,
+                term: 1,
+                offset: 5,
+                items: items.to_vec(),
+            }),
+            local_frame::Body::Status(AgentStatus {
+                in_touch: true,
+                session_epoch: 1,
+                data_shards: 1,
+                complete: true,
+            }),
+        ],
+        local_frame::Body::QuotaAsk(ask) => vec![local_frame::Body::QuotaReply(LocalQuotaReply {
+            request_id: ask.request_id,
+            granted: true,
+            ..LocalQuotaReply::default()
+        })],
+        local_frame::Body::Claim(claim) => vec![local_frame::Body::ClaimReply(LocalClaimReply {
+            request_id: claim.request_id,
+            code: 0,
+            result: Some(ClaimResult {
+                granted: true,
+                ..ClaimResult::default()
+            }),
+        })],
+        local_frame::Body::Settle(settle) => {
+            vec![local_frame::Body::SettleReply(LocalSettleReply {
+                request_id: settle.request_id,
+                code: 0,
+            })]
+        }
+        _ => Vec::new(),
+    }
+}
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -28,7 +28,7 @@
     fn a_choice_exists(loads: Vec<u8>, key: Option<u64>, first: u64, second: u64) -> bool {
         let list = candidates(&loads);
         let choice = choose(&list, key, 1.0, [first, second]);
-        choice.is_some() == !list.is_empty()
+        choice.is_some() != list.is_empty()
             && choice.is_none_or(|choice| choice.index < list.len())
     }
 
