Count decode by what a stream adds to a step, and weigh affinity by what the warm cache saves

Cause: the routing cost multiplied a batch's whole step by its streams, which hid prefill; the load bound for homes compared milliseconds with milliseconds over cores, so that homes were kept whatever their load. Considered: a bound of 1.25 times the mean in matching units (ignores that a cache found everywhere gains nothing); chosen: go home unless the better of two is ahead by more than the learned saving.

--- a/crates/experiments/src/fleet/dispatch.rs
+++ b/crates/experiments/src/fleet/dispatch.rs
@@ -331,9 +331,12 @@
             let streams = attempt.streams_at_start + 1;
             proxy.costs.add_inter_token(request.model, streams, millis);
         }
+        proxy.costs.add_output_tokens(request.model, output_tokens);
+        let share = f64::from(attempt.cached_tokens) / f64::from(request.prompt.tokens);
         if attempt.by_affinity {
-            let share = f64::from(attempt.cached_tokens) / f64::from(request.prompt.tokens);
             proxy.costs.add_cached_share(request.model, share);
+        } else {
+            proxy.costs.add_cached_share_elsewhere(request.model, share);
         }
         let sample = CostSample {
             prompt_tokens: u32::try_from(attempt.own_tokens).unwrap_or(u32::MAX),
--- a/crates/experiments/src/fleet/policy.rs
+++ b/crates/experiments/src/fleet/policy.rs
@@ -13,6 +13,8 @@
     HostTotalLeast,
     /// The better of two by the utilization that backends reported some seconds ago.
     StaleReported,
+    /// The least true work left over all backends: what no node can know. A bound, not a choice.
+    Oracle,
     /// The home of the affinity key, whatever its load.
     PureHash,
     /// The project's routing, without affinity.
@@ -31,6 +33,7 @@
             Policy::HostTotal => "host total, best of two",
             Policy::HostTotalLeast => "host total, least of all",
             Policy::StaleReported => "stale reported load",
+            Policy::Oracle => "oracle",
             Policy::PureHash => "pure hashing",
             Policy::MillfordWithoutAffinity => "millford, no affinity",
             Policy::Millford => "millford",
--- a/crates/proxy/src/request/choose_backend.rs
+++ b/crates/proxy/src/request/choose_backend.rs
@@ -1,6 +1,6 @@
 //! Choice of the backend for one attempt.
 
-use millford_routing::{Candidate, ReplicaKey, ServingReplica, choose};
+use millford_routing::{Affinity, Candidate, ReplicaKey, ServingReplica, choose};
 
 use crate::request::environment::RequestEnvironment;
 use crate::request::plan::RequestPlan;
@@ -45,16 +45,21 @@
         .map(|replica| candidate(environment, replica))
         .collect();
     let model = &plan.requirement.model;
-    let own_load = state.costs.work_ms(model, plan.prompt_tokens, 1);
     let random = [environment.random(), environment.random()];
-    let choice = choose(&weighed, plan.affinity, own_load, random)?;
+    let affinity = plan.affinity.map(|key| Affinity {
+        key,
+        saving: state.costs.home_saving_ms(model, plan.prompt_tokens) / mean_cores(&replicas),
+    });
+    let choice = choose(&weighed, affinity, random)?;
     let replica = replicas[choice.index];
     let uncached_tokens = if choice.by_affinity {
         state
             .costs
             .uncached_tokens_at_home(model, plan.prompt_tokens)
     } else {
-        plan.prompt_tokens
+        state
+            .costs
+            .uncached_tokens_elsewhere(model, plan.prompt_tokens)
     };
     Some(ChosenReplica {
         key: replica_key(&pool.name, replica),
@@ -87,3 +92,9 @@
         load,
     }
 }
+
+/// Loads are counted over the cores: what a request saves is too.
+fn mean_cores(replicas: &[&ServingReplica]) -> f64 {
+    let cores = replicas.iter().map(|replica| replica.backend.cores.max(1));
+    f64::from(cores.sum::<u32>()) / replicas.len().max(1) as f64
+}
--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -139,16 +139,20 @@
         })
     };
     let usage = relayed?;
-    if by_affinity && let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
+    let model = &plan.requirement.model;
+    if let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
         let share = usage.cached_tokens as f64 / usage.prompt_tokens as f64;
-        state.costs.add_cached_share(&plan.requirement.model, share);
+        if by_affinity {
+            state.costs.add_cached_share(model, share);
+        } else {
+            state.costs.add_cached_share_elsewhere(model, share);
+        }
     }
     if sample.output_tokens > 1 {
+        state.costs.add_output_tokens(model, sample.output_tokens);
         let inter_token = f64::from(sample.decode_ms) / f64::from(sample.output_tokens - 1);
         let streams = sample.streams_at_start + 1;
-        state
-            .costs
-            .add_inter_token(&plan.requirement.model, streams, inter_token);
+        state.costs.add_inter_token(model, streams, inter_token);
     }
     state.board.add_sample(&sample_key, sample);
     Ok(())
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -1,9 +1,7 @@
-//! Choice of a backend: affinity within a load bound, then the better of two.
+//! Choice of a backend: a home of the request's key while it pays, else the better of two.
 
 use crate::rendezvous;
-
-/// A home may carry this many times the mean load before its keys go elsewhere.
-pub const BOUNDED_LOAD_FACTOR: f64 = 1.25;
+use crate::serving_pool::FULL_WEIGHT_MILLI;
 
 /// How many backends of a key's rendezvous order are tried before the key's affinity is given up.
 pub const HOMES_TRIED: usize = 2;
@@ -28,50 +26,56 @@
     pub by_affinity: bool,
 }
 
+/// What keeps related requests on one backend, and what that is worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Affinity {
+    /// Hash of the session or the shared prefix.
+    pub key: u64,
+    /// What the warm cache at home saves, in the unit of [`Candidate::load`].
+    pub saving: f64,
+}
+
 /// Chooses a candidate; nothing only if there is none.
 ///
-/// `own_load` is what the request itself adds, in the unit of [`Candidate::load`]; `random` are
-/// two fresh random numbers.
+/// The request goes to a home of its key unless the better of two drawn candidates is ahead of it by more
+/// than the warm cache at home saves: a busy home keeps only what still gains there. `random` are two fresh
+/// random numbers.
 #[must_use]
 pub fn choose(
     candidates: &[Candidate],
-    affinity: Option<u64>,
-    own_load: f64,
+    affinity: Option<Affinity>,
     random: [u64; 2],
 ) -> Option<Choice> {
-    let home = affinity.and_then(|key| home_within_bound(candidates, key, own_load));
-    if let Some(index) = home {
-        return Some(Choice {
-            index,
-            by_affinity: true,
-        });
-    }
     let index = better_of_two(candidates, random)?;
-    Some(Choice {
-        index,
-        by_affinity: false,
+    let alternative = weighed_load(&candidates[index]);
+    let home = affinity.and_then(|affinity| home_worth_it(candidates, affinity, alternative));
+    Some(match home {
+        Some(home) => Choice {
+            index: home,
+            by_affinity: true,
+        },
+        None => Choice {
+            index,
+            by_affinity: false,
+        },
     })
 }
 
-/// The load that a home may carry before the request is added to it.
-#[must_use]
-pub fn load_bound(candidates: &[Candidate], own_load: f64) -> f64 {
-    let total: f64 = candidates.iter().map(|candidate| candidate.load).sum();
-    let mean = (total + own_load) / candidates.len().max(1) as f64;
-    mean * BOUNDED_LOAD_FACTOR
-}
-
-/// The first homes in rendezvous order that stay within the bound.
-fn home_within_bound(candidates: &[Candidate], key: u64, own_load: f64) -> Option<usize> {
-    let bound = load_bound(candidates, own_load);
+/// The first home in rendezvous order that is worth its load.
+fn home_worth_it(candidates: &[Candidate], affinity: Affinity, alternative: f64) -> Option<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by(|left, right| {
-        let left = home_score(key, &candidates[*left]);
-        let right = home_score(key, &candidates[*right]);
+        let left = home_score(affinity.key, &candidates[*left]);
+        let right = home_score(affinity.key, &candidates[*right]);
         right.total_cmp(&left)
     });
     let mut homes = order.into_iter().take(HOMES_TRIED);
-    homes.find(|index| candidates[*index].load <= bound)
+    homes.find(|index| weighed_load(&candidates[*index]) <= alternative + affinity.saving)
+}
+
+/// Load of a candidate for its share of new work.
+fn weighed_load(candidate: &Candidate) -> f64 {
+    candidate.load * f64::from(FULL_WEIGHT_MILLI) / f64::from(candidate.weight_milli.max(1))
 }
 
 fn home_score(key: u64, candidate: &Candidate) -> f64 {
@@ -84,11 +88,7 @@
     let Some(second) = draw_by_weight(candidates, Some(first), random[1]) else {
         return Some(first);
     };
-    let weighed = |index: usize| {
-        let candidate = &candidates[index];
-        candidate.load / f64::from(candidate.weight_milli.max(1))
-    };
-    let keep_first = weighed(first) <= weighed(second);
+    let keep_first = weighed_load(&candidates[first]) <= weighed_load(&candidates[second]);
     Some(if keep_first { first } else { second })
 }
 
--- a/crates/routing/src/cost_book.rs
+++ b/crates/routing/src/cost_book.rs
@@ -13,17 +13,24 @@
 const PRIOR_INTER_TOKEN_MS: f64 = 20.0;
 /// What each further stream adds to the time between tokens, in milliseconds.
 const PRIOR_INTER_TOKEN_MS_PER_STREAM: f64 = 0.5;
-/// Tokens that a stream is expected to have left.
-const EXPECTED_TOKENS_LEFT: f64 = 32.0;
-/// Weight of a new sample in the share of cached prompt tokens.
-const CACHED_SHARE_SMOOTHING: f64 = 0.1;
+/// Length of an answer of an unknown model, in tokens.
+const PRIOR_OUTPUT_TOKENS: f64 = 64.0;
+/// Most streams that are believed to fit into twice the time of an empty step: guards against a fitted
+/// slope of nearly nothing.
+const MOST_STREAMS: f64 = 256.0;
+/// Weight of a new sample in the means.
+const MEAN_SMOOTHING: f64 = 0.02;
+/// Cached share of a prompt to expect at home and elsewhere before any answer.
+const PRIOR_CACHED_AT_HOME: f64 = 0.5;
 
 /// What was learned about one model.
 #[derive(Clone, Copy, Debug)]
 struct ModelCost {
     first_token: LinearFit,
     inter_token: LinearFit,
+    output_tokens: f64,
     cached_share_at_home: f64,
+    cached_share_elsewhere: f64,
 }
 
 impl Default for ModelCost {
@@ -34,7 +41,9 @@
                 PRIOR_INTER_TOKEN_MS,
                 PRIOR_INTER_TOKEN_MS_PER_STREAM,
             ),
-            cached_share_at_home: 0.0,
+            output_tokens: PRIOR_OUTPUT_TOKENS,
+            cached_share_at_home: PRIOR_CACHED_AT_HOME,
+            cached_share_elsewhere: 0.0,
         }
     }
 }
@@ -61,11 +70,24 @@
         });
     }
 
+    /// An answer had this many tokens.
+    pub fn add_output_tokens(&self, model: &str, tokens: u32) {
+        self.change(model, |cost| {
+            approach(&mut cost.output_tokens, f64::from(tokens));
+        });
+    }
+
     /// A request sent to its home found this share of its prompt cached.
     pub fn add_cached_share(&self, model: &str, share: f64) {
         self.change(model, |cost| {
-            let gap = share.clamp(0.0, 1.0) - cost.cached_share_at_home;
-            cost.cached_share_at_home += gap * CACHED_SHARE_SMOOTHING;
+            approach(&mut cost.cached_share_at_home, share.clamp(0.0, 1.0));
+        });
+    }
+
+    /// A request sent elsewhere than to its home found this share of its prompt cached.
+    pub fn add_cached_share_elsewhere(&self, model: &str, share: f64) {
+        self.change(model, |cost| {
+            approach(&mut cost.cached_share_elsewhere, share.clamp(0.0, 1.0));
         });
     }
 
@@ -82,13 +104,32 @@
         (prompt_tokens as f64 * share).ceil() as u64
     }
 
+    /// Uncached tokens to expect of a prompt that is sent elsewhere than to its home.
+    #[must_use]
+    pub fn uncached_tokens_elsewhere(&self, model: &str, prompt_tokens: u64) -> u64 {
+        let share = 1.0 - self.read(model).cached_share_elsewhere;
+        (prompt_tokens as f64 * share).ceil() as u64
+    }
+
+    /// Processor time that the warm cache at home saves on a prompt, in milliseconds.
+    #[must_use]
+    pub fn home_saving_ms(&self, model: &str, prompt_tokens: u64) -> f64 {
+        let cost = self.read(model);
+        let gain = (cost.cached_share_at_home - cost.cached_share_elsewhere).max(0.0);
+        gain * prompt_tokens as f64 * cost.first_token.slope()
+    }
+
     /// Estimated processor time of work in flight, in milliseconds.
+    ///
+    /// A step serves all streams of a batch at once: a stream costs what it adds to a step, not the step.
     #[must_use]
     pub fn work_ms(&self, model: &str, prefill_tokens: u64, decode_streams: u32) -> f64 {
         let cost = self.read(model);
         let prefill = cost.first_token.slope() * prefill_tokens as f64;
-        let token = cost.inter_token.at(f64::from(decode_streams));
-        prefill + token * f64::from(decode_streams) * EXPECTED_TOKENS_LEFT
+        let least_step_share = cost.inter_token.base() / MOST_STREAMS;
+        let step_share = cost.inter_token.slope().max(least_step_share);
+        let tokens_left = cost.output_tokens / 2.0;
+        prefill + step_share * tokens_left * f64::from(decode_streams)
     }
 
     fn change(&self, model: &str, change: impl FnOnce(&mut ModelCost)) {
@@ -101,3 +142,8 @@
         models.get(model).copied().unwrap_or_default()
     }
 }
+
+/// Moves a mean a little towards a new sample.
+fn approach(mean: &mut f64, sample: f64) {
+    *mean += (sample - *mean) * MEAN_SMOOTHING;
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use admission::AdmissionEstimate;
 pub use backend_health::{BackendHealth, EjectionReason};
-pub use choice::{Candidate, Choice, choose};
+pub use choice::{Affinity, Candidate, Choice, choose};
 pub use cost_book::CostBook;
 pub use fair_queue::FairQueue;
 pub use load_board::LoadBoard;
