Run the fleet's own control nodes, agents and request path in the simulator

Aim: one seeded runner over scenario files with the daemons' own code under simulated time. Considered: stand-in cores first; the real ones are merged, so stand-ins are only callers, operators, backends and the registry, in message form. Change: the simulated site, its drivers, faults and draws, the runner and its command.

--- /dev/null
+++ b/crates/simulation/examples/scenarios.rs
@@ -0,0 +1,6 @@
+//! The scenario runner by itself.
+
+fn main() -> std::process::ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    millford_simulation::run(&arguments)
+}
--- a/crates/simulation/src/checkers/at_most_once.rs
+++ b/crates/simulation/src/checkers/at_most_once.rs
@@ -20,8 +20,12 @@
 impl Checker for AtMostOnceChecker {
     fn observe(&mut self, at: MonotonicTime, record: &Record, verdict: &mut Verdict) {
         self.calls.observe(record);
+        // A run that is continued is the same run.
         let Record::BackendStarted {
-            attempt, content, ..
+            attempt,
+            content,
+            from: 0,
+            ..
         } = record
         else {
             return;
--- a/crates/simulation/src/checkers/drain.rs
+++ b/crates/simulation/src/checkers/drain.rs
@@ -8,7 +8,7 @@
 use crate::checkers::checker::Checker;
 use crate::checkers::promise::Promise;
 use crate::checkers::verdict::Verdict;
-use crate::history::{BackendNumber, Record};
+use crate::history::{BackendNumber, FrontNumber, Record};
 use crate::scenario::Figure;
 
 const LIMIT: Duration = Duration::from_secs(3);
@@ -17,6 +17,8 @@
 #[derive(Default)]
 pub struct DrainChecker {
     leaving: BTreeMap<BackendNumber, MonotonicTime>,
+    /// A front machine that was frozen or down learns of it afterwards.
+    resumed: BTreeMap<FrontNumber, MonotonicTime>,
 }
 
 impl Checker for DrainChecker {
@@ -28,6 +30,9 @@
             Record::BackendReturned { backend } => {
                 self.leaving.remove(backend);
             }
+            Record::FrontResumed { front } => {
+                self.resumed.insert(*front, at);
+            }
             Record::Dispatched {
                 backend,
                 front,
@@ -37,7 +42,8 @@
                 let Some(since) = self.leaving.get(backend) else {
                     return;
                 };
-                let late = at.since(*since);
+                let resumed = self.resumed.get(front).copied().unwrap_or_default();
+                let late = at.since((*since).max(resumed));
                 let millis = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
                 verdict.figures.raise(Figure::Drain, millis);
                 if late > LIMIT {
--- a/crates/simulation/src/checkers/quota.rs
+++ b/crates/simulation/src/checkers/quota.rs
@@ -36,6 +36,12 @@
         self.level
     }
 
+    fn give_back(&mut self, at: MonotonicTime) {
+        self.level = (self.level_at(at) + 1.0).min(self.burst);
+        self.at = at;
+        self.history.insert(at, self.level);
+    }
+
     // The lowest level between two times; levels only fall at admissions.
     fn lowest(&self, from: MonotonicTime, to: MonotonicTime) -> f64 {
         let within = self.history.range(from..=to).map(|(_, level)| *level);
@@ -73,6 +79,7 @@
                 self.calls.insert(sent.call, (*sent, at));
             }
             Record::Admitted { call } => self.admit(at, *call, verdict),
+            Record::AdmissionReturned { call } => self.give_back(at, *call),
             Record::CallEnded {
                 call,
                 end:
@@ -117,6 +124,15 @@
         bucket.forget_before(MonotonicTime::from_micros(horizon));
     }
 
+    fn give_back(&mut self, at: MonotonicTime, call: CallNumber) {
+        let Some((sent, _)) = self.calls.get(&call) else {
+            return;
+        };
+        if let Some(bucket) = self.buckets.get_mut(&sent.tenant) {
+            bucket.give_back(at);
+        }
+    }
+
     fn check_refusal(&self, at: MonotonicTime, call: CallNumber, verdict: &mut Verdict) {
         let Some((sent, since)) = self.calls.get(&call) else {
             return;
--- a/crates/simulation/src/disk/condition.rs
+++ b/crates/simulation/src/disk/condition.rs
@@ -8,6 +8,8 @@
     Healthy,
     /// Each sync takes this many microseconds.
     Slow(u64),
+    /// The next sync takes until the fault ends.
+    Stalled,
     /// Writes fail for want of space.
     Full,
     /// Syncs fail; the unsynced bytes may be lost.
--- a/crates/simulation/src/disk/mod.rs
+++ b/crates/simulation/src/disk/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod condition;
 pub mod file;
-// pub mod memory_disk;
+pub mod memory_disk;
 pub mod platter;
 
 pub use condition::DiskCondition;
-// pub use memory_disk::MemoryDisk;
+pub use memory_disk::MemoryDisk;
 pub use platter::Platter;
--- a/crates/simulation/src/disk/platter.rs
+++ b/crates/simulation/src/disk/platter.rs
@@ -18,6 +18,7 @@
     busy_micros: u64,
     syncs: u64,
     lies: bool,
+    stalled: bool,
 }
 
 impl Platter {
@@ -37,6 +38,11 @@
         std::mem::take(&mut self.busy_micros)
     }
 
+    /// Whether a sync since the last call met a stalled disk.
+    pub fn take_stalled(&mut self) -> bool {
+        std::mem::take(&mut self.stalled)
+    }
+
     /// Syncs done so far.
     #[must_use]
     pub fn syncs(&self) -> u64 {
@@ -89,6 +95,7 @@
     /// Syncs a file and counts the time it takes.
     pub fn sync(&mut self, name: &str) {
         self.syncs += 1;
+        self.stalled |= self.condition == DiskCondition::Stalled;
         self.busy_micros += match self.condition {
             DiskCondition::Slow(micros) => micros,
             _ => HEALTHY_SYNC_MICROS,
--- a/crates/simulation/src/history/record.rs
+++ b/crates/simulation/src/history/record.rs
@@ -22,6 +22,8 @@
     CallSent(CallSent),
     /// A proxy admitted a call under its tenant's quota.
     Admitted { call: CallNumber },
+    /// The token of an admitted call was given back: nothing was sent.
+    AdmissionReturned { call: CallNumber },
     /// A piece reached the caller.
     CallPiece { call: CallNumber, piece: Piece },
     /// The caller knows the end, and the revision that the answer named.
@@ -77,6 +79,8 @@
     KeyRevoked { key: u32, revision: u64 },
     /// A front machine's proxy routes by a revision from now on.
     RevisionShown { front: FrontNumber, revision: u64 },
+    /// A process of a front machine runs again after a freeze or a restart.
+    FrontResumed { front: FrontNumber },
     /// A control node answered a confirmed read of the configuration, sent at a true time.
     RevisionRead {
         revision: u64,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,8 +4,13 @@
 //! the service registry and operators are stand-ins that exchange messages with them.
 
 pub mod checkers;
+pub mod command;
 pub mod disk;
 pub mod history;
 pub mod kernel;
 pub mod network;
+pub mod runner;
 pub mod scenario;
+pub mod world;
+
+pub use command::run;
--- /dev/null
+++ b/crates/simulation/src/runner/mod.rs
@@ -0,0 +1,13 @@
+//! Runs scenario files over many seeds and reports.
+
+pub mod arguments;
+pub mod run_report;
+pub mod scenario_files;
+pub mod summary;
+pub mod sweep;
+
+pub use arguments::Arguments;
+pub use run_report::{RunReport, run_scenario};
+pub use scenario_files::{ScenarioFile, load_scenarios};
+pub use summary::Summary;
+pub use sweep::sweep;
--- /dev/null
+++ b/crates/simulation/src/runner/run_report.rs
@@ -0,0 +1,55 @@
+//! One run of a scenario.
+
+use crate::checkers::{Promise, Verdict};
+use crate::scenario::{Expectation, Scenario};
+use crate::world::{RunOptions, Site};
+
+/// What a run showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Violations and figures.
+    pub verdict: Verdict,
+    /// Hash of everything that happened.
+    pub trace_hash: u64,
+    /// Events of the run.
+    pub events: u64,
+}
+
+impl RunReport {
+    /// Whether every promise was kept.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.verdict.violations.is_empty()
+    }
+}
+
+/// Runs a scenario once.
+#[must_use]
+pub fn run_scenario(scenario: &Scenario, options: RunOptions) -> RunReport {
+    let mut site = Site::new(scenario, options);
+    let mut verdict = site.run();
+    for expectation in &scenario.expectations {
+        check_expectation(*expectation, &mut verdict, &site);
+    }
+    RunReport {
+        seed: options.seed,
+        verdict,
+        trace_hash: site.recorder.trace_hash(),
+        events: site.recorder.events(),
+    }
+}
+
+fn check_expectation(expectation: Expectation, verdict: &mut Verdict, site: &Site) {
+    // What was never measured keeps any upper bound and no lower one.
+    let value = verdict.figures.get(expectation.figure).unwrap_or(0);
+    let kept = match expectation.at_least {
+        true => value >= expectation.value,
+        false => value <= expectation.value,
+    };
+    if !kept {
+        let text = format!("{} is {value}", expectation.figure.word());
+        verdict.broken(site.now(), Promise::Expectation, text);
+    }
+}
--- a/crates/simulation/src/scenario/expectation.rs
+++ b/crates/simulation/src/scenario/expectation.rs
@@ -45,6 +45,16 @@
         }
     }
 
+    /// Unit of the figure's values.
+    #[must_use]
+    pub fn unit(self) -> &'static str {
+        match self {
+            Figure::SecondSends | Figure::Served => "%",
+            Figure::Orders => "",
+            _ => " ms",
+        }
+    }
+
     /// The figure with this word.
     #[must_use]
     pub fn from_word(word: &str) -> Option<Self> {
--- a/crates/simulation/src/world/caller_driver.rs
+++ b/crates/simulation/src/world/caller_driver.rs
@@ -6,8 +6,8 @@
 use millford_proxy::request::caller::CallerHead;
 use rand::Rng;
 
-use crate::history::{CallEnd, CallNumber, CallSent, ContentNumber, FrontNumber, Piece, Record};
 use crate::history::Repeatability;
+use crate::history::{CallEnd, CallNumber, CallSent, ContentNumber, FrontNumber, Piece, Record};
 use crate::network::ProcessId;
 use crate::world::backend::read_marks;
 use crate::world::callers::{Arrival, CallKind, OpenCall, request_of};
@@ -241,7 +241,8 @@
         self.caller_will_hear(call, None, Some((end, revision)));
     }
 
-    fn caller_will_hear(
+    /// Sends a piece or the end on its way to the caller, after what was sent before.
+    pub fn caller_will_hear(
         &mut self,
         call: CallNumber,
         piece: Option<Piece>,
@@ -300,7 +301,9 @@
             CallEnd::Refused { code, run } => {
                 let known = matches!(
                     code,
-                    ResultCode::AlreadyCompleted | ResultCode::AlreadyFailed | ResultCode::KeyUnknown
+                    ResultCode::AlreadyCompleted
+                        | ResultCode::AlreadyFailed
+                        | ResultCode::KeyUnknown
                 );
                 !known && (run == RunState::NotRun || repeatability != Repeatability::Unkeyed)
             }
--- a/crates/simulation/src/world/control_driver.rs
+++ b/crates/simulation/src/world/control_driver.rs
@@ -65,8 +65,9 @@
         };
         control.forget_node();
         let platter = Arc::clone(&control.platter);
-        let disks =
-            |folder: &str| Box::new(MemoryDisk::new(Arc::clone(&platter), folder)) as Box<dyn Disk>;
+        let disks = move |folder: &str| {
+            Box::new(MemoryDisk::new(Arc::clone(&platter), folder)) as Box<dyn Disk>
+        };
         match ControlNode::open(options, disks, local) {
             Ok(node) => {
                 control.node = Some(node);
@@ -143,9 +144,15 @@
             return;
         };
         let outputs = node.handle(local, input);
-        let busy = Duration::from_micros(control.disk().take_busy_micros());
-        let free_at = self.now() + busy;
-        if !busy.is_zero() {
+        let (busy, stalled) = {
+            let mut disk = control.disk();
+            (disk.take_busy_micros(), disk.take_stalled())
+        };
+        let mut free_at = self.now() + Duration::from_micros(busy);
+        if stalled {
+            free_at = free_at.max(self.faults.stalled_until(number));
+        }
+        if free_at > self.now() {
             self.busy_until(process, boot, free_at);
         }
         for output in outputs {
--- /dev/null
+++ b/crates/simulation/src/world/draws.rs
@@ -0,0 +1,266 @@
+//! Draws faults by the seed: any of them at any moment, together or twice.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::scenario::{
+    AnswerFault, Choice, CutSense, DiskFault, Draw, Fault, FaultClass, RollKind, Target,
+    TargetKind, TimedFault,
+};
+use crate::world::site::Site;
+
+const SHORT_MILLIS: Range<u64> = 200..3_000;
+const MIDDLE_MILLIS: Range<u64> = 1_000..8_000;
+const LONG_MILLIS: Range<u64> = 5_000..24_000;
+const SLOW_SYNC_MILLIS: Range<u64> = 5..400;
+const DRIFT_PPM: Range<i32> = -500..500;
+const BURST: Range<u32> = 2..6;
+const ORDERS: Range<u32> = 5..40;
+
+impl Site {
+    /// The faults of one draw, in no order.
+    pub fn draw_faults(&mut self, draw: &Draw) -> Vec<TimedFault> {
+        let mut faults = Vec::new();
+        for _ in 0..draw.count {
+            let index = self.random.random_range(0..draw.classes.len().max(1));
+            let Some(class) = draw.classes.get(index).copied() else {
+                continue;
+            };
+            let from = u64::try_from(draw.from.as_millis()).unwrap_or(0);
+            let to = u64::try_from(draw.to.as_millis()).unwrap_or(u64::MAX);
+            let at = Duration::from_millis(self.random.random_range(from..to));
+            let fault = self.draw_fault(class);
+            let fault = within(fault, draw.to.saturating_sub(at));
+            faults.push(TimedFault { at, fault });
+        }
+        faults
+    }
+
+    fn draw_fault(&mut self, class: FaultClass) -> Fault {
+        match class {
+            FaultClass::Fronts => self.draw_front_fault(),
+            FaultClass::Cores => self.draw_core_fault(),
+            FaultClass::Network => self.draw_network_fault(),
+            FaultClass::Disks => self.draw_disk_fault(),
+            FaultClass::Clocks => self.draw_clock_fault(),
+            FaultClass::Backends => self.draw_backend_fault(),
+            FaultClass::Operators => self.draw_operator_fault(),
+            FaultClass::Load => self.draw_load_fault(),
+        }
+    }
+
+    fn draw_front_fault(&mut self) -> Fault {
+        let kinds = [TargetKind::Front, TargetKind::Agent, TargetKind::Proxy];
+        let kind = kinds[self.random.random_range(0..kinds.len())];
+        match self.random.random_range(0..8) {
+            0..4 => Fault::Kill {
+                target: Target::any(kind),
+                down: self.draw_length(SHORT_MILLIS),
+            },
+            4..6 => Fault::Freeze {
+                target: Target::any(kind),
+                length: self.draw_length(LONG_MILLIS),
+            },
+            6 => Fault::Roll {
+                kind: RollKind::Fronts,
+            },
+            _ => Fault::Kill {
+                target: all(kind),
+                down: self.draw_length(SHORT_MILLIS),
+            },
+        }
+    }
+
+    fn draw_core_fault(&mut self) -> Fault {
+        let target = self.draw_core();
+        match self.random.random_range(0..10) {
+            0..3 => Fault::Kill {
+                target,
+                down: self.draw_length(MIDDLE_MILLIS),
+            },
+            3..5 => Fault::Freeze {
+                target,
+                length: self.draw_length(LONG_MILLIS),
+            },
+            5 => Fault::Wipe {
+                target,
+                down: self.draw_length(SHORT_MILLIS),
+            },
+            6..8 => Fault::Replace {
+                target,
+                down: self.draw_length(SHORT_MILLIS),
+            },
+            8 => Fault::Roll {
+                kind: RollKind::Cores,
+            },
+            _ => Fault::Kill {
+                target: all(TargetKind::Core),
+                down: self.draw_length(SHORT_MILLIS),
+            },
+        }
+    }
+
+    fn draw_core(&mut self) -> Target {
+        let choice = match self.random.random_bool(0.4) {
+            true => Choice::Leader,
+            false => Choice::Any,
+        };
+        Target {
+            kind: TargetKind::Core,
+            choice,
+        }
+    }
+
+    fn draw_network_fault(&mut self) -> Fault {
+        let target = match self.random.random_bool(0.6) {
+            true => self.draw_core(),
+            false => Target::any(TargetKind::Front),
+        };
+        let senses = [CutSense::Both, CutSense::Outward, CutSense::Inward];
+        let sense = senses[self.random.random_range(0..senses.len())];
+        match self.random.random_range(0..6) {
+            0..3 => Fault::Cut {
+                target,
+                from: None,
+                sense,
+                length: self.draw_length(LONG_MILLIS),
+            },
+            3..5 => Fault::Cut {
+                target,
+                from: Some(Target::any(TargetKind::Core)),
+                sense,
+                length: self.draw_length(LONG_MILLIS),
+            },
+            _ => Fault::Reset { target },
+        }
+    }
+
+    fn draw_disk_fault(&mut self) -> Fault {
+        let fault = match self.random.random_range(0..4) {
+            0 => DiskFault::Slow(self.draw_length(SLOW_SYNC_MILLIS)),
+            1 => DiskFault::Stalled,
+            2 => DiskFault::Full,
+            _ => DiskFault::FailingSync,
+        };
+        Fault::Disk {
+            target: self.draw_core(),
+            fault,
+            length: self.draw_length(MIDDLE_MILLIS),
+        }
+    }
+
+    fn draw_clock_fault(&mut self) -> Fault {
+        let kinds = [TargetKind::Core, TargetKind::Agent, TargetKind::Proxy];
+        let kind = kinds[self.random.random_range(0..kinds.len())];
+        let target = Target::any(kind);
+        Fault::ClockDrift {
+            target,
+            ppm: self.random.random_range(DRIFT_PPM),
+        }
+    }
+
+    fn draw_backend_fault(&mut self) -> Fault {
+        let kind = match self.random.random_bool(0.7) {
+            true => TargetKind::Model,
+            false => TargetKind::Lookup,
+        };
+        let target = Target::any(kind);
+        match self.random.random_range(0..9) {
+            0..2 => Fault::Kill {
+                target,
+                down: self.draw_length(MIDDLE_MILLIS),
+            },
+            2..4 => Fault::Freeze {
+                target,
+                length: self.draw_length(MIDDLE_MILLIS),
+            },
+            4 => Fault::Retire { target },
+            5 => Fault::Roll {
+                kind: RollKind::Models,
+            },
+            6 => Fault::RegistryStill {
+                length: self.draw_length(MIDDLE_MILLIS),
+            },
+            _ => {
+                let index = self.random.random_range(0..AnswerFault::ALL.len());
+                Fault::Answers {
+                    fault: AnswerFault::ALL[index],
+                    length: self.draw_length(MIDDLE_MILLIS),
+                }
+            }
+        }
+    }
+
+    fn draw_operator_fault(&mut self) -> Fault {
+        match self.random.random_range(0..5) {
+            0..2 => Fault::Race,
+            2 => Fault::LostAnswers {
+                length: self.draw_length(MIDDLE_MILLIS),
+            },
+            3 => Fault::Revoke,
+            _ => Fault::Orders {
+                count: self.random.random_range(ORDERS),
+            },
+        }
+    }
+
+    fn draw_load_fault(&mut self) -> Fault {
+        match self.random.random_bool(0.5) {
+            true => Fault::Burst {
+                times: self.random.random_range(BURST),
+                length: self.draw_length(SHORT_MILLIS),
+            },
+            false => Fault::HotTenant {
+                length: self.draw_length(MIDDLE_MILLIS),
+            },
+        }
+    }
+
+    fn draw_length(&mut self, millis: Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(millis))
+    }
+}
+
+fn all(kind: TargetKind) -> Target {
+    Target {
+        kind,
+        choice: Choice::All,
+    }
+}
+
+// What a draw begins also ends within its time, so that the run shows the recovery.
+fn within(fault: Fault, left: Duration) -> Fault {
+    match fault {
+        Fault::Kill { target, down } => Fault::Kill {
+            target,
+            down: down.min(left),
+        },
+        Fault::Freeze { target, length } => Fault::Freeze {
+            target,
+            length: length.min(left),
+        },
+        Fault::Cut {
+            target,
+            from,
+            sense,
+            length,
+        } => Fault::Cut {
+            target,
+            from,
+            sense,
+            length: length.min(left),
+        },
+        Fault::Disk {
+            target,
+            fault,
+            length,
+        } => Fault::Disk {
+            target,
+            fault,
+            length: length.min(left),
+        },
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/fault_driver.rs
@@ -0,0 +1,432 @@
+//! Begins and ends faults.
+
+use std::time::Duration;
+
+use crate::disk::DiskCondition;
+use crate::history::{BackendNumber, FrontNumber, Record};
+use crate::network::{MachineId, ProcessId};
+use crate::scenario::{Choice, CutSense, DiskFault, Fault, RollKind, Target, TargetKind};
+use crate::world::event::{Event, RegistryEvent};
+use crate::world::fault_book::{RunningFault, Undo};
+use crate::world::process_input::ProcessInput;
+use crate::world::registry::NOTICE_AFTER;
+use crate::world::site::Site;
+
+const ROLL_CORES_EVERY: Duration = Duration::from_secs(6);
+const ROLL_FRONTS_EVERY: Duration = Duration::from_secs(2);
+const ROLL_MODELS_EVERY: Duration = Duration::from_secs(1);
+const ROLL_DOWN: Duration = Duration::from_secs(1);
+const REGISTER_AFTER: Duration = Duration::from_millis(300);
+const MAX_BUSY: Duration = Duration::from_secs(3600);
+
+impl Site {
+    /// Plans the scenario's faults and those that the seed draws.
+    pub fn plan_faults(&mut self) {
+        for timed in self.scenario.faults.clone() {
+            self.plan_fault(timed.at, timed.fault);
+        }
+        for draw in self.scenario.draws.clone() {
+            for timed in self.draw_faults(&draw) {
+                self.plan_fault(timed.at, timed.fault);
+            }
+        }
+    }
+
+    fn plan_fault(&mut self, delay: Duration, fault: Fault) {
+        let fault = self.faults.plan(fault);
+        self.after(delay, Event::FaultBegins { fault });
+    }
+
+    /// A planned fault begins.
+    pub fn fault_begins(&mut self, index: usize) {
+        let Some(fault) = self.faults.planned.get(index).cloned() else {
+            return;
+        };
+        let now = self.now();
+        self.recorder.note(now, || format!("FAULT {fault:?}"));
+        match fault {
+            Fault::Kill { target, down } => self.kill(target, down),
+            Fault::Wipe { target, down } => self.wipe(target, down),
+            Fault::Replace { target, down } => self.replace(target, down),
+            Fault::Freeze { target, length } => self.freeze(target, length),
+            Fault::Cut {
+                target,
+                from,
+                sense,
+                length,
+            } => self.cut(target, from, sense, length),
+            Fault::Reset { target } => self.reset(target),
+            Fault::Disk {
+                target,
+                fault,
+                length,
+            } => self.disk(target, fault, length),
+            Fault::ClockJump { target, by } => self.jump_clocks(target, by),
+            Fault::ClockDrift { target, ppm } => self.drift_clocks(target, ppm),
+            Fault::Retire { target } => {
+                for process in self.resolve(target) {
+                    if let ProcessId::Backend(number) = process {
+                        self.retire_backend(number);
+                    }
+                }
+            }
+            Fault::Answers { fault, length } => {
+                self.faults.spoil_answers(fault);
+                self.run_fault(vec![Undo::AnswersRight(fault)], Vec::new(), length);
+            }
+            Fault::RegistryStill { length } => {
+                self.still_registry(true);
+                self.run_fault(vec![Undo::RegistryMoves], Vec::new(), length);
+            }
+            Fault::Race => self.race_operators(),
+            Fault::LostAnswers { length } => {
+                self.operators.losing += 1;
+                self.run_fault(vec![Undo::AnswersKept], Vec::new(), length);
+            }
+            Fault::Revoke => {
+                self.new_order(true);
+            }
+            Fault::Burst { times, length } => {
+                let times = times.max(1);
+                self.callers.burst *= times;
+                self.run_fault(vec![Undo::BurstOver(times)], Vec::new(), length);
+            }
+            Fault::HotTenant { length } => {
+                self.callers.hot += 1;
+                self.run_fault(vec![Undo::TenantCool], Vec::new(), length);
+            }
+            Fault::Roll { kind } => self.roll(kind),
+            Fault::Orders { count } => {
+                self.operators.queued += count.saturating_sub(1);
+                self.new_order(false);
+            }
+        }
+    }
+
+    fn run_fault(&mut self, undo: Vec<Undo>, machines: Vec<MachineId>, length: Duration) {
+        let fault = self.faults.begin(RunningFault {
+            undo,
+            machines: machines.clone(),
+        });
+        self.record(Record::FaultBegan { fault, machines });
+        self.after(length, Event::FaultEnds { running: fault });
+    }
+
+    /// A running fault ends: its machines are back.
+    pub fn fault_ends(&mut self, running: u32) {
+        let Some(fault) = self.faults.running.remove(&running) else {
+            return;
+        };
+        for undo in &fault.undo {
+            self.undo(*undo);
+        }
+        let machines = fault.machines;
+        self.record(Record::FaultEnded {
+            fault: running,
+            machines,
+        });
+    }
+
+    fn undo(&mut self, undo: Undo) {
+        match undo {
+            Undo::Start(process) => {
+                self.start_process(process);
+                self.backend_returns(process);
+            }
+            Undo::MachineUp(machine) => self.faults.machine_up(machine),
+            Undo::Thaw(process) => self.thaw(process),
+            Undo::Heal(from, to) => self.cuts.heal(from, to),
+            Undo::DiskWell { core, restart } => self.disk_is_well(core, restart),
+            Undo::AnswersRight(fault) => self.faults.right_answers(fault),
+            Undo::RegistryMoves => self.still_registry(false),
+            Undo::AnswersKept => self.operators.losing = self.operators.losing.saturating_sub(1),
+            Undo::BurstOver(times) => self.callers.burst = (self.callers.burst / times).max(1),
+            Undo::TenantCool => self.callers.hot = self.callers.hot.saturating_sub(1),
+        }
+    }
+
+    fn kill(&mut self, target: Target, down: Duration) {
+        let processes = self.resolve(target);
+        let mut undo = Vec::new();
+        for process in &processes {
+            if self.boot_of(*process) == 0 {
+                continue;
+            }
+            self.kill_process(*process, false);
+            self.backend_leaves(*process, true);
+            undo.push(Undo::Start(*process));
+        }
+        self.run_fault(undo, machines_of(&processes), down);
+    }
+
+    // Losing two disks before the first is made good again is beyond the promise: such a wipe
+    // becomes a kill.
+    fn wipe(&mut self, target: Target, down: Duration) {
+        if !self.is_repaired() || target.choice == Choice::All {
+            self.kill(target, down);
+            return;
+        }
+        let processes = self.resolve(target);
+        let mut undo = Vec::new();
+        for process in &processes {
+            self.kill_process(*process, true);
+            self.faults.machine_down(process.machine());
+            if let ProcessId::Control(number) = process
+                && let Some(control) = self.controls.get(number)
+            {
+                control.disk().wipe();
+            }
+            self.backend_leaves(*process, true);
+            undo.push(Undo::MachineUp(process.machine()));
+            undo.push(Undo::Start(*process));
+        }
+        self.run_fault(undo, machines_of(&processes), down);
+    }
+
+    fn replace(&mut self, target: Target, down: Duration) {
+        if target.kind != TargetKind::Core {
+            self.kill(target, down);
+            return;
+        }
+        if !self.is_repaired() || target.choice == Choice::All {
+            self.kill(target, down);
+            return;
+        }
+        let processes = self.resolve(target);
+        let mut undo = Vec::new();
+        let mut machines = machines_of(&processes);
+        for process in &processes {
+            self.kill_process(*process, true);
+            // The old address never answers again.
+            self.faults.machine_down(process.machine());
+            if let ProcessId::Control(number) = process
+                && let Some(control) = self.controls.get_mut(number)
+            {
+                control.lost = true;
+            }
+            let next = self.controls.keys().next_back().map_or(1, |last| last + 1);
+            self.add_control(next);
+            machines.push(MachineId::Core(next));
+            undo.push(Undo::Start(ProcessId::Control(next)));
+        }
+        self.run_fault(undo, machines, down);
+    }
+
+    fn freeze(&mut self, target: Target, length: Duration) {
+        let processes = self.resolve(target);
+        let mut undo = Vec::new();
+        for process in &processes {
+            if let Some(state) = self.process_mut(*process) {
+                state.frozen += 1;
+            }
+            self.backend_leaves(*process, false);
+            undo.push(Undo::Thaw(*process));
+        }
+        self.run_fault(undo, machines_of(&processes), length);
+    }
+
+    fn thaw(&mut self, process: ProcessId) {
+        let Some(state) = self.process_mut(process) else {
+            return;
+        };
+        state.frozen = state.frozen.saturating_sub(1);
+        let boot = state.boot;
+        if let ProcessId::Agent(number) | ProcessId::Proxy(number) = process {
+            let front = FrontNumber(number);
+            self.record(Record::FrontResumed { front });
+        }
+        self.after(Duration::ZERO, Event::Ready { process, boot });
+        self.backend_returns(process);
+    }
+
+    fn cut(&mut self, target: Target, from: Option<Target>, sense: CutSense, length: Duration) {
+        let machines = machines_of(&self.resolve(target));
+        let others = match from {
+            Some(from) => machines_of(&self.resolve(from)),
+            None => self.all_machines(),
+        };
+        let mut undo = Vec::new();
+        for machine in &machines {
+            for other in others.iter().filter(|other| *other != machine) {
+                if sense != CutSense::Inward {
+                    undo.push(Undo::Heal(*machine, *other));
+                }
+                if sense != CutSense::Outward {
+                    undo.push(Undo::Heal(*other, *machine));
+                }
+            }
+        }
+        for cut in &undo {
+            if let Undo::Heal(from, to) = cut {
+                self.cuts.cut(*from, *to);
+            }
+        }
+        let mut disturbed = machines;
+        if from.is_some() {
+            disturbed.extend(others);
+        }
+        self.run_fault(undo, disturbed, length);
+    }
+
+    fn all_machines(&self) -> Vec<MachineId> {
+        let cores = self.controls.keys().map(|number| MachineId::Core(*number));
+        let fronts = self.proxies.keys().map(|number| MachineId::Front(*number));
+        let backends = self.backends.keys();
+        let backends = backends.map(|number| MachineId::Backend(*number));
+        let others = cores.chain(fronts).chain(backends);
+        others.chain([MachineId::Registry]).collect()
+    }
+
+    fn reset(&mut self, target: Target) {
+        let processes = self.resolve(target);
+        for process in &processes {
+            self.reset_links(*process);
+        }
+        self.run_fault(Vec::new(), machines_of(&processes), Duration::ZERO);
+    }
+
+    fn disk(&mut self, target: Target, fault: DiskFault, length: Duration) {
+        let processes = self.resolve(target);
+        let until = self.now() + length;
+        let mut undo = Vec::new();
+        for process in &processes {
+            let ProcessId::Control(core) = *process else {
+                continue;
+            };
+            let condition = match fault {
+                DiskFault::Slow(each) => {
+                    let each = each.min(MAX_BUSY);
+                    DiskCondition::Slow(u64::try_from(each.as_micros()).unwrap_or(u64::MAX))
+                }
+                DiskFault::Stalled => DiskCondition::Stalled,
+                DiskFault::Full => DiskCondition::Full,
+                DiskFault::FailingSync => DiskCondition::FailingSync,
+            };
+            if let Some(control) = self.controls.get(&core) {
+                control.disk().set_condition(condition);
+            }
+            self.faults.stalls.insert(core, until);
+            let restart = fault == DiskFault::FailingSync;
+            undo.push(Undo::DiskWell { core, restart });
+        }
+        self.run_fault(undo, machines_of(&processes), length);
+    }
+
+    fn disk_is_well(&mut self, core: u16, restart: bool) {
+        if let Some(control) = self.controls.get(&core) {
+            control.disk().set_condition(DiskCondition::Healthy);
+        }
+        if restart {
+            // An operator changes the disk's cable and restarts the process.
+            let process = ProcessId::Control(core);
+            self.kill_process(process, false);
+            self.start_process(process);
+        }
+    }
+
+    fn jump_clocks(&mut self, target: Target, by: Duration) {
+        let now = self.now();
+        let processes = self.resolve(target);
+        let micros = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+        for process in &processes {
+            let Some(state) = self.process_mut(*process) else {
+                continue;
+            };
+            state.clock.jump(now, micros);
+            let boot = state.boot;
+            if matches!(process, ProcessId::Proxy(_)) {
+                self.give(*process, boot, ProcessInput::Timer);
+            }
+        }
+        self.run_fault(Vec::new(), machines_of(&processes), Duration::ZERO);
+    }
+
+    fn drift_clocks(&mut self, target: Target, ppm: i32) {
+        let now = self.now();
+        for process in self.resolve(target) {
+            if let Some(state) = self.process_mut(process) {
+                state.clock.set_drift(now, ppm);
+            }
+        }
+    }
+
+    fn roll(&mut self, kind: RollKind) {
+        let (target, every) = match kind {
+            RollKind::Cores => (TargetKind::Core, ROLL_CORES_EVERY),
+            RollKind::Fronts => (TargetKind::Front, ROLL_FRONTS_EVERY),
+            RollKind::Models => (TargetKind::Model, ROLL_MODELS_EVERY),
+        };
+        let all = Target {
+            kind: target,
+            choice: Choice::All,
+        };
+        let processes = self.resolve(all);
+        let mut numbers: Vec<u16> = processes.into_iter().map(number_of).collect();
+        numbers.dedup();
+        for (place, number) in (0_u32..).zip(numbers) {
+            let fault = match kind {
+                // Each retired backend leaves the present ones: the first is always the next.
+                RollKind::Models => Fault::Retire {
+                    target: numbered(target, 1),
+                },
+                _ => Fault::Kill {
+                    target: numbered(target, number),
+                    down: ROLL_DOWN,
+                },
+            };
+            self.plan_fault(every * place, fault);
+        }
+    }
+
+    fn backend_leaves(&mut self, process: ProcessId, dead: bool) {
+        let ProcessId::Backend(number) = process else {
+            return;
+        };
+        let backend = BackendNumber(number);
+        self.record(Record::BackendLeaving { backend });
+        if dead {
+            let notice = RegistryEvent::Remove { backend: number };
+            self.after(NOTICE_AFTER, Event::Registry(notice));
+        }
+    }
+
+    fn backend_returns(&mut self, process: ProcessId) {
+        let ProcessId::Backend(number) = process else {
+            return;
+        };
+        let retired = self.backends.get(&number).is_some_and(|it| it.retired);
+        if retired || self.boot_of(process) == 0 {
+            return;
+        }
+        let frozen = self.process(process).is_some_and(|state| state.frozen > 0);
+        if frozen {
+            return;
+        }
+        let backend = BackendNumber(number);
+        self.record(Record::BackendReturned { backend });
+        let register = RegistryEvent::Register { backend: number };
+        self.after(REGISTER_AFTER, Event::Registry(register));
+    }
+}
+
+fn machines_of(processes: &[ProcessId]) -> Vec<MachineId> {
+    let mut machines: Vec<MachineId> = processes.iter().map(|it| it.machine()).collect();
+    machines.dedup();
+    machines
+}
+
+fn number_of(process: ProcessId) -> u16 {
+    match process {
+        ProcessId::Control(number)
+        | ProcessId::Agent(number)
+        | ProcessId::Proxy(number)
+        | ProcessId::Backend(number) => number,
+    }
+}
+
+fn numbered(kind: TargetKind, number: u16) -> Target {
+    Target {
+        kind,
+        choice: Choice::Number(number),
+    }
+}
--- a/crates/simulation/src/world/link_driver.rs
+++ b/crates/simulation/src/world/link_driver.rs
@@ -77,7 +77,11 @@
             it.last_arrival = [self.queue.now(), opened_at];
         }
         let accepted = true;
-        self.give(acceptor, acceptor_boot, ProcessInput::LinkOpened { link, accepted });
+        self.give(
+            acceptor,
+            acceptor_boot,
+            ProcessInput::LinkOpened { link, accepted },
+        );
         let accepted = false;
         let opened = ProcessInput::LinkOpened { link, accepted };
         self.tell_after(delay, connector, connector_boot, opened);
--- a/crates/simulation/src/world/operator_driver.rs
+++ b/crates/simulation/src/world/operator_driver.rs
@@ -59,7 +59,11 @@
         } else if !every.is_zero() {
             self.after(every, Event::Operator(OperatorEvent::NextOrder));
         }
-        let waiting = self.operators.calls.values().any(|call| call.order.is_some());
+        let waiting = self
+            .operators
+            .calls
+            .values()
+            .any(|call| call.order.is_some());
         if first && waiting {
             return;
         }
@@ -203,7 +207,10 @@
                     tries,
                 };
                 self.operators.calls.insert(request, call);
-                self.after(RETRY_AFTER, Event::Operator(OperatorEvent::TimeUp { request }));
+                self.after(
+                    RETRY_AFTER,
+                    Event::Operator(OperatorEvent::TimeUp { request }),
+                );
             }
             OrderAnswer::Conflict { .. } | OrderAnswer::Refused(_) => {}
         }
@@ -216,9 +223,7 @@
                 repeated: accepted.repeated,
             },
             OperatorReply::Failed(failure) => match failure.code {
-                ResultCode::RevisionConflict
-                    if self.options.defect == Some(Defect::AcceptsAll) =>
-                {
+                ResultCode::RevisionConflict if self.options.defect == Some(Defect::AcceptsAll) => {
                     OrderAnswer::Accepted {
                         revision: order.base + 1,
                         repeated: false,
--- a/crates/simulation/src/world/operators.rs
+++ b/crates/simulation/src/world/operators.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use millford_api::command::PutConfig;
-use millford_api::config::{Document, Hedge, Pool, Quota, Resume, Route, RouteMatch, Selector, Tenant};
+use millford_api::config::{
+    Document, Hedge, Pool, Quota, Resume, Route, RouteMatch, Selector, Tenant,
+};
 use millford_control::operator::OperatorReply;
 use millford_control_state::document::digest;
 use millford_core::{MonotonicTime, hash_tenant_key};
@@ -182,7 +184,10 @@
         };
         let tenants = draft.keys.iter().enumerate().map(|(tenant, keys)| Tenant {
             name: format!("tenant-{tenant}"),
-            key_hashes: keys.iter().map(|key| hash_tenant_key(&key_text(*key))).collect(),
+            key_hashes: keys
+                .iter()
+                .map(|key| hash_tenant_key(&key_text(*key)))
+                .collect(),
             quota: Some(quota),
         });
         tenants.take(usize::from(self.topology.tenants)).collect()
@@ -192,7 +197,10 @@
 /// The mark of a document that was read back.
 #[must_use]
 pub fn mark_of_document(document: &Document) -> u32 {
-    let marked = document.routes.iter().find(|route| route.name == MARKED_ROUTE);
+    let marked = document
+        .routes
+        .iter()
+        .find(|route| route.name == MARKED_ROUTE);
     marked.map_or(0, |route| route.deadline_ms.saturating_sub(DEADLINE_MS))
 }
 
--- a/crates/simulation/src/world/process_input.rs
+++ b/crates/simulation/src/world/process_input.rs
@@ -34,6 +34,12 @@
     Call(Box<Arrival>),
     /// A caller left.
     CallerGone(CallNumber),
+    /// A connection should be open by now.
+    ConnectOverdue { link: LinkNumber },
+    /// A probe should be answered by now.
+    ProbeOverdue { link: LinkNumber },
+    /// The proxy connects to its agent again.
+    Reconnect,
     /// A backend goes on with the answer on a connection.
     Work { link: LinkNumber },
 }
--- a/crates/simulation/src/world/proxy/action.rs
+++ b/crates/simulation/src/world/proxy/action.rs
@@ -31,6 +31,10 @@
     },
     /// Close the connection of an exchange.
     CloseExchange(ExchangeNumber),
+    /// A call was admitted under its tenant's quota.
+    Admitted(CallNumber),
+    /// The token of an admitted call was given back: nothing was sent.
+    AdmissionReturned(CallNumber),
     /// Send the head of an answer to the caller.
     CallerHead { call: CallNumber, head: CallerHead },
     /// Send a part of the body to the caller.
--- a/crates/simulation/src/world/proxy/answer.rs
+++ b/crates/simulation/src/world/proxy/answer.rs
@@ -30,8 +30,7 @@
     fn drop(&mut self) {
         let mut port = lock(&self.port);
         port.exchanges.remove(&self.exchange);
-        port.actions
-            .push(ProxyAction::CloseExchange(self.exchange));
+        port.actions.push(ProxyAction::CloseExchange(self.exchange));
     }
 }
 
--- a/crates/simulation/src/world/proxy/environment.rs
+++ b/crates/simulation/src/world/proxy/environment.rs
@@ -76,7 +76,7 @@
     }
 
     fn release_quota(&self, release: QuotaRelease) {
-        self.agent.release_quota(&self.port, release);
+        self.agent.release_quota(&self.port, self.call, release);
     }
 
     async fn claim(&self, claim: Claim, timeout: Duration) -> ClaimAnswer {
--- a/crates/simulation/src/world/proxy/mod.rs
+++ b/crates/simulation/src/world/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! A proxy whose request path is the daemon's own, run by an executor of the simulator.
 
 pub mod action;
+pub mod agent_desk;
 pub mod answer;
 pub mod environment;
 pub mod executor;
@@ -13,5 +14,5 @@
 pub use environment::SimulatedEnvironment;
 pub use executor::Executor;
 pub use port::{ProxyPort, SharedPort, lock};
-pub use proxy_process::ProxyProcess;
+pub use proxy_process::{BackendLink, ProxyCore, ProxyProcess};
 pub use sink::CallerPipe;
--- a/crates/simulation/src/world/site.rs
+++ b/crates/simulation/src/world/site.rs
@@ -17,7 +17,7 @@
 use crate::world::callers::Callers;
 use crate::world::control_process::ControlProcess;
 use crate::world::event::{Event, RegistryEvent};
-use crate::world::fault_driver::FaultBook;
+use crate::world::fault_book::FaultBook;
 use crate::world::operators::Operators;
 use crate::world::process::ProcessState;
 use crate::world::process_input::ProcessInput;
@@ -126,7 +126,10 @@
     }
 
     fn start_at_random_times(&mut self) {
-        let controls = self.controls.keys().map(|number| ProcessId::Control(*number));
+        let controls = self
+            .controls
+            .keys()
+            .map(|number| ProcessId::Control(*number));
         let agents = self.agents.keys().map(|number| ProcessId::Agent(*number));
         let proxies = self.proxies.keys().map(|number| ProcessId::Proxy(*number));
         let processes: Vec<ProcessId> = controls.chain(agents).chain(proxies).collect();
--- /dev/null
+++ b/crates/simulation/src/world/targets.rs
@@ -0,0 +1,102 @@
+//! Finds what a fault strikes.
+
+use rand::Rng;
+
+use crate::network::ProcessId;
+use crate::scenario::{Choice, Target, TargetKind};
+use crate::world::site::Site;
+
+impl Site {
+    /// The processes that a target stands for now.
+    pub fn resolve(&mut self, target: Target) -> Vec<ProcessId> {
+        let present = self.present(target.kind);
+        let numbers = match target.choice {
+            Choice::All => present,
+            Choice::Number(number) => self.numbered(target.kind, &present, number),
+            Choice::Any => self.draw_one(&present),
+            Choice::Leader => match self.configuration_leader() {
+                Some(leader) => vec![leader],
+                None => self.draw_one(&present),
+            },
+        };
+        let processes = numbers.into_iter().flat_map(|number| match target.kind {
+            TargetKind::Core => vec![ProcessId::Control(number)],
+            TargetKind::Front => vec![ProcessId::Agent(number), ProcessId::Proxy(number)],
+            TargetKind::Agent => vec![ProcessId::Agent(number)],
+            TargetKind::Proxy => vec![ProcessId::Proxy(number)],
+            TargetKind::Model | TargetKind::Lookup => vec![ProcessId::Backend(number)],
+        });
+        processes.collect()
+    }
+
+    fn present(&self, kind: TargetKind) -> Vec<u16> {
+        match kind {
+            TargetKind::Core => {
+                let controls = self.controls.iter().filter(|(_, it)| !it.lost);
+                controls.map(|(number, _)| *number).collect()
+            }
+            TargetKind::Front | TargetKind::Agent | TargetKind::Proxy => {
+                self.proxies.keys().copied().collect()
+            }
+            TargetKind::Model => self.present_backends(false),
+            TargetKind::Lookup => self.present_backends(true),
+        }
+    }
+
+    fn present_backends(&self, lookup: bool) -> Vec<u16> {
+        let backends = self.backends.iter();
+        let present = backends.filter(|(_, it)| it.lookup == lookup && !it.retired);
+        present.map(|(number, _)| *number).collect()
+    }
+
+    // Core and front machines by their own number, backends by their place among the present.
+    fn numbered(&self, kind: TargetKind, present: &[u16], number: u16) -> Vec<u16> {
+        let by_place = matches!(kind, TargetKind::Model | TargetKind::Lookup);
+        if by_place {
+            let place = usize::from(number.saturating_sub(1));
+            return present.get(place).copied().into_iter().collect();
+        }
+        present.iter().copied().filter(|it| *it == number).collect()
+    }
+
+    fn draw_one(&mut self, present: &[u16]) -> Vec<u16> {
+        if present.is_empty() {
+            return Vec::new();
+        }
+        let index = self.random.random_range(0..present.len());
+        vec![present[index]]
+    }
+
+    /// The core machine that leads the configuration shard, as its own node sees it.
+    #[must_use]
+    pub fn configuration_leader(&self) -> Option<u16> {
+        let shard = millford_core::ShardId::CONFIGURATION;
+        let mut leaders = self.controls.iter().filter(|(_, control)| {
+            let node = control.node.as_ref();
+            node.is_some_and(|node| {
+                let standing = node.gateway().standings().get(&shard);
+                standing.is_some_and(|standing| standing.leader == node.identity())
+            })
+        });
+        leaders.next().map(|(number, _)| *number)
+    }
+
+    /// Whether every shard has three voters, all of them nodes that are there now.
+    ///
+    /// Only then may a disk be lost: the promise is to survive the loss of any one of them.
+    #[must_use]
+    pub fn is_repaired(&self) -> bool {
+        let present = self.controls.values().filter(|control| !control.lost);
+        let nodes: Option<Vec<_>> = present.map(|control| control.node.as_ref()).collect();
+        let Some(nodes) = nodes else { return false };
+        let identities: Vec<_> = nodes.iter().map(|node| node.identity()).collect();
+        nodes.iter().all(|node| {
+            let standings = node.gateway().standings();
+            !standings.is_empty()
+                && standings.values().all(|standing| {
+                    standing.voters.len() >= 3
+                        && standing.voters.iter().all(|it| identities.contains(it))
+                })
+        })
+    }
+}
