Bound hedges, admission and leaving, and give late grants back

Aim: capacity promises of the request path: second sends under a fifth, fair turns under overload, no work for what leaves, truthful end of a leaving process. Cause of the late-grant change: an ask that timed out in the proxy while the agent granted it kept its stream slot for ever; the grant is now released when it comes. Also: turns are per pool and model, nothing is sent for a caller that has left, a placement of an older epoch is ignored, streams end with an error event when the time to leave is over.

--- a/crates/proxy/src/control/control_view.rs
+++ b/crates/proxy/src/control/control_view.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use millford_api::internal::{StateChange, StateSnapshot};
+use millford_api::state::state_value::Kind;
 use millford_api::state::{StateItem, StateValue};
 use millford_routing::RoutingTable;
 
@@ -90,8 +91,22 @@
 fn apply_items(target: &mut BTreeMap<String, StateValue>, items: Vec<StateItem>) {
     for item in items {
         match item.value {
-            Some(value) => target.insert(item.key, value),
-            None => target.remove(&item.key),
-        };
+            Some(value) if is_fenced(target.get(&item.key), &value) => {}
+            Some(value) => {
+                target.insert(item.key, value);
+            }
+            None => {
+                target.remove(&item.key);
+            }
+        }
     }
 }
+
+/// Whether a placement comes from a role that has since been taken over.
+fn is_fenced(shown: Option<&StateValue>, value: &StateValue) -> bool {
+    let epoch = |value: &StateValue| match &value.kind {
+        Some(Kind::Placement(placement)) => Some(placement.epoch),
+        _ => None,
+    };
+    epoch(value) < shown.and_then(epoch)
+}
--- a/crates/proxy/src/daemon/agent_link.rs
+++ b/crates/proxy/src/daemon/agent_link.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::frame_handler::{FrameHandler, FrameOutcome};
-use crate::daemon::outstanding::Outstanding;
+use crate::daemon::outstanding::{Outstanding, Unclaimed};
 use crate::proxy_state::ProxyState;
 use crate::request::message::{ClaimAnswer, QuotaAnswer, QuotaAsk, QuotaRelease};
 
@@ -82,8 +82,8 @@
         });
         let mut asked = self.quotas.ask(request_id, frame(body.clone()));
         self.send(body);
-        let answer = tokio::time::timeout(ask.timeout, asked.answer()).await;
-        answer.ok().flatten().unwrap_or(QuotaAnswer::Refused {
+        let answer = asked.answer(ask.timeout).await;
+        answer.unwrap_or(QuotaAnswer::Refused {
             code: millford_core::ResultCode::QuotaUnavailable,
             retry_after_ms: 0,
         })
@@ -108,8 +108,8 @@
         });
         let mut asked = self.claims.ask(request_id, frame(body.clone()));
         self.send(body);
-        let answer = tokio::time::timeout(timeout, asked.answer()).await;
-        answer.ok().flatten().unwrap_or(ClaimAnswer::Unavailable)
+        let answer = asked.answer(timeout).await;
+        answer.unwrap_or(ClaimAnswer::Unavailable)
     }
 
     /// Records an outcome. Sent again on a new connection until it is acknowledged.
@@ -129,6 +129,20 @@
         let _ = self.frames.send(frame(body));
     }
 
+    /// A grant that came too late is not kept.
+    fn give_back(&self, unclaimed: &Unclaimed<QuotaAnswer>) {
+        let asked = &unclaimed.frame.body;
+        if let (QuotaAnswer::Granted, Some(local_frame::Body::QuotaAsk(ask))) =
+            (unclaimed.answer, asked)
+        {
+            self.release_quota(QuotaRelease {
+                tenant: ask.tenant.clone(),
+                stream: ask.stream,
+                unused: true,
+            });
+        }
+    }
+
     /// Whether every settlement was acknowledged.
     #[must_use]
     pub fn is_settled(&self) -> bool {
@@ -141,9 +155,9 @@
 
     /// Frames to send again on a new connection.
     fn unanswered(&self) -> Vec<LocalFrame> {
-        let mut frames = self.settles.frames();
-        frames.extend(self.claims.frames());
-        frames.extend(self.quotas.frames());
+        let mut frames = self.settles.renew();
+        frames.extend(self.claims.renew());
+        frames.extend(self.quotas.renew());
         frames
     }
 }
@@ -236,12 +250,17 @@
             FrameOutcome::Changed => return Ok(true),
             FrameOutcome::Reconnect => return Err(closed()),
             FrameOutcome::Quota { request_id, answer } => {
-                self.link.quotas.answered(request_id, answer);
+                if let Some(unclaimed) = self.link.quotas.answered(request_id, answer) {
+                    self.link.give_back(&unclaimed);
+                }
             }
             FrameOutcome::Claim { request_id, answer } => {
+                // A claim granted too late was settled as not run by its asker.
                 self.link.claims.answered(request_id, answer);
             }
-            FrameOutcome::Settled { request_id } => self.link.settles.answered(request_id, ()),
+            FrameOutcome::Settled { request_id } => {
+                self.link.settles.answered(request_id, ());
+            }
         }
         Ok(false)
     }
--- a/crates/proxy/src/daemon/outstanding.rs
+++ b/crates/proxy/src/daemon/outstanding.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millford_api::local::LocalFrame;
+use millford_core::Duration;
 use tokio::sync::oneshot;
 
 /// A frame and who waits for its answer.
@@ -11,6 +12,8 @@
 struct Waiting<T> {
     frame: LocalFrame,
     answer: Option<oneshot::Sender<T>>,
+    /// The asker stopped waiting; the answer may still come.
+    abandoned: bool,
 }
 
 /// Frames of one kind by the number that their answers carry.
@@ -35,7 +38,16 @@
     }
 }
 
-/// Forgets a frame when its asker stops waiting.
+/// An answer that nobody waits for any more.
+#[derive(Debug)]
+pub struct Unclaimed<T> {
+    /// What was asked.
+    pub frame: LocalFrame,
+    /// The answer.
+    pub answer: T,
+}
+
+/// Marks a frame as abandoned when its asker stops waiting.
 pub struct Asked<T> {
     outstanding: Outstanding<T>,
     id: u64,
@@ -43,15 +55,24 @@
 }
 
 impl<T> Asked<T> {
-    /// The answer; nothing if it was never given.
-    pub async fn answer(&mut self) -> Option<T> {
-        (&mut self.answer).await.ok()
+    /// The answer, if it comes within the timeout.
+    pub async fn answer(&mut self, timeout: Duration) -> Option<T> {
+        match tokio::time::timeout(timeout, &mut self.answer).await {
+            Ok(answer) => answer.ok(),
+            Err(_) => {
+                // An answer given at this very moment is taken all the same.
+                self.answer.close();
+                self.answer.try_recv().ok()
+            }
+        }
     }
 }
 
 impl<T> Drop for Asked<T> {
     fn drop(&mut self) {
-        self.outstanding.lock().remove(&self.id);
+        if let Some(waiting) = self.outstanding.lock().get_mut(&self.id) {
+            waiting.abandoned = true;
+        }
     }
 }
 
@@ -63,6 +84,7 @@
         let waiting = Waiting {
             frame,
             answer: Some(sender),
+            abandoned: false,
         };
         self.lock().insert(id, waiting);
         Asked {
@@ -77,22 +99,29 @@
         let waiting = Waiting {
             frame,
             answer: None,
+            abandoned: false,
         };
         self.lock().insert(id, waiting);
     }
 
-    /// Gives the answer to whoever waits. An answer that nobody waits for any more is dropped.
-    pub fn answered(&self, id: u64, answer: T) {
-        let waiting = self.lock().remove(&id);
-        if let Some(sender) = waiting.and_then(|waiting| waiting.answer) {
-            let _ = sender.send(answer);
+    /// Gives the answer to whoever waits; hands it back with its frame if nobody does any more.
+    pub fn answered(&self, id: u64, answer: T) -> Option<Unclaimed<T>> {
+        let waiting = self.lock().remove(&id)?;
+        match waiting.answer?.send(answer) {
+            Ok(()) => None,
+            Err(answer) => Some(Unclaimed {
+                frame: waiting.frame,
+                answer,
+            }),
         }
     }
 
-    /// Every frame without an answer, in the order of their numbers.
+    /// Every frame that is still waited for, in the order of their numbers. The others are
+    /// forgotten: on a new connection their answers cannot come any more.
     #[must_use]
-    pub fn frames(&self) -> Vec<LocalFrame> {
-        let frames = self.lock();
+    pub fn renew(&self) -> Vec<LocalFrame> {
+        let mut frames = self.lock();
+        frames.retain(|_, waiting| !waiting.abandoned);
         frames
             .values()
             .map(|waiting| waiting.frame.clone())
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -23,6 +23,8 @@
 
 /// Time between two looks at the open requests while leaving.
 const LEAVE_CHECK: Duration = Duration::from_millis(20);
+/// Longest wait for streams to end once they are told to.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for the last settlements to be acknowledged.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -114,6 +116,8 @@
     LOG.info("Leaving: new requests are refused.");
     state.set_draining();
     wait_while(timeout, || state.metrics.open_requests.get() > 0).await;
+    state.set_stopping();
+    wait_while(STOP_TIMEOUT, || state.metrics.open_requests.get() > 0).await;
     wait_while(SETTLE_TIMEOUT, || !agent.is_settled()).await;
     let open = state.metrics.open_requests.get();
     LOG.info(format!("Left with {open} open requests."));
--- a/crates/proxy/src/proxy_state.rs
+++ b/crates/proxy/src/proxy_state.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use millford_routing::{
-    BackendHealth, CostBook, EjectionReason, FairQueue, LoadBoard, RetryBudget, RoutingTable,
+    BackendHealth, CostBook, EjectionReason, FairQueues, LoadBoard, RetryBudget, RoutingTable,
 };
 
 use crate::limits::RequestLimits;
@@ -17,6 +17,7 @@
     table: ArcSwap<RoutingTable>,
     ready: AtomicBool,
     draining: AtomicBool,
+    stopping: AtomicBool,
     /// Work in flight.
     pub board: Arc<LoadBoard>,
     /// Learned costs.
@@ -26,7 +27,7 @@
     /// Ejected backends.
     pub health: BackendHealth,
     /// Turns among tenants.
-    pub queue: FairQueue,
+    pub queues: FairQueues,
     /// Limits and times.
     pub limits: RequestLimits,
     /// Metrics.
@@ -41,11 +42,12 @@
             table: ArcSwap::from_pointee(RoutingTable::default()),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             board: Arc::default(),
             costs: CostBook::default(),
             budget: RetryBudget::default(),
             health: BackendHealth::default(),
-            queue: FairQueue::default(),
+            queues: FairQueues::default(),
             limits,
             metrics: ProxyMetrics::default(),
         }
@@ -94,6 +96,17 @@
     pub fn set_draining(&self) {
         self.draining.store(true, Ordering::SeqCst);
     }
+
+    /// Whether open streams must end now.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// The time to leave is over: open streams end with an explicit error.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
 }
 
 fn clamp_to_i64(number: u64) -> i64 {
--- a/crates/proxy/src/request/admit.rs
+++ b/crates/proxy/src/request/admit.rs
@@ -1,8 +1,10 @@
 //! Admission by the estimated time to the first token, fair among tenants.
 
+use std::sync::Arc;
+
 use millford_core::{Duration, MonotonicTime, ResultCode};
-use millford_routing::AdmissionEstimate;
 use millford_routing::fair_queue::WaiterId;
+use millford_routing::{AdmissionEstimate, FairQueue, QueueKey};
 
 use crate::request::choose_backend::replica_key;
 use crate::request::environment::RequestEnvironment;
@@ -10,29 +12,28 @@
 use crate::request::refusal::Refusal;
 
 /// An admitted request's share of its tenant's work, until its prefill ends.
-pub struct Turn<'a, E: RequestEnvironment> {
-    environment: &'a E,
+pub struct Turn {
+    queue: Arc<FairQueue>,
     tenant: String,
     tokens: u64,
 }
 
-impl<E: RequestEnvironment> Drop for Turn<'_, E> {
+impl Drop for Turn {
     fn drop(&mut self) {
-        let queue = &self.environment.state().queue;
-        queue.finish(&self.tenant, self.tokens);
+        self.queue.finish(&self.tenant, self.tokens);
     }
 }
 
 /// A place in the queue, left on whatever path the wait ends.
-struct Place<'a, E: RequestEnvironment> {
-    environment: &'a E,
+struct Place<'a> {
+    queue: &'a FairQueue,
     tenant: &'a str,
     id: WaiterId,
 }
 
-impl<E: RequestEnvironment> Drop for Place<'_, E> {
+impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.environment.state().queue.leave(self.tenant, self.id);
+        self.queue.leave(self.tenant, self.id);
     }
 }
 
@@ -40,17 +41,24 @@
 ///
 /// While the first token would come too late, a tenant over its share is refused at once; the
 /// others wait for a bounded time.
-pub async fn admit<'a, E: RequestEnvironment>(
-    environment: &'a E,
+pub async fn admit<E: RequestEnvironment>(
+    environment: &E,
     plan: &RequestPlan,
-) -> Result<Turn<'a, E>, Refusal> {
-    let queue = &environment.state().queue;
-    if queue.has_waiters() || !has_room(environment, plan) {
-        wait_for_turn(environment, plan).await?;
+) -> Result<Turn, Refusal> {
+    let queue = environment.state().queues.queue(&QueueKey {
+        pool: plan.route.pool.clone(),
+        model: plan.requirement.model.clone(),
+    });
+    let room = has_room(environment, plan);
+    if !room && queue.is_over_share(&plan.tenant) {
+        return Err(overloaded(environment, plan));
+    }
+    if !room || queue.has_waiters() {
+        wait_for_turn(environment, plan, &queue).await?;
     }
     queue.begin(&plan.tenant, plan.prompt_tokens);
     Ok(Turn {
-        environment,
+        queue,
         tenant: plan.tenant.clone(),
         tokens: plan.prompt_tokens,
     })
@@ -59,19 +67,17 @@
 async fn wait_for_turn<E: RequestEnvironment>(
     environment: &E,
     plan: &RequestPlan,
+    queue: &FairQueue,
 ) -> Result<(), Refusal> {
     let state = environment.state();
-    if state.queue.is_over_share(&plan.tenant) {
-        return Err(overloaded(environment, plan));
-    }
     let place = Place {
-        environment,
+        queue,
         tenant: &plan.tenant,
-        id: state.queue.join(&plan.tenant),
+        id: queue.join(&plan.tenant),
     };
     let until = (environment.now() + state.limits.admission_wait).min(plan.deadline);
     while environment.now() < until {
-        if state.queue.is_next(&plan.tenant, place.id) && has_room(environment, plan) {
+        if queue.is_next(&plan.tenant, place.id) && has_room(environment, plan) {
             return Ok(());
         }
         environment.sleep(state.limits.admission_check).await;
--- a/crates/proxy/src/request/first_answer.rs
+++ b/crates/proxy/src/request/first_answer.rs
@@ -1,7 +1,7 @@
 //! From the chosen backend to the first part of an answer, with retries and a hedge.
 
-use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use millford_core::{MonotonicTime, ResultCode, RunState};
 
 use crate::request::attempt::{Attempt, FailedAttempt, Opened};
@@ -60,6 +60,10 @@
     let mut hedge_at = None;
     let end = loop {
         if attempts.is_empty() {
+            // Nothing is sent for a caller that has left.
+            if presence.gone().now_or_never().is_some() {
+                break Ended::CallerGone(RunState::NotRun);
+            }
             let replica = match next_replica(environment, plan, &progress, connects) {
                 Ok(replica) => replica,
                 Err(refusal) => break Ended::Refused(refusal),
@@ -213,14 +217,19 @@
     in_flight: &[InFlight],
     reference: &WithdrawRequest,
 ) {
-    let first = in_flight
-        .iter()
-        .any(|flight| !flight.second && flight.reference == *reference);
-    if first {
-        let state = environment.state();
-        state.budget.earn();
-        state.metrics.first_sends.inc();
+    let mut flights = in_flight.iter();
+    if let Some(flight) = flights.find(|flight| flight.reference == *reference) {
+        earn_if_first(environment, flight.second);
+    }
+}
+
+fn earn_if_first<E: RequestEnvironment>(environment: &E, second: bool) {
+    if second {
+        return;
     }
+    let state = environment.state();
+    state.budget.earn();
+    state.metrics.first_sends.inc();
 }
 
 async fn give_up<'a, E: RequestEnvironment>(
@@ -231,6 +240,7 @@
 ) -> Result<Opened<'a, E>, Ended> {
     for flight in in_flight {
         let failure = if flight.sent.is_set() {
+            earn_if_first(environment, flight.second);
             AttemptFailure::unknown(ResultCode::DeadlineAfterSend)
         } else {
             AttemptFailure::not_sent()
--- a/crates/proxy/src/request/lookup.rs
+++ b/crates/proxy/src/request/lookup.rs
@@ -17,6 +17,9 @@
 use crate::request::refusal::Refusal;
 use crate::request::reply::Reply;
 
+/// What a lookup counts as in the load board, so that busy backends are told from idle ones.
+const LOOKUP_TOKENS: u64 = 1;
+
 /// Serves one lookup and writes its whole answer to the caller.
 pub async fn serve_lookup<E, C>(
     environment: &E,
@@ -68,7 +71,7 @@
         route: route.clone(),
         requirement: route.requirement(&ModelRequest::default()),
         affinity: None,
-        prompt_tokens: 0,
+        prompt_tokens: LOOKUP_TOKENS,
         deadline: deadline_of(route, request)?,
         stream: false,
         method: BackendMethod::Get,
--- a/crates/proxy/src/request/plan.rs
+++ b/crates/proxy/src/request/plan.rs
@@ -21,7 +21,7 @@
     pub requirement: ModelRequest,
     /// Hash that keeps related requests on one backend.
     pub affinity: Option<u64>,
-    /// Estimated tokens of the prompt; 0 for lookups.
+    /// Estimated tokens of the prompt; 1 for lookups.
     pub prompt_tokens: u64,
     /// Until when the last byte must have left.
     pub deadline: MonotonicTime,
--- a/crates/proxy/src/request/record.rs
+++ b/crates/proxy/src/request/record.rs
@@ -62,3 +62,23 @@
         self.state.metrics.open_requests.dec();
     }
 }
+
+/// Counts an open stream until it is dropped.
+pub struct OpenStream<'a> {
+    state: &'a ProxyState,
+}
+
+impl<'a> OpenStream<'a> {
+    /// The first piece goes to the caller.
+    #[must_use]
+    pub fn start(state: &'a ProxyState) -> Self {
+        state.metrics.open_streams.inc();
+        Self { state }
+    }
+}
+
+impl Drop for OpenStream<'_> {
+    fn drop(&mut self) {
+        self.state.metrics.open_streams.dec();
+    }
+}
--- a/crates/proxy/src/request/relay.rs
+++ b/crates/proxy/src/request/relay.rs
@@ -14,6 +14,7 @@
 use crate::request::piece::{Piece, Usage};
 use crate::request::piece_reader::{PieceReader, StreamItem};
 use crate::request::plan::RequestPlan;
+use crate::request::record::OpenStream;
 use crate::request::refusal::Refusal;
 use crate::request::reply::{Reply, ReplyError};
 use crate::request::stream_watch::{StreamWatch, WatchVerdict};
@@ -38,6 +39,7 @@
     Broken(ResultCode),
     Deadline,
     CallerGone,
+    Stopping,
 }
 
 /// Relays the stream to its end marker, or says why it ended.
@@ -64,6 +66,7 @@
     let first_piece_at = environment.now();
     let mut watch = StreamWatch::new(first_piece_at);
     let mut item = Ok(first);
+    let _open = OpenStream::start(environment.state());
     reply.begin_stream().await.map_err(ended_by_reply)?;
     loop {
         match item {
@@ -84,6 +87,9 @@
                 return Err(Refusal::may_have_run(ResultCode::BackendError).into());
             }
             Err(Interruption::CallerGone) => return Err(Ended::CallerGone(RunState::MayHaveRun)),
+            Err(Interruption::Stopping) => {
+                return Err(Refusal::may_have_run(ResultCode::ProxyDraining).into());
+            }
             Err(Interruption::Deadline) => {
                 return Err(Refusal::may_have_run(ResultCode::DeadlineAfterSend).into());
             }
@@ -166,6 +172,7 @@
             WatchVerdict::Wait => {}
             WatchVerdict::Silent => return Err(Interruption::Broken(ResultCode::BackendSilent)),
             WatchVerdict::Drained => return Err(Interruption::Broken(ResultCode::BackendLost)),
+            WatchVerdict::Stopping => return Err(Interruption::Stopping),
         }
         if watch.is_draining() {
             attempt.ticket.held();
--- a/crates/proxy/src/request/stream_watch.rs
+++ b/crates/proxy/src/request/stream_watch.rs
@@ -28,6 +28,8 @@
     Silent,
     /// The drain time of the backend is over.
     Drained,
+    /// The proxy itself leaves now.
+    Stopping,
 }
 
 /// Runs a future until its backend is ejected for silence.
@@ -93,6 +95,9 @@
         let counted_gap = limits.backend_check * LARGEST_COUNTED_GAP;
         self.silent += now.since(self.looked_at).min(counted_gap);
         self.looked_at = now;
+        if environment.state().is_stopping() {
+            return WatchVerdict::Stopping;
+        }
         if self.is_silent(environment, backend_id) {
             return WatchVerdict::Silent;
         }
--- /dev/null
+++ b/crates/proxy/tests/capacity.rs
@@ -0,0 +1,256 @@
+//! Hedges, the retry share, admission, drains and leaving.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use futures::future::{join, join_all};
+use millford_api::config::Resume;
+use millford_api::state::BackendState;
+use millford_core::{Duration, MonotonicTime, ResultCode};
+use millford_proxy::request::completion::serve_completion;
+use millford_proxy::request::environment::RequestEnvironment as _;
+use millford_routing::QueueKey;
+use quickcheck::quickcheck;
+use support::environment::ScriptedEnvironment;
+use support::fixture::{Fixture, SECOND_KEY, SECOND_TENANT, TENANT, request, serve, serve_leaving};
+use support::script::{Script, Step, pieces, status, stream, whole_stream};
+use support::sink::RecordingSink;
+
+fn hedging() -> Fixture {
+    Fixture {
+        hedge_ms: Some(200),
+        ..Fixture::default()
+    }
+}
+
+/// The first attempt never answers; every later one is a whole stream.
+fn first_never_answers(environment: &ScriptedEnvironment) -> support::sink::Seen {
+    environment.usually(Script::NeverAnswer);
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let switch = async {
+        environment.sleep(Duration::from_millis(100)).await;
+        environment.usually(whole_stream(0, 3));
+    };
+    let serving = serve_completion(environment, request(true), &mut sink);
+    environment.clock.run(join(serving, switch));
+    sink.seen()
+}
+
+#[test]
+fn a_hedge_answers_for_a_silent_backend_and_the_loser_is_withdrawn() {
+    let environment = hedging().environment();
+    environment.save_up(1);
+    let seen = first_never_answers(&environment);
+    assert!(seen.is_done());
+    let sent = environment.sent();
+    assert_eq!(sent.len(), 2);
+    assert_eq!(sent[1].at, MonotonicTime::from_millis(200));
+    assert_ne!(sent[0].request.backend_id, sent[1].request.backend_id);
+    let withdrawals = environment.recorded().withdrawals.clone();
+    assert_eq!(withdrawals.len(), 1);
+    assert_eq!(withdrawals[0].attempt, sent[0].request.attempt);
+}
+
+#[test]
+fn no_hedge_without_budget_or_for_what_may_not_be_repeated() {
+    let not_repeatable = Fixture {
+        repeatable: false,
+        ..hedging()
+    };
+    for (fixture, saved) in [(hedging(), 0), (not_repeatable, 3)] {
+        let environment = fixture.environment();
+        environment.save_up(saved);
+        let seen = first_never_answers(&environment);
+        assert_eq!(seen.error().code, ResultCode::DeadlineAfterSend);
+        assert_eq!(environment.sent().len(), 1);
+    }
+}
+
+#[test]
+fn a_request_whose_caller_has_left_is_never_sent() {
+    let environment = Fixture::default().environment();
+    serve_leaving(&environment, request(true), 0);
+    assert!(environment.recorded().dispatches.is_empty());
+    assert!(environment.recorded().quota_releases[0].unused);
+}
+
+quickcheck! {
+    /// Whatever the backends do, second sends stay under a fifth of first sends.
+    fn second_sends_stay_under_a_fifth(faults: Vec<u8>, seed: u64) -> bool {
+        let state = hedging().state();
+        let environment = ScriptedEnvironment::new(state, seed);
+        let (mut firsts, mut seconds) = (0, 0);
+        for fault in faults {
+            environment.usually(match fault % 6 {
+                0 => Script::LoseBeforeHead,
+                1 => status(503, true),
+                2 => Script::NeverAnswer,
+                3 => stream(pieces(0..2), Step::Cut(millford_proxy::request::message::AnswerError::Cut)),
+                4 => Script::RefuseConnection,
+                _ => whole_stream(0, 3),
+            });
+            let before = environment.sent().len();
+            serve(&environment, request(true));
+            let sends = environment.sent().len() - before;
+            firsts += sends.min(1);
+            seconds += sends.saturating_sub(1);
+            // Probes bring the backends back between two requests.
+            for id in ["b1", "b2", "b3"] {
+                let now = environment.now();
+                environment.state().health.probe_succeeded(id, now);
+                environment.state().health.probe_succeeded(id, now);
+            }
+        }
+        let counted = environment.state().metrics.first_sends.get();
+        counted == firsts as u64 && seconds * 5 <= firsts + seconds
+    }
+
+    /// A draining, gone or ejected backend gets no new work.
+    fn no_new_work_for_what_leaves(states: Vec<u8>, seed: u64) -> bool {
+        let ids: Vec<String> = (0..states.len()).map(|index| format!("b{index}")).collect();
+        let names: Vec<&str> = ids.iter().map(String::as_str).collect();
+        let mut fixture = Fixture::default().with_backends(&names);
+        let mut closed = BTreeSet::new();
+        for (id, state) in ids.iter().zip(&states) {
+            match state % 4 {
+                1 => fixture = fixture.with_state(id, BackendState::BackendDraining),
+                2 => fixture = fixture.with_state(id, BackendState::BackendGone),
+                _ => {}
+            }
+            if state % 4 != 0 {
+                closed.insert(id.clone());
+            }
+        }
+        let environment = ScriptedEnvironment::new(fixture.state(), seed);
+        for (id, state) in ids.iter().zip(&states) {
+            if state % 4 == 3 {
+                environment.state().eject(id, millford_routing::EjectionReason::Silent);
+            }
+        }
+        for _ in 0..5 {
+            serve(&environment, request(true));
+        }
+        let recorded = environment.recorded();
+        let mut ids = recorded.dispatches.iter().map(|dispatch| &dispatch.request.backend_id);
+        ids.all(|id| !closed.contains(id))
+    }
+}
+
+/// Fills every backend with so much prefill that the first token would come too late.
+fn fill(environment: &ScriptedEnvironment) -> Vec<millford_routing::LoadTicket> {
+    let state = environment.state();
+    let fill = |id: &str| {
+        let key = millford_routing::ReplicaKey {
+            pool: "models".to_owned(),
+            backend_id: id.to_owned(),
+            model: "saga".to_owned(),
+            version: "2".to_owned(),
+        };
+        state.board.start(key, 10_000_000)
+    };
+    ["b1", "b2", "b3"].map(fill).into()
+}
+
+fn queue_of_models(
+    environment: &ScriptedEnvironment,
+) -> std::sync::Arc<millford_routing::FairQueue> {
+    environment.state().queues.queue(&QueueKey {
+        pool: "models".to_owned(),
+        model: "saga".to_owned(),
+    })
+}
+
+#[test]
+fn a_tenant_over_its_share_is_shed_at_once() {
+    let environment = Fixture::default().environment();
+    let _full = fill(&environment);
+    let queue = queue_of_models(&environment);
+    queue.begin(TENANT, 20_000_000);
+    queue.begin(SECOND_TENANT, 10_000_000);
+    let seen = serve(&environment, request(true));
+    assert_eq!(seen.error().code, ResultCode::Overloaded);
+    assert_eq!(seen.error().run, "not_run");
+    assert_eq!(seen.ended_at, MonotonicTime::ZERO);
+    assert!(seen.error().retry_after_ms >= Some(250));
+    assert!(environment.recorded().quota_releases[0].unused);
+}
+
+#[test]
+fn a_tenant_under_its_share_waits_and_is_served() {
+    let environment = Fixture::default().environment();
+    let full = fill(&environment);
+    let queue = queue_of_models(&environment);
+    queue.begin(TENANT, 30_000_000);
+    let mut small = request(true);
+    small.headers.authorization = Some(format!("Bearer {SECOND_KEY}"));
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let ease = async {
+        environment.sleep(Duration::from_millis(400)).await;
+        drop(full);
+    };
+    let serving = serve_completion(&environment, small, &mut sink);
+    environment.clock.run(join(serving, ease));
+    assert!(sink.seen().is_done());
+    assert!(environment.sent()[0].at >= MonotonicTime::from_millis(400));
+}
+
+#[test]
+fn a_wait_for_a_turn_is_bounded() {
+    let environment = Fixture::default().environment();
+    let _full = fill(&environment);
+    let seen = serve(&environment, request(true));
+    assert_eq!(seen.error().code, ResultCode::Overloaded);
+    assert!(seen.ended_at <= MonotonicTime::from_millis(1_020));
+    assert!(!queue_of_models(&environment).has_waiters());
+}
+
+#[test]
+fn many_requests_leave_nothing_behind() {
+    let environment = Fixture::default().environment();
+    environment.save_up(5);
+    let serving = (0..40).map(|index| {
+        let environment = environment.clone();
+        async move {
+            let mut sink = RecordingSink::new(environment.clock.clone());
+            environment.sleep(Duration::from_millis(index * 3)).await;
+            serve_completion(&environment, request(index % 2 == 0), &mut sink).await;
+        }
+    });
+    environment.clock.run(join_all(serving));
+    let state = environment.state();
+    assert_eq!(state.metrics.open_requests.get(), 0);
+    assert_eq!(state.metrics.open_streams.get(), 0);
+    for id in ["b1", "b2", "b3"] {
+        assert!(state.board.backend_load(id, 8, &state.costs) == 0.0);
+    }
+    let recorded = environment.recorded();
+    let asked = recorded.quota_asks.iter().filter(|ask| ask.stream).count();
+    let freed = recorded
+        .quota_releases
+        .iter()
+        .filter(|release| release.stream)
+        .count();
+    assert_eq!((asked, freed), (20, 20));
+}
+
+#[test]
+fn a_proxy_that_must_stop_ends_its_streams_with_an_error() {
+    let fixture = Fixture {
+        resume: Resume::Never,
+        ..Fixture::default()
+    };
+    let environment = fixture.environment();
+    environment.usually(stream(pieces(0..500), Step::Done));
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let stop = async {
+        environment.sleep(Duration::from_millis(300)).await;
+        environment.state().set_stopping();
+    };
+    let serving = serve_completion(&environment, request(true), &mut sink);
+    environment.clock.run(join(serving, stop));
+    let seen = sink.seen();
+    assert_eq!(seen.error().code, ResultCode::ProxyDraining);
+    assert_eq!(seen.error().run, "may_have_run");
+    assert!(seen.ended_at < MonotonicTime::from_millis(500));
+}
--- a/crates/proxy/tests/support/raw_backend.rs
+++ b/crates/proxy/tests/support/raw_backend.rs
@@ -49,7 +49,12 @@
         return;
     };
     requests.lock().expect("requests").push(request.clone());
-    let _ = stream.write_all(&answer(&request)).await;
+    let bytes = answer(&request);
+    let _ = stream.write_all(&bytes).await;
+    if bytes.is_empty() {
+        // Never answers: waits until the proxy closes the connection.
+        let _ = stream.read(&mut [0; 1]).await;
+    }
 }
 
 async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -1,11 +1,39 @@
 //! Fair turns among tenants while the backends are too busy.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Number of a waiting request.
 pub type WaiterId = u64;
 
+/// Queues by what their requests compete for: a pool and a model.
+#[derive(Debug, Default)]
+pub struct FairQueues {
+    queues: Mutex<BTreeMap<QueueKey, Arc<FairQueue>>>,
+}
+
+/// What the requests of one queue compete for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueKey {
+    /// Name of the pool.
+    pub pool: String,
+    /// Name of the model.
+    pub model: String,
+}
+
+impl FairQueues {
+    /// The queue of this pool and model.
+    #[must_use]
+    pub fn queue(&self, key: &QueueKey) -> Arc<FairQueue> {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(queue) = queues.get(key) {
+            return Arc::clone(queue);
+        }
+        // Only matched requests come here, so routes bound the number of queues.
+        Arc::clone(queues.entry(key.clone()).or_default())
+    }
+}
+
 #[derive(Debug, Default)]
 struct TenantQueue {
     /// Uncached prompt tokens of the tenant's admitted requests.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,7 +24,7 @@
 pub use backend_health::{BackendHealth, EjectionReason};
 pub use choice::{Candidate, Choice, choose};
 pub use cost_book::CostBook;
-pub use fair_queue::FairQueue;
+pub use fair_queue::{FairQueue, FairQueues, QueueKey};
 pub use load_board::LoadBoard;
 pub use load_ticket::LoadTicket;
 pub use model_request::ModelRequest;
