--- a/crates/proxy/src/request/stream_watch.rs
+++ b/crates/proxy/src/request/stream_watch.rs
@@ -32,7 +32,9 @@
     Stopping,
 }
 
-/// Runs a future until its backend is ejected for silence.
+/// Runs a future until its backend has been silent for too long and is ejected for it.
+///
+/// Ejection alone is not enough: a probe may fail on a busy machine while the answer is on its way.
 pub async fn until_ejected<E: RequestEnvironment, T>(
     environment: &E,
     backend_id: &str,
@@ -40,13 +42,18 @@
 ) -> Result<T, AttemptFailure> {
     let state = environment.state();
     let mut future = pin!(future);
+    let mut waited = Duration::ZERO;
+    let check = state.limits.backend_check;
     loop {
-        let pause = pin!(environment.sleep(state.limits.backend_check));
+        let pause = pin!(environment.sleep(check));
         match select(future.as_mut(), pause).await {
             Either::Left((output, _)) => return output,
             Either::Right(_) => {}
         }
-        if state.health.ejection(backend_id) == Some(EjectionReason::Silent) {
+        // Looks are counted, not time: after a freeze of this process nothing is held against it.
+        waited += check;
+        let ejected = state.health.ejection(backend_id) == Some(EjectionReason::Silent);
+        if ejected && waited >= state.limits.stream_silence {
             return Err(AttemptFailure::unknown(ResultCode::BackendSilent));
         }
     }
--- a/crates/proxy/tests/stream_continuity.rs
+++ b/crates/proxy/tests/stream_continuity.rs
@@ -258,3 +258,26 @@
         .run(futures::future::join(serving, switch));
     sink.seen()
 }
+
+#[test]
+fn a_request_leaves_a_silent_backend_only_when_it_is_ejected_and_silent() {
+    let environment = Fixture::default()
+        .with_backends(&["b1", "b2"])
+        .environment();
+    environment.save_up(1);
+    environment.usually(Script::NeverAnswer);
+    let mut sink = RecordingSink::new(environment.clock.clone());
+    let eject = async {
+        environment.sleep(Duration::from_millis(500)).await;
+        let first = environment.sent()[0].request.backend_id.clone();
+        environment
+            .state()
+            .eject(&first, millford_routing::EjectionReason::Silent);
+        environment.usually(whole_stream(0, 2));
+    };
+    let serving = serve_completion(&environment, request(true), &mut sink);
+    environment.clock.run(futures::future::join(serving, eject));
+    assert_whole(&sink.seen(), 2);
+    let second_at = environment.sent()[1].at;
+    assert_eq!(second_at, MonotonicTime::from_millis(2_000));
+}
--- a/crates/routing/src/backend_health.rs
+++ b/crates/routing/src/backend_health.rs
@@ -147,6 +147,16 @@
         self.lock().retain(|id, _| known(id));
     }
 
+    /// The ejected backends and why.
+    #[must_use]
+    pub fn ejections(&self) -> BTreeMap<String, EjectionReason> {
+        let backends = self.lock();
+        let ejected = backends
+            .iter()
+            .filter_map(|(id, health)| Some((id.clone(), health.ejected?)));
+        ejected.collect()
+    }
+
     /// Number of ejected backends.
     #[must_use]
     pub fn ejected(&self) -> usize {
