Fit the choice tests to the weighed affinity

Cause: choose() now takes what the warm cache saves instead of the request's own load, and load_bound is gone. Change: the test of the load bound becomes one of the new bound (a home is kept only while it is not behind the drawn alternative by more than it saves, and otherwise the alternative is taken), as strict as before; new: a home worth its load is never passed over; two placed versions of full weight share a transition. Measured: cargo test -p millford-routing -p millford-proxy: all passed. Conclusion: routing and its tests agree again.

--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -1,6 +1,6 @@
 //! Properties of the choice of a backend.
 
-use millford_routing::choice::{Candidate, choose, load_bound};
+use millford_routing::choice::{Affinity, Candidate, choose};
 use millford_routing::rendezvous;
 use quickcheck::quickcheck;
 
@@ -13,6 +13,10 @@
     loads.iter().enumerate().map(candidate).collect()
 }
 
+fn affinity(key: u64, saving: f64) -> Option<Affinity> {
+    Some(Affinity { key, saving })
+}
+
 fn home(candidates: &[Candidate], key: u64) -> usize {
     let score = |index: &usize| {
         let candidate = &candidates[*index];
@@ -27,7 +31,7 @@
     /// Something is chosen whenever there is something to choose.
     fn a_choice_exists(loads: Vec<u8>, key: Option<u64>, first: u64, second: u64) -> bool {
         let list = candidates(&loads);
-        let choice = choose(&list, key, 1.0, [first, second]);
+        let choice = choose(&list, key.and_then(|key| affinity(key, 1.0)), [first, second]);
         choice.is_some() != list.is_empty()
             && choice.is_none_or(|choice| choice.index < list.len())
     }
@@ -35,7 +39,7 @@
     /// An idle fleet sends a key always to its home, whatever the random numbers.
     fn affinity_is_stable(count: u8, key: u64, first: u64, second: u64) -> bool {
         let list = candidates(&vec![0; usize::from(count % 20) + 1]);
-        let choice = choose(&list, Some(key), 1.0, [first, second]).expect("a choice");
+        let choice = choose(&list, affinity(key, 1.0), [first, second]).expect("a choice");
         choice.by_affinity && choice.index == home(&list, key)
     }
 
@@ -50,23 +54,34 @@
         before == lost || after.backend_id == list[before].backend_id
     }
 
-    /// A choice by affinity stays within the load bound.
-    fn affinity_keeps_the_load_bound(loads: Vec<u8>, key: u64, own: u8) -> bool {
+    /// A home is kept only while it is not behind the drawn alternative by more than it saves.
+    fn affinity_keeps_the_load_bound(loads: Vec<u8>, key: u64, saving: u8) -> bool {
         let list = candidates(&loads);
-        let own = f64::from(own);
-        match choose(&list, Some(key), own, [3, 5]) {
-            Some(choice) if choice.by_affinity => {
-                list[choice.index].load <= load_bound(&list, own)
+        let saving = f64::from(saving);
+        let alternative = choose(&list, None, [3, 5]);
+        let chosen = choose(&list, affinity(key, saving), [3, 5]);
+        match (chosen, alternative) {
+            (Some(choice), Some(alternative)) if choice.by_affinity => {
+                list[choice.index].load <= list[alternative.index].load + saving
             }
-            _ => true,
+            (Some(choice), Some(alternative)) => choice.index == alternative.index,
+            _ => list.is_empty(),
         }
     }
 
+    /// A home that is worth its load is never passed over.
+    fn a_home_worth_its_load_is_kept(loads: Vec<u8>, key: u64) -> bool {
+        let list = candidates(&loads);
+        let enough = f64::from(u8::MAX);
+        choose(&list, affinity(key, enough), [3, 5])
+            .is_none_or(|choice| choice.by_affinity && choice.index == home(&list, key))
+    }
+
     /// The better of two is never the worst of three or more different loads.
     fn the_worst_of_many_is_not_chosen(count: u8, first: u64, second: u64) -> bool {
         let loads: Vec<u8> = (0..=(count % 30) + 2).collect();
         let list = candidates(&loads);
-        let choice = choose(&list, None, 1.0, [first, second]).expect("a choice");
+        let choice = choose(&list, None, [first, second]).expect("a choice");
         choice.index != list.len() - 1
     }
 }
@@ -89,7 +104,7 @@
     let mut chosen = [0u32; 3];
     for round in 0..3_000u64 {
         let random = [round.wrapping_mul(0x9E37_79B9_7F4A_7C15), round];
-        let choice = choose(&list, None, 1.0, random).expect("a choice");
+        let choice = choose(&list, None, random).expect("a choice");
         chosen[choice.index] += 1;
     }
     // A weight of nothing is drawn as one thousandth at most.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -225,6 +225,19 @@
     assert_eq!(items.candidates(&wanted("saga")), ["old", "new"]);
 }
 
+/// The first replica of a new version must not get the whole pool's work.
+#[test]
+fn two_placed_versions_of_full_weight_share_a_transition() {
+    let mut items = Items::new();
+    items.backend("old", "1", BackendState::BackendActive);
+    items.backend("new", "2", BackendState::BackendActive);
+    items.place(vec![
+        placed("old", "1", 1000, ReplicaState::ReplicaActive),
+        placed("new", "2", 1000, ReplicaState::ReplicaActive),
+    ]);
+    assert_eq!(items.candidates(&wanted("saga")), ["old", "new"]);
+}
+
 #[test]
 fn an_adapter_must_be_declared() {
     let mut items = Items::new();
