--- a/crates/experiments/src/command.rs
+++ b/crates/experiments/src/command.rs
@@ -6,7 +6,7 @@
 use getopts::Options;
 
 use crate::report::Report;
-use crate::suite::balance;
+use crate::suite::{affinity, balance, bandwidth, retry_storm, transition};
 
 /// Seeds when the command names none.
 const DEFAULT_SEEDS: u64 = 3;
@@ -17,10 +17,28 @@
     run: fn(u64) -> Report,
 }
 
-const EXPERIMENTS: &[Experiment] = &[Experiment {
-    name: "balance",
-    run: balance::run,
-}];
+const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "balance",
+        run: balance::run,
+    },
+    Experiment {
+        name: "bandwidth",
+        run: bandwidth::run,
+    },
+    Experiment {
+        name: "transition",
+        run: transition::run,
+    },
+    Experiment {
+        name: "affinity",
+        run: affinity::run,
+    },
+    Experiment {
+        name: "retry-storm",
+        run: retry_storm::run,
+    },
+];
 
 /// Runs `NAME --seeds N [--out DIR]`; prints the report and writes its files.
 #[must_use]
--- a/crates/experiments/src/suite/mod.rs
+++ b/crates/experiments/src/suite/mod.rs
@@ -1,6 +1,10 @@
 //! The experiments.
 
+pub mod affinity;
 pub mod balance;
+pub mod bandwidth;
 pub mod parallel;
+pub mod retry_storm;
 pub mod site;
 pub mod summary;
+pub mod transition;
--- a/crates/experiments/src/suite/site.rs
+++ b/crates/experiments/src/suite/site.rs
@@ -5,7 +5,9 @@
 use millford_core::Duration;
 
 use crate::fleet::fleet_options::DeclaredModel;
-use crate::fleet::{FleetOptions, HostOptions, ModelLoad, Policy, RetryRules, Workload};
+use crate::fleet::{
+    FleetMetrics, FleetOptions, HostOptions, ModelLoad, Policy, RetryRules, Workload,
+};
 
 /// Proxies of a site.
 pub const PROXIES: usize = 8;
@@ -98,3 +100,20 @@
         length: Duration::from_secs(60),
     }
 }
+
+/// Share of the requests of each second that got their first token in time.
+#[must_use]
+pub fn good_share_by_second(metrics: &FleetMetrics) -> Vec<(f64, f64)> {
+    metrics
+        .arrived_by_second
+        .iter()
+        .enumerate()
+        .map(|(second, arrived)| {
+            let good = metrics.good_by_second.get(second).copied().unwrap_or(0);
+            (
+                second as f64,
+                f64::from(good) / f64::from((*arrived).max(1)),
+            )
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/experiments/src/suite/transition.rs
@@ -0,0 +1,195 @@
+//! Experiment `transition`: a new model version at peak load, with retirements by the platform.
+
+use millford_api::config::Pool;
+use millford_backend_model::ModelProfile;
+use millford_core::{Duration, MonotonicTime};
+use millford_placement::PlacerOptions;
+
+use crate::fleet::fleet_options::DeclaredModel;
+use crate::fleet::{
+    Fault, FaultKind, FleetMetrics, FleetOptions, HostOptions, PlacementOptions, Policy,
+    RateChange, RetryRules, Workload,
+};
+use crate::report::{Chart, Report, Series, Table, number, percent};
+use crate::suite::parallel::simulate_all;
+use crate::suite::site::{good_share_by_second, heavy_load, host, plain_fleet};
+use crate::suite::summary::Summary;
+
+const HOSTS: usize = 12;
+const RATE: f64 = 35.0;
+const ORDERED_AT: MonotonicTime = MonotonicTime::from_millis(40_000);
+const PEAK_ENDS_AT: MonotonicTime = MonotonicTime::from_millis(200_000);
+/// Rate after the peak, as a factor.
+const CALM_FACTOR: f64 = 0.5;
+const RETIREMENTS: [(usize, u64); 2] = [(10, 60_000), (11, 90_000)];
+const DRAIN_MS: u32 = 30_000;
+/// Loading a replica takes five seconds of sixteen cores.
+const LOAD_CORE_SECONDS: f64 = 80.0;
+const LENGTH: Duration = Duration::from_secs(330);
+
+struct Variant {
+    name: &'static str,
+    ordered: bool,
+    gate: bool,
+    longest_deferral_ms: u32,
+}
+
+const VARIANTS: [Variant; 4] = [
+    Variant {
+        name: "no transition",
+        ordered: false,
+        gate: true,
+        longest_deferral_ms: 0,
+    },
+    Variant {
+        name: "gate off",
+        ordered: true,
+        gate: false,
+        longest_deferral_ms: 0,
+    },
+    Variant {
+        name: "gate on",
+        ordered: true,
+        gate: true,
+        longest_deferral_ms: 600_000,
+    },
+    Variant {
+        name: "gate on, forced after 60 s",
+        ordered: true,
+        gate: true,
+        longest_deferral_ms: 60_000,
+    },
+];
+
+/// Runs the experiment.
+#[must_use]
+pub fn run(seeds: u64) -> Report {
+    let mut report = Report::new("transition", seeds);
+    report.note(
+        "12 backends; peak until 200 s, then half the rate; a new version is ordered at 40 s.",
+    );
+    report.note("The platform retires a backend at 60 s and at 90 s; drain_ms 30,000; loading a replica takes 80 core seconds.");
+    let mut fleets = Vec::new();
+    for variant in &VARIANTS {
+        for seed in 1..=seeds {
+            fleets.push(fleet(seed, variant));
+        }
+    }
+    let results = simulate_all(&fleets);
+    let mut table = Table::new(
+        "A new version at peak",
+        &[
+            "variant",
+            "timeouts",
+            "first token p99 ms",
+            "cut streams",
+            "first step s",
+            "end s",
+            "forced steps",
+            "longest drain s",
+            "last send to a retiring backend s",
+        ],
+    );
+    let mut series = Vec::new();
+    for (variant, runs) in VARIANTS.iter().zip(results.chunks(seeds.max(1) as usize)) {
+        let summary = Summary::of(runs);
+        table.add(row(variant.name, &summary, runs));
+        series.push(Series::new(
+            variant.name,
+            good_share_by_second(&summary.pooled),
+        ));
+    }
+    report.tables.push(table);
+    report.charts.push(Chart {
+        name: "transition".to_owned(),
+        title: "Requests answered in time; new version ordered at 40 s".to_owned(),
+        x_label: "second of arrival".to_owned(),
+        y_label: "share with a first token in time".to_owned(),
+        series,
+    });
+    report
+}
+
+fn fleet(seed: u64, variant: &Variant) -> FleetOptions {
+    let workload = Workload {
+        loads: vec![heavy_load(RATE)],
+        changes: vec![RateChange {
+            at: PEAK_ENDS_AT,
+            factor: CALM_FACTOR,
+        }],
+    };
+    let hosts = (0..HOSTS).map(|_| two_version_host()).collect();
+    let mut faults: Vec<Fault> = RETIREMENTS
+        .iter()
+        .map(|(host, at)| Fault {
+            at: MonotonicTime::from_millis(*at),
+            kind: FaultKind::Retire { host: *host },
+        })
+        .collect();
+    if variant.ordered {
+        faults.push(Fault {
+            at: ORDERED_AT,
+            kind: FaultKind::TargetVersion("v2"),
+        });
+    }
+    let plain = plain_fleet(seed, Policy::Millford, hosts, workload);
+    FleetOptions {
+        pool: Pool {
+            drain_ms: DRAIN_MS,
+            target_version: "v1".to_owned(),
+            longest_deferral_ms: variant.longest_deferral_ms,
+            ..plain.pool.clone()
+        },
+        placement: Some(PlacementOptions {
+            placer: PlacerOptions {
+                transition_gate: variant.gate,
+                ..PlacerOptions::default()
+            },
+            load_core_seconds: LOAD_CORE_SECONDS,
+        }),
+        retries: RetryRules {
+            most_attempts: 2,
+            ejects: true,
+            ..RetryRules::none()
+        },
+        faults,
+        length: LENGTH,
+        ..plain
+    }
+}
+
+fn two_version_host() -> HostOptions {
+    let profile = ModelProfile::heavy();
+    HostOptions {
+        models: vec![DeclaredModel {
+            model: "heavy",
+            versions: vec!["v1", "v2"],
+            profile,
+        }],
+        ..host(&[])
+    }
+}
+
+fn row(name: &str, summary: &Summary, runs: &[FleetMetrics]) -> Vec<String> {
+    let since_order = |time: fn(&FleetMetrics) -> Option<MonotonicTime>| {
+        let times: Option<Vec<f64>> = runs
+            .iter()
+            .map(|run| time(run).map(|at| at.since(ORDERED_AT).as_secs_f64()))
+            .collect();
+        match times {
+            Some(times) => number(times.into_iter().fold(0.0, f64::max), 1),
+            None => "-".to_owned(),
+        }
+    };
+    vec![
+        name.to_owned(),
+        percent(summary.pooled.timeout_rate()),
+        number(summary.pooled.first_token_ms(0.99), 0),
+        summary.pooled.cut.to_string(),
+        since_order(|run| run.transition_first_step),
+        since_order(|run| run.transition_end),
+        summary.pooled.forced_steps.to_string(),
+        number(summary.pooled.longest_drain.as_secs_f64(), 1),
+        number(summary.pooled.longest_late_send.as_secs_f64(), 2),
+    ]
+}
