--- a/crates/replication/src/leadership.rs
+++ b/crates/replication/src/leadership.rs
@@ -4,6 +4,7 @@
 use millford_core::NodeId;
 
 use crate::Replica;
+use crate::configuration::Configuration;
 use crate::leader_state::LeaderState;
 use crate::role::RoleState;
 
@@ -49,11 +50,7 @@
     }
 
     pub(crate) fn tick_leader(&mut self) {
-        if !self.hears_quorum() {
-            // Cut off: the others may elect another leader, and nobody should wait for this one.
-            self.step_down();
-            return;
-        }
+        self.check_quorum();
         let now = self.now;
         let heartbeat = self.options.timing.heartbeat;
         let Some(state) = self.leader_state() else {
@@ -66,12 +63,22 @@
         }
     }
 
-    fn hears_quorum(&self) -> bool {
+    /// Steps down when cut off: the others may elect another leader, and nobody should wait for this
+    /// one. Done before any message is taken, so that answers which waited while the process was
+    /// stopped do not count as fresh.
+    pub(crate) fn check_quorum(&mut self) {
+        if self.is_leader() && !self.hears_quorum_of(self.configurations.latest()) {
+            self.step_down();
+        }
+    }
+
+    /// Whether a quorum of a configuration was heard from lately, this replica included.
+    pub(crate) fn hears_quorum_of(&self, configuration: &Configuration) -> bool {
         let RoleState::Leader(state) = &self.role else {
             return false;
         };
         let timeout = self.options.timing.quorum_timeout;
-        self.configurations.latest().is_quorum(|voter| {
+        configuration.is_quorum(|voter| {
             let peer = state.peers.get(&voter);
             let hears = peer.is_some_and(|peer| self.now.since(peer.last_heard) < timeout);
             voter == self.options.node || hears
