--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -54,7 +54,7 @@
             shard: 2,
             kind: Some(feed_message::Kind::Stale(FeedStale {})),
         };
-        fleet.from_control(index, vec![frame::Body::Feed(stale)]);
+        fleet.control_sends(index, vec![frame::Body::Feed(stale)]);
         fleet.run(100);
     }
     let links = fleet.core.counters().links_up - links_before;
@@ -121,7 +121,7 @@
         kind: Some(feed_message::Kind::Snapshot(old)),
     };
     fleet.take_proxy_frames();
-    fleet.from_control(index, vec![frame::Body::Feed(message)]);
+    fleet.control_sends(index, vec![frame::Body::Feed(message)]);
     fleet.run(50);
     assert_eq!(fleet.core.revision(), 2);
     assert_eq!(fleet.core.counters().feed_stale, 1);
@@ -140,8 +140,8 @@
     fleet.run(10);
     // All but one node lose the second revision again, as nodes cut off before it would have.
     let ahead = 2;
-    for index in 0..2 {
-        let mut behind = ControlStandIn::new(ADDRESSES[index]);
+    for (index, address) in ADDRESSES.iter().enumerate().take(2) {
+        let mut behind = ControlStandIn::new(address);
         behind.apply(0, 1, vec![head(1)]);
         behind.apply(1, 1, Vec::new());
         behind.apply(2, 1, Vec::new());
@@ -151,7 +151,7 @@
     assert!(!fleet.core.complete());
     fleet.link_proxy();
     let shown = millford_api::local::ProxyShown { revision: 2 };
-    fleet.from_proxy(local_frame::Body::Shown(shown));
+    fleet.proxy_sends(local_frame::Body::Shown(shown));
     fleet.run(3_000);
     assert_eq!(fleet.at(), ahead);
     assert_eq!(fleet.core.revision(), 2);
--- a/crates/agent/tests/quota_and_claims.rs
+++ b/crates/agent/tests/quota_and_claims.rs
@@ -33,7 +33,7 @@
 }
 
 fn ask(fleet: &mut Fleet, request_id: u64, stream: bool, timeout_ms: u32) {
-    fleet.from_proxy(local_frame::Body::QuotaAsk(LocalQuotaAsk {
+    fleet.proxy_sends(local_frame::Body::QuotaAsk(LocalQuotaAsk {
         request_id,
         tenant: "t".to_owned(),
         stream,
@@ -159,7 +159,7 @@
         shard: shard.0,
         tenant: "t".to_owned(),
     };
-    fleet.from_control(index, vec![frame::Body::QuotaRecall(recall)]);
+    fleet.control_sends(index, vec![frame::Body::QuotaRecall(recall)]);
     fleet.run(8);
     assert_eq!(fleet.core.quota_tokens_held(fleet.now), 0);
     // Nothing idle is left here: the next call needs a round trip.
@@ -180,7 +180,7 @@
     assert_eq!(first.iter().filter(|reply| reply.granted).count(), 2);
     let refused = first.iter().find(|reply| !reply.granted).expect("refusal");
     assert_eq!(refused.code, ResultCode::StreamLimit.number());
-    fleet.from_proxy(local_frame::Body::QuotaRelease(LocalQuotaRelease {
+    fleet.proxy_sends(local_frame::Body::QuotaRelease(LocalQuotaRelease {
         tenant: "t".to_owned(),
         stream: true,
         unused: false,
@@ -223,7 +223,7 @@
 fn a_claim_is_sent_again_under_its_attempt_until_it_is_answered() {
     let mut fleet = fleet_with(quota(10, 10, 0));
     fleet.shared.lose_leaders();
-    fleet.from_proxy(local_frame::Body::Claim(LocalClaim {
+    fleet.proxy_sends(local_frame::Body::Claim(LocalClaim {
         request_id: 5,
         claim: Some(claim("attempt-1")),
         timeout_ms: 3_000,
@@ -253,7 +253,7 @@
 fn a_claim_out_of_time_is_refused_and_set_free() {
     let mut fleet = fleet_with(quota(10, 10, 0));
     fleet.shared.lose_leaders();
-    fleet.from_proxy(local_frame::Body::Claim(LocalClaim {
+    fleet.proxy_sends(local_frame::Body::Claim(LocalClaim {
         request_id: 5,
         claim: Some(claim("attempt-1")),
         timeout_ms: 300,
@@ -280,7 +280,7 @@
         control.silent = true;
     }
     for id in 0..20 {
-        fleet.from_proxy(local_frame::Body::Settle(LocalSettle {
+        fleet.proxy_sends(local_frame::Body::Settle(LocalSettle {
             request_id: id,
             settle: Some(SettleClaim {
                 tenant: "t".to_owned(),
--- a/crates/agent/tests/support/fleet.rs
+++ b/crates/agent/tests/support/fleet.rs
@@ -83,10 +83,10 @@
     /// The proxy connects and says hello.
     pub fn link_proxy(&mut self) {
         self.give(AgentInput::ProxyUp);
-        self.from_proxy(local_frame::Body::ProxyHello(ProxyHello::default()));
+        self.proxy_sends(local_frame::Body::ProxyHello(ProxyHello::default()));
     }
 
-    pub fn from_proxy(&mut self, body: local_frame::Body) {
+    pub fn proxy_sends(&mut self, body: local_frame::Body) {
         let frame = Box::new(LocalFrame { body: Some(body) });
         self.give(AgentInput::ProxyFrame(frame));
     }
@@ -101,11 +101,11 @@
     /// One node applies the entry.
     pub fn publish_at(&mut self, index: usize, shard: u32, offset: u64, items: Vec<StateItem>) {
         let bodies = self.controls[index].apply(shard, offset, items);
-        self.from_control(index, bodies);
+        self.control_sends(index, bodies);
     }
 
     /// A node sends frames, if it is the one that the agent is linked to.
-    pub fn from_control(&mut self, index: usize, bodies: Vec<frame::Body>) {
+    pub fn control_sends(&mut self, index: usize, bodies: Vec<frame::Body>) {
         let Some((link, at)) = self.link else { return };
         if at != index || self.controls[index].silent {
             return;
@@ -167,7 +167,7 @@
                 continue;
             }
             let bodies = self.controls[index].handle(self.now, frame, &mut self.shared);
-            self.from_control(index, bodies);
+            self.control_sends(index, bodies);
         }
         while self.arriving.front().is_some_and(|(at, _)| *at <= self.now) {
             let (_, input) = self.arriving.pop_front().expect("input");
@@ -195,7 +195,7 @@
                 self.leaving.push_back((self.now + LATENCY, link, *frame));
             }
             AgentOutput::CloseControl { .. } => self.link = None,
-            AgentOutput::SendProxy(frame) => self.to_proxy(*frame),
+            AgentOutput::SendProxy(frame) => self.deliver_to_proxy(*frame),
             AgentOutput::ReadRegistry => self.registry_reads += 1,
             AgentOutput::SaveMembers(_) => self.saved_members += 1,
             AgentOutput::Stopped => self.stopped = true,
@@ -203,7 +203,7 @@
     }
 
     /// The proxy keeps a view of each shard, as the real one does; a gap would be a fault.
-    fn to_proxy(&mut self, frame: LocalFrame) {
+    fn deliver_to_proxy(&mut self, frame: LocalFrame) {
         let outcome = match frame.body.clone() {
             Some(local_frame::Body::Snapshot(snapshot)) => {
                 self.proxy_view(snapshot.shard).apply_snapshot(snapshot)
