Find a backend's counts without a walk over the whole shard

Cause: a pick among 200 backends compared every key of 16 shards with each. Change: replica keys are ordered by backend first; a pick reads one range. Result: cargo test -p millford-routing: all passed.

--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -74,7 +74,13 @@
     #[must_use]
     pub fn backend_load(&self, backend_id: &str, cores: u32, costs: &CostBook) -> f64 {
         let shard = self.lock(backend_id);
-        let of_backend = shard.iter().filter(|(key, _)| key.backend_id == backend_id);
+        let first = ReplicaKey {
+            backend_id: backend_id.to_owned(),
+            ..ReplicaKey::default()
+        };
+        let of_backend = shard
+            .range(first..)
+            .take_while(|(key, _)| key.backend_id == backend_id);
         let work: f64 = of_backend
             .map(|(key, entry)| {
                 let counts = all_nodes(entry);
