--- a/crates/routing/src/backend_health.rs
+++ b/crates/routing/src/backend_health.rs
@@ -88,6 +88,12 @@
             .is_none_or(|health| health.ejected.is_none())
     }
 
+    /// Why the backend is ejected, if it is.
+    #[must_use]
+    pub fn ejection(&self, id: &str) -> Option<EjectionReason> {
+        self.lock().get(id).and_then(|health| health.ejected)
+    }
+
     /// A probe was answered. Answers whether it brought the backend back.
     pub fn probe_succeeded(&self, id: &str, now: MonotonicTime) -> bool {
         self.entry(id, |health| {
@@ -141,6 +147,16 @@
         self.lock().retain(|id, _| known(id));
     }
 
+    /// The ejected backends and why.
+    #[must_use]
+    pub fn ejections(&self) -> BTreeMap<String, EjectionReason> {
+        let backends = self.lock();
+        let ejected = backends
+            .iter()
+            .filter_map(|(id, health)| Some((id.clone(), health.ejected?)));
+        ejected.collect()
+    }
+
     /// Number of ejected backends.
     #[must_use]
     pub fn ejected(&self) -> usize {
--- a/crates/simulation/src/disk/platter.rs
+++ b/crates/simulation/src/disk/platter.rs
@@ -17,6 +17,8 @@
     condition: DiskCondition,
     busy_micros: u64,
     syncs: u64,
+    lies: bool,
+    stalled: bool,
 }
 
 impl Platter {
@@ -36,12 +38,22 @@
         std::mem::take(&mut self.busy_micros)
     }
 
+    /// Whether a sync since the last call met a stalled disk.
+    pub fn take_stalled(&mut self) -> bool {
+        std::mem::take(&mut self.stalled)
+    }
+
     /// Syncs done so far.
     #[must_use]
     pub fn syncs(&self) -> u64 {
         self.syncs
     }
 
+    /// From now on syncs do nothing: a planted defect.
+    pub fn lie_about_syncs(&mut self) {
+        self.lies = true;
+    }
+
     /// Forgets every file.
     pub fn wipe(&mut self) {
         self.files.clear();
@@ -83,11 +95,12 @@
     /// Syncs a file and counts the time it takes.
     pub fn sync(&mut self, name: &str) {
         self.syncs += 1;
+        self.stalled |= self.condition == DiskCondition::Stalled;
         self.busy_micros += match self.condition {
             DiskCondition::Slow(micros) => micros,
             _ => HEALTHY_SYNC_MICROS,
         };
-        if let Some(file) = self.files.get_mut(name) {
+        if let Some(file) = self.files.get_mut(name).filter(|_| !self.lies) {
             file.sync();
         }
         self.drop_gone();
