--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -7,7 +7,7 @@
 use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout, tenant_key};
 
 use crate::quota::request_book::RequestBook;
-use crate::quota::tenant_slice::{SliceAnswer, TenantSlice};
+use crate::quota::tenant_slice::{AskSent, SliceAnswer, TenantSlice};
 use crate::quota::waiter::Waiter;
 use crate::timing::QUOTA_BATCH;
 
@@ -46,6 +46,12 @@
         self.slices.values().map(TenantSlice::slots_in_use).sum()
     }
 
+    /// Tokens lent to this node and not spent, over all tenants.
+    #[must_use]
+    pub fn tokens_held(&self, now: MonotonicTime) -> u32 {
+        self.slices.values().map(|slice| slice.tokens(now)).sum()
+    }
+
     /// A call wants to be admitted. `limited_streams`: the tenant's streams are limited.
     pub fn ask(
         &mut self,
@@ -78,26 +84,33 @@
         self.replies(answers)
     }
 
-    /// A leader wants a tenant's idle slice back.
-    pub fn recall(&mut self, now: MonotonicTime, recall: &QuotaRecall) {
-        self.slice(now, &recall.tenant).recall();
+    /// A leader wants a tenant's idle slice back. A node that has not asked for the tenant within
+    /// the last lease holds nothing and says nothing: recalls go to every node.
+    pub fn recall(&mut self, recall: &QuotaRecall) {
+        if let Some(slice) = self.slices.get_mut(&recall.tenant) {
+            slice.recall();
+        }
     }
 
     /// Takes a leader's answer.
     pub fn reply(&mut self, now: MonotonicTime, reply: &QuotaReply) -> Vec<LocalQuotaReply> {
         if reply.code != ResultCode::Ok.number() {
-            self.requests.postpone(now, reply.request_id);
+            self.unanswered(now, reply.request_id);
             return Vec::new();
         }
         let Some(sent) = self.requests.take(reply.request_id) else {
             return Vec::new();
         };
+        let ask_sent = AskSent {
+            at: sent.sent_at,
+            request_id: reply.request_id,
+        };
         let mut answers = Vec::new();
         for ask in &sent.request.asks {
             let grant = reply.grants.iter().find(|grant| grant.tenant == ask.tenant);
             let slice = self.slice(now, &ask.tenant);
             match grant {
-                Some(grant) => answers.extend(slice.granted(now, sent.sent_at, ask, grant)),
+                Some(grant) => answers.extend(slice.granted(now, ask_sent, ask, grant)),
                 None => slice.lost(ask),
             }
         }
@@ -131,7 +144,7 @@
             };
             answers.extend(slice.expire(now));
             slice.return_old(now);
-            if slice.is_idle() {
+            if slice.is_idle(now) {
                 idle.push(tenant.clone());
             }
         }
@@ -162,7 +175,7 @@
                 asks: Vec::with_capacity(tenants.len()),
             };
             for tenant in tenants {
-                let ask = self.slice(now, &tenant).ask(now, &tenant);
+                let ask = self.slice(now, &tenant).ask(now, &tenant, *next_id);
                 request.asks.push(ask);
             }
             self.last_sent.insert(shard, now);
@@ -193,7 +206,8 @@
         let mut due: BTreeMap<ShardId, Vec<String>> = BTreeMap::new();
         for tenant in &self.active {
             let slice = self.slices.get(tenant);
-            if !slice.is_some_and(|slice| slice.due(now).is_some_and(|at| at <= now)) {
+            let due_at = slice.and_then(|slice| slice.due(now));
+            if due_at.is_none_or(|at| at > now) {
                 continue;
             }
             let shard = layout.shard_of(&tenant_key(tenant));
@@ -205,6 +219,21 @@
         due
     }
 
+    /// The leader could not answer. A request that returns nothing is given up for a new one, whose
+    /// lease counts from later; one that returns tokens keeps its id, so that they count once.
+    fn unanswered(&mut self, now: MonotonicTime, request_id: u64) {
+        if self.requests.returns_tokens(request_id) {
+            self.requests.postpone(now, request_id);
+            return;
+        }
+        let Some(sent) = self.requests.take(request_id) else {
+            return;
+        };
+        for ask in &sent.request.asks {
+            self.slice(now, &ask.tenant).unanswered(now, ask);
+        }
+    }
+
     fn forget(&mut self, now: MonotonicTime, request: &QuotaRequest) {
         for ask in &request.asks {
             self.slice(now, &ask.tenant).lost(ask);
--- a/crates/replication/src/leadership.rs
+++ b/crates/replication/src/leadership.rs
@@ -1,9 +1,10 @@
 //! Becoming leader, staying leader, stepping down.
 
 use millford_api::replication::{Empty, log_entry::Payload};
-use millford_core::NodeId;
+use millford_core::{Duration, MonotonicTime, NodeId};
 
 use crate::Replica;
+use crate::configuration::Configuration;
 use crate::leader_state::LeaderState;
 use crate::role::RoleState;
 
@@ -49,11 +50,7 @@
     }
 
     pub(crate) fn tick_leader(&mut self) {
-        if !self.hears_quorum() {
-            // Cut off: the others may elect another leader, and nobody should wait for this one.
-            self.step_down();
-            return;
-        }
+        self.check_quorum();
         let now = self.now;
         let heartbeat = self.options.timing.heartbeat;
         let Some(state) = self.leader_state() else {
@@ -66,18 +63,41 @@
         }
     }
 
-    fn hears_quorum(&self) -> bool {
+    /// Steps down when cut off: the others may elect another leader, and nobody should wait for this
+    /// one. Done before any message is taken, so that answers which waited while the process was
+    /// stopped do not count as fresh.
+    pub(crate) fn check_quorum(&mut self) {
+        let timeout = self.options.timing.quorum_timeout;
+        if self.is_leader() && !self.hears_quorum_of(self.configurations.latest(), timeout) {
+            self.step_down();
+        }
+    }
+
+    /// Whether a quorum of a configuration, this replica included, was heard from within a time.
+    pub(crate) fn hears_quorum_of(&self, configuration: &Configuration, within: Duration) -> bool {
         let RoleState::Leader(state) = &self.role else {
             return false;
         };
-        let timeout = self.options.timing.quorum_timeout;
-        self.configurations.latest().is_quorum(|voter| {
+        configuration.is_quorum(|voter| {
             let peer = state.peers.get(&voter);
-            let hears = peer.is_some_and(|peer| self.now.since(peer.last_heard) < timeout);
+            let hears = peer.is_some_and(|peer| self.now.since(peer.last_heard) < within);
             voter == self.options.node || hears
         })
     }
 
+    /// On a leader: the latest time at which a quorum had been heard from since.
+    pub(crate) fn quorum_heard(&self) -> Option<MonotonicTime> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        let micros = self.configurations.latest().quorum_value(|voter| {
+            let peer = state.peers.get(&voter);
+            let heard = peer.map_or(self.now, |peer| peer.last_heard);
+            heard.as_micros()
+        });
+        Some(MonotonicTime::from_micros(micros))
+    }
+
     /// Notes that a replica answered in the present term.
     pub(crate) fn note_heard(&mut self, from: NodeId) {
         let now = self.now;
