Estimate utilization from the share of moments with a prompt in service

Considered: arriving work from cost samples (biased by waiting in the samples); chosen: a sampled indicator per backend, which is the busy share itself, with decode by streams over learned capacity. Also: memory-bound work that is slowed asks for less, so that demand over the bandwidth settles instead of collapsing; attribution follows the same rule.

--- a/crates/backend-model/src/bandwidth.rs
+++ b/crates/backend-model/src/bandwidth.rs
@@ -9,6 +9,9 @@
 /// Largest slowdown that the curve gives.
 pub const MAX_SLOWDOWN: f64 = 40.0;
 
+/// Halvings of the interval in which the settled use is sought.
+const SETTLING_STEPS: u32 = 40;
+
 /// Factor on the time of memory-bound work as a function of bandwidth use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LatencyCurve {
@@ -39,4 +42,25 @@
         let steep = (self.steepness * past_knee).exp();
         (gentle * steep).min(MAX_SLOWDOWN)
     }
+
+    /// Slowdown under a demand at full pace (1.0 asks for the whole bandwidth).
+    ///
+    /// Slowed work asks for less: the use settles where use times slowdown is the demand, at most at 1.
+    #[must_use]
+    pub fn settled_slowdown(&self, demand: f64) -> f64 {
+        if demand <= 0.0 {
+            return 1.0;
+        }
+        let mut low = 0.0;
+        let mut high = demand.min(1.0);
+        for _ in 0..SETTLING_STEPS {
+            let middle = f64::midpoint(low, high);
+            if middle * self.slowdown(middle) < demand {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        (demand / high).max(1.0)
+    }
 }
--- a/crates/backend-model/src/rates.rs
+++ b/crates/backend-model/src/rates.rs
@@ -60,7 +60,7 @@
     };
     let bandwidth_utilization =
         bandwidth_demand(profiles, runs, prefill_cores, prefills) / options.bandwidth_gbps;
-    let stall = options.curve.slowdown(bandwidth_utilization);
+    let stall = options.curve.settled_slowdown(bandwidth_utilization);
     let token_micros = runs
         .iter()
         .filter(|(_, model)| model.streams > 0)
--- a/crates/experiments/src/fleet/control.rs
+++ b/crates/experiments/src/fleet/control.rs
@@ -5,7 +5,7 @@
 use millford_api::internal::LoadPicture;
 use millford_api::state::{BackendState, PoolPlacement, ReplicaState};
 use millford_backend_model::RunRequest;
-use millford_core::Duration;
+use millford_core::{Duration, MonotonicTime};
 use millford_placement::{MoveReason, ReplicaKey};
 use millford_routing::EjectionReason;
 
@@ -63,6 +63,10 @@
             &self.catalogue(),
             self.placement.as_ref(),
         );
+        let counted = self.now <= MonotonicTime::ZERO + self.options.length;
+        if counted && self.metrics.counts(self.now) {
+            self.metrics.note_estimate(self.placer.utilization());
+        }
         for step in &outcome.reasons {
             if step.reason.is_change() {
                 self.metrics.moves += 1;
--- a/crates/experiments/src/fleet/metrics.rs
+++ b/crates/experiments/src/fleet/metrics.rs
@@ -45,6 +45,10 @@
     pub good_by_second: Vec<u32>,
     /// Arrived, by second.
     pub arrived_by_second: Vec<u32>,
+    /// Utilization as the placement role estimated it, mean over its ticks after the warm-up.
+    pub estimated_utilization: f64,
+    /// Ticks that the mean is of.
+    pub estimates: u64,
     /// Changes that the placement role made.
     pub moves: u64,
     /// When the transition began, if one did: first step after the order.
@@ -83,6 +87,8 @@
             most_bandwidth: 0.0,
             good_by_second: Vec::new(),
             arrived_by_second: Vec::new(),
+            estimated_utilization: 0.0,
+            estimates: 0,
             moves: 0,
             transition_first_step: None,
             transition_end: None,
@@ -99,6 +105,13 @@
         arrived >= self.counts_from
     }
 
+    /// Takes in an estimate of the pool's utilization.
+    pub fn note_estimate(&mut self, utilization: f64) {
+        self.estimates += 1;
+        self.estimated_utilization +=
+            (utilization - self.estimated_utilization) / self.estimates as f64;
+    }
+
     /// Counts an arrival.
     pub fn note_arrival(&mut self, arrived: MonotonicTime) {
         count_second(&mut self.arrived_by_second, arrived);
--- a/crates/placement/src/cost/bandwidth_attribution.rs
+++ b/crates/placement/src/cost/bandwidth_attribution.rs
@@ -20,8 +20,8 @@
 const FOREIGN_RATE: f64 = 0.02;
 /// What foreign use keeps at each observation.
 const FOREIGN_KEPT: f64 = 0.99;
-/// Largest bandwidth use that an observation may claim.
-const MOST_USE: f64 = 1.5;
+/// Largest demand that an observation may claim, as a share of the bandwidth.
+const MOST_DEMAND: f64 = 3.0;
 
 /// What was seen on one backend over one period.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,8 +89,10 @@
         let estimate = self.use_gbps(&observation.backend, &observation.streams);
         let knee_gbps = KNEE * observation.bandwidth_gbps;
         let error = if observation.inflation > STALL_INFLATION {
-            let past_knee = observation.inflation.ln() / STEEPNESS;
-            (KNEE + past_knee).min(MOST_USE) * observation.bandwidth_gbps - estimate
+            // Stalled work asks for less: the demand at full pace is the settled use times the inflation.
+            let settled = KNEE + observation.inflation.ln() / STEEPNESS;
+            let demand = (settled * observation.inflation).min(MOST_DEMAND);
+            demand * observation.bandwidth_gbps - estimate
         } else if estimate > knee_gbps {
             knee_gbps - estimate
         } else {
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod load_picture;
 pub mod replica_work;
+pub mod smoothed_load;
 
 pub use load_picture::LoadPicture;
 pub use replica_work::ReplicaWork;
+pub use smoothed_load::{SmoothedLoad, SmoothedWork};
--- /dev/null
+++ b/crates/placement/src/load/smoothed_load.rs
@@ -0,0 +1,119 @@
+//! Moving means of the work in flight.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_core::{Duration, MonotonicTime};
+
+use crate::load::replica_work::ReplicaWork;
+use crate::replica_key::ReplicaKey;
+
+/// Mean under which a replica or backend is forgotten.
+const FADED: f64 = 0.005;
+
+/// Moving means of one replica's work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SmoothedWork {
+    /// Streams past their first token, held ones included.
+    pub streams: f64,
+    /// Share of the moments at which a prompt was in service: how busy prefill keeps the backend.
+    pub prefill_busy: f64,
+}
+
+/// Moving means of a pool's work.
+#[derive(Clone, Debug)]
+pub struct SmoothedLoad {
+    stream_constant: Duration,
+    busy_constant: Duration,
+    last_tick: Option<MonotonicTime>,
+    replicas: BTreeMap<ReplicaKey, SmoothedWork>,
+    backends: BTreeMap<String, f64>,
+}
+
+impl SmoothedLoad {
+    /// No work yet. The constants are those of exponential means, for streams and for busy moments.
+    #[must_use]
+    pub fn new(stream_constant: Duration, busy_constant: Duration) -> Self {
+        Self {
+            stream_constant,
+            busy_constant,
+            last_tick: None,
+            replicas: BTreeMap::new(),
+            backends: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the work in flight at `now`.
+    pub fn observe(&mut self, now: MonotonicTime, work: &BTreeMap<ReplicaKey, ReplicaWork>) {
+        let passed = self.last_tick.map(|last| now.since(last));
+        self.last_tick = Some(now);
+        let stream_share = share(passed, self.stream_constant);
+        let busy_share = share(passed, self.busy_constant);
+        for key in work.keys() {
+            self.replicas.entry(key.clone()).or_default();
+            self.backends.entry(key.backend.clone()).or_default();
+        }
+        for (key, mean) in &mut self.replicas {
+            let present = work.get(key).copied().unwrap_or_default();
+            let streams = f64::from(present.decode_streams) + f64::from(present.held_requests);
+            approach(&mut mean.streams, streams, stream_share);
+            approach(
+                &mut mean.prefill_busy,
+                indicator(present.prefill_tokens > 0),
+                busy_share,
+            );
+        }
+        let prefilling: BTreeSet<&str> = work
+            .iter()
+            .filter(|(_, work)| work.prefill_tokens > 0)
+            .map(|(key, _)| key.backend.as_str())
+            .collect();
+        for (backend, busy) in &mut self.backends {
+            approach(
+                busy,
+                indicator(prefilling.contains(backend.as_str())),
+                busy_share,
+            );
+        }
+        self.replicas
+            .retain(|_, mean| mean.streams > FADED || mean.prefill_busy > FADED);
+        self.backends.retain(|_, busy| *busy > FADED);
+    }
+
+    /// Means by replica.
+    #[must_use]
+    pub fn replicas(&self) -> &BTreeMap<ReplicaKey, SmoothedWork> {
+        &self.replicas
+    }
+
+    /// Share of the moments at which any prompt was in service on a backend.
+    #[must_use]
+    pub fn prefill_busy(&self, backend: &str) -> f64 {
+        self.backends.get(backend).copied().unwrap_or(0.0)
+    }
+
+    /// Mean streams on a backend by model.
+    #[must_use]
+    pub fn streams_on(&self, backend: &str) -> BTreeMap<String, f64> {
+        let mut streams = BTreeMap::new();
+        for (key, mean) in &self.replicas {
+            if key.backend == backend {
+                *streams.entry(key.model.clone()).or_insert(0.0) += mean.streams;
+            }
+        }
+        streams
+    }
+}
+
+/// Share of a new value in an exponential mean; the first value counts whole.
+fn share(passed: Option<Duration>, constant: Duration) -> f64 {
+    let constant = constant.as_secs_f64().max(f64::MIN_POSITIVE);
+    passed.map_or(1.0, |passed| 1.0 - (-passed.as_secs_f64() / constant).exp())
+}
+
+fn approach(mean: &mut f64, value: f64, share: f64) {
+    *mean += share * (value - *mean);
+}
+
+fn indicator(holds: bool) -> f64 {
+    if holds { 1.0 } else { 0.0 }
+}
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -36,8 +36,10 @@
     pub balance_difference_milli: u32,
     /// A backend above the bandwidth ceiling is relieved after so long.
     pub bandwidth_hold: Duration,
-    /// Time constant of the smoothed work.
+    /// Time constant of the mean of streams.
     pub smoothing: Duration,
+    /// Time constant of the mean of busy moments, which utilization is estimated from.
+    pub utilization_smoothing: Duration,
     /// A draining replica stays at least so long, so that nodes have reported what they sent it.
     pub least_drain: Duration,
     /// Bandwidth use of a stream of an unknown model, in GB/s.
@@ -64,6 +66,7 @@
             balance_difference_milli: 200,
             bandwidth_hold: Duration::from_secs(3),
             smoothing: Duration::from_secs(2),
+            utilization_smoothing: Duration::from_secs(10),
             least_drain: Duration::from_secs(1),
             prior_stream_gbps: 1.0,
             declared_stream_gbps: BTreeMap::new(),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -8,7 +8,7 @@
 use millford_core::MonotonicTime;
 
 use crate::cost::{BandwidthAttribution, BandwidthObservation, CostModel};
-use crate::load::{LoadPicture, ReplicaWork};
+use crate::load::{LoadPicture, SmoothedLoad};
 use crate::options::PlacerOptions;
 use crate::plan::balance::{BalanceClock, balance};
 use crate::plan::bandwidth::{ExcessClock, relieve};
@@ -31,14 +31,14 @@
     costs: CostModel,
     bandwidth: BandwidthAttribution,
     pending: Vec<PendingSample>,
-    smoothed: BTreeMap<ReplicaKey, SmoothedWork>,
-    last_tick: Option<MonotonicTime>,
+    smoothed: SmoothedLoad,
     drains: DrainClock,
     surplus: SurplusClock,
     excess: ExcessClock,
     transitions: TransitionClock,
     balance: BalanceClock,
     last_withdrawal: Option<MonotonicTime>,
+    utilization: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -48,14 +48,6 @@
     streams: u32,
 }
 
-/// Moving means of a replica's work.
-#[derive(Clone, Copy, Debug, Default)]
-struct SmoothedWork {
-    prefill_tokens: f64,
-    decode_streams: f64,
-    held_requests: f64,
-}
-
 impl Placer {
     /// A placer that knows nothing yet.
     #[must_use]
@@ -68,14 +60,14 @@
                 options.declared_stream_gbps.clone(),
             ),
             pending: Vec::new(),
-            smoothed: BTreeMap::new(),
-            last_tick: None,
+            smoothed: SmoothedLoad::new(options.smoothing, options.utilization_smoothing),
             drains: DrainClock::default(),
             surplus: SurplusClock::default(),
             excess: ExcessClock::default(),
             transitions: TransitionClock::default(),
             balance: BalanceClock::default(),
             last_withdrawal: None,
+            utilization: 0.0,
             options,
         }
     }
@@ -116,6 +108,12 @@
         self.picture.to_loads(now)
     }
 
+    /// Estimated utilization of the pool at the last tick: what the transition gate judges.
+    #[must_use]
+    pub fn utilization(&self) -> f64 {
+        self.utilization
+    }
+
     /// Learned costs.
     #[must_use]
     pub fn costs(&self) -> &CostModel {
@@ -143,7 +141,8 @@
         self.picture.expire(now);
         self.learn(backends);
         let work = self.picture.totals(now);
-        let smoothed = self.smooth(now, &work);
+        self.smoothed.observe(now, &work);
+        let smoothed = self.smoothed.clone();
         // A placer whose epoch is behind was replaced: it must not publish over its successor.
         if let Some(current) = current.filter(|current| current.epoch > epoch) {
             return fenced(current);
@@ -160,6 +159,7 @@
             smoothed: &smoothed,
         };
         let view = PoolView::new(now, &options, pool, backends, load);
+        self.utilization = view.pool_utilization();
         let mut draft = Draft::new(current);
         self.run_steps(&view, &mut draft);
         self.drains.follow(&draft, now);
@@ -230,67 +230,11 @@
         let observation = BandwidthObservation {
             backend: backend.id.clone(),
             bandwidth_gbps: backend.bandwidth_gbps,
-            streams: self.smoothed_streams(&backend.id),
+            streams: self.smoothed.streams_on(&backend.id),
             inflation: seen_ms / explained_ms,
         };
         self.bandwidth.observe(&observation);
     }
-
-    fn smoothed_streams(&self, backend: &str) -> BTreeMap<String, f64> {
-        let mut streams = BTreeMap::new();
-        for (key, work) in &self.smoothed {
-            if key.backend == backend {
-                let count = work.decode_streams + work.held_requests;
-                *streams.entry(key.model.clone()).or_insert(0.0) += count;
-            }
-        }
-        streams
-    }
-
-    /// Moving means of the work, so that one tick's burst moves nothing.
-    fn smooth(
-        &mut self,
-        now: MonotonicTime,
-        work: &BTreeMap<ReplicaKey, ReplicaWork>,
-    ) -> BTreeMap<ReplicaKey, ReplicaWork> {
-        let passed = self.last_tick.map(|last| now.since(last).as_secs_f64());
-        self.last_tick = Some(now);
-        let constant = self.options.smoothing.as_secs_f64().max(f64::MIN_POSITIVE);
-        let share = passed.map_or(1.0, |passed| 1.0 - (-passed / constant).exp());
-        for key in work.keys() {
-            self.smoothed.entry(key.clone()).or_default();
-        }
-        for (key, mean) in &mut self.smoothed {
-            let present = work.get(key).copied().unwrap_or_default();
-            mean.approach(&present, share);
-        }
-        self.smoothed.retain(|_, mean| !mean.is_faded());
-        self.smoothed
-            .iter()
-            .map(|(key, mean)| (key.clone(), mean.rounded()))
-            .collect()
-    }
-}
-
-impl SmoothedWork {
-    fn approach(&mut self, present: &ReplicaWork, share: f64) {
-        self.prefill_tokens += share * (present.prefill_tokens as f64 - self.prefill_tokens);
-        self.decode_streams += share * (f64::from(present.decode_streams) - self.decode_streams);
-        self.held_requests += share * (f64::from(present.held_requests) - self.held_requests);
-    }
-
-    fn is_faded(&self) -> bool {
-        self.prefill_tokens < 0.5 && self.decode_streams < 0.01 && self.held_requests < 0.01
-    }
-
-    fn rounded(&self) -> ReplicaWork {
-        ReplicaWork {
-            prefill_tokens: self.prefill_tokens.round() as u64,
-            decode_streams: self.decode_streams.round() as u32,
-            held_requests: self.held_requests.round() as u32,
-            failures: 0,
-        }
-    }
 }
 
 fn fenced(current: &PoolPlacement) -> PlanOutcome {
--- a/crates/placement/src/plan/pool_view.rs
+++ b/crates/placement/src/plan/pool_view.rs
@@ -7,7 +7,7 @@
 use millford_core::MonotonicTime;
 
 use crate::cost::{BandwidthAttribution, CostModel};
-use crate::load::ReplicaWork;
+use crate::load::{ReplicaWork, SmoothedLoad};
 use crate::options::PlacerOptions;
 use crate::plan::pool_limits::PoolLimits;
 use crate::replica_key::ReplicaKey;
@@ -23,7 +23,7 @@
     /// Work in flight now.
     pub work: &'a BTreeMap<ReplicaKey, ReplicaWork>,
     /// Work in flight, smoothed over some seconds.
-    pub smoothed: &'a BTreeMap<ReplicaKey, ReplicaWork>,
+    pub smoothed: &'a SmoothedLoad,
 }
 
 /// Input of the planning steps.
@@ -139,28 +139,38 @@
     }
 
     /// Share of a backend that all the work on it keeps busy, smoothed.
+    ///
+    /// Prefill takes every core that decode leaves, so that the backend is busy while any prompt is in
+    /// service, and otherwise to the extent of its streams. Derived from counts in flight only.
     #[must_use]
     pub fn utilization(&self, backend: &str) -> f64 {
-        self.load
-            .costs
-            .utilization(&self.work_on(backend, |_| true))
+        let decode: f64 = self
+            .streams_on(backend)
+            .iter()
+            .map(|(model, streams)| self.load.costs.decode_utilization(model, *streams))
+            .sum();
+        combine(decode, self.load.smoothed.prefill_busy(backend))
     }
 
     /// Share of a backend that one model's work keeps busy, smoothed.
     #[must_use]
     pub fn model_utilization(&self, backend: &str, model: &str) -> f64 {
-        self.load
-            .costs
-            .utilization(&self.work_on(backend, |name| name == model))
+        let mut decode = 0.0;
+        let mut prefill: f64 = 0.0;
+        for (key, mean) in self.load.smoothed.replicas() {
+            if key.backend == backend && key.model == model {
+                decode += self.load.costs.decode_utilization(model, mean.streams);
+                prefill = prefill.max(mean.prefill_busy);
+            }
+        }
+        combine(decode, prefill)
     }
 
     /// Utilization of one model summed over the backends: how many whole backends it keeps busy.
     #[must_use]
     pub fn model_backends_busy(&self, model: &str) -> f64 {
-        let backends: BTreeSet<&str> = self
-            .load
-            .smoothed
-            .keys()
+        let replicas = self.load.smoothed.replicas().keys();
+        let backends: BTreeSet<&str> = replicas
             .filter(|key| key.model == model)
             .map(|key| key.backend.as_str())
             .collect();
@@ -173,10 +183,8 @@
     /// Whether any work of the model was seen.
     #[must_use]
     pub fn has_load(&self, model: &str) -> bool {
-        self.load
-            .smoothed
-            .iter()
-            .any(|(key, work)| key.model == model && !work.is_idle())
+        let mut replicas = self.load.smoothed.replicas().keys();
+        replicas.any(|key| key.model == model)
     }
 
     /// Mean utilization of the active backends, the work that draining ones must still move included.
@@ -219,38 +227,23 @@
     /// Streams on a backend by model, smoothed.
     #[must_use]
     pub fn streams_on(&self, backend: &str) -> BTreeMap<String, f64> {
-        let mut streams = BTreeMap::new();
-        for (key, work) in self
-            .load
-            .smoothed
-            .iter()
-            .filter(|(key, _)| key.backend == backend)
-        {
-            let count = f64::from(work.decode_streams + work.held_requests);
-            *streams.entry(key.model.clone()).or_insert(0.0) += count;
-        }
-        streams
+        self.load.smoothed.streams_on(backend)
     }
 
     /// Smoothed streams of a model over all backends.
     #[must_use]
     pub fn streams_of_model(&self, model: &str) -> f64 {
-        self.load
-            .smoothed
-            .iter()
+        let replicas = self.load.smoothed.replicas().iter();
+        replicas
             .filter(|(key, _)| key.model == model)
-            .map(|(_, work)| f64::from(work.decode_streams + work.held_requests))
+            .map(|(_, mean)| mean.streams)
             .sum()
     }
+}
 
-    fn work_on(&self, backend: &str, wanted: impl Fn(&str) -> bool) -> Vec<(&str, ReplicaWork)> {
-        self.load
-            .smoothed
-            .iter()
-            .filter(|(key, _)| key.backend == backend && wanted(&key.model))
-            .map(|(key, work)| (key.model.as_str(), *work))
-            .collect()
-    }
+/// Busy share of a backend whose streams use `decode` of it and whose prompts are in service `prefill` of the time.
+fn combine(decode: f64, prefill: f64) -> f64 {
+    decode + (1.0 - decode).max(0.0) * prefill
 }
 
 /// Declarations of the active backends that the selector takes.
