--- a/crates/placement/src/plan/transition.rs
+++ b/crates/placement/src/plan/transition.rs
@@ -10,10 +10,6 @@
 use crate::plan::pool_view::PoolView;
 use crate::replica_key::ReplicaKey;
 
-/// A new replica starts with this part of its predecessor's share, since the backend carries both versions and
-/// its caches are cold; balancing raises it.
-const WEIGHT_DIVISOR_WHILE_BOTH: u32 = 2;
-
 /// What the placer remembers of transitions, by model.
 #[derive(Clone, Debug, Default)]
 pub struct TransitionClock {
@@ -193,7 +189,7 @@
         let new = ReplicaKey::new(&old.backend, &old.model, target);
         draft.place(new.clone(), reason);
         if let (Some(weight_milli), Some(placed)) = (weight, draft.replicas.get_mut(&new)) {
-            placed.weight_milli = weight_milli / WEIGHT_DIVISOR_WHILE_BOTH;
+            placed.weight_milli = weight_milli;
         }
         draft.drain(old, MoveReason::OldVersionWithdrawn);
     }
