--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -1,21 +1,17 @@
 //! Forming, joining and leaving the cluster.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use millford_api::internal::{FormCluster, Hello, HelloReply, frame};
+use millford_api::internal::{FormCluster, HelloReply, frame};
 use millford_api::state::ControlMember;
 use millford_core::{Duration, MonotonicTime, NodeId, ShardId};
-use millford_membership::{
-    Formation, FormationDecision, MemberDirectory, SeedAnswer, replica_group,
-};
+use millford_membership::{Formation, FormationDecision, MemberDirectory, replica_group};
 use millford_storage::StorageError;
 
-use super::dialer::DialAction;
 use super::node_file::NodeFile;
 use super::sessions::OwnSession;
 use super::{Gateway, GatewayOutput, mint};
-use crate::link::LinkId;
-use crate::node_output::{NodeNote, NodeOutput};
+use crate::node_output::NodeNote;
 use crate::options::VOTERS_PER_SHARD;
 use crate::shard::{ShardInput, ShardStanding};
 
@@ -57,30 +53,6 @@
         Ok(())
     }
 
-    /// Opens and closes connections, and greets.
-    pub(super) fn tick_dialer(&mut self, now: MonotonicTime) {
-        let wanted = self.wanted_addresses();
-        for action in self.dialer.tick(now, &wanted) {
-            match action {
-                DialAction::Connect(link, address) => {
-                    self.emit(NodeOutput::Connect { link, address });
-                }
-                DialAction::Greet(link) => self.greet(link),
-                DialAction::Close(link) => self.close_dialled(link),
-            }
-        }
-    }
-
-    /// Sends the greeting of this node.
-    pub(super) fn greet(&mut self, link: LinkId) {
-        let hello = Hello {
-            sender: Some(self.own_member()),
-            cluster_id: self.file.cluster_id,
-            known: self.directory.to_vec(),
-        };
-        self.send(link, frame::Body::Hello(hello));
-    }
-
     /// Forms or joins a cluster once the seeds' answers allow it.
     pub(super) fn tick_formation(&mut self, now: MonotonicTime) {
         let Some(formation) = &self.formation else {
@@ -92,57 +64,6 @@
         }
     }
 
-    /// A control node greeted.
-    pub(super) fn handle_hello(&mut self, link: LinkId, hello: &Hello) {
-        let Some(sender) = &hello.sender else {
-            return;
-        };
-        let identity = NodeId(sender.node_id);
-        self.links.set_control(link, identity);
-        self.learn_from(sender, hello.cluster_id, &hello.known);
-        let unformed_founder = hello.cluster_id == 0 && self.is_founder(identity);
-        if self.file.is_formed() && unformed_founder {
-            // It missed the forming: its disk never held a vote, so it may still take its place.
-            let form = self.form_cluster_frame();
-            self.send(link, form);
-            return;
-        }
-        let reply = self.hello_reply(identity, hello.cluster_id);
-        self.send(link, reply);
-    }
-
-    /// A control node answered a greeting.
-    pub(super) fn handle_hello_reply(
-        &mut self,
-        now: MonotonicTime,
-        link: LinkId,
-        reply: &HelloReply,
-    ) {
-        let Some(sender) = &reply.sender else {
-            return;
-        };
-        let identity = NodeId(sender.node_id);
-        self.links.set_control(link, identity);
-        let address = self.dialer.answered(now, link, identity);
-        self.learn_from(sender, reply.cluster_id, &reply.known);
-        if let (Some(formation), Some(address)) = (&mut self.formation, address) {
-            let answer = SeedAnswer {
-                member: sender.clone(),
-                cluster_id: reply.cluster_id,
-            };
-            formation.answered(now, &address, answer);
-        }
-        // A node without replicas may itself have joined a moment ago; only one that holds state
-        // speaks for the cluster.
-        if !self.file.is_formed() && reply.cluster_id != 0 && reply.data_shards != 0 {
-            self.join(now, reply);
-        }
-        let same_cluster = reply.cluster_id == self.file.cluster_id;
-        if reply.removed && same_cluster && self.file.is_formed() {
-            self.begin_leaving(now);
-        }
-    }
-
     /// The forming node says that the cluster is formed.
     pub(super) fn handle_form_cluster(&mut self, form: &FormCluster) {
         let named = form
@@ -213,74 +134,11 @@
         self.dialer.greet_soon(now);
     }
 
-    fn learn_from(&mut self, sender: &ControlMember, cluster_id: u64, known: &[ControlMember]) {
-        let foreign =
-            cluster_id != 0 && self.file.is_formed() && cluster_id != self.file.cluster_id;
-        if foreign {
-            return;
-        }
-        let mut changed = self.directory.introduce(sender);
-        for member in known {
-            if self.is_other(member) {
-                changed |= self.directory.hear_of(member);
-            }
-        }
-        if changed {
-            self.keep_directory();
-        }
-    }
-
-    /// Writes the known nodes to the disk when they changed.
-    pub(super) fn keep_directory(&mut self) {
-        let members = self.directory.to_vec();
-        if !self.file.is_formed() || members == self.file.members {
-            return;
-        }
-        self.file.members = members;
-        self.save_file();
-    }
-
-    fn is_other(&self, member: &ControlMember) -> bool {
-        let own_address = member.internal_address == self.options.internal_address;
-        member.node_id != self.file.node_id && !own_address
-    }
-
-    fn wanted_addresses(&self) -> BTreeSet<String> {
-        let known = self.directory.iter();
-        let mut wanted: BTreeSet<String> = known
-            .map(|member| member.internal_address.clone())
-            .collect();
-        wanted.extend(self.options.seeds.iter().cloned());
-        wanted.remove(&self.options.internal_address);
-        wanted
-    }
-
-    fn close_dialled(&mut self, link: LinkId) {
-        self.links.close(link);
-        self.emit(NodeOutput::Close { link });
-    }
-
-    fn is_founder(&self, identity: NodeId) -> bool {
+    pub(super) fn is_founder(&self, identity: NodeId) -> bool {
         let mut founders = self.file.founders.iter();
         founders.any(|founder| founder.node_id == identity.0)
     }
 
-    fn hello_reply(&self, asking: NodeId, asking_cluster: u64) -> frame::Body {
-        let holds_state = !self.standings.is_empty();
-        let same_cluster = asking_cluster == self.file.cluster_id;
-        frame::Body::HelloReply(HelloReply {
-            sender: Some(self.own_member()),
-            cluster_id: self.file.cluster_id,
-            known: self.directory.to_vec(),
-            data_shards: if holds_state {
-                self.file.data_shards
-            } else {
-                0
-            },
-            removed: same_cluster && self.directory.is_removed(asking),
-        })
-    }
-
     fn form(&mut self, members: Vec<ControlMember>) {
         let form = FormCluster {
             cluster_id: mint(&mut self.random),
@@ -294,7 +152,7 @@
         self.send_to_every_node(&frame::Body::FormCluster(form));
     }
 
-    fn form_cluster_frame(&self) -> frame::Body {
+    pub(super) fn form_cluster_frame(&self) -> frame::Body {
         frame::Body::FormCluster(FormCluster {
             cluster_id: self.file.cluster_id,
             members: self.file.founders.clone(),
@@ -345,7 +203,7 @@
             .collect()
     }
 
-    fn join(&mut self, now: MonotonicTime, reply: &HelloReply) {
+    pub(super) fn join(&mut self, now: MonotonicTime, reply: &HelloReply) {
         self.file.cluster_id = reply.cluster_id;
         self.file.data_shards = reply.data_shards;
         self.file.members = self.directory.to_vec();
--- /dev/null
+++ b/crates/control/src/gateway/greetings.rs
@@ -0,0 +1,153 @@
+//! Connections between control nodes, and what they tell each other on them.
+
+use std::collections::BTreeSet;
+
+use millford_api::internal::{Hello, HelloReply, frame};
+use millford_api::state::ControlMember;
+use millford_core::{MonotonicTime, NodeId};
+use millford_membership::SeedAnswer;
+
+use super::Gateway;
+use super::dialer::DialAction;
+use crate::link::LinkId;
+use crate::node_output::NodeOutput;
+
+impl Gateway {
+    /// Opens and closes connections, and greets.
+    pub(super) fn tick_dialer(&mut self, now: MonotonicTime) {
+        let wanted = self.wanted_addresses();
+        for action in self.dialer.tick(now, &wanted) {
+            match action {
+                DialAction::Connect(link, address) => {
+                    self.emit(NodeOutput::Connect { link, address });
+                }
+                DialAction::Greet(link) => self.greet(link),
+                DialAction::Close(link) => self.close_dialled(link),
+            }
+        }
+    }
+
+    /// Sends the greeting of this node.
+    pub(super) fn greet(&mut self, link: LinkId) {
+        let hello = Hello {
+            sender: Some(self.own_member()),
+            cluster_id: self.file.cluster_id,
+            known: self.directory.to_vec(),
+        };
+        self.send(link, frame::Body::Hello(hello));
+    }
+
+    /// A control node greeted.
+    pub(super) fn handle_hello(&mut self, link: LinkId, hello: &Hello) {
+        let Some(sender) = &hello.sender else {
+            return;
+        };
+        let identity = NodeId(sender.node_id);
+        self.links.set_control(link, identity);
+        self.learn_from(sender, hello.cluster_id, &hello.known);
+        let unformed_founder = hello.cluster_id == 0 && self.is_founder(identity);
+        if self.file.is_formed() && unformed_founder {
+            // It missed the forming: its disk never held a vote, so it may still take its place.
+            let form = self.form_cluster_frame();
+            self.send(link, form);
+            return;
+        }
+        let reply = self.hello_reply(identity, hello.cluster_id);
+        self.send(link, reply);
+    }
+
+    /// A control node answered a greeting.
+    pub(super) fn handle_hello_reply(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        reply: &HelloReply,
+    ) {
+        let Some(sender) = &reply.sender else {
+            return;
+        };
+        let identity = NodeId(sender.node_id);
+        self.links.set_control(link, identity);
+        let address = self.dialer.answered(now, link, identity);
+        self.learn_from(sender, reply.cluster_id, &reply.known);
+        if let (Some(formation), Some(address)) = (&mut self.formation, address) {
+            let answer = SeedAnswer {
+                member: sender.clone(),
+                cluster_id: reply.cluster_id,
+            };
+            formation.answered(now, &address, answer);
+        }
+        // A node without replicas may itself have joined a moment ago; only one that holds state
+        // speaks for the cluster.
+        if !self.file.is_formed() && reply.cluster_id != 0 && reply.data_shards != 0 {
+            self.join(now, reply);
+        }
+        let same_cluster = reply.cluster_id == self.file.cluster_id;
+        if reply.removed && same_cluster && self.file.is_formed() {
+            self.begin_leaving(now);
+        }
+    }
+
+    fn learn_from(&mut self, sender: &ControlMember, cluster_id: u64, known: &[ControlMember]) {
+        let foreign =
+            cluster_id != 0 && self.file.is_formed() && cluster_id != self.file.cluster_id;
+        if foreign {
+            return;
+        }
+        let mut changed = self.directory.introduce(sender);
+        for member in known {
+            if self.is_other(member) {
+                changed |= self.directory.hear_of(member);
+            }
+        }
+        if changed {
+            self.keep_directory();
+        }
+    }
+
+    /// Writes the known nodes to the disk when they changed.
+    pub(super) fn keep_directory(&mut self) {
+        let members = self.directory.to_vec();
+        if !self.file.is_formed() || members == self.file.members {
+            return;
+        }
+        self.file.members = members;
+        self.save_file();
+    }
+
+    fn is_other(&self, member: &ControlMember) -> bool {
+        let own_address = member.internal_address == self.options.internal_address;
+        member.node_id != self.file.node_id && !own_address
+    }
+
+    fn wanted_addresses(&self) -> BTreeSet<String> {
+        let known = self.directory.iter();
+        let mut wanted: BTreeSet<String> = known
+            .map(|member| member.internal_address.clone())
+            .collect();
+        wanted.extend(self.options.seeds.iter().cloned());
+        wanted.remove(&self.options.internal_address);
+        wanted
+    }
+
+    fn close_dialled(&mut self, link: LinkId) {
+        self.links.close(link);
+        self.emit(NodeOutput::Close { link });
+    }
+
+    fn hello_reply(&self, asking: NodeId, asking_cluster: u64) -> frame::Body {
+        let holds_state = !self.standings.is_empty();
+        let same_cluster = asking_cluster == self.file.cluster_id;
+        frame::Body::HelloReply(HelloReply {
+            sender: Some(self.own_member()),
+            cluster_id: self.file.cluster_id,
+            known: self.directory.to_vec(),
+            data_shards: if holds_state {
+                self.file.data_shards
+            } else {
+                0
+            },
+            removed: same_cluster && self.directory.is_removed(asking),
+        })
+    }
+}
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod dialer;
 pub mod feeds;
 pub mod frames;
+pub mod greetings;
 pub mod input;
 pub mod links;
 pub mod member_list;
--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -3,15 +3,12 @@
 use std::sync::Arc;
 
 use millford_api::command::Command;
-use millford_api::replication::{LogEntry, VoterSet, log_entry::Payload};
-use millford_api::state::StateItem;
-use millford_control_state::{Applied, ShardMachine};
+use millford_api::replication::VoterSet;
+use millford_control_state::ShardMachine;
 use millford_core::{Duration, MonotonicTime, NodeId, ResultCode, ShardId, ShardLayout};
-use millford_feed::{FeedDelivery, FeedPosition, FeedPublisher};
+use millford_feed::{FeedDelivery, FeedPublisher};
 use millford_membership::SessionTable;
-use millford_replication::{
-    OpenError, Ready, Replica, ReplicaOptions, ReplicaStatus, RestoredSnapshot, Role,
-};
+use millford_replication::{OpenError, Ready, Replica, ReplicaOptions, ReplicaStatus, Role};
 use millford_storage::{Disk, ReplicaStorage, StorageError, StorageOptions};
 use prost::Message;
 
@@ -28,8 +25,7 @@
 use super::subscriptions::Subscriptions;
 use super::upkeep::Upkeep;
 use crate::link::LinkId;
-use crate::node_output::NodeNote;
-use crate::timing::{OUT_OF_TOUCH, SNAPSHOT_ENTRIES};
+use crate::timing::OUT_OF_TOUCH;
 
 /// Opens the disk of a shard, again after a forced recovery.
 pub type DiskOpener = Arc<dyn Fn() -> Box<dyn Disk> + Send + Sync>;
@@ -74,7 +70,7 @@
     pub(super) upkeep: Upkeep,
     pub(super) standing: ShardStanding,
     pub(super) outputs: Vec<ShardOutput>,
-    snapshot_index: u64,
+    pub(super) snapshot_index: u64,
     failed: bool,
 }
 
@@ -196,60 +192,6 @@
         self.update_standing(now);
     }
 
-    fn restore(&mut self, now: MonotonicTime, snapshot: &RestoredSnapshot) {
-        let former: Vec<String> = self.machine.public_state().keys().cloned().collect();
-        let mut machine = ShardMachine::new(self.options.shard);
-        if machine.restore(&snapshot.data).is_err() {
-            // The bytes passed their checksum, so this is a snapshot of a newer release.
-            self.fail(&StorageError::Failed);
-            return;
-        }
-        machine.skip(snapshot.index, snapshot.term);
-        self.machine = machine;
-        self.snapshot_index = snapshot.index;
-        let items = public_items(&self.machine);
-        let position = FeedPosition::new(snapshot.term, snapshot.index);
-        let deliveries = self.publisher.restore(position, items.clone());
-        self.deliver(deliveries);
-        let deleted = former
-            .into_iter()
-            .filter(|key| !self.machine.public_state().contains_key(key))
-            .map(|key| StateItem { key, value: None });
-        let mut changes: Vec<StateItem> = deleted.collect();
-        changes.extend(items);
-        self.public_changed(now, changes);
-    }
-
-    fn apply(&mut self, now: MonotonicTime, entry: LogEntry) {
-        let applied = self.apply_payload(now, &entry);
-        let changes = applied
-            .as_ref()
-            .map_or_else(Vec::new, |applied| applied.changes.clone());
-        let position = FeedPosition::new(entry.term, entry.index);
-        let deliveries = self.publisher.apply(position, changes.clone());
-        self.deliver(deliveries);
-        if !changes.is_empty() {
-            self.public_changed(now, changes);
-        }
-        let purpose = self.proposals.take(entry.index, entry.term);
-        if let (Some(applied), Some(purpose)) = (applied, purpose) {
-            self.proposal_applied(purpose, applied);
-        }
-    }
-
-    fn apply_payload(&mut self, now: MonotonicTime, entry: &LogEntry) -> Option<Applied> {
-        let Some(Payload::Command(bytes)) = &entry.payload else {
-            self.machine.skip(entry.index, entry.term);
-            return None;
-        };
-        // Only commands that this code encoded get into the log; one of a newer release that
-        // cannot be read changes nothing here and is refused in the same way on every replica.
-        let command = Command::decode(bytes.as_slice()).unwrap_or_default();
-        let applied = self.machine.apply(entry.index, entry.term, &command);
-        self.follow_sessions(now, &command, &applied);
-        Some(applied)
-    }
-
     /// Proposes a command of this core or of a request. False: this replica does not lead.
     pub(super) fn propose(&mut self, command: &Command, purpose: Purpose) -> bool {
         let Ok(index) = self.replica.propose(command.encode_to_vec()) else {
@@ -270,7 +212,7 @@
         self.catalogue.check_soon();
     }
 
-    fn lost_leadership(&mut self, now: MonotonicTime) {
+    pub(super) fn lost_leadership(&mut self, now: MonotonicTime) {
         self.sessions.clear();
         self.quota.ledger.resign();
         self.placement.stop();
@@ -282,17 +224,6 @@
         self.restart_reads(now);
     }
 
-    fn take_snapshot(&mut self) {
-        let applied = self.machine.applied_index();
-        if applied < self.snapshot_index + SNAPSHOT_ENTRIES {
-            return;
-        }
-        let data = self.machine.snapshot();
-        // A refusal leaves the log longer; the next entries try again.
-        let _ = self.replica.save_snapshot(applied, data);
-        self.snapshot_index = applied;
-    }
-
     /// Tells the gateway when role or touch changed, and regularly, so that a stalled disk shows.
     fn update_standing(&mut self, now: MonotonicTime) {
         let status = self.replica.status();
@@ -317,14 +248,6 @@
         self.outputs.extend(feeds);
     }
 
-    fn public_changed(&mut self, now: MonotonicTime, changes: Vec<StateItem>) {
-        if self.options.shard == ShardId::CONFIGURATION {
-            self.configuration(now, &changes);
-        }
-        self.catalogue.check_soon();
-        self.outputs.push(ShardOutput::PublicChange(changes));
-    }
-
     /// Leaves leadership to another voter, if there is one that holds everything.
     fn hand_over(&mut self) {
         let status = self.replica.status();
@@ -351,30 +274,12 @@
             .push(ShardOutput::Standing(self.standing.clone()));
         self.outputs.push(ShardOutput::Failed(code_of(error)));
     }
-
-    /// Makes this replica the only voter of its group, on an operator's word.
-    fn force_recovery(&mut self, now: MonotonicTime) {
-        let recovered = super::recovery::force_single_voter(&self.options)
-            .and_then(|()| open_replica(&self.options, now));
-        match recovered {
-            Ok(replica) => self.take_recovered(now, replica),
-            Err(error) => self.fail(&error),
-        }
-    }
-
-    fn take_recovered(&mut self, now: MonotonicTime, replica: Replica) {
-        self.lost_leadership(now);
-        self.replica = replica;
-        // The state is built again from the snapshot and the log.
-        self.machine = ShardMachine::new(self.options.shard);
-        self.publisher = FeedPublisher::new(self.options.shard);
-        self.snapshot_index = 0;
-        let note = NodeNote::RecoveryForced(self.options.shard);
-        self.outputs.push(ShardOutput::Note(note));
-    }
 }
 
-fn open_replica(options: &ShardCoreOptions, now: MonotonicTime) -> Result<Replica, StorageError> {
+pub(super) fn open_replica(
+    options: &ShardCoreOptions,
+    now: MonotonicTime,
+) -> Result<Replica, StorageError> {
     let storage = ReplicaStorage::open((options.disk)(), StorageOptions::default())?;
     let seed = options.seed ^ options.identity.0 ^ u64::from(options.shard.0);
     let mut replica = ReplicaOptions::new(options.identity, options.shard, seed);
@@ -411,16 +316,6 @@
     }
 }
 
-fn public_items(machine: &ShardMachine) -> Vec<StateItem> {
-    let items = machine.public_state().iter();
-    items
-        .map(|(key, value)| StateItem {
-            key: key.clone(),
-            value: Some(value.clone()),
-        })
-        .collect()
-}
-
 /// The result code of a storage error.
 #[must_use]
 pub fn code_of(error: &StorageError) -> ResultCode {
--- a/crates/control/src/shard/mod.rs
+++ b/crates/control/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! One shard of the control state on this node: the replica and everything that hangs on it.
 
+mod applying;
 pub mod catalogue;
 pub mod core;
 mod feeding;
