--- a/crates/control/src/gateway/greetings.rs
+++ b/crates/control/src/gateway/greetings.rs
@@ -115,7 +115,7 @@
         self.save_file();
     }
 
-    fn is_other(&self, member: &ControlMember) -> bool {
+    pub(super) fn is_other(&self, member: &ControlMember) -> bool {
         let own_address = member.internal_address == self.options.internal_address;
         member.node_id != self.file.node_id && !own_address
     }
