--- a/crates/storage/src/replica_storage.rs
+++ b/crates/storage/src/replica_storage.rs
@@ -87,6 +87,12 @@
         self.log.synced_index()
     }
 
+    /// Bytes of the log on disk.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        self.log.bytes()
+    }
+
     /// Term of the entry at an index; 0 for index 0, `None` when unknown.
     #[must_use]
     pub fn term_at(&self, index: u64) -> Option<u64> {
@@ -151,7 +157,8 @@
     pub fn save_snapshot(&mut self, meta: SnapshotMeta, data: Vec<u8>) -> Result<(), StorageError> {
         let index = meta.index;
         self.write_snapshot(meta, data)?;
-        self.compact(index.saturating_sub(self.options.kept_entries))
+        let kept_from = self.log.kept_from(index, &self.options);
+        self.compact(kept_from)
     }
 
     /// Stores a snapshot received from the leader. The log is kept if it holds the snapshot's last
