--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -82,6 +82,11 @@
         match input {
             AgentInput::LinkUp { link } => self.link_up(now, link, &mut out),
             AgentInput::LinkDown { link } => self.link_down(now, link),
+            AgentInput::LinkAlive { link } => {
+                if self.link.is_up(link) {
+                    self.link.heard(now);
+                }
+            }
             AgentInput::ControlFrame { link, frame } => {
                 if self.link.is_up(link) {
                     self.control_frame(now, *frame, &mut out);
--- a/crates/replication/src/flush.rs
+++ b/crates/replication/src/flush.rs
@@ -1,7 +1,7 @@
 //! The flush: one fsync, then everything that may leave because of it.
 
 use millford_api::replication::{HardState, LogEntry};
-use millford_core::{MonotonicTime, NodeId};
+use millford_core::MonotonicTime;
 use millford_storage::{SnapshotMeta, StorageError};
 
 use crate::options::FULL_DISK_PAUSE;
@@ -149,19 +149,15 @@
     #[must_use]
     pub fn status(&self) -> ReplicaStatus {
         let configuration = self.configurations.latest();
-        let is_leader = self.is_leader();
         ReplicaStatus {
             role: self.public_role(),
             term: self.term,
             leader: self.leader,
-            leader_heard: if is_leader {
-                Some(self.now)
-            } else {
-                self.leader_heard
-            },
+            leader_heard: self.quorum_heard().or(self.leader_heard),
             commit_index: self.commit_index,
             last_index: self.storage.last_index(),
             snapshot_index: self.snapshot_index(),
+            log_bytes: self.storage.log_bytes(),
             voters: configuration.voters.iter().copied().collect(),
             learners: configuration.learners.iter().copied().collect(),
             configuration_committed: self.configurations.latest_index() <= self.commit_index,
@@ -181,12 +177,13 @@
         }
     }
 
-    /// Told so by a voter, or known from the own committed log.
+    /// Told so by a voter, or known from the own committed log. A learner whose first snapshot is
+    /// older than its addition was no member yet, so it is not taken for removed.
     fn is_removed(&self) -> bool {
-        let committed = self.configurations.as_of(self.commit_index);
-        let is_known = !committed.configuration.voters.is_empty();
-        let is_out = |node: NodeId| !self.configurations.latest().contains(node);
-        self.removed || is_known && is_out(self.options.node)
+        let node = self.options.node;
+        let committed = &self.configurations.as_of(self.commit_index).configuration;
+        let is_out = !committed.contains(node) && !self.configurations.latest().contains(node);
+        self.removed || is_out && self.configurations.ever_contained(node)
     }
 
     fn peer_statuses(&self) -> Vec<PeerStatus> {
