Hold the first subscription's test to the encoded state

The test now decodes the packed state and checks its position as well as its items, and a second one covers a state encoded some entries ago. cargo test -p millford-feed: 2 + 5 passed.

--- a/crates/feed/tests/first_subscription.rs
+++ b/crates/feed/tests/first_subscription.rs
@@ -1,9 +1,10 @@
 //! What a subscriber that holds nothing is sent first.
 
-use millford_api::internal::{Subscribe, feed_message};
+use millford_api::internal::{StateSnapshot, Subscribe, feed_message};
 use millford_api::state::{ConfigHead, StateItem, StateValue, state_value};
 use millford_core::ShardId;
-use millford_feed::{FeedPosition, FeedPublisher};
+use millford_feed::{FeedOutcome, FeedPosition, FeedPublisher, FeedView};
+use prost::Message;
 
 fn head(revision: u64) -> StateItem {
     let head = ConfigHead {
@@ -36,8 +37,26 @@
         1,
         "one message brings it to the newest state"
     );
-    let Some(feed_message::Kind::Snapshot(snapshot)) = &messages[0].kind else {
+    let Some(feed_message::Kind::PackedSnapshot(packed)) = &messages[0].kind else {
         panic!("expected the whole state, got {:?}", messages[0]);
     };
+    let snapshot = StateSnapshot::decode(packed.as_ref()).expect("a state");
+    assert_eq!((snapshot.term, snapshot.offset), (1, 3));
     assert_eq!(snapshot.items, vec![head(3)]);
 }
+
+#[test]
+fn entries_without_public_changes_keep_the_encoded_state_and_bring_a_view_on() {
+    let mut publisher = FeedPublisher::new(ShardId::CONFIGURATION);
+    publisher.apply(FeedPosition::new(1, 1), vec![head(1)]);
+    let nothing_shown = Subscribe::default();
+    publisher.subscribe(1, &nothing_shown);
+    publisher.apply(FeedPosition::new(1, 2), Vec::new());
+    publisher.apply(FeedPosition::new(2, 3), Vec::new());
+    let mut view = FeedView::new(ShardId::CONFIGURATION);
+    for message in publisher.subscribe(2, &nothing_shown) {
+        assert_ne!(view.apply(message), FeedOutcome::Stale);
+    }
+    assert_eq!(view.position(), publisher.position());
+    assert_eq!(view.items(), publisher.items());
+}
--- a/crates/scale/src/run_size.rs
+++ b/crates/scale/src/run_size.rs
@@ -92,10 +92,12 @@
     let grown = (resident_bytes() - memory_before).max(0.0);
     result.node_memory_bytes = grown / f64::from(size.nodes);
     fleet.changes(options, &mut result).await?;
+    let peak_before = largest(&fleet.cluster.samples(), |sample| sample.peak_bytes);
     if options.restart {
         result.return_seconds = Some(fleet.full_restart().await?);
     }
-    result.control_peak_bytes = largest(&fleet.cluster.samples(), |sample| sample.peak_bytes);
+    let peak_after = largest(&fleet.cluster.samples(), |sample| sample.peak_bytes);
+    result.control_peak_bytes = peak_before.max(peak_after);
     result.machine_load = load_average();
     Ok(result)
 }
