--- /dev/null
+++ b/crates/agent/tests/daemon.rs
@@ -0,0 +1,108 @@
+//! The program itself: ready line, health, metrics, settings faults, a clean end.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_millford-agent");
+
+struct Running {
+    child: Child,
+    output: BufReader<ChildStdout>,
+    http: String,
+}
+
+impl Running {
+    fn start() -> Self {
+        let mut child = Command::new(PROGRAM)
+            .args(["--name", "node-1", "--zone", "z"])
+            .args(["--local-address", "127.0.0.1:0"])
+            .args(["--http-address", "127.0.0.1:0"])
+            .args(["--seeds", "127.0.0.1:9"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("start");
+        let mut output = BufReader::new(child.stdout.take().expect("output"));
+        let mut line = String::new();
+        output.read_line(&mut line).expect("ready line");
+        assert!(
+            line.starts_with("millford-agent ready local=127.0.0.1:"),
+            "{line}"
+        );
+        let (_, http) = line.trim().rsplit_once("http=").expect("http address");
+        let http = http.to_owned();
+        Self {
+            child,
+            output,
+            http,
+        }
+    }
+
+    fn get(&self, path: &str) -> String {
+        let mut stream = TcpStream::connect(&self.http).expect("connect");
+        let request = format!("GET {path} HTTP/1.1\r\nhost: agent\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).expect("send");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("answer");
+        answer
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn serves_health_and_metrics_without_control_and_ends_cleanly() {
+    let mut running = Running::start();
+    assert!(running.get("/healthz").starts_with("HTTP/1.1 200"));
+    assert!(running.get("/readyz").starts_with("HTTP/1.1 503"));
+    let metrics = running.get("/metrics");
+    assert!(metrics.contains("millford_agent_in_touch 0"), "{metrics}");
+    assert!(running.get("/elsewhere").starts_with("HTTP/1.1 404"));
+    let terminate = Command::new("kill")
+        .args(["-TERM", &running.child.id().to_string()])
+        .status();
+    assert!(terminate.expect("kill").success());
+    let told = Instant::now();
+    // The output ends when the process does.
+    let mut rest = String::new();
+    running
+        .output
+        .read_to_string(&mut rest)
+        .expect("end of output");
+    assert!(running.child.wait().expect("status").success());
+    assert!(told.elapsed() < Duration::from_secs(5));
+}
+
+fn refused(arguments: &[&str]) -> String {
+    let output = Command::new(PROGRAM).args(arguments).output().expect("run");
+    assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn wrong_settings_are_named_and_end_the_process() {
+    let good = [
+        "--name",
+        "n",
+        "--zone",
+        "z",
+        "--local-address",
+        "127.0.0.1:0",
+        "--http-address",
+        "127.0.0.1:0",
+    ];
+    let with = |more: &[&'static str]| refused(&[&good[..], more].concat());
+    assert!(with(&[]).contains("seeds"));
+    assert!(with(&["--seeds", "nowhere"]).contains("nowhere"));
+    assert!(with(&["--seeds", "127.0.0.1:1", "--log-level", "loud"]).contains("loud"));
+    assert!(with(&["--seeds", "127.0.0.1:1", "--registry-address", "x"]).contains("registry"));
+    assert!(refused(&["--colour", "red"]).contains("colour"));
+    assert!(refused(&["--settings", "/nonexistent.toml"]).contains("nonexistent"));
+}
