--- a/crates/proxy/src/daemon/agent_link.rs
+++ b/crates/proxy/src/daemon/agent_link.rs
@@ -82,7 +82,8 @@
         });
         let mut asked = self.quotas.ask(request_id, frame(body.clone()));
         self.send(body);
-        let answer = asked.answer(ask.timeout).await;
+        let answer = tokio::time::timeout(ask.timeout, asked.answer()).await;
+        let answer = answer.unwrap_or_else(|_| asked.stop());
         answer.unwrap_or(QuotaAnswer::Refused {
             code: millford_core::ResultCode::QuotaUnavailable,
             retry_after_ms: 0,
@@ -108,7 +109,8 @@
         });
         let mut asked = self.claims.ask(request_id, frame(body.clone()));
         self.send(body);
-        let answer = asked.answer(timeout).await;
+        let answer = tokio::time::timeout(timeout, asked.answer()).await;
+        let answer = answer.unwrap_or_else(|_| asked.stop());
         answer.unwrap_or(ClaimAnswer::Unavailable)
     }
 
@@ -155,9 +157,9 @@
 
     /// Frames to send again on a new connection.
     fn unanswered(&self) -> Vec<LocalFrame> {
-        let mut frames = self.settles.renew();
-        frames.extend(self.claims.renew());
-        frames.extend(self.quotas.renew());
+        let mut frames = self.settles.frames();
+        frames.extend(self.claims.frames());
+        frames.extend(self.quotas.frames());
         frames
     }
 }
@@ -250,7 +252,7 @@
             FrameOutcome::Changed => return Ok(true),
             FrameOutcome::Reconnect => return Err(closed()),
             FrameOutcome::Quota { request_id, answer } => {
-                if let Some(unclaimed) = self.link.quotas.answered(request_id, answer) {
+                if let Some(unclaimed) = self.link.quotas.give(request_id, answer) {
                     self.link.give_back(&unclaimed);
                 }
             }
--- a/crates/proxy/src/daemon/outstanding.rs
+++ b/crates/proxy/src/daemon/outstanding.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millford_api::local::LocalFrame;
-use millford_core::Duration;
 use tokio::sync::oneshot;
 
 /// A frame and who waits for its answer.
@@ -55,16 +54,15 @@
 }
 
 impl<T> Asked<T> {
-    /// The answer, if it comes within the timeout.
-    pub async fn answer(&mut self, timeout: Duration) -> Option<T> {
-        match tokio::time::timeout(timeout, &mut self.answer).await {
-            Ok(answer) => answer.ok(),
-            Err(_) => {
-                // An answer given at this very moment is taken all the same.
-                self.answer.close();
-                self.answer.try_recv().ok()
-            }
-        }
+    /// The answer; nothing if it was never given.
+    pub async fn answer(&mut self) -> Option<T> {
+        (&mut self.answer).await.ok()
+    }
+
+    /// Stops waiting; takes an answer that was given at this very moment.
+    pub fn stop(&mut self) -> Option<T> {
+        self.answer.close();
+        self.answer.try_recv().ok()
     }
 }
 
@@ -104,8 +102,13 @@
         self.lock().insert(id, waiting);
     }
 
+    /// Gives the answer to whoever waits. An answer that nobody waits for any more is dropped.
+    pub fn answered(&self, id: u64, answer: T) {
+        drop(self.give(id, answer));
+    }
+
     /// Gives the answer to whoever waits; hands it back with its frame if nobody does any more.
-    pub fn answered(&self, id: u64, answer: T) -> Option<Unclaimed<T>> {
+    pub fn give(&self, id: u64, answer: T) -> Option<Unclaimed<T>> {
         let waiting = self.lock().remove(&id)?;
         match waiting.answer?.send(answer) {
             Ok(()) => None,
@@ -119,7 +122,7 @@
     /// Every frame that is still waited for, in the order of their numbers. The others are
     /// forgotten: on a new connection their answers cannot come any more.
     #[must_use]
-    pub fn renew(&self) -> Vec<LocalFrame> {
+    pub fn frames(&self) -> Vec<LocalFrame> {
         let mut frames = self.lock();
         frames.retain(|_, waiting| !waiting.abandoned);
         frames
