--- a/crates/lab/src/bench/overhead.rs
+++ b/crates/lab/src/bench/overhead.rs
@@ -12,6 +12,7 @@
 use super::throughput::{self, Throughput};
 use crate::arguments::{optional, parse, value};
 use crate::caller::{CompletionRequest, LookupRequest};
+use crate::commands::backend::{INTERRUPTED_STATUS, wait_for_end};
 use crate::emulator::options::BackendKind;
 use crate::fleet::binaries::Binaries;
 use crate::fleet::site::SMALL_MODEL;
@@ -56,7 +57,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        _ = tokio::signal::ctrl_c() => Ok(ExitCode::from(130)),
+        end = wait_for_end() => end.map(|()| ExitCode::from(INTERRUPTED_STATUS)),
     }
 }
 
--- a/crates/lab/src/chaos/backend_faults.rs
+++ b/crates/lab/src/chaos/backend_faults.rs
@@ -140,7 +140,9 @@
     }
 }
 
-fn switches(kind: FaultKind) -> FaultSwitches {
+/// The switches that show a fault.
+#[must_use]
+pub fn switches(kind: FaultKind) -> FaultSwitches {
     let none = FaultSwitches::default();
     match kind {
         FaultKind::BackendDark => FaultSwitches { dark: true, ..none },
--- /dev/null
+++ b/crates/lab/src/chaos/companion.rs
@@ -0,0 +1,62 @@
+//! Backend faults that last while another fault is carried out.
+
+use super::backend_faults::switches;
+use super::driver::Driver;
+use super::fault_kind::FaultKind;
+use crate::emulator::faults::FaultSwitches;
+use crate::fleet::FleetError;
+
+/// One in so many faults has a companion.
+const COMPANION_ODDS: usize = 3;
+/// Faults that may accompany others.
+const COMPANIONS: [FaultKind; 5] = [
+    FaultKind::BackendDark,
+    FaultKind::BackendSlow,
+    FaultKind::BackendLate,
+    FaultKind::BackendCrossed,
+    FaultKind::BackendStray,
+];
+
+/// A backend fault that lasts while another fault is carried out.
+#[derive(Clone, Debug)]
+pub struct Companion {
+    kind: FaultKind,
+    backend: String,
+}
+
+impl Companion {
+    /// Name and target, for people.
+    #[must_use]
+    pub fn text(&self) -> String {
+        format!("{} of {}", self.kind.name(), self.backend)
+    }
+}
+
+impl Driver {
+    /// Begins a companion of `main`, now and then. Faults of backends themselves have none.
+    pub async fn begin_companion(
+        &mut self,
+        main: FaultKind,
+    ) -> Result<Option<Companion>, FleetError> {
+        if main.strikes_backends() || self.draw(COMPANION_ODDS) > 0 {
+            return Ok(None);
+        }
+        let kind = COMPANIONS[self.draw(COMPANIONS.len())];
+        let index = self.draw(self.fleet.backends.len());
+        let backend = &self.fleet.backends[index];
+        backend.set_faults(&switches(kind)).await?;
+        Ok(Some(Companion {
+            kind,
+            backend: backend.place.id.clone(),
+        }))
+    }
+
+    /// Ends a companion.
+    pub async fn end_companion(&self, companion: &Companion) -> Result<(), FleetError> {
+        let mut backends = self.fleet.backends.iter();
+        match backends.find(|backend| backend.place.id == companion.backend) {
+            Some(backend) => backend.set_faults(&FaultSwitches::default()).await,
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/lab/src/chaos/driver.rs
+++ b/crates/lab/src/chaos/driver.rs
@@ -113,7 +113,12 @@
 
     async fn strike(&mut self, kind: FaultKind) -> Result<(), FleetError> {
         let from_micros = machine_micros();
-        let healed = self.carry_out(kind).await?;
+        let companion = self.begin_companion(kind).await?;
+        let mut healed = self.carry_out(kind).await?;
+        if let Some(companion) = companion {
+            self.end_companion(&companion).await?;
+            healed = Healed::now(&format!("{} with {}", healed.target, companion.text()));
+        }
         let served_micros = self.probe.wait(&self.fleet).await;
         let recovery_ms =
             served_micros.map(|served| served.saturating_sub(healed.at_micros) / 1_000);
@@ -145,12 +150,29 @@
             recovery_ms,
         });
         if kind.disturbs_control() {
-            wait_for_repair(&self.fleet).await?;
+            self.note_repair(kind).await;
         }
         sleep(QUIET).await;
         Ok(())
     }
 
+    /// A control plane that does not repair itself counts as an outage that never ended.
+    async fn note_repair(&self, kind: FaultKind) {
+        let healed_micros = machine_micros();
+        let repaired = wait_for_repair(&self.fleet).await;
+        if repaired.is_ok() {
+            return;
+        }
+        let what = format!("{}: the voters of a shard were not made whole", kind.name());
+        println!("{what}");
+        let recovery = RecoverySeen {
+            what,
+            healed_micros,
+            served_micros: None,
+        };
+        self.log.add(|history| history.recoveries.push(recovery));
+    }
+
     async fn carry_out(&mut self, kind: FaultKind) -> Result<Healed, FleetError> {
         match kind {
             FaultKind::BackendKill
--- a/crates/lab/src/chaos/fault_kind.rs
+++ b/crates/lab/src/chaos/fault_kind.rs
@@ -103,6 +103,12 @@
         kinds
     }
 
+    /// Whether the fault is one of backends.
+    #[must_use]
+    pub fn strikes_backends(self) -> bool {
+        self.name().starts_with("backend-") || self.name().ends_with("-drain")
+    }
+
     /// Whether the fault may cut front machines off the control plane for a while.
     #[must_use]
     pub fn disturbs_control(self) -> bool {
--- a/crates/lab/src/chaos/mod.rs
+++ b/crates/lab/src/chaos/mod.rs
@@ -2,6 +2,7 @@
 //! over the whole history.
 
 pub mod backend_faults;
+pub mod companion;
 pub mod control_faults;
 pub mod driver;
 pub mod fault_kind;
@@ -20,6 +21,7 @@
 
 use crate::arguments::parse;
 use crate::checks::check_all;
+use crate::commands::backend::{INTERRUPTED_STATUS, wait_for_end};
 use crate::demo::traffic::{callers_options, quotas};
 use crate::fleet::binaries::Binaries;
 use crate::fleet::{Fleet, FleetError};
@@ -41,7 +43,7 @@
     tokio::select! {
         result = wreak(options) => result,
         // The fleet inside the other branch is dropped, and its processes with it.
-        _ = tokio::signal::ctrl_c() => Ok(ExitCode::from(130)),
+        end = wait_for_end() => end.map(|()| ExitCode::from(INTERRUPTED_STATUS)),
     }
 }
 
--- a/crates/lab/src/checks/revision_order.rs
+++ b/crates/lab/src/checks/revision_order.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use millford_core::ResultCode;
+
 use super::history::{History, RevisionShown};
 use super::verdict::Verdict;
+use crate::caller::{CallOutcome, Ending};
 
 /// Judges what every node showed, to callers and operators.
 #[must_use]
@@ -32,6 +35,12 @@
     verdict
 }
 
+/// A node that refuses because it has no confirmed configuration yet shows none.
+fn says_not_ready(call: &CallOutcome) -> bool {
+    let not_ready = ResultCode::NotReady.number();
+    matches!(call.ending, Ending::Failure { code, .. } if code == not_ready)
+}
+
 fn shown_by_node(history: &History) -> BTreeMap<String, Vec<RevisionShown>> {
     let mut nodes: BTreeMap<String, Vec<RevisionShown>> = BTreeMap::new();
     for shown in &history.shown {
@@ -44,6 +53,9 @@
         let Some(revision) = call.revision else {
             continue;
         };
+        if says_not_ready(call) {
+            continue;
+        }
         let node = format!("proxy {}", call.proxy);
         let shown = RevisionShown {
             node: node.clone(),
--- a/crates/lab/src/commands/backend.rs
+++ b/crates/lab/src/commands/backend.rs
@@ -12,6 +12,9 @@
 use crate::emulator::{BackendKind, BackendOptions, BackendServer};
 use crate::fleet::{FleetError, SitePlan};
 
+/// Exit status of a command that a signal ended.
+pub const INTERRUPTED_STATUS: u8 = 130;
+
 /// Runs until SIGTERM or SIGINT, then leaves the registry.
 pub async fn run(arguments: &[String]) -> Result<(), FleetError> {
     let mut options = Options::new();
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::arguments::parse;
 use crate::checks::{History, check_all};
+use crate::commands::backend::{INTERRUPTED_STATUS, wait_for_end};
 use crate::fleet::binaries::Binaries;
 use crate::fleet::{Fleet, FleetError};
 use crate::workload::{Callers, Figures};
@@ -25,7 +26,7 @@
     tokio::select! {
         result = demonstrate(options) => result,
         // The fleet inside the other branch is dropped, and its processes with it.
-        _ = tokio::signal::ctrl_c() => Ok(ExitCode::from(130)),
+        end = wait_for_end() => end.map(|()| ExitCode::from(INTERRUPTED_STATUS)),
     }
 }
 
@@ -66,7 +67,7 @@
     println!("every proxy shows the configuration");
     if options.keep {
         show::addresses(fleet);
-        crate::commands::backend::wait_for_end().await?;
+        wait_for_end().await?;
         return Ok(true);
     }
     let mut callers = Callers::new(traffic::callers_options(fleet));
--- a/crates/lab/tests/checkers.rs
+++ b/crates/lab/tests/checkers.rs
@@ -266,6 +266,20 @@
     assert_caught(&history, "falls back");
 }
 
+#[test]
+fn a_step_back_shown_to_a_caller_is_caught_unless_the_node_was_not_ready() {
+    let mut history = clean();
+    history.calls[20].revision = Some(0);
+    assert_caught(&history, "falls back");
+    refuse(
+        &mut history.calls[20],
+        ResultCode::NotReady,
+        RunState::NotRun,
+    );
+    history.executions.retain(|run| run.marker != "m20");
+    assert!(check_all(&history).held());
+}
+
 #[test]
 fn overlapping_answers_are_no_step_back() {
     let mut history = clean();
