--- a/crates/replication/src/status.rs
+++ b/crates/replication/src/status.rs
@@ -13,7 +13,8 @@
     pub term: u64,
     /// The leader as far as known; [`NodeId::NONE`] otherwise.
     pub leader: NodeId,
-    /// When the leader was last heard from; `None` before the first time. Now on the leader.
+    /// When the leader was last heard from; `None` before the first time. On the leader: when a
+    /// quorum was last heard from.
     pub leader_heard: Option<MonotonicTime>,
     /// Last committed index.
     pub commit_index: u64,
@@ -21,6 +22,8 @@
     pub last_index: u64,
     /// Index of the newest snapshot; 0 without one.
     pub snapshot_index: u64,
+    /// Bytes of the log on disk.
+    pub log_bytes: u64,
     /// Voters of the configuration in force.
     pub voters: Vec<NodeId>,
     /// Learners of the configuration in force.
