--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -20,7 +20,10 @@
     pub member_stale_after: Duration,
     /// Fewest replicas of a model, as far as enough backends declare it.
     pub fewest_replicas: usize,
-    /// Utilization that replicas on shared backends are sized for.
+    /// Whether models on shared backends get only the replicas that their load wants. Off by default: backends
+    /// that declare a model hold it anyway, and fewer replicas measured worse (experiment `bandwidth`).
+    pub size_by_load: bool,
+    /// Utilization that replicas on shared backends are sized for, when sized by load.
     pub target_utilization: f64,
     /// A surplus replica is withdrawn only after it was surplus for so long.
     pub scale_down_hold: Duration,
@@ -57,10 +60,11 @@
         Self {
             member_stale_after: Duration::from_secs(5),
             fewest_replicas: 2,
+            size_by_load: false,
             target_utilization: 0.6,
             scale_down_hold: Duration::from_secs(60),
             step_interval: Duration::from_secs(2),
-            forced_step_interval: Duration::from_secs(5),
+            forced_step_interval: Duration::from_secs(15),
             step_share: 0.1,
             balance_interval: Duration::from_secs(10),
             balance_difference_milli: 200,
--- a/crates/placement/src/plan/scale.rs
+++ b/crates/placement/src/plan/scale.rs
@@ -20,14 +20,14 @@
 
 /// Number of backends that should hold the model.
 ///
-/// A model that has its backends to itself uses them all: fewer would idle cores. Where models share
-/// backends, the load decides, in both dimensions.
+/// All that may, by default: fewer would idle cores. Sized by load, models that share backends get what
+/// their load wants in both dimensions.
 #[must_use]
 pub fn wanted_replicas(view: &PoolView, model: &str, draft: &Draft) -> usize {
     let backends = eligible_backends(view, model, draft);
     let shared = backends.iter().any(|backend| view.models_on(backend) > 1);
     let present = holders(draft, model).len();
-    if !shared || present == 0 {
+    if !view.options.size_by_load || !shared || present == 0 {
         return backends.len();
     }
     if !view.has_load(model) {
--- a/crates/placement/src/plan/transition.rs
+++ b/crates/placement/src/plan/transition.rs
@@ -10,6 +10,9 @@
 use crate::plan::pool_view::PoolView;
 use crate::replica_key::ReplicaKey;
 
+/// How much smaller forced steps are than ordinary ones.
+const FORCED_STEP_DIVISOR: usize = 4;
+
 /// What the placer remembers of transitions, by model.
 #[derive(Clone, Debug, Default)]
 pub struct TransitionClock {
@@ -100,7 +103,14 @@
         }
         Gate::Forced => {
             if since_step.is_none_or(|passed| passed >= view.options.forced_step_interval) {
-                replace(&in_place, 1, &target, MoveReason::TransitionForced, draft);
+                let count = forced_step_size(view, model);
+                replace(
+                    &in_place,
+                    count,
+                    &target,
+                    MoveReason::TransitionForced,
+                    draft,
+                );
                 progress.last_step = Some(view.now);
             }
         }
@@ -176,6 +186,12 @@
         .count()
 }
 
+/// Forced steps are a quarter of the ordinary ones, at least one backend.
+fn forced_step_size(view: &PoolView, model: &str) -> usize {
+    let backends = view.backends_of_model(model).len();
+    (step_size(view, backends) / FORCED_STEP_DIVISOR).max(1)
+}
+
 /// Starts the target beside each old replica and stops new work to the old one in the same change.
 fn replace(
     in_place: &[ReplicaKey],
