Let weights express memory bandwidth only, cut for the model with most room elsewhere

Cause: weights by processor use counted other models twice, and relief moved work onto backends as full. Considered: solving for weights each tick (jumps with noisy estimates); chosen: a cut of at most 30% after 5 s above the ceiling, for the model with most room elsewhere, and a rise of 15% after 10 s under three quarters of it.

--- a/crates/experiments/src/suite/bandwidth.rs
+++ b/crates/experiments/src/suite/bandwidth.rs
@@ -17,8 +17,8 @@
 const HEAVY_RATE: f64 = 28.0;
 const WIDE_RATE: f64 = 20.0;
 /// Bandwidth use of a stream of each model as an operator may know it, in GB/s.
-const WIDE_STREAM_GBPS: f64 = 6.5;
-const HEAVY_STREAM_GBPS: f64 = 3.0;
+const WIDE_STREAM_GBPS: f64 = 7.0;
+const HEAVY_STREAM_GBPS: f64 = 8.0;
 
 struct Variant {
     name: &'static str,
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -33,12 +33,10 @@
     pub forced_step_interval: Duration,
     /// Share of a model's backends that one step may touch, at least one backend.
     pub step_share: f64,
-    /// Weights change at most so often.
-    pub balance_interval: Duration,
-    /// Smallest change of a weight worth publishing, in thousandths.
-    pub balance_difference_milli: u32,
     /// A backend above the bandwidth ceiling is relieved after so long.
     pub bandwidth_hold: Duration,
+    /// Lowered shares on a backend well below its ceiling rise after so long, step by step.
+    pub recovery_hold: Duration,
     /// Time constant of the mean of streams.
     pub smoothing: Duration,
     /// Time constant of the mean of busy moments, which utilization is estimated from.
@@ -66,9 +64,8 @@
             step_interval: Duration::from_secs(2),
             forced_step_interval: Duration::from_secs(15),
             step_share: 0.1,
-            balance_interval: Duration::from_secs(10),
-            balance_difference_milli: 200,
-            bandwidth_hold: Duration::from_secs(3),
+            bandwidth_hold: Duration::from_secs(5),
+            recovery_hold: Duration::from_secs(10),
             smoothing: Duration::from_secs(2),
             utilization_smoothing: Duration::from_secs(10),
             least_drain: Duration::from_secs(1),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -10,8 +10,7 @@
 use crate::cost::{BandwidthAttribution, BandwidthObservation, CostModel};
 use crate::load::{LoadPicture, SmoothedLoad};
 use crate::options::PlacerOptions;
-use crate::plan::balance::{BalanceClock, balance};
-use crate::plan::bandwidth::{ExcessClock, relieve};
+use crate::plan::bandwidth::{PressureClock, weigh};
 use crate::plan::draft::Draft;
 use crate::plan::moves::{Move, MoveReason, PlanOutcome};
 use crate::plan::pool_view::{PoolLoad, PoolView};
@@ -34,9 +33,8 @@
     smoothed: SmoothedLoad,
     drains: DrainClock,
     surplus: SurplusClock,
-    excess: ExcessClock,
+    pressure: PressureClock,
     transitions: TransitionClock,
-    balance: BalanceClock,
     last_withdrawal: Option<MonotonicTime>,
     utilization: f64,
 }
@@ -63,9 +61,8 @@
             smoothed: SmoothedLoad::new(options.smoothing, options.utilization_smoothing),
             drains: DrainClock::default(),
             surplus: SurplusClock::default(),
-            excess: ExcessClock::default(),
+            pressure: PressureClock::default(),
             transitions: TransitionClock::default(),
-            balance: BalanceClock::default(),
             last_withdrawal: None,
             utilization: 0.0,
             options,
@@ -128,8 +125,8 @@
 
     /// Plans one tick. The caller publishes the placement under `epoch` through its shard's log.
     ///
-    /// Order of the steps: retirements, wanted replicas, bandwidth, transitions, weights. After the first of
-    /// the last three that changes something the rest waits for the next tick.
+    /// Order of the steps: retirements, wanted replicas, bandwidth, transitions. Transitions wait for a tick in
+    /// which the steps before them, retirements aside, change nothing.
     pub fn plan(
         &mut self,
         now: MonotonicTime,
@@ -187,15 +184,11 @@
         {
             self.last_withdrawal = Some(view.now);
         }
-        relieve(view, &mut self.excess, draft);
+        weigh(view, &mut self.pressure, draft);
         if draft.changes() > before {
             return;
         }
         transition(view, &mut self.transitions, draft);
-        if draft.changes() > before {
-            return;
-        }
-        balance(view, &mut self.balance, draft);
     }
 
     /// Learns costs from the pending samples; those of unknown backends are dropped.
--- a/crates/placement/src/plan/bandwidth.rs
+++ b/crates/placement/src/plan/bandwidth.rs
@@ -1,34 +1,55 @@
-//! Third step: backends above their memory bandwidth ceiling get less work.
+//! Third step: shares of new work by memory bandwidth.
+//!
+//! Routing counts the processor work of every model on a backend by itself, but sees nothing of the memory
+//! bandwidth. Weights therefore express bandwidth only: they fall on a backend above its ceiling, for the
+//! model that finds most room elsewhere, and rise again when the backend is well below.
 
 use std::collections::BTreeMap;
 
-use millford_core::MonotonicTime;
+use millford_core::{Duration, MonotonicTime};
 
-use crate::plan::draft::Draft;
+use crate::plan::draft::{Draft, FULL_WEIGHT_MILLI};
 use crate::plan::moves::MoveReason;
 use crate::plan::pool_view::PoolView;
 use crate::replica_key::ReplicaKey;
 
-/// Weight under which a replica is withdrawn instead of lowered further, in thousandths.
-const LEAST_WEIGHT_MILLI: u32 = 200;
+/// Smallest weight, in thousandths: enough to notice when the replica could take more.
+const LEAST_WEIGHT_MILLI: u32 = 100;
 /// A backend is relieved to this share of its ceiling.
 const RELIEF_TARGET: f64 = 0.9;
+/// Largest cut of a weight in one step.
+const DEEPEST_CUT: f64 = 0.7;
+/// Share of the ceiling under which weights recover.
+const RECOVERY_BELOW: f64 = 0.75;
+/// Growth of a recovering weight in one step.
+const RECOVERY_FACTOR: f64 = 1.15;
 
-/// Since when each backend has been above its ceiling.
+/// Since when each backend has been above its ceiling or well below it.
 #[derive(Clone, Debug, Default)]
-pub struct ExcessClock {
-    since: BTreeMap<String, MonotonicTime>,
+pub struct PressureClock {
+    above: BTreeMap<String, MonotonicTime>,
+    below: BTreeMap<String, MonotonicTime>,
 }
 
-impl ExcessClock {
-    fn held(&mut self, backend: &str, now: MonotonicTime) -> millford_core::Duration {
-        let since = *self.since.entry(backend.to_owned()).or_insert(now);
-        now.since(since)
+impl PressureClock {
+    /// Whether a state has held for `hold`; the clock then starts again.
+    fn due(
+        since: &mut BTreeMap<String, MonotonicTime>,
+        backend: &str,
+        now: MonotonicTime,
+        hold: Duration,
+    ) -> bool {
+        let start = *since.entry(backend.to_owned()).or_insert(now);
+        if now.since(start) < hold {
+            return false;
+        }
+        since.insert(backend.to_owned(), now);
+        true
     }
 }
 
-/// Relieves every backend that has been above its ceiling for the hold time.
-pub fn relieve(view: &PoolView, clock: &mut ExcessClock, draft: &mut Draft) {
+/// Relieves backends that have been above the ceiling and lets others recover.
+pub fn weigh(view: &PoolView, clock: &mut PressureClock, draft: &mut Draft) {
     if !view.options.bandwidth_dimension {
         return;
     }
@@ -38,64 +59,89 @@
         .collect();
     for backend in backends {
         let limit = view.bandwidth_limit(backend);
-        if limit <= 0.0 || view.bandwidth_use(backend) <= limit {
-            clock.since.remove(backend);
+        if limit <= 0.0 {
             continue;
         }
-        if clock.held(backend, view.now) >= view.options.bandwidth_hold {
-            relieve_backend(view, backend, draft);
-            clock.since.insert(backend.to_owned(), view.now);
+        let pressure = view.bandwidth_use(backend) / limit;
+        if pressure <= 1.0 {
+            clock.above.remove(backend);
+        } else {
+            let hold = view.options.bandwidth_hold;
+            if PressureClock::due(&mut clock.above, backend, view.now, hold) {
+                relieve(view, backend, pressure, draft);
+            }
+        }
+        if pressure >= RECOVERY_BELOW {
+            clock.below.remove(backend);
+        } else {
+            let hold = view.options.recovery_hold;
+            if PressureClock::due(&mut clock.below, backend, view.now, hold) {
+                recover(backend, draft);
+            }
         }
     }
 }
 
-fn relieve_backend(view: &PoolView, backend: &str, draft: &mut Draft) {
+/// Lowers the share of the model that has most room elsewhere, or says that nothing has.
+fn relieve(view: &PoolView, backend: &str, pressure: f64, draft: &mut Draft) {
     let streams = view.streams_on(backend);
-    let use_of = |model: &str| {
-        view.load.bandwidth.stream_gbps(model) * streams.get(model).copied().unwrap_or(0.0)
-    };
-    let mut replicas: Vec<ReplicaKey> = draft
+    let here: Vec<ReplicaKey> = draft
         .active()
         .filter(|key| key.backend == backend)
+        .filter(|key| streams.get(&key.model).is_some_and(|count| *count > 0.0))
         .cloned()
         .collect();
-    replicas.sort_by(|left, right| use_of(&right.model).total_cmp(&use_of(&left.model)));
-    let excess = view.bandwidth_use(backend) - view.bandwidth_limit(backend) * RELIEF_TARGET;
-    for key in &replicas {
-        if elsewhere_has_room(view, key, excess, draft) {
-            lower(view, key, draft);
-            return;
+    let best = here
+        .iter()
+        .filter(|key| weight_of(draft, key) > LEAST_WEIGHT_MILLI)
+        .map(|key| (key, room_elsewhere(view, key, draft)))
+        .filter(|(_, room)| *room > 0.0)
+        .max_by(|left, right| left.1.total_cmp(&right.1))
+        .map(|(key, _)| key.clone());
+    match (best, here.into_iter().next()) {
+        (Some(key), _) => {
+            let cut = (RELIEF_TARGET / pressure).max(DEEPEST_CUT);
+            let lowered = (f64::from(weight_of(draft, &key)) * cut) as u32;
+            draft.reweight(
+                &key,
+                lowered.max(LEAST_WEIGHT_MILLI),
+                MoveReason::BandwidthRelief,
+            );
         }
-    }
-    // Nothing has room: the ceiling stays exceeded, and the plan says so.
-    if let Some(key) = replicas.into_iter().next() {
-        draft.note(key, MoveReason::BandwidthExceeded);
+        // Nothing has room: the ceiling stays exceeded, and the plan says so.
+        (None, Some(key)) => draft.note(key, MoveReason::BandwidthExceeded),
+        (None, None) => {}
     }
 }
 
-/// Whether the model's other replicas together have room for the excess.
-fn elsewhere_has_room(view: &PoolView, key: &ReplicaKey, excess: f64, draft: &Draft) -> bool {
-    let room: f64 = draft
+/// Bandwidth that is free under the ceiling on the model's other backends, in GB/s.
+fn room_elsewhere(view: &PoolView, key: &ReplicaKey, draft: &Draft) -> f64 {
+    draft
         .active()
         .filter(|other| other.model == key.model && other.backend != key.backend)
         .map(|other| {
-            (view.bandwidth_limit(&other.backend) - view.bandwidth_use(&other.backend)).max(0.0)
+            let limit = view.bandwidth_limit(&other.backend) * RELIEF_TARGET;
+            (limit - view.bandwidth_use(&other.backend)).max(0.0)
         })
-        .sum();
-    room > excess
+        .sum()
 }
 
-fn lower(view: &PoolView, key: &ReplicaKey, draft: &mut Draft) {
-    let present = draft
+fn weight_of(draft: &Draft, key: &ReplicaKey) -> u32 {
+    draft
         .replicas
         .get(key)
-        .map_or(0, |replica| replica.weight_milli);
-    let share =
-        view.bandwidth_limit(&key.backend) * RELIEF_TARGET / view.bandwidth_use(&key.backend);
-    let lowered = (f64::from(present) * share) as u32;
-    if lowered < LEAST_WEIGHT_MILLI {
-        draft.drain(key, MoveReason::BandwidthRelief);
-    } else {
-        draft.reweight(key, lowered, MoveReason::BandwidthRelief);
+        .map_or(0, |replica| replica.weight_milli)
+}
+
+/// Raises the lowered shares on a backend a little.
+fn recover(backend: &str, draft: &mut Draft) {
+    let lowered: Vec<ReplicaKey> = draft
+        .active()
+        .filter(|key| key.backend == backend && weight_of(draft, key) < FULL_WEIGHT_MILLI)
+        .cloned()
+        .collect();
+    for key in lowered {
+        let raised = (f64::from(weight_of(draft, &key)) * RECOVERY_FACTOR).ceil() as u32;
+        draft.reweight(&key, raised.min(FULL_WEIGHT_MILLI), MoveReason::Reweighted);
     }
 }
--- a/crates/placement/src/plan/mod.rs
+++ b/crates/placement/src/plan/mod.rs
@@ -1,6 +1,5 @@
 //! The steps of a plan, in the order in which they run.
 
-pub mod balance;
 pub mod bandwidth;
 pub mod draft;
 pub mod moves;
