--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -20,7 +20,10 @@
     pub member_stale_after: Duration,
     /// Fewest replicas of a model, as far as enough backends declare it.
     pub fewest_replicas: usize,
-    /// Utilization that replicas on shared backends are sized for.
+    /// Whether models on shared backends get only the replicas that their load wants. Off by default: backends
+    /// that declare a model hold it anyway, and fewer replicas measured worse (experiment `bandwidth`).
+    pub size_by_load: bool,
+    /// Utilization that replicas on shared backends are sized for, when sized by load.
     pub target_utilization: f64,
     /// A surplus replica is withdrawn only after it was surplus for so long.
     pub scale_down_hold: Duration,
@@ -30,14 +33,14 @@
     pub forced_step_interval: Duration,
     /// Share of a model's backends that one step may touch, at least one backend.
     pub step_share: f64,
-    /// Weights change at most so often.
-    pub balance_interval: Duration,
-    /// Smallest change of a weight worth publishing, in thousandths.
-    pub balance_difference_milli: u32,
     /// A backend above the bandwidth ceiling is relieved after so long.
     pub bandwidth_hold: Duration,
-    /// Time constant of the smoothed work.
+    /// Lowered shares on a backend well below its ceiling rise after so long, step by step.
+    pub recovery_hold: Duration,
+    /// Time constant of the mean of streams.
     pub smoothing: Duration,
+    /// Time constant of the mean of busy moments, which utilization is estimated from.
+    pub utilization_smoothing: Duration,
     /// A draining replica stays at least so long, so that nodes have reported what they sent it.
     pub least_drain: Duration,
     /// Bandwidth use of a stream of an unknown model, in GB/s.
@@ -55,15 +58,16 @@
         Self {
             member_stale_after: Duration::from_secs(5),
             fewest_replicas: 2,
+            size_by_load: false,
             target_utilization: 0.6,
             scale_down_hold: Duration::from_secs(60),
             step_interval: Duration::from_secs(2),
-            forced_step_interval: Duration::from_secs(5),
+            forced_step_interval: Duration::from_secs(15),
             step_share: 0.1,
-            balance_interval: Duration::from_secs(10),
-            balance_difference_milli: 200,
-            bandwidth_hold: Duration::from_secs(3),
+            bandwidth_hold: Duration::from_secs(5),
+            recovery_hold: Duration::from_secs(10),
             smoothing: Duration::from_secs(2),
+            utilization_smoothing: Duration::from_secs(10),
             least_drain: Duration::from_secs(1),
             prior_stream_gbps: 1.0,
             declared_stream_gbps: BTreeMap::new(),
