Bound what pictures, recalls and a start storm cost

Causes: pictures were paced at 1 KB/s for each of six shards: now 512 B/s. A recall went to every agent for every holder (holders times nodes messages for one refusal): QuotaRecall names its member (additive) and goes to that one. Changes in control and control-state are these.

--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -1,12 +1,14 @@
 //! Keeps a connection to one control node and moves on when that node fails.
 
 use millford_api::state::ControlMember;
-use millford_core::MonotonicTime;
 use millford_core::backoff::Backoff;
+use millford_core::{Duration, MonotonicTime};
 
 use crate::input::ControlLinkId;
 use crate::link::address_book::AddressBook;
-use crate::timing::{CONNECT_TIMEOUT, CONTROL_SILENCE, RETRY_CEILING, RETRY_FIRST, SETTLED_AFTER};
+use crate::timing::{
+    CONNECT_TIMEOUT, CONTROL_SILENCE, PATIENCE_CEILING, RETRY_CEILING, RETRY_FIRST, SETTLED_AFTER,
+};
 
 /// What the link wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +45,7 @@
     dialed: String,
     next_link: ControlLinkId,
     backoff: Backoff,
+    patience: Duration,
     in_touch_since: Option<MonotonicTime>,
     out_of_touch_since: Option<MonotonicTime>,
 }
@@ -57,6 +60,7 @@
             dialed: String::new(),
             next_link: 1,
             backoff: Backoff::new(RETRY_FIRST, RETRY_CEILING),
+            patience: CONTROL_SILENCE,
             in_touch_since: None,
             out_of_touch_since: Some(now),
         }
@@ -166,7 +170,7 @@
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<LinkAction> {
         let mut actions = Vec::new();
         let overdue = match self.state {
-            LinkState::Up { last_heard, .. } => now.since(last_heard) > CONTROL_SILENCE,
+            LinkState::Up { last_heard, .. } => now.since(last_heard) > self.patience,
             LinkState::Dialing { since, .. } => now.since(since) > CONNECT_TIMEOUT,
             LinkState::Down { .. } => false,
         };
@@ -192,6 +196,7 @@
             *settled = true;
             self.book.begin_round(Some(address));
             self.backoff.reset();
+            self.patience = CONTROL_SILENCE;
         }
     }
 
@@ -217,9 +222,10 @@
     fn fall(&mut self, now: MonotonicTime) {
         self.out_of_touch(now);
         let delay = if self.book.round_ended() {
+            self.patience = (self.patience * 2).min(PATIENCE_CEILING);
             self.backoff.next_delay()
         } else {
-            std::time::Duration::ZERO
+            Duration::ZERO
         };
         self.state = LinkState::Down {
             retry_at: now + delay,
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -8,6 +8,10 @@
 /// Silence after which the agent leaves a control node.
 pub const CONTROL_SILENCE: Duration = Duration::from_millis(750);
 
+/// Longest silence that is borne once whole rounds over the nodes have failed: each round doubles
+/// it from [`CONTROL_SILENCE`], so that busy nodes are not asked for the same state ever again.
+pub const PATIENCE_CEILING: Duration = Duration::from_secs(3);
+
 /// Longest time for a connection to a control node to come up.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -256,3 +256,31 @@
     fleet.run(1_010);
     assert!(fleet.stopped);
 }
+
+#[test]
+fn nodes_that_are_slow_to_answer_are_given_longer_after_whole_rounds() {
+    let mut fleet = Fleet::new(&ADDRESSES);
+    for control in &mut fleet.controls {
+        control.silent = true;
+    }
+    fleet.run(20_000);
+    let times: Vec<u64> = fleet
+        .connects
+        .iter()
+        .map(|(at, _)| at.as_millis())
+        .collect();
+    let first_round = times[1] - times[0];
+    assert!((750..=800).contains(&first_round), "{first_round}");
+    let later = times[times.len() - 2] - times[times.len() - 3];
+    assert!((3_000..=4_100).contains(&later), "{later}");
+    // Once a node proved good, the next silence counts from the start again.
+    fleet
+        .controls
+        .iter_mut()
+        .for_each(|control| control.silent = false);
+    fleet.run(5_000);
+    let first = fleet.at();
+    fleet.controls[first].silent = true;
+    fleet.run(1_100);
+    assert_ne!(fleet.at(), first);
+}
--- a/crates/agent/tests/quota_and_claims.rs
+++ b/crates/agent/tests/quota_and_claims.rs
@@ -158,6 +158,7 @@
     let recall = QuotaRecall {
         shard: shard.0,
         tenant: "t".to_owned(),
+        member: "node-1".to_owned(),
     };
     fleet.control_sends(index, vec![frame::Body::QuotaRecall(recall)]);
     fleet.run(8);
--- a/crates/control-state/src/quota/tenant_account.rs
+++ b/crates/control-state/src/quota/tenant_account.rs
@@ -92,14 +92,14 @@
         holders.extend(self.slots.recall(now, options));
         let mut told = BTreeSet::new();
         holders.retain(|holder| told.insert(holder.member.clone()));
-        let recall = QuotaRecall {
-            shard: shard.0,
-            tenant: tenant.to_owned(),
-        };
         let to_output = |holder: Holder| QuotaOutput::Recall {
+            recall: QuotaRecall {
+                shard: shard.0,
+                tenant: tenant.to_owned(),
+                member: holder.member.clone(),
+            },
             member: holder.member,
             epoch: holder.epoch,
-            recall: recall.clone(),
         };
         holders.into_iter().map(to_output).collect()
     }
--- a/crates/control/src/gateway/agents.rs
+++ b/crates/control/src/gateway/agents.rs
@@ -55,6 +55,12 @@
         !entry.closed
     }
 
+    /// The link on which an agent was heard last.
+    #[must_use]
+    pub fn link_of(&self, member: &str) -> Option<LinkId> {
+        self.members.get(member)?.link
+    }
+
     /// The leader says that these sessions do not exist any more.
     pub fn closed(&mut self, touched: &[SessionTouch], closed_members: &[String]) {
         for touch in touched {
--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -1,6 +1,6 @@
 //! The feeds of agents, as far as the gateway is concerned, and the outputs of shards.
 
-use millford_api::internal::{FeedMessage, FeedStale, Subscribe, feed_message, frame};
+use millford_api::internal::{FeedMessage, FeedStale, QuotaRecall, Subscribe, feed_message, frame};
 use millford_core::{MonotonicTime, ShardId};
 
 use super::Gateway;
@@ -17,7 +17,7 @@
             }
             ShardOutput::Reply { ticket, reply } => self.handle_reply(now, ticket, reply),
             ShardOutput::Quota { ticket, reply } => self.handle_quota_reply(ticket, reply),
-            ShardOutput::Recall(recall) => self.tell_all_agents(&frame::Body::QuotaRecall(recall)),
+            ShardOutput::Recall(recall) => self.recall(recall),
             ShardOutput::AskLeader { read } => self.ask_leader(now, shard, read),
             ShardOutput::Feed {
                 subscriber,
@@ -68,6 +68,27 @@
         }
     }
 
+    /// To the one agent that may hold something: here, or through the other control nodes. To send
+    /// it to all would cost holders times nodes messages for each refusal.
+    fn recall(&mut self, recall: QuotaRecall) {
+        if !self.recall_own_agent(&recall) {
+            self.send_to_every_node(&frame::Body::QuotaRecall(recall));
+        }
+    }
+
+    /// Tells the agent if it is linked here; an empty name means every agent.
+    pub(super) fn recall_own_agent(&mut self, recall: &QuotaRecall) -> bool {
+        if recall.member.is_empty() {
+            self.tell_own_agents(&frame::Body::QuotaRecall(recall.clone()));
+            return false;
+        }
+        let Some(link) = self.agents.link_of(&recall.member) else {
+            return false;
+        };
+        self.send(link, frame::Body::QuotaRecall(recall.clone()));
+        true
+    }
+
     /// To the agents of this node and, through the other control nodes, to all others.
     fn tell_all_agents(&mut self, body: &frame::Body) {
         self.tell_own_agents(body);
--- a/crates/control/src/gateway/frames.rs
+++ b/crates/control/src/gateway/frames.rs
@@ -34,7 +34,10 @@
                     self.handle_quota_reply(relayed.relay_id, reply);
                 }
             }
-            Body::QuotaRecall(_) | Body::LoadPicture(_) => self.tell_own_agents(&body),
+            Body::QuotaRecall(recall) => {
+                self.recall_own_agent(&recall);
+            }
+            Body::LoadPicture(_) => self.tell_own_agents(&body),
             // These only ever go from control nodes to agents.
             Body::Feed(_) | Body::HeartbeatReply(_) | Body::QuotaReply(_) => {}
         }
--- a/crates/control/src/shard/picture_feed.rs
+++ b/crates/control/src/shard/picture_feed.rs
@@ -7,8 +7,9 @@
 
 use crate::timing::PICTURE_PERIOD;
 
-/// Bytes a second that a shard's pictures may cost each node.
-const BYTES_PER_SECOND: u64 = 1024;
+/// Bytes a second that a shard's pictures may cost each node. With six data shards, pictures take
+/// 3 of the 8 KB a second that a node has for control.
+const BYTES_PER_SECOND: u64 = 512;
 
 /// The whole picture is sent again after this long, for nodes that came since.
 const WHOLE_AFTER: Duration = Duration::from_secs(10);
--- a/crates/scale/src/run_size.rs
+++ b/crates/scale/src/run_size.rs
@@ -24,7 +24,7 @@
 const FORM_WITHIN: Duration = Duration::from_secs(15);
 
 /// Longest time for all nodes to start, or to return.
-const NODES_WITHIN: Duration = Duration::from_secs(25);
+const NODES_WITHIN: Duration = Duration::from_secs(30);
 
 /// Longest time for a change to be everywhere.
 const CHANGE_WITHIN: Duration = Duration::from_secs(10);
@@ -33,7 +33,7 @@
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Time between the starts of two nodes, so that a start is no storm; the restart is one.
-const START_SPACING: Duration = Duration::from_millis(5);
+const START_SPACING: Duration = Duration::from_millis(20);
 
 /// Period at which the rig looks whether something was reached.
 const LOOK_PERIOD: Duration = Duration::from_millis(5);
