--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -9,7 +9,7 @@
 use crate::quota::request_book::RequestBook;
 use crate::quota::tenant_slice::{AskSent, SliceAnswer, TenantSlice};
 use crate::quota::waiter::Waiter;
-use crate::timing::QUOTA_BATCH;
+use crate::timing::{QUOTA_BATCH, SLOT_RENEWAL_AHEAD};
 
 /// How many asks were answered in which way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -216,9 +216,35 @@
                 due.entry(shard).or_default().push(tenant.clone());
             }
         }
+        if !due.is_empty() {
+            self.add_renewals(now, layout, &mut due);
+        }
         due
     }
 
+    /// Reports of slots that are due soon go along: one by one they would make most of the node's
+    /// frames.
+    fn add_renewals(
+        &self,
+        now: MonotonicTime,
+        layout: ShardLayout,
+        due: &mut BTreeMap<ShardId, Vec<String>>,
+    ) {
+        let limit = now + SLOT_RENEWAL_AHEAD;
+        for tenant in &self.active {
+            let slice = self.slices.get(tenant);
+            if !slice.is_some_and(|slice| slice.renews_by(limit)) {
+                continue;
+            }
+            let shard = layout.shard_of(&tenant_key(tenant));
+            if let Some(tenants) = due.get_mut(&shard)
+                && !tenants.contains(tenant)
+            {
+                tenants.push(tenant.clone());
+            }
+        }
+    }
+
     /// The leader could not answer. A request that returns nothing is given up for a new one, whose
     /// lease counts from later; one that returns tokens keeps its id, so that they count once.
     fn unanswered(&mut self, now: MonotonicTime, request_id: u64) {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -199,6 +199,12 @@
         self.slots.renewal()
     }
 
+    /// Whether the slots in use are to be reported by `limit`.
+    #[must_use]
+    pub fn renews_by(&self, limit: MonotonicTime) -> bool {
+        self.slots.renewal().is_some_and(|at| at <= limit)
+    }
+
     fn tokens_missing(&self, now: MonotonicTime) -> u32 {
         let waiting = u32::try_from(self.waiters.len()).unwrap_or(u32::MAX);
         let coming = self.outstanding.saturating_add(self.tokens(now));
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -74,6 +74,9 @@
 /// Pause before a claim or settlement that the shard could not take is sent again.
 pub const CLAIM_RETRY: Duration = Duration::from_millis(30);
 
+/// Slots whose report is due within this time go along with any request for their shard.
+pub const SLOT_RENEWAL_AHEAD: Duration = Duration::from_millis(500);
+
 /// A request to open a session without an answer is sent again after this long.
 pub const SESSION_RESEND: Duration = Duration::from_millis(700);
 
