Double the patience only for nodes that were silent, and split large files

Cause: in a full restart of control refused connections ended rounds as well, so the patience rose to 3 s while nothing was wrong but the nodes being down. Now only a node that accepted and then said nothing counts.

--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -46,6 +46,8 @@
     next_link: ControlLinkId,
     backoff: Backoff,
     patience: Duration,
+    /// A node of this round accepted the connection and then said nothing.
+    silent_in_round: bool,
     in_touch_since: Option<MonotonicTime>,
     out_of_touch_since: Option<MonotonicTime>,
 }
@@ -61,6 +63,7 @@
             next_link: 1,
             backoff: Backoff::new(RETRY_FIRST, RETRY_CEILING),
             patience: CONTROL_SILENCE,
+            silent_in_round: false,
             in_touch_since: None,
             out_of_touch_since: Some(now),
         }
@@ -175,6 +178,7 @@
             LinkState::Down { .. } => false,
         };
         if overdue {
+            self.silent_in_round |= self.up().is_some();
             actions.extend(self.leave(now));
         }
         self.settle(now);
@@ -222,7 +226,7 @@
     fn fall(&mut self, now: MonotonicTime) {
         self.out_of_touch(now);
         let delay = if self.book.round_ended() {
-            self.patience = (self.patience * 2).min(PATIENCE_CEILING);
+            self.end_round();
             self.backoff.next_delay()
         } else {
             Duration::ZERO
@@ -232,6 +236,14 @@
         };
     }
 
+    /// Nodes that are busy are given longer in the next round; nodes that are down are not waited
+    /// for.
+    fn end_round(&mut self) {
+        if std::mem::take(&mut self.silent_in_round) {
+            self.patience = (self.patience * 2).min(PATIENCE_CEILING);
+        }
+    }
+
     fn out_of_touch(&mut self, now: MonotonicTime) {
         self.in_touch_since = None;
         self.out_of_touch_since.get_or_insert(now);
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -6,22 +6,14 @@
 use millford_api::local::{LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply};
 use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout, tenant_key};
 
+use crate::quota::ask_sent::AskSent;
+use crate::quota::quota_tally::QuotaTally;
 use crate::quota::request_book::RequestBook;
-use crate::quota::tenant_slice::{AskSent, SliceAnswer, TenantSlice};
+use crate::quota::slice_answer::SliceAnswer;
+use crate::quota::tenant_slice::TenantSlice;
 use crate::quota::waiter::Waiter;
 use crate::timing::{QUOTA_BATCH, SLOT_RENEWAL_AHEAD};
 
-/// How many asks were answered in which way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QuotaTally {
-    /// Granted.
-    pub granted: u64,
-    /// Refused: the quota is used up.
-    pub refused: u64,
-    /// Refused: no decision in time.
-    pub unavailable: u64,
-}
-
 /// The slices of every tenant with work on this node.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaDesk {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -5,7 +5,9 @@
 use millford_api::internal::{QuotaAsk, QuotaGrant};
 use millford_core::{Duration, MonotonicTime, ResultCode};
 
+use crate::quota::ask_sent::AskSent;
 use crate::quota::lease::TokenLease;
+use crate::quota::slice_answer::SliceAnswer;
 use crate::quota::slot_hold::SlotHold;
 use crate::quota::waiter::Waiter;
 use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, QUOTA_RETRY};
@@ -14,26 +16,6 @@
 /// what a request may be under way.
 const KEPT_AFTER_ASK: Duration = Duration::from_millis(2_000);
 
-/// Answer to one call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SliceAnswer {
-    /// Number that the proxy gave to its ask.
-    pub request_id: u64,
-    /// `Ok`, or why the call is refused.
-    pub code: ResultCode,
-    /// When asking again may help.
-    pub retry_after_ms: u32,
-}
-
-/// When an ask was sent, and in which request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AskSent {
-    /// When it was first sent.
-    pub at: MonotonicTime,
-    /// Number of the request.
-    pub request_id: u64,
-}
-
 /// Tokens, stream slots and waiting calls of one tenant.
 #[derive(Clone, Debug)]
 pub struct TenantSlice {
@@ -106,7 +88,7 @@
         let mut still_waiting = VecDeque::new();
         while let Some(waiter) = self.waiters.pop_front() {
             if self.admit(now, &waiter) {
-                answers.push(answer(&waiter, ResultCode::Ok, 0));
+                answers.push(SliceAnswer::to(&waiter, ResultCode::Ok, 0));
             } else {
                 still_waiting.push_back(waiter);
             }
@@ -148,7 +130,7 @@
         self.waiters.retain(|waiter| {
             let over = waiter.deadline <= now;
             if over {
-                answers.push(answer(waiter, ResultCode::QuotaUnavailable, 0));
+                answers.push(SliceAnswer::to(waiter, ResultCode::QuotaUnavailable, 0));
             }
             !over
         });
@@ -326,18 +308,10 @@
             let refused = left > 0 && concerns(waiter);
             if refused {
                 left -= 1;
-                answers.push(answer(waiter, code, retry_after_ms));
+                answers.push(SliceAnswer::to(waiter, code, retry_after_ms));
             }
             !refused
         });
         answers
     }
 }
-
-fn answer(waiter: &Waiter, code: ResultCode, retry_after_ms: u32) -> SliceAnswer {
-    SliceAnswer {
-        request_id: waiter.request_id,
-        code,
-        retry_after_ms,
-    }
-}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod error;
 pub mod fit;
 pub mod hollow;
+mod mark;
 pub mod measure;
 pub mod options;
 pub mod report;
--- a/crates/scale/src/run_size.rs
+++ b/crates/scale/src/run_size.rs
@@ -8,6 +8,7 @@
 use crate::error::ScaleError;
 use crate::hollow::hollow_node::RigRuntimes;
 use crate::hollow::{HollowNode, ShownBoard, TrafficCounts, TrafficShape};
+use crate::mark::Mark;
 use crate::measure::{ProcessSample, Quantiles, ThreadTime};
 use crate::options::ScaleOptions;
 use crate::rig::agent_process::AgentProcess;
@@ -269,24 +270,6 @@
     }
 }
 
-struct Mark {
-    at: Instant,
-    bytes_in: f64,
-    bytes_by_kind: BTreeMap<&'static str, u64>,
-    bytes_out: f64,
-    frames: f64,
-    agents_cpu: f64,
-    agent_cpu: f64,
-    agent_memory: f64,
-    control_cpu: Vec<f64>,
-    data_bytes: f64,
-    granted: u64,
-    refused: u64,
-    claims: u64,
-    claims_failed: u64,
-    fail_overs: u64,
-}
-
 fn is_up(node: &HollowNode) -> bool {
     let report = node.report();
     report.in_touch && report.complete && report.session_epoch != 0
