--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,23 +1,20 @@
 //! The replica: its state, how it is opened, and the calls of its owner.
 
 use millford_api::replication::{
-    HardState, LogEntry, ReplicationMessage, VoterSet, log_entry::Payload,
-    replication_message::Body,
+    LogEntry, ReplicationMessage, log_entry::Payload, replication_message::Body,
 };
 use millford_core::{MonotonicTime, NodeId};
 use millford_storage::{ReplicaStorage, StorageError};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::bootstrap::bootstrap;
 use crate::configuration::{Configuration, ConfigurationHistory};
 use crate::incoming_snapshot::IncomingSnapshot;
 use crate::ready::{ConfirmedRead, RestoredSnapshot};
 use crate::role::RoleState;
 use crate::{NotLeader, OpenError, ReplicaOptions};
 
-/// Term of the first configuration of a group.
-const FIRST_TERM: u64 = 1;
-
 /// One replica of a shard's group.
 ///
 /// The owner calls [`Replica::step`] and [`Replica::tick`] as messages and time come in, and then
@@ -117,12 +114,6 @@
         Ok(self.append_own(Payload::Command(command)))
     }
 
-    /// What the replica holds, for inspection.
-    #[must_use]
-    pub fn storage(&self) -> &ReplicaStorage {
-        &self.storage
-    }
-
     /// The leader takes proposals unless it is handing over.
     fn check_takes_proposals(&self) -> Result<(), NotLeader> {
         match &self.role {
@@ -192,33 +183,6 @@
     Ok(())
 }
 
-/// Writes the first entry of a group, the same on each of its first replicas.
-///
-/// The hard state comes first: a log without one counts as damage. Storage whose log is empty and
-/// whose hard state is still the first one comes from a crash between the two writes.
-fn bootstrap(
-    node: NodeId,
-    voters: &VoterSet,
-    storage: &mut ReplicaStorage,
-) -> Result<(), StorageError> {
-    let first_state = HardState {
-        term: FIRST_TERM,
-        voted_for: NodeId::NONE.0,
-        node: node.0,
-    };
-    let untouched = storage.is_empty() || storage.hard_state() == Some(first_state);
-    if !untouched || storage.last_index() > 0 {
-        return Ok(());
-    }
-    storage.set_hard_state(first_state)?;
-    storage.append([LogEntry {
-        index: 1,
-        term: FIRST_TERM,
-        payload: Some(Payload::Voters(voters.clone())),
-    }]);
-    storage.sync()
-}
-
 /// Configurations of the snapshot and of the log behind it.
 pub(crate) fn read_configurations(storage: &ReplicaStorage) -> ConfigurationHistory {
     let mut history = match storage.snapshot() {
