--- a/crates/replication/tests/group/machine.rs
+++ b/crates/replication/tests/group/machine.rs
@@ -15,7 +15,7 @@
     kept_entries: 6,
     kept_bytes: 150,
 };
-const LIMITS: Limits = Limits {
+pub const LIMITS: Limits = Limits {
     append_bytes: 200,
     appends_in_flight: 3,
     snapshot_chunk_bytes: 5,
@@ -29,6 +29,7 @@
     pub replica: Option<Replica>,
     pub applied_index: u64,
     pub digest: Digest,
+    pub limits: Limits,
     /// The first configuration, for the first members.
     pub initial_voters: Option<VoterSet>,
     /// No ticks and messages before this time: the process is stopped.
@@ -47,6 +48,7 @@
             replica: None,
             applied_index: 0,
             digest: 0,
+            limits: LIMITS,
             initial_voters,
             frozen_until: MonotonicTime::ZERO,
             known_voters: Vec::new(),
@@ -58,7 +60,7 @@
     pub fn start(&mut self, now: MonotonicTime, seed: u64) -> Result<(), OpenError> {
         let storage = ReplicaStorage::open(Box::new(self.disk.clone()), STORAGE)?;
         let mut options = ReplicaOptions::new(self.node, SHARD, seed);
-        options.limits = LIMITS;
+        options.limits = self.limits;
         options.initial_voters = self.initial_voters.clone();
         let replica = Replica::open(options, storage, now)?;
         self.applied_index = 0;
--- a/crates/replication/tests/group/mod.rs
+++ b/crates/replication/tests/group/mod.rs
@@ -10,3 +10,4 @@
 pub mod network;
 pub mod repair;
 pub mod simulation;
+pub mod world;
--- a/crates/replication/tests/model_check.rs
+++ b/crates/replication/tests/model_check.rs
@@ -8,29 +8,8 @@
 mod group;
 
 use std::collections::HashSet;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
-use group::history::History;
-use group::machine::Machine;
-use millford_api::replication::{ReplicationMessage, VoterSet};
-use millford_core::{Duration, MonotonicTime, NodeId};
-use prost::Message;
-
-const NODES: [u64; 3] = [1, 2, 3];
-/// Longer than any election timeout, and longer than a quorum may be silent.
-const TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Something that may happen next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Action {
-    Timeout(usize),
-    Crash(usize),
-    Propose(usize),
-    /// Delivers a message, by its place among those under way.
-    Deliver(usize),
-    /// Delivers a message and keeps it under way.
-    Repeat(usize),
-}
+use group::world::{Action, NODES, World};
 
 /// How often each kind of action may happen in one run.
 #[derive(Clone, Copy, Debug)]
@@ -42,153 +21,29 @@
     repeats: usize,
 }
 
-struct World {
-    machines: Vec<Machine>,
-    clocks: [MonotonicTime; 3],
-    under_way: Vec<ReplicationMessage>,
-    history: History,
-    /// A crash also loses the vote: the planted defect.
-    forgets_votes: bool,
-}
-
-impl World {
-    fn new(forgets_votes: bool) -> Self {
-        let voters = VoterSet {
-            voters: NODES.to_vec(),
-            learners: Vec::new(),
-        };
-        let machines = NODES.map(|node| Machine::new(NodeId(node), Some(voters.clone())));
-        let mut world = Self {
-            machines: machines.into(),
-            clocks: [MonotonicTime::ZERO; 3],
-            under_way: Vec::new(),
-            history: History::default(),
-            forgets_votes,
-        };
-        for position in 0..NODES.len() {
-            world.start(position);
-        }
-        world
-    }
-
-    fn start(&mut self, position: usize) {
-        let machine = &mut self.machines[position];
-        machine
-            .start(self.clocks[position], NODES[position])
-            .expect("the disk is whole");
-    }
-
-    fn run(path: &[Action], forgets_votes: bool) -> Self {
-        let mut world = Self::new(forgets_votes);
-        for action in path {
-            world.act(*action);
-        }
-        world
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Timeout(position) => self.time_out(position),
-            Action::Crash(position) => self.crash(position),
-            Action::Propose(position) => self.propose(position),
-            Action::Deliver(place) => {
-                let message = self.under_way.remove(place);
-                self.deliver(message);
-            }
-            Action::Repeat(place) => self.deliver(self.under_way[place].clone()),
-        }
-        self.check_logs();
+/// What may happen next, given what has happened.
+fn actions(world: &World, path: &[Action], bounds: Bounds) -> Vec<Action> {
+    let count = |kind: fn(&Action) -> bool| path.iter().filter(|action| kind(action)).count();
+    let mut actions: Vec<Action> = (0..world.under_way.len()).map(Action::Deliver).collect();
+    if count(|action| matches!(action, Action::Repeat(_))) < bounds.repeats {
+        actions.extend((0..world.under_way.len()).map(Action::Repeat));
     }
-
-    fn time_out(&mut self, position: usize) {
-        self.clocks[position] = self.clocks[position] + TIMEOUT;
-        let now = self.clocks[position];
-        if let Some(replica) = &mut self.machines[position].replica {
-            replica.tick(now);
-        }
-        self.flush(position);
+    let positions = 0..NODES.len();
+    if count(|action| matches!(action, Action::Timeout(_))) < bounds.timeouts {
+        actions.extend(positions.clone().map(Action::Timeout));
     }
-
-    fn crash(&mut self, position: usize) {
-        let machine = &mut self.machines[position];
-        machine.lose_power(0);
-        if self.forgets_votes {
-            group::simulation::forget_vote(machine);
-        }
-        self.start(position);
-        self.flush(position);
+    if count(|action| matches!(action, Action::Crash(_))) < bounds.crashes {
+        actions.extend(positions.clone().map(Action::Crash));
     }
-
-    fn propose(&mut self, position: usize) {
-        if let Some(replica) = &mut self.machines[position].replica {
-            // Refused on a replica that does not lead.
-            let _ = replica.propose(b"command".to_vec());
-        }
-        self.flush(position);
-    }
-
-    fn deliver(&mut self, message: ReplicationMessage) {
-        let position = usize::try_from(message.to - 1).expect("small");
-        let now = self.clocks[position];
-        if let Some(replica) = &mut self.machines[position].replica {
-            replica.step(now, message);
-        }
-        self.flush(position);
-    }
-
-    fn flush(&mut self, position: usize) {
-        let now = self.clocks[position];
-        let ready = self.machines[position].flush(now, &mut self.history);
-        self.under_way
-            .extend(ready.expect("the disk is whole").messages);
-    }
-
-    fn check_logs(&mut self) {
-        for (left, right) in [(0, 1), (0, 2), (1, 2)] {
-            let left = self.machines[left].replica.as_ref().expect("runs");
-            let right = self.machines[right].replica.as_ref().expect("runs");
-            self.history.check_logs_match(left, right);
-        }
-    }
-
-    /// A number that is the same for the same situation.
-    fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for machine in &self.machines {
-            format!("{:?}", machine.replica).hash(&mut hasher);
-        }
-        let mut messages: Vec<Vec<u8>> =
-            self.under_way.iter().map(Message::encode_to_vec).collect();
-        messages.sort_unstable();
-        messages.hash(&mut hasher);
-        self.history.facts().hash(&mut hasher);
-        hasher.finish()
-    }
-
-    /// What may happen next, given what has happened.
-    fn actions(&self, path: &[Action], bounds: Bounds) -> Vec<Action> {
-        let count = |kind: fn(&Action) -> bool| path.iter().filter(|action| kind(action)).count();
-        let mut actions: Vec<Action> = (0..self.under_way.len()).map(Action::Deliver).collect();
-        if count(|action| matches!(action, Action::Repeat(_))) < bounds.repeats {
-            actions.extend((0..self.under_way.len()).map(Action::Repeat));
-        }
-        let positions = 0..NODES.len();
-        if count(|action| matches!(action, Action::Timeout(_))) < bounds.timeouts {
-            actions.extend(positions.clone().map(Action::Timeout));
-        }
-        if count(|action| matches!(action, Action::Crash(_))) < bounds.crashes {
-            actions.extend(positions.clone().map(Action::Crash));
-        }
-        if count(|action| matches!(action, Action::Propose(_))) < bounds.proposals {
-            let leaders = positions.filter(|position| {
-                let replica = self.machines[*position].replica.as_ref();
-                let role = replica.map(|replica| replica.status().role);
-                role == Some(millford_replication::Role::Leader)
-            });
-            actions.extend(leaders.map(Action::Propose));
-        }
-        actions
+    if count(|action| matches!(action, Action::Propose(_))) < bounds.proposals {
+        let leaders = positions.filter(|position| {
+            let replica = world.machines[*position].replica.as_ref();
+            let role = replica.map(|replica| replica.status().role);
+            role == Some(millford_replication::Role::Leader)
+        });
+        actions.extend(leaders.map(Action::Propose));
     }
+    actions
 }
 
 /// What an exploration found.
@@ -216,7 +71,7 @@
             if findings.violation.is_some() {
                 return findings;
             }
-            for action in world.actions(&path[prefix.len()..], bounds) {
+            for action in actions(&world, &path[prefix.len()..], bounds) {
                 let mut longer = path.clone();
                 longer.push(action);
                 next_paths.push(longer);
