Bound every wait of the replication tests

Cause: a planted fault that kept the group from committing made a test wait for ever instead of failing. Change: waits for an event end after 60 s of simulated time, and the settling before an exploration after 40 deliveries.

--- a/crates/replication/tests/group/simulation.rs
+++ b/crates/replication/tests/group/simulation.rs
@@ -16,6 +16,9 @@
 /// Time between two rounds of the loop.
 const STEP: Duration = Duration::from_millis(5);
 
+/// Longest simulated time that a test waits for something.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 /// Faults of the program that a run plants, to show that the checks find them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Defect {
@@ -133,6 +136,15 @@
         }
     }
 
+    /// Runs until something holds; fails after a time that is ample for everything.
+    pub fn run_until(&mut self, holds: impl Fn(&Simulation) -> bool) {
+        let end = self.now + LONGEST_WAIT;
+        while !holds(self) {
+            assert!(self.now < end, "it never came about");
+            self.step();
+        }
+    }
+
     /// One round: deliveries and ticks, each followed by a flush or not, then the rest flushed.
     pub fn step(&mut self) {
         self.now = self.now + STEP;
--- a/crates/replication/tests/leadership.rs
+++ b/crates/replication/tests/leadership.rs
@@ -79,9 +79,7 @@
         .expect("elected");
     let replica = simulation.replica(next).expect("runs");
     replica.propose(b"newer".to_vec()).expect("leads");
-    while !simulation.machines[&leader].is_running(simulation.now) {
-        simulation.step();
-    }
+    simulation.run_until(|simulation| simulation.machines[&leader].is_running(simulation.now));
     simulation.read(leader);
     simulation.run_for(SECOND * 2);
     assert_eq!(simulation.leaders(), [next]);
@@ -92,17 +90,13 @@
 fn a_new_leader_confirms_no_read_before_an_entry_of_its_own_term() {
     let (mut simulation, leader) = started(3);
     simulation.machines.remove(&leader);
-    while simulation.leaders().is_empty() {
-        simulation.step();
-    }
+    simulation.run_until(|simulation| !simulation.leaders().is_empty());
     let next = simulation.leaders()[0];
     simulation.read(next);
     let replica = simulation.replica(next).expect("runs");
     assert!(!replica.status().leads_confirmed);
     let confirmed = simulation.history.confirmed_reads;
-    while simulation.history.confirmed_reads == confirmed {
-        simulation.step();
-    }
+    simulation.run_until(|simulation| simulation.history.confirmed_reads > confirmed);
     assert!(status(&mut simulation, next).leads_confirmed);
     assert_eq!(simulation.history.violations, Vec::<String>::new());
 }
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -83,9 +83,7 @@
 fn one_change_at_a_time_and_not_before_an_entry_of_the_own_term() {
     let mut simulation = Simulation::new(5, 3, Weather::CALM, Defect::None);
     let spare = simulation.add_machine(None);
-    while simulation.leaders().is_empty() {
-        simulation.step();
-    }
+    simulation.run_until(|simulation| !simulation.leaders().is_empty());
     let leader = only_leader(&simulation);
     let add = VoterChange::AddLearner(spare);
     assert_eq!(
--- a/crates/replication/tests/model_check.rs
+++ b/crates/replication/tests/model_check.rs
@@ -114,13 +114,19 @@
     usual + more.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
+/// More deliveries than an election and its first entry take.
+const SETTLING_DELIVERIES: usize = 40;
+
 /// Times one replica out and delivers everything until nothing is under way.
 fn settled(first: Action) -> Vec<Action> {
     let mut path = vec![first];
-    while !World::run(&path, false).under_way.is_empty() {
+    for _ in 0..SETTLING_DELIVERIES {
+        if World::run(&path, false).under_way.is_empty() {
+            return path;
+        }
         path.push(Action::Deliver(0));
     }
-    path
+    panic!("the group does not come to rest");
 }
 
 /// A settled leader whose next proposal has reached one of the two others, unanswered.
