--- a/crates/backend-model/src/rates.rs
+++ b/crates/backend-model/src/rates.rs
@@ -22,7 +22,9 @@
     pub prefill_cores_per_run: f64,
     /// Microseconds per token of each model's streams.
     pub token_micros: BTreeMap<String, f64>,
-    /// Demand for cores over cores, decode only up to the limit; 1 when any prefill runs.
+    /// Cores that work now.
+    pub busy_cores: f64,
+    /// Demand for cores over cores; at least 1 when any prefill runs.
     pub processor_utilization: f64,
     /// Demand for memory bandwidth at full pace over bandwidth.
     pub bandwidth_utilization: f64,
@@ -58,7 +60,7 @@
     };
     let bandwidth_utilization =
         bandwidth_demand(profiles, runs, prefill_cores, prefills) / options.bandwidth_gbps;
-    let stall = options.curve.slowdown(bandwidth_utilization);
+    let stall = options.curve.settled_slowdown(bandwidth_utilization);
     let token_micros = runs
         .iter()
         .filter(|(_, model)| model.streams > 0)
@@ -70,6 +72,7 @@
     Rates {
         prefill_cores_per_run: prefill_cores / prefills.max(1) as f64 / stall * speed,
         token_micros,
+        busy_cores: decode_granted + prefill_cores,
         processor_utilization: (decode_wanted + prefill_cores) / options.cores,
         bandwidth_utilization,
     }
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,131 @@
+//! Properties of the choice of a backend.
+
+use millford_routing::choice::{Affinity, Candidate, HOME_PATIENCE, choose};
+use millford_routing::rendezvous;
+use quickcheck::quickcheck;
+
+fn candidates(loads: &[u8]) -> Vec<Candidate> {
+    let candidate = |(index, load): (usize, &u8)| Candidate {
+        backend_id: format!("backend-{index}"),
+        weight_milli: 1000,
+        load: f64::from(*load),
+    };
+    loads.iter().enumerate().map(candidate).collect()
+}
+
+fn affinity(key: u64, saving: f64) -> Option<Affinity> {
+    Some(Affinity {
+        key,
+        saving,
+        gain: 0.0,
+    })
+}
+
+fn home(candidates: &[Candidate], key: u64) -> usize {
+    let score = |index: &usize| {
+        let candidate = &candidates[*index];
+        rendezvous::score(key, &candidate.backend_id, candidate.weight_milli)
+    };
+    let order = 0..candidates.len();
+    let best = order.max_by(|left, right| score(left).total_cmp(&score(right)));
+    best.expect("there are candidates")
+}
+
+quickcheck! {
+    /// Something is chosen whenever there is something to choose.
+    fn a_choice_exists(loads: Vec<u8>, key: Option<u64>, first: u64, second: u64) -> bool {
+        let list = candidates(&loads);
+        let choice = choose(&list, key.and_then(|key| affinity(key, 1.0)), [first, second]);
+        choice.is_some() != list.is_empty()
+            && choice.is_none_or(|choice| choice.index < list.len())
+    }
+
+    /// An idle fleet sends a key always to its home, whatever the random numbers.
+    fn affinity_is_stable(count: u8, key: u64, first: u64, second: u64) -> bool {
+        let list = candidates(&vec![0; usize::from(count % 20) + 1]);
+        let choice = choose(&list, affinity(key, 1.0), [first, second]).expect("a choice");
+        choice.by_affinity && choice.index == home(&list, key)
+    }
+
+    /// Losing a backend moves only the keys that had their home there.
+    fn a_lost_backend_moves_only_its_own_keys(count: u8, lost: u8, key: u64) -> bool {
+        let list = candidates(&vec![0; usize::from(count % 20) + 2]);
+        let lost = usize::from(lost) % list.len();
+        let before = home(&list, key);
+        let mut left = list.clone();
+        left.remove(lost);
+        let after = &left[home(&left, key)];
+        before == lost || after.backend_id == list[before].backend_id
+    }
+
+    /// A home is kept only while it is not behind the drawn alternative by more than it saves.
+    fn affinity_keeps_the_load_bound(loads: Vec<u8>, key: u64, saving: u8) -> bool {
+        let list = candidates(&loads);
+        let saving = f64::from(saving);
+        let alternative = choose(&list, None, [3, 5]);
+        let chosen = choose(&list, affinity(key, saving), [3, 5]);
+        match (chosen, alternative) {
+            (Some(choice), Some(alternative)) if choice.by_affinity => {
+                list[choice.index].load <= list[alternative.index].load + saving
+            }
+            (Some(choice), Some(alternative)) => choice.index == alternative.index,
+            _ => list.is_empty(),
+        }
+    }
+
+    /// With a gain, a home may be behind by the saving and the patience, and no more.
+    fn patience_is_bounded(loads: Vec<u8>, key: u64, saving: u8, gain: u8) -> bool {
+        let list = candidates(&loads);
+        let gain = f64::from(gain % 101) / 100.0;
+        let affinity = Some(Affinity { key, saving: f64::from(saving), gain });
+        let mean = list.iter().map(|candidate| candidate.load).sum::<f64>() / list.len().max(1) as f64;
+        match (choose(&list, affinity, [3, 5]), choose(&list, None, [3, 5])) {
+            (Some(choice), Some(alternative)) if choice.by_affinity => {
+                let slack = f64::from(saving) + gain * HOME_PATIENCE * mean;
+                list[choice.index].load <= list[alternative.index].load + slack + 1e-9
+            }
+            _ => true,
+        }
+    }
+
+    /// A home that is worth its load is never passed over.
+    fn a_home_worth_its_load_is_kept(loads: Vec<u8>, key: u64) -> bool {
+        let list = candidates(&loads);
+        let enough = f64::from(u8::MAX);
+        choose(&list, affinity(key, enough), [3, 5])
+            .is_none_or(|choice| choice.by_affinity && choice.index == home(&list, key))
+    }
+
+    /// The better of two is never the worst of three or more different loads.
+    fn the_worst_of_many_is_not_chosen(count: u8, first: u64, second: u64) -> bool {
+        let loads: Vec<u8> = (0..=(count % 30) + 2).collect();
+        let list = candidates(&loads);
+        let choice = choose(&list, None, [first, second]).expect("a choice");
+        choice.index != list.len() - 1
+    }
+}
+
+#[test]
+fn weights_share_out_the_keys() {
+    let mut list = candidates(&[0, 0]);
+    list[0].weight_milli = 3000;
+    let keys = 20_000u64;
+    let at_first =
+        (0..keys).filter(|key| home(&list, key.wrapping_mul(0x9E37_79B9_7F4A_7C15)) == 0);
+    let share = at_first.count() as f64 / keys as f64;
+    assert!((share - 0.75).abs() < 0.02, "share {share}");
+}
+
+#[test]
+fn weights_share_out_the_draws() {
+    let mut list = candidates(&[0, 0, 0]);
+    list[2].weight_milli = 0;
+    let mut chosen = [0u32; 3];
+    for round in 0..3_000u64 {
+        let random = [round.wrapping_mul(0x9E37_79B9_7F4A_7C15), round];
+        let choice = choose(&list, None, random).expect("a choice");
+        chosen[choice.index] += 1;
+    }
+    // A weight of nothing is drawn as one thousandth at most.
+    assert!(chosen[2] < 30, "{chosen:?}");
+}
