--- /dev/null
+++ b/crates/control-state/examples/state_cost.rs
@@ -0,0 +1,137 @@
+//! Measures what claims and active quotas cost a shard's leader, in memory and time.
+//!
+//! `cargo run --release -p millford-control-state --example state_cost -- claims|quotas`
+
+use std::time::Instant;
+
+use millford_api::command::{Claim, Command, command::Kind};
+use millford_api::config::Quota;
+use millford_api::internal::{QuotaAsk, QuotaRequest};
+use millford_control_state::ShardMachine;
+use millford_control_state::quota::{QuotaLedger, QuotaOptions};
+use millford_core::{MonotonicTime, ShardId};
+
+/// Claims at each step of the measurement.
+const CLAIM_STEPS: [u64; 4] = [50_000, 100_000, 200_000, 400_000];
+/// Active tenants at each step of the measurement.
+const TENANT_STEPS: [u64; 4] = [1_000, 2_000, 4_000, 16_000];
+/// Nodes that ask for each tenant.
+const NODES: u64 = 4;
+/// Bytes of a page of memory.
+const PAGE: u64 = 4096;
+
+fn main() {
+    // One kind in a process, so that none measures memory that the other gave back.
+    match std::env::args().nth(1).as_deref() {
+        Some("claims") => measure_claims(),
+        Some("quotas") => measure_quotas(),
+        _ => println!("usage: state_cost claims|quotas"),
+    }
+}
+
+fn measure_claims() {
+    println!(
+        "claims, resident bytes each, apply in microseconds, snapshot bytes each, snapshot in ms"
+    );
+    // Kept, so that no step measures memory that an earlier one gave back.
+    let mut kept = Vec::new();
+    for count in CLAIM_STEPS {
+        let before = resident_bytes();
+        let start = Instant::now();
+        let mut machine = ShardMachine::new(ShardId(1));
+        for number in 1..=count {
+            machine.apply(number, 1, &claim(number));
+        }
+        let applied = start.elapsed();
+        let held = resident_bytes().saturating_sub(before);
+        let start = Instant::now();
+        let snapshot = machine.snapshot();
+        println!(
+            "{count}, {}, {:.2}, {}, {:.0}",
+            held / count,
+            applied.as_secs_f64() * 1e6 / count as f64,
+            snapshot.len() as u64 / count,
+            start.elapsed().as_secs_f64() * 1e3
+        );
+        kept.push((machine, snapshot));
+    }
+}
+
+fn claim(number: u64) -> Command {
+    Command {
+        kind: Some(Kind::Claim(Claim {
+            tenant: format!("tenant-{}", number % 16_000),
+            request_id: format!("5c1b2a9e-0d3f-4a77-9c52-{number:012x}"),
+            attempt_id: format!("{number:032x}"),
+            digest: vec![7; 32],
+        })),
+    }
+}
+
+fn measure_quotas() {
+    println!("active tenants, resident bytes each, ask in microseconds, sweep in ms");
+    let mut kept = Vec::new();
+    for count in TENANT_STEPS {
+        let before = resident_bytes();
+        let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
+        ledger.lead(MonotonicTime::ZERO, 1);
+        let now = MonotonicTime::from_millis(3_600_000);
+        for number in 0..count {
+            ledger.set_quota(now, &tenant(number), Some(quota()));
+        }
+        let start = Instant::now();
+        for number in 0..count * NODES {
+            ledger.handle(now, &request(number, count));
+        }
+        let asked = start.elapsed();
+        let held = resident_bytes().saturating_sub(before);
+        let start = Instant::now();
+        ledger.tick(now + QuotaOptions::default().sweep_interval);
+        println!(
+            "{count}, {}, {:.2}, {:.1}",
+            held / count,
+            asked.as_secs_f64() * 1e6 / (count * NODES) as f64,
+            start.elapsed().as_secs_f64() * 1e3
+        );
+        kept.push(ledger);
+    }
+}
+
+fn tenant(number: u64) -> String {
+    format!("tenant-{number}")
+}
+
+fn quota() -> Quota {
+    Quota {
+        requests_per_second: 10,
+        burst: 20,
+        concurrent_streams: 8,
+    }
+}
+
+fn request(number: u64, tenants: u64) -> QuotaRequest {
+    let ask = QuotaAsk {
+        tenant: tenant(number % tenants),
+        tokens: 1,
+        slots_wanted: 1,
+        slots_in_use: 1,
+        ..QuotaAsk::default()
+    };
+    QuotaRequest {
+        shard: 1,
+        request_id: number + 1,
+        member: format!("agent-{}", number / tenants),
+        epoch: 1,
+        asks: vec![ask],
+    }
+}
+
+/// Memory of this process that is resident, in bytes; 0 where the system does not tell.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or(0)
+        * PAGE
+}
--- a/crates/control-state/src/machine/claim_table.rs
+++ b/crates/control-state/src/machine/claim_table.rs
@@ -1,36 +1,32 @@
 //! Claims: the single run of a request that may not be repeated.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 
 use millford_api::command::{Claim, ClaimRecord, ClaimResult, RunOutcome, SettleClaim};
 use millford_core::ResultCode;
 
 use super::applied::Applied;
+use super::kept_claim::{KeptClaim, attempt_hash, digest_hash, key_hash};
+use super::short_hash::ShortHash;
 
 /// How long a claim is kept, in milliseconds of shard time: one day.
 ///
 /// A request id that is used again after that is a new request.
 pub const CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
 
-/// Tenant and request id of a claim.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ClaimKey {
-    tenant: String,
-    request_id: String,
-}
-
-/// Age of a claim; orders the drop of old ones.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// When a key was claimed. Stale once the key was claimed again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ClaimAge {
     claimed_at_ms: u64,
-    key: ClaimKey,
+    key: ShortHash,
 }
 
-/// Every claim that is still kept.
+/// Every claim that is still kept, by the hash of tenant and request id.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClaimTable {
-    claims: BTreeMap<ClaimKey, ClaimRecord>,
-    ages: BTreeSet<ClaimAge>,
+    claims: BTreeMap<ShortHash, KeptClaim>,
+    /// Oldest first: shard time never goes back.
+    ages: VecDeque<ClaimAge>,
 }
 
 impl ClaimTable {
@@ -39,19 +35,16 @@
     /// At most one attempt id is ever granted while an earlier one may have run: a second attempt
     /// is granted only after the first was settled as not run.
     pub(crate) fn claim(&mut self, claim: &Claim, now_ms: u64) -> Applied {
-        let key = ClaimKey {
-            tenant: claim.tenant.clone(),
-            request_id: claim.request_id.clone(),
-        };
+        let key = key_hash(&claim.tenant, &claim.request_id);
         let Some(known) = self.claims.get(&key) else {
             return self.grant(key, claim, now_ms);
         };
-        let same_attempt = known.attempt_id == claim.attempt_id;
-        let outcome = known.outcome();
+        let same_attempt = known.attempt == attempt_hash(&claim.attempt_id);
+        let outcome = known.outcome;
         if outcome == RunOutcome::RunNotRun && !same_attempt {
             return self.grant(key, claim, now_ms);
         }
-        if outcome != RunOutcome::RunNotRun && known.digest != claim.digest {
+        if outcome != RunOutcome::RunNotRun && known.digest != digest_hash(&claim.digest) {
             return Applied::code(ResultCode::IdempotencyKeyReused);
         }
         let granted = same_attempt && outcome == RunOutcome::RunUnknown;
@@ -60,17 +53,14 @@
 
     /// Records what became of a granted attempt. The first settlement stands.
     ///
-    /// An attempt that gives up before its claim was answered settles as not run; the record keeps
+    /// An attempt that gives up before its claim was answered settles as not run; the mark keeps
     /// the claim, should it still arrive, from being granted to an attempt that has ended.
     pub(crate) fn settle(&mut self, settle: &SettleClaim, now_ms: u64) -> Applied {
-        let key = ClaimKey {
-            tenant: settle.tenant.clone(),
-            request_id: settle.request_id.clone(),
-        };
+        let key = key_hash(&settle.tenant, &settle.request_id);
         match self.claims.get_mut(&key) {
             Some(known) => settle_known(known, settle),
             None if settle.outcome() == RunOutcome::RunNotRun => {
-                self.insert(key, abandoned(settle, now_ms));
+                self.insert(key, KeptClaim::abandoned(settle, now_ms));
             }
             None => {}
         }
@@ -80,73 +70,66 @@
     /// Drops the claims that are older than [`CLAIM_RETENTION_MS`].
     pub(crate) fn drop_old(&mut self, now_ms: u64) {
         let horizon = now_ms.saturating_sub(CLAIM_RETENTION_MS);
-        while let Some(oldest) = self.ages.first() {
+        while let Some(oldest) = self.ages.front().copied() {
             if oldest.claimed_at_ms >= horizon {
                 return;
             }
-            let oldest = oldest.clone();
-            self.ages.remove(&oldest);
-            self.claims.remove(&oldest.key);
+            self.ages.pop_front();
+            let kept = self.claims.get(&oldest.key);
+            if kept.is_some_and(|kept| kept.claimed_at_ms == oldest.claimed_at_ms) {
+                self.claims.remove(&oldest.key);
+            }
         }
     }
 
-    /// The claims in the order of tenant and request id.
-    pub(crate) fn records(&self) -> impl Iterator<Item = &ClaimRecord> {
-        self.claims.values()
+    /// Number of claims.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
     }
 
-    /// Puts a record back, for a restore.
-    pub(crate) fn restore(&mut self, record: ClaimRecord) {
-        let key = ClaimKey {
-            tenant: record.tenant.clone(),
-            request_id: record.request_id.clone(),
-        };
-        self.insert(key, record);
+    /// The claims in the order of their keys, for a snapshot.
+    pub(crate) fn records(&self) -> Vec<ClaimRecord> {
+        let claims = self.claims.iter();
+        claims.map(|(key, kept)| kept.to_record(*key)).collect()
     }
 
-    fn grant(&mut self, key: ClaimKey, claim: &Claim, now_ms: u64) -> Applied {
-        let record = ClaimRecord {
-            tenant: claim.tenant.clone(),
-            request_id: claim.request_id.clone(),
-            attempt_id: claim.attempt_id.clone(),
-            digest: claim.digest.clone(),
-            outcome: RunOutcome::RunUnknown.into(),
-            claimed_at_ms: now_ms,
-        };
-        self.insert(key, record);
-        answer(true, RunOutcome::RunUnknown)
-    }
-
-    fn insert(&mut self, key: ClaimKey, record: ClaimRecord) {
-        let age = ClaimAge {
-            claimed_at_ms: record.claimed_at_ms,
-            key: key.clone(),
-        };
-        if let Some(replaced) = self.claims.insert(key.clone(), record) {
-            self.ages.remove(&ClaimAge {
-                claimed_at_ms: replaced.claimed_at_ms,
+    /// The table of a snapshot; nothing when a record is malformed.
+    pub(crate) fn from_records(records: &[ClaimRecord]) -> Option<Self> {
+        let mut claims = BTreeMap::new();
+        let mut ages = Vec::with_capacity(records.len());
+        for record in records {
+            let key = ShortHash::from_bytes(&record.key)?;
+            claims.insert(key, KeptClaim::from_record(record)?);
+            ages.push(ClaimAge {
+                claimed_at_ms: record.claimed_at_ms,
                 key,
             });
         }
-        self.ages.insert(age);
+        ages.sort_unstable();
+        Some(Self {
+            claims,
+            ages: ages.into(),
+        })
+    }
+
+    fn grant(&mut self, key: ShortHash, claim: &Claim, now_ms: u64) -> Applied {
+        self.insert(key, KeptClaim::granted(claim, now_ms));
+        answer(true, RunOutcome::RunUnknown)
     }
-}
 
-fn settle_known(known: &mut ClaimRecord, settle: &SettleClaim) {
-    let open = known.outcome() == RunOutcome::RunUnknown;
-    if open && known.attempt_id == settle.attempt_id {
-        known.outcome = settle.outcome;
+    fn insert(&mut self, key: ShortHash, claim: KeptClaim) {
+        self.claims.insert(key, claim);
+        self.ages.push_back(ClaimAge {
+            claimed_at_ms: claim.claimed_at_ms,
+            key,
+        });
     }
 }
 
-fn abandoned(settle: &SettleClaim, now_ms: u64) -> ClaimRecord {
-    ClaimRecord {
-        tenant: settle.tenant.clone(),
-        request_id: settle.request_id.clone(),
-        attempt_id: settle.attempt_id.clone(),
-        digest: Vec::new(),
-        outcome: settle.outcome,
-        claimed_at_ms: now_ms,
+fn settle_known(known: &mut KeptClaim, settle: &SettleClaim) {
+    let open = known.outcome == RunOutcome::RunUnknown;
+    if open && known.attempt == attempt_hash(&settle.attempt_id) {
+        known.outcome = settle.outcome();
     }
 }
 
--- /dev/null
+++ b/crates/control-state/src/machine/kept_claim.rs
@@ -0,0 +1,72 @@
+//! One claim as the shard keeps it.
+
+use millford_api::command::{Claim, ClaimRecord, RunOutcome, SettleClaim};
+
+use super::short_hash::ShortHash;
+
+/// Outcome of a claimed run and what it takes to know the claim again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct KeptClaim {
+    pub(super) attempt: ShortHash,
+    pub(super) digest: ShortHash,
+    pub(super) outcome: RunOutcome,
+    pub(super) claimed_at_ms: u64,
+}
+
+impl KeptClaim {
+    /// A claim that is granted now.
+    pub(super) fn granted(claim: &Claim, now_ms: u64) -> Self {
+        Self {
+            attempt: attempt_hash(&claim.attempt_id),
+            digest: digest_hash(&claim.digest),
+            outcome: RunOutcome::RunUnknown,
+            claimed_at_ms: now_ms,
+        }
+    }
+
+    /// The mark of an attempt that gave up before its claim arrived.
+    pub(super) fn abandoned(settle: &SettleClaim, now_ms: u64) -> Self {
+        Self {
+            attempt: attempt_hash(&settle.attempt_id),
+            digest: ShortHash::default(),
+            outcome: RunOutcome::RunNotRun,
+            claimed_at_ms: now_ms,
+        }
+    }
+
+    /// The record of a snapshot.
+    pub(super) fn to_record(self, key: ShortHash) -> ClaimRecord {
+        ClaimRecord {
+            key: key.to_bytes(),
+            attempt: self.attempt.to_bytes(),
+            digest: self.digest.to_bytes(),
+            outcome: self.outcome.into(),
+            claimed_at_ms: self.claimed_at_ms,
+        }
+    }
+
+    /// The claim of a snapshot's record; nothing when a hash has the wrong length.
+    pub(super) fn from_record(record: &ClaimRecord) -> Option<Self> {
+        Some(Self {
+            attempt: ShortHash::from_bytes(&record.attempt)?,
+            digest: ShortHash::from_bytes(&record.digest)?,
+            outcome: record.outcome(),
+            claimed_at_ms: record.claimed_at_ms,
+        })
+    }
+}
+
+/// Hash of tenant and request id.
+pub(super) fn key_hash(tenant: &str, request_id: &str) -> ShortHash {
+    ShortHash::of(&[tenant.as_bytes(), request_id.as_bytes()])
+}
+
+/// Hash of an attempt's id.
+pub(super) fn attempt_hash(attempt_id: &str) -> ShortHash {
+    ShortHash::of(&[attempt_id.as_bytes()])
+}
+
+/// Hash of a body's digest.
+pub(super) fn digest_hash(digest: &[u8]) -> ShortHash {
+    ShortHash::of(&[digest])
+}
--- a/crates/control-state/src/machine/mod.rs
+++ b/crates/control-state/src/machine/mod.rs
@@ -5,12 +5,14 @@
 mod claim_table;
 mod configuration;
 mod control_members;
+mod kept_claim;
 mod order_record;
 mod placements;
 mod public_state;
 mod restore_error;
 mod session_registry;
 mod shard_machine;
+mod short_hash;
 mod snapshot;
 
 pub use applied::Applied;
--- a/crates/control-state/src/machine/restore_error.rs
+++ b/crates/control-state/src/machine/restore_error.rs
@@ -8,6 +8,9 @@
     /// The bytes cannot be decoded.
     #[error("the snapshot cannot be decoded: {0}")]
     Undecodable(#[from] prost::DecodeError),
+    /// A claim's hash has the wrong length.
+    #[error("the snapshot has a malformed claim")]
+    MalformedClaim,
     /// An item of the public state has no value.
     #[error("the snapshot's item {key} has no value")]
     ItemWithoutValue {
--- a/crates/control-state/src/machine/shard_machine.rs
+++ b/crates/control-state/src/machine/shard_machine.rs
@@ -117,7 +117,7 @@
     /// Number of claims that are kept.
     #[must_use]
     pub fn claim_count(&self) -> usize {
-        self.claims.records().count()
+        self.claims.len()
     }
 
     /// The command that brings a service's catalogue to what the registry shows, or nothing when
--- a/crates/control-state/src/machine/snapshot.rs
+++ b/crates/control-state/src/machine/snapshot.rs
@@ -21,7 +21,7 @@
             applied_term: self.applied_term,
             public_state: self.public.items().iter().map(item).collect(),
             orders: self.orders.orders().cloned().collect(),
-            claims: self.claims.records().cloned().collect(),
+            claims: self.claims.records(),
             sessions: self.sessions.sessions().values().cloned().collect(),
             shard_time_ms: self.shard_time_ms,
             next_epoch: self.sessions.last_epoch() + 1,
@@ -37,6 +37,8 @@
     pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
         let snapshot = MachineSnapshot::decode(data)?;
         let items = decode_items(snapshot.public_state)?;
+        let claims =
+            ClaimTable::from_records(&snapshot.claims).ok_or(RestoreError::MalformedClaim)?;
         self.applied_index = snapshot.applied_index;
         self.applied_term = snapshot.applied_term;
         self.shard_time_ms = snapshot.shard_time_ms;
@@ -45,10 +47,7 @@
         for order in snapshot.orders {
             self.orders.add(order);
         }
-        self.claims = ClaimTable::default();
-        for record in snapshot.claims {
-            self.claims.restore(record);
-        }
+        self.claims = claims;
         let last_epoch = snapshot.next_epoch.saturating_sub(1);
         self.sessions.replace(snapshot.sessions, last_epoch);
         self.catalogue.replace(snapshot.drains);
