--- a/crates/control/src/daemon/shard_thread.rs
+++ b/crates/control/src/daemon/shard_thread.rs
@@ -77,6 +77,9 @@
             return;
         }
         let outputs = core.flush(monotonic_now());
+        if outputs.is_empty() {
+            continue;
+        }
         let event = GatewayEvent::Shard {
             shard,
             generation,
