Settle a whole stream as completed even if its caller is gone

Cause: a caller that left between the last piece and the end marker left its claim as "may have run" although the run had come to its end. Also: moving a stream and the HTTP answers are modules of their own.

--- a/crates/proxy/src/daemon/mod.rs
+++ b/crates/proxy/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 pub mod outstanding;
 pub mod prober;
 pub mod reporter;
+pub mod responses;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/proxy/src/daemon/server.rs
+++ b/crates/proxy/src/daemon/server.rs
@@ -5,17 +5,19 @@
 
 use bytes::{Buf, Bytes};
 use futures::Stream;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, StatusCode};
 use millford_core::ResultCode;
 use millford_settings::{PartLog, metrics};
 use warp::Filter;
-use warp::reply::Reply as _;
 
 use crate::backend_protocol::COMPLETIONS_PATH;
 use crate::daemon::body_reader::read_body;
-use crate::daemon::caller_channel::{CallerChannel, caller_channel};
+use crate::daemon::caller_channel::caller_channel;
 use crate::daemon::caller_headers::read_headers;
-use crate::request::caller::{CallerHead, CallerRequest};
+use crate::daemon::responses::{
+    HttpResponse, REVISION_HEADER, channel_response, refusal_response, set, text_response,
+};
+use crate::request::caller::CallerRequest;
 use crate::request::completion::serve_completion;
 use crate::request::environment::RequestEnvironment;
 use crate::request::lookup::serve_lookup;
@@ -28,13 +30,6 @@
 const READY_PATH: &str = "/readyz";
 const METRICS_PATH: &str = "/metrics";
 
-/// Header that names the request, for support.
-const REQUEST_ID_HEADER: &str = "x-millford-request-id";
-/// Header that names the configuration revision that decided the request.
-const REVISION_HEADER: &str = "x-millford-revision";
-
-type HttpResponse = warp::reply::Response;
-
 /// Limits of the HTTP interface.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
@@ -138,7 +133,7 @@
         let record = serve_completion(environment.as_ref(), request, &mut sink).await;
         log_record(&record);
     });
-    response(channel).await
+    channel_response(channel).await
 }
 
 async fn lookup<E>(
@@ -170,40 +165,7 @@
         let record = serve_lookup(environment.as_ref(), request, &mut sink).await;
         log_record(&record);
     });
-    response(channel).await
-}
-
-async fn response(channel: CallerChannel) -> HttpResponse {
-    let Ok(head) = channel.head.await else {
-        let refusal = Refusal::may_have_run(ResultCode::BackendError);
-        return refusal_response(&refusal);
-    };
-    let mut response = warp::reply::stream(channel.body).into_response();
-    apply_head(&mut response, &head);
-    response
-}
-
-fn apply_head(response: &mut HttpResponse, head: &CallerHead) {
-    let status = StatusCode::from_u16(head.status);
-    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    set(response, "content-type", &head.content_type);
-    set(response, REQUEST_ID_HEADER, &head.request_id);
-    set(response, REVISION_HEADER, &head.revision.to_string());
-    if let Some(length) = head.content_length {
-        set(response, "content-length", &length.to_string());
-    } else {
-        set(response, "cache-control", "no-cache");
-    }
-    if let Some(millis) = head.retry_after_ms {
-        // The header counts whole seconds; the body has the milliseconds.
-        set(response, "retry-after", &millis.div_ceil(1000).to_string());
-    }
-}
-
-fn set(response: &mut HttpResponse, name: &'static str, value: &str) {
-    if let Ok(value) = value.parse() {
-        response.headers_mut().insert(name, value);
-    }
+    channel_response(channel).await
 }
 
 /// A refusal before the request path began.
@@ -219,20 +181,6 @@
     response
 }
 
-fn refusal_response(refusal: &Refusal) -> HttpResponse {
-    let status = StatusCode::from_u16(refusal.status());
-    let mut response = text_response(status.unwrap_or(StatusCode::BAD_REQUEST), refusal.body());
-    set(&mut response, "content-type", "application/json");
-    if let Some(millis) = refusal.retry_after_ms {
-        set(
-            &mut response,
-            "retry-after",
-            &millis.div_ceil(1000).to_string(),
-        );
-    }
-    response
-}
-
 fn unserved<E: RequestEnvironment>(path: &str, environment: &E) -> HttpResponse {
     let own_paths = [COMPLETIONS_PATH, HEALTH_PATH, READY_PATH, METRICS_PATH];
     let known = own_paths.contains(&path) || environment.state().table().match_path(path).is_ok();
@@ -267,12 +215,6 @@
     response
 }
 
-fn text_response(status: StatusCode, text: impl Into<String>) -> HttpResponse {
-    let mut response = Response::new(text.into().into());
-    *response.status_mut() = status;
-    response
-}
-
 fn path_and_query(path: &str, query: Option<&str>) -> String {
     match query {
         Some(query) => format!("{path}?{query}"),
--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -116,7 +116,8 @@
         ..CostSample::default()
     };
     let by_affinity = opened.attempt.replica.by_affinity;
-    let relayed = if let FirstPart::Plain { body, content_type } = &opened.part {
+    let not_given;
+    let usage = if let FirstPart::Plain { body, content_type } = &opened.part {
         let (body, content_type) = (body.clone(), content_type.clone());
         let mut attempt = opened.attempt;
         attempt.finish();
@@ -124,21 +125,20 @@
         let usage = plain_usage(&body);
         // The run is complete, whether or not the caller still takes the answer.
         let given = reply.whole(body, &content_type).await;
-        given.map_err(|_| Ended::CallerGone(RunState::MayHaveRun))?;
-        Ok(usage)
+        not_given = given.err().map(|_| Ended::CallerGone(RunState::MayHaveRun));
+        usage
     } else {
         let relayed = relay_stream(environment, &plan, opened, reply).await;
         match &relayed {
             Ok(_) => settle(environment, claim.as_ref(), RunOutcome::RunCompleted),
             Err(ended) => settle_ended(environment, claim.as_ref(), ended),
         }
-        relayed.map(|totals| {
-            sample.output_tokens = clamp_to_u32(totals.pieces);
-            sample.decode_ms = millis(totals.decode);
-            totals.usage
-        })
+        let totals = relayed?;
+        sample.output_tokens = clamp_to_u32(totals.pieces);
+        sample.decode_ms = millis(totals.decode);
+        not_given = totals.not_given;
+        totals.usage
     };
-    let usage = relayed?;
     if by_affinity && let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
         let share = usage.cached_tokens as f64 / usage.prompt_tokens as f64;
         state.costs.add_cached_share(&plan.requirement.model, share);
@@ -151,7 +151,7 @@
             .add_inter_token(&plan.requirement.model, streams, inter_token);
     }
     state.board.add_sample(&sample_key, sample);
-    Ok(())
+    not_given.map_or(Ok(()), Err)
 }
 
 /// A session stays with its backend; without one, requests that share a prefix do.
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -18,6 +18,7 @@
 pub mod first_answer;
 pub mod lookup;
 pub mod message;
+pub mod move_stream;
 pub mod piece;
 pub mod piece_reader;
 pub mod plain_body;
--- a/crates/proxy/src/request/relay.rs
+++ b/crates/proxy/src/request/relay.rs
@@ -1,16 +1,14 @@
 //! Relays a stream to the caller, from one backend or, where the route allows, from the next.
 
-use millford_api::config::Resume;
 use millford_core::{Duration, MonotonicTime, ResultCode, RunState};
 use millford_routing::EjectionReason;
 
 use crate::proxy_metrics::ProxyMetrics;
 use crate::request::attempt::{Attempt, FirstPart, Opened};
 use crate::request::caller::{CallerPresence, CallerSink};
-use crate::request::choose_backend::choose_backend;
 use crate::request::environment::RequestEnvironment;
-use crate::request::failure::RunFate;
 use crate::request::first_answer::Ended;
+use crate::request::move_stream::{LostStream, move_stream};
 use crate::request::piece::{Piece, Usage};
 use crate::request::piece_reader::{PieceReader, StreamItem};
 use crate::request::plan::RequestPlan;
@@ -21,7 +19,7 @@
 use crate::request::wait::{Waited, wait_until};
 
 /// What the stream brought, for the cost fit.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct StreamTotals {
     /// Time from the attempt's start to its first piece.
     pub first_token: Duration,
@@ -31,6 +29,8 @@
     pub pieces: u64,
     /// Usage, if the backend sent it.
     pub usage: Option<Usage>,
+    /// Why the caller did not get the end of the whole stream, if it did not.
+    pub not_given: Option<Ended>,
 }
 
 /// Why the present backend gives no more pieces.
@@ -42,7 +42,7 @@
     Stopping,
 }
 
-/// Relays the stream to its end marker, or says why it ended.
+/// Relays the stream to its end marker, or says why the run did not come to its end.
 pub async fn relay_stream<'a, E, C>(
     environment: &'a E,
     plan: &RequestPlan,
@@ -79,7 +79,9 @@
             Ok(StreamItem::Done) => {
                 note_stray_bytes(environment, &reader);
                 attempt.finish();
-                reply.done(plan.deadline).await.map_err(ended_by_reply)?;
+                // The run is complete, whether or not the caller still takes its end.
+                let given = reply.done(plan.deadline).await;
+                totals.not_given = given.err().map(ended_by_reply);
                 return Ok(totals);
             }
             Ok(StreamItem::BackendError) => {
@@ -95,14 +97,7 @@
             }
             Err(Interruption::Broken(code)) => {
                 note_broken(environment, &attempt, code);
-                let next_sequence = reader.next_sequence();
-                let lost = Lost {
-                    backend_id: attempt.replica.key.backend_id.clone(),
-                    version: attempt.replica.key.version.clone(),
-                    run: attempt.run.clone(),
-                    next_sequence,
-                    code,
-                };
+                let lost = LostStream::of(&attempt, reader.next_sequence(), code);
                 // The old connection is closed and its attempt withdrawn before another backend
                 // is asked: nothing of the old one can come between the pieces of the new one.
                 drop(reader);
@@ -135,15 +130,6 @@
     }
 }
 
-/// A stream that lost its backend.
-struct Lost {
-    backend_id: String,
-    version: String,
-    run: String,
-    next_sequence: u64,
-    code: ResultCode,
-}
-
 async fn send_piece<E: RequestEnvironment, C: CallerSink>(
     plan: &RequestPlan,
     piece: Piece,
@@ -194,53 +180,6 @@
     }
 }
 
-/// Lets another backend continue the run at exactly the next sequence number.
-async fn move_stream<'a, E: RequestEnvironment, P: CallerPresence>(
-    environment: &'a E,
-    plan: &RequestPlan,
-    presence: &P,
-    lost: &Lost,
-) -> Result<Opened<'a, E>, Ended> {
-    let state = environment.state();
-    let broken = || Ended::Refused(Refusal::may_have_run(lost.code));
-    let allowed = plan.is_repeatable() && plan.route.resume == Resume::Continue;
-    if !allowed {
-        return Err(broken());
-    }
-    let mut tried = vec![lost.backend_id.clone()];
-    for _ in 0..state.limits.max_connects {
-        let version = Some(lost.version.as_str());
-        let replica = choose_backend(environment, plan, &tried, version).ok_or_else(broken)?;
-        if environment.now() >= plan.deadline || !state.budget.try_spend() {
-            return Err(broken());
-        }
-        state
-            .metrics
-            .second_sends
-            .with_label_values(&["resume"])
-            .inc();
-        tried.push(replica.key.backend_id.clone());
-        let run = lost.run.clone();
-        let attempt = Attempt::resume(environment, replica, run, lost.next_sequence);
-        let running = attempt.run(plan);
-        match wait_until(environment, presence, plan.deadline, running).await {
-            Waited::Ready(Ok(opened)) => {
-                state.metrics.moved_streams.inc();
-                return Ok(opened);
-            }
-            Waited::Ready(Err(failed)) if failed.failure.fate == RunFate::NotSent => {
-                state.budget.refund();
-            }
-            Waited::Ready(Err(failed)) => environment.withdraw_later(failed.reference),
-            Waited::TimeUp => {
-                return Err(Refusal::may_have_run(ResultCode::DeadlineAfterSend).into());
-            }
-            Waited::CallerGone => return Err(Ended::CallerGone(RunState::MayHaveRun)),
-        }
-    }
-    Err(broken())
-}
-
 fn note_heard<E: RequestEnvironment>(
     environment: &E,
     watch: &mut StreamWatch,
--- a/crates/proxy/tests/run_state.rs
+++ b/crates/proxy/tests/run_state.rs
@@ -306,3 +306,15 @@
         .map(|settle| settle.outcome())
         .collect()
 }
+
+#[test]
+fn a_caller_that_leaves_at_the_very_end_leaves_a_completed_run() {
+    let environment = Fixture::once().environment();
+    let mut steps = pieces(0..2);
+    steps.push(Step::Wait(Duration::from_millis(500)));
+    environment.usually(stream(steps, Step::Done));
+    // The last piece comes 40 ms after the start, the end marker 500 ms later.
+    let seen = serve_leaving(&environment, keyed_request(true), 541);
+    assert!(seen.is_done());
+    assert_eq!(settled(&environment), [RunOutcome::RunCompleted]);
+}
