Tell the agent on each connection which streams are open

Cause: slots taken for a proxy that died stayed taken in its agent, so that a tenant under its quota was turned away; and a restarted agent knew nothing of the streams that its proxy still held, so that more could be opened than the quota allows. Considered: counts in ProxyHello; a frame of its own travels in the agent's queue of asks and releases and so keeps its order with them, and other users of the hello are not touched.

--- a/crates/agent/src/agent_core/proxy.rs
+++ b/crates/agent/src/agent_core/proxy.rs
@@ -3,7 +3,7 @@
 use millford_api::internal::{LoadReport, frame};
 use millford_api::local::{
     LocalClaim, LocalFrame, LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply, LocalSettle,
-    local_frame,
+    ProxyStreams, local_frame,
 };
 use millford_api::state::{StateItem, state_value};
 use millford_core::{MonotonicTime, ShardId, service_key};
@@ -21,6 +21,7 @@
     ) {
         match frame.body {
             Some(local_frame::Body::ProxyHello(_)) => self.greet(out),
+            Some(local_frame::Body::OpenStreams(streams)) => self.open_streams(now, streams),
             Some(local_frame::Body::Shown(shown)) => self.proxy.shown(shown.revision),
             Some(local_frame::Body::QuotaAsk(ask)) => self.quota_ask(now, &ask, out),
             Some(local_frame::Body::QuotaRelease(release)) => {
@@ -43,6 +44,15 @@
         }
     }
 
+    /// Only streams that need a slot are counted.
+    fn open_streams(&mut self, now: MonotonicTime, streams: ProxyStreams) {
+        let tenants = streams.tenants.into_iter();
+        let limited = tenants.filter(|streams| self.limits_streams(&streams.tenant));
+        let counts = limited.map(|streams| (streams.tenant, streams.streams));
+        let counts = counts.collect();
+        self.quota.take_over(now, &counts);
+    }
+
     fn quota_ask(&mut self, now: MonotonicTime, ask: &LocalQuotaAsk, out: &mut Vec<AgentOutput>) {
         let limited = self.limits_streams(&ask.tenant);
         let answers = self.quota.ask(now, ask, limited);
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -84,6 +84,17 @@
         self.replies(answers)
     }
 
+    /// A new connection of the proxy. It names every stream slot that it holds: a proxy that started
+    /// afresh holds none, and a restarted agent learns those that were granted before.
+    pub fn take_over(&mut self, now: MonotonicTime, streams: &BTreeMap<String, u32>) {
+        for slice in self.slices.values_mut() {
+            slice.take_over(0);
+        }
+        for (tenant, count) in streams {
+            self.slice(now, tenant).take_over(*count);
+        }
+    }
+
     /// A leader wants a tenant's idle slice back. A node that has not asked for the tenant within
     /// the last lease holds nothing and says nothing: recalls go to every node.
     pub fn recall(&mut self, recall: &QuotaRecall) {
--- a/crates/agent/src/quota/slot_hold.rs
+++ b/crates/agent/src/quota/slot_hold.rs
@@ -56,6 +56,11 @@
         self.in_use = self.in_use.saturating_sub(1);
     }
 
+    /// The proxy says how many streams it has open, whatever was counted before.
+    pub fn take_over(&mut self, streams: u32) {
+        self.in_use = streams;
+    }
+
     /// When the slots in use are to be reported again.
     #[must_use]
     pub fn renewal(&self) -> Option<MonotonicTime> {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -88,6 +88,12 @@
         self.slots.in_use()
     }
 
+    /// A new connection of the proxy: its asks come again, and these streams are open.
+    pub fn take_over(&mut self, streams: u32) {
+        self.waiters.clear();
+        self.slots.take_over(streams);
+    }
+
     /// Tokens that may be spent now.
     #[must_use]
     pub fn tokens(&self, now: MonotonicTime) -> u32 {
--- a/crates/proxy/src/daemon/agent_link.rs
+++ b/crates/proxy/src/daemon/agent_link.rs
@@ -16,7 +16,8 @@
 use tokio::sync::mpsc;
 
 use crate::control::frame_handler::{FrameHandler, FrameOutcome};
-use crate::daemon::outstanding::{Outstanding, Unclaimed};
+use crate::daemon::held_streams::HeldStreams;
+use crate::daemon::outstanding::Outstanding;
 use crate::proxy_state::ProxyState;
 use crate::request::message::{ClaimAnswer, QuotaAnswer, QuotaAsk, QuotaRelease};
 
@@ -34,6 +35,7 @@
     quotas: Outstanding<QuotaAnswer>,
     claims: Outstanding<ClaimAnswer>,
     settles: Outstanding<()>,
+    held: HeldStreams,
 }
 
 /// The control thread's side of the link.
@@ -59,6 +61,7 @@
         quotas: Outstanding::default(),
         claims: Outstanding::default(),
         settles: Outstanding::default(),
+        held: HeldStreams::default(),
     };
     let task = AgentLinkTask {
         link: link.clone(),
@@ -92,11 +95,11 @@
 
     /// Gives a slot or a token back.
     pub fn release_quota(&self, release: QuotaRelease) {
-        self.send(local_frame::Body::QuotaRelease(LocalQuotaRelease {
-            tenant: release.tenant,
-            stream: release.stream,
-            unused: release.unused,
-        }));
+        let mut held = self.held.lock();
+        if release.stream {
+            held.remove(&release.tenant);
+        }
+        self.send(release_body(release));
     }
 
     /// Reserves a run. Sent again on a new connection under the same attempt id.
@@ -131,17 +134,32 @@
         let _ = self.frames.send(frame(body));
     }
 
-    /// A grant that came too late is not kept.
-    fn give_back(&self, unclaimed: &Unclaimed<QuotaAnswer>) {
-        let asked = &unclaimed.frame.body;
-        if let (QuotaAnswer::Granted, Some(local_frame::Body::QuotaAsk(ask))) =
-            (unclaimed.answer, asked)
-        {
-            self.release_quota(QuotaRelease {
-                tenant: ask.tenant.clone(),
-                stream: ask.stream,
-                unused: true,
-            });
+    /// Passes a quota decision on. A grant that came too late is given back.
+    fn answer_quota(&self, request_id: u64, answer: QuotaAnswer) {
+        let mut held = self.held.lock();
+        let Some(asked) = self.asked_quota(request_id) else {
+            return;
+        };
+        let unclaimed = self.quotas.give(request_id, answer);
+        if answer != QuotaAnswer::Granted {
+            return;
+        }
+        let release = QuotaRelease {
+            tenant: asked.tenant,
+            stream: asked.stream,
+            unused: true,
+        };
+        match unclaimed {
+            Some(_) => self.send(release_body(release)),
+            None if release.stream => held.add(&release.tenant),
+            None => {}
+        }
+    }
+
+    fn asked_quota(&self, request_id: u64) -> Option<LocalQuotaAsk> {
+        match self.quotas.frame(request_id)?.body {
+            Some(local_frame::Body::QuotaAsk(ask)) => Some(ask),
+            _ => None,
         }
     }
 
@@ -220,14 +238,21 @@
         let hello = local_frame::Body::ProxyHello(self.hello.clone());
         writer.feed(frame(hello)).await?;
         writer.feed(self.handler.shown_frame()).await?;
-        // Frames queued for the old connection are among the unanswered ones, or out of date.
-        while self.frames.try_recv().is_ok() {}
+        writer.feed(self.start_over()).await?;
         for unanswered in self.link.unanswered() {
             writer.feed(unanswered).await?;
         }
         writer.flush().await
     }
 
+    /// The slots held now. Frames queued for the old connection are dropped: asks, claims and
+    /// settlements are sent again, releases are part of the counts, and load is reported again anyway.
+    fn start_over(&mut self) -> LocalFrame {
+        let held = self.link.held.lock();
+        while self.frames.try_recv().is_ok() {}
+        frame(local_frame::Body::OpenStreams(held.to_frame()))
+    }
+
     /// Takes every frame that has arrived, then shows the result once.
     async fn receive(
         &mut self,
@@ -252,9 +277,7 @@
             FrameOutcome::Changed => return Ok(true),
             FrameOutcome::Reconnect => return Err(closed()),
             FrameOutcome::Quota { request_id, answer } => {
-                if let Some(unclaimed) = self.link.quotas.give(request_id, answer) {
-                    self.link.give_back(&unclaimed);
-                }
+                self.link.answer_quota(request_id, answer);
             }
             FrameOutcome::Claim { request_id, answer } => {
                 // A claim granted too late was settled as not run by its asker.
@@ -280,6 +303,14 @@
     }
 }
 
+fn release_body(release: QuotaRelease) -> local_frame::Body {
+    local_frame::Body::QuotaRelease(LocalQuotaRelease {
+        tenant: release.tenant,
+        stream: release.stream,
+        unused: release.unused,
+    })
+}
+
 fn frame(body: local_frame::Body) -> LocalFrame {
     LocalFrame { body: Some(body) }
 }
--- a/crates/proxy/src/daemon/mod.rs
+++ b/crates/proxy/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller_channel;
 pub mod caller_headers;
 pub mod environment;
+pub mod held_streams;
 pub mod outstanding;
 pub mod prober;
 pub mod reporter;
--- a/crates/proxy/src/daemon/outstanding.rs
+++ b/crates/proxy/src/daemon/outstanding.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// The frame with this number, if it has no answer yet.
+    #[must_use]
+    pub fn frame(&self, id: u64) -> Option<LocalFrame> {
+        self.lock().get(&id).map(|waiting| waiting.frame.clone())
+    }
+
     /// Every frame that is still waited for, in the order of their numbers. The others are
     /// forgotten: on a new connection their answers cannot come any more.
     #[must_use]
--- a/crates/proxy/tests/daemon_path.rs
+++ b/crates/proxy/tests/daemon_path.rs
@@ -7,7 +7,7 @@
 
 use millford_api::local::{ProxyHello, local_frame};
 use millford_core::Duration;
-use millford_proxy::daemon::agent_link::agent_link;
+use millford_proxy::daemon::agent_link::{AgentLink, agent_link};
 use millford_proxy::daemon::backend_client::BackendClient;
 use millford_proxy::daemon::environment::DaemonEnvironment;
 use millford_proxy::daemon::server::{HttpLimits, service};
@@ -27,6 +27,7 @@
     state: Arc<ProxyState>,
     agent_received: stub_agent::Received,
     backend_requests: Requests,
+    agent: AgentLink,
 }
 
 async fn start(fixture: &Fixture, answer: Answer) -> Proxy {
@@ -39,7 +40,7 @@
     tokio::spawn(task.run());
     let environment = DaemonEnvironment {
         shared: Arc::clone(&state),
-        agent,
+        agent: agent.clone(),
         backends: BackendClient {
             connect_timeout: Duration::from_millis(300),
         },
@@ -58,6 +59,7 @@
         state,
         agent_received,
         backend_requests,
+        agent,
     }
 }
 
@@ -283,3 +285,37 @@
     assert!(seen.contains("retry-after: 1"), "{seen}");
     assert!(proxy.backend_requests.lock().expect("requests").is_empty());
 }
+
+#[tokio::test]
+async fn a_restarted_agent_is_told_of_the_open_streams() {
+    let answer: Answer = Arc::new(|_| Vec::new());
+    let proxy = start(&Fixture::default(), answer).await;
+    let mut stream = tokio::net::TcpStream::connect(proxy.address)
+        .await
+        .expect("connect");
+    let request = post(&headers(""), CHAT_STREAM);
+    tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
+        .await
+        .expect("write");
+    until("the request is at the backend", || {
+        !proxy.backend_requests.lock().expect("requests").is_empty()
+    })
+    .await;
+    let told = || {
+        let received = proxy.agent_received.lock().expect("received");
+        let frames = received.iter().filter_map(|body| match body {
+            local_frame::Body::OpenStreams(streams) => Some(streams.tenants.clone()),
+            _ => None,
+        });
+        frames.collect::<Vec<_>>()
+    };
+    assert_eq!(told().len(), 1);
+    assert!(told()[0].is_empty());
+    proxy.agent.send(stub_agent::hang_up());
+    until("the proxy has linked again", || told().len() == 2).await;
+    assert_eq!(told()[1].len(), 1);
+    assert_eq!(
+        (told()[1][0].tenant.as_str(), told()[1][0].streams),
+        ("library", 1)
+    );
+}
--- a/crates/proxy/tests/run_state.rs
+++ b/crates/proxy/tests/run_state.rs
@@ -313,8 +313,9 @@
     let mut steps = pieces(0..2);
     steps.push(Step::Wait(Duration::from_millis(500)));
     environment.usually(stream(steps, Step::Done));
-    // The last piece comes 40 ms after the start, the end marker 500 ms later.
-    let seen = serve_leaving(&environment, keyed_request(true), 541);
-    assert!(seen.is_done());
+    // The end marker comes 540 ms after the start, when the caller is just gone.
+    let seen = serve_leaving(&environment, keyed_request(true), 540);
+    assert_eq!(seen.sequences(), [0, 1]);
+    assert!(!seen.is_done() && !seen.whole);
     assert_eq!(settled(&environment), [RunOutcome::RunCompleted]);
 }
--- a/crates/proxy/tests/support/stub_agent.rs
+++ b/crates/proxy/tests/support/stub_agent.rs
@@ -7,7 +7,8 @@
 use millford_api::command::ClaimResult;
 use millford_api::internal::StateSnapshot;
 use millford_api::local::{
-    AgentStatus, LocalClaimReply, LocalFrame, LocalQuotaReply, LocalSettleReply, local_frame,
+    AgentStatus, LocalClaimReply, LocalFrame, LocalQuotaReply, LocalSettleReply, ProxyShown,
+    local_frame,
 };
 use millford_api::state::StateItem;
 use millford_transport::accept;
@@ -30,10 +31,18 @@
     (address, received)
 }
 
+/// A frame at which the stub ends the connection, as a dying agent does.
+pub fn hang_up() -> local_frame::Body {
+    local_frame::Body::Shown(ProxyShown { revision: u64::MAX })
+}
+
 async fn serve(stream: TcpStream, items: Vec<StateItem>, received: Received) {
     let (mut reader, mut writer) = accept::<LocalFrame>(stream).expect("socket");
     while let Some(Ok(frame)) = reader.next().await {
         let body = frame.body.expect("body");
+        if body == hang_up() {
+            return;
+        }
         received.lock().expect("received").push(body.clone());
         for answer in answers(body, &items) {
             let frame = LocalFrame { body: Some(answer) };
