--- a/crates/experiments/src/command.rs
+++ b/crates/experiments/src/command.rs
@@ -6,7 +6,7 @@
 use getopts::Options;
 
 use crate::report::Report;
-use crate::suite::{affinity, balance, bandwidth, forecast, retry_storm, transition};
+use crate::suite::{affinity, balance, bandwidth, retry_storm, transition};
 
 /// Seeds when the command names none.
 const DEFAULT_SEEDS: u64 = 3;
@@ -38,10 +38,6 @@
         name: "retry-storm",
         run: retry_storm::run,
     },
-    Experiment {
-        name: "forecast",
-        run: forecast::run,
-    },
 ];
 
 /// Runs `NAME --seeds N [--out DIR]`; prints the report and writes its files.
--- a/crates/experiments/src/suite/mod.rs
+++ b/crates/experiments/src/suite/mod.rs
@@ -3,7 +3,6 @@
 pub mod affinity;
 pub mod balance;
 pub mod bandwidth;
-pub mod forecast;
 pub mod parallel;
 pub mod retry_storm;
 pub mod site;
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -1,11 +1,9 @@
 //! Work in flight, per replica, over all nodes.
 
-pub mod demand_forecast;
 pub mod load_picture;
 pub mod replica_work;
 pub mod smoothed_load;
 
-pub use demand_forecast::DemandForecast;
 pub use load_picture::LoadPicture;
 pub use replica_work::ReplicaWork;
 pub use smoothed_load::{SmoothedLoad, SmoothedWork};
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -23,8 +23,6 @@
     /// Whether models on shared backends get only the replicas that their load wants. Off by default: backends
     /// that declare a model hold it anyway, and fewer replicas measured worse (experiment `bandwidth`).
     pub size_by_load: bool,
-    /// How far ahead demand is forecast when sized by load; zero: not at all.
-    pub forecast_horizon: Duration,
     /// Utilization that replicas on shared backends are sized for, when sized by load.
     pub target_utilization: f64,
     /// A surplus replica is withdrawn only after it was surplus for so long.
@@ -61,7 +59,6 @@
             member_stale_after: Duration::from_secs(5),
             fewest_replicas: 2,
             size_by_load: false,
-            forecast_horizon: Duration::ZERO,
             target_utilization: 0.6,
             scale_down_hold: Duration::from_secs(60),
             step_interval: Duration::from_secs(2),
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -8,7 +8,7 @@
 use millford_core::MonotonicTime;
 
 use crate::cost::{BandwidthAttribution, BandwidthObservation, CostModel};
-use crate::load::{DemandForecast, LoadPicture, SmoothedLoad};
+use crate::load::{LoadPicture, SmoothedLoad};
 use crate::options::PlacerOptions;
 use crate::plan::bandwidth::{PressureClock, weigh};
 use crate::plan::draft::Draft;
@@ -37,7 +37,6 @@
     transitions: TransitionClock,
     last_withdrawal: Option<MonotonicTime>,
     utilization: f64,
-    forecast: DemandForecast,
 }
 
 #[derive(Clone, Debug)]
@@ -66,7 +65,6 @@
             transitions: TransitionClock::default(),
             last_withdrawal: None,
             utilization: 0.0,
-            forecast: DemandForecast::new(options.forecast_horizon),
             options,
         }
     }
@@ -151,20 +149,14 @@
             .keep_backends(|backend| backends.contains_key(backend));
         let bandwidth = self.bandwidth.clone();
         let options = self.options.clone();
-        let forecast = self.forecast.clone();
         let load = PoolLoad {
             costs: &costs,
             bandwidth: &bandwidth,
             work: &work,
             smoothed: &smoothed,
-            forecast: &forecast,
         };
         let view = PoolView::new(now, &options, pool, backends, load);
         self.utilization = view.pool_utilization();
-        for model in view.declared.keys() {
-            let busy = view.model_backends_busy(model);
-            self.forecast.observe(now, model, busy);
-        }
         let mut draft = Draft::new(current);
         self.run_steps(&view, &mut draft);
         self.drains.follow(&draft, now);
--- a/crates/placement/src/plan/pool_view.rs
+++ b/crates/placement/src/plan/pool_view.rs
@@ -7,7 +7,7 @@
 use millford_core::MonotonicTime;
 
 use crate::cost::{BandwidthAttribution, CostModel};
-use crate::load::{DemandForecast, ReplicaWork, SmoothedLoad};
+use crate::load::{ReplicaWork, SmoothedLoad};
 use crate::options::PlacerOptions;
 use crate::plan::pool_limits::PoolLimits;
 use crate::replica_key::ReplicaKey;
@@ -24,8 +24,6 @@
     pub work: &'a BTreeMap<ReplicaKey, ReplicaWork>,
     /// Work in flight, smoothed over some seconds.
     pub smoothed: &'a SmoothedLoad,
-    /// Forecast of each model's demand.
-    pub forecast: &'a DemandForecast,
 }
 
 /// Input of the planning steps.
--- a/crates/placement/src/plan/scale.rs
+++ b/crates/placement/src/plan/scale.rs
@@ -36,10 +36,7 @@
             .max(view.options.fewest_replicas)
             .min(backends.len());
     }
-    let busy = view
-        .load
-        .forecast
-        .expect(model, view.model_backends_busy(model));
+    let busy = view.model_backends_busy(model);
     let for_cores = (busy / view.options.target_utilization).ceil() as usize;
     let for_bandwidth = replicas_for_bandwidth(view, model, &backends);
     let fewest = view.options.fewest_replicas;
