--- a/crates/experiments/src/suite/site.rs
+++ b/crates/experiments/src/suite/site.rs
@@ -73,6 +73,49 @@
     (0..24).map(|index| host(kinds[index % 3])).collect()
 }
 
+/// Names of six models from the heaviest to the lightest.
+const SIX_MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
+/// Cost of each of the six models against the one before it: ten times between first and last.
+const COST_STEP: f64 = 0.631;
+
+/// Backends that each hold three of six models.
+#[must_use]
+pub fn six_model_hosts() -> Vec<HostOptions> {
+    let profile = |model: usize| {
+        let cost = COST_STEP.powi(model as i32);
+        let heavy = ModelProfile::heavy();
+        ModelProfile {
+            prefill_core_micros_per_token: heavy.prefill_core_micros_per_token * cost,
+            decode_base_micros: heavy.decode_base_micros * cost.sqrt(),
+            decode_stream_micros: heavy.decode_stream_micros * cost,
+            decode_cores_per_stream: heavy.decode_cores_per_stream * cost,
+            weights_gigabytes: heavy.weights_gigabytes * cost,
+            stream_gigabytes: heavy.stream_gigabytes * cost,
+            ..heavy
+        }
+    };
+    (0..24)
+        .map(|index| {
+            let held = [index % 6, (index + 1) % 6, (index + 3) % 6];
+            host(&held.map(|model| (SIX_MODELS[model], profile(model))))
+        })
+        .collect()
+}
+
+/// Requests of the six models, each with the same work in all.
+#[must_use]
+pub fn six_model_loads(heaviest_rate: f64) -> Vec<ModelLoad> {
+    SIX_MODELS
+        .iter()
+        .enumerate()
+        .map(|(model, name)| ModelLoad {
+            model: name,
+            rate: heaviest_rate / COST_STEP.powi(model as i32),
+            ..heavy_load(0.0)
+        })
+        .collect()
+}
+
 /// A fleet without placement, retries and faults.
 #[must_use]
 pub fn plain_fleet(
--- a/crates/routing/src/cost_book.rs
+++ b/crates/routing/src/cost_book.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use crate::linear_fit::LinearFit;
+use crate::running_mean::RunningMean;
 
 /// First token of an unknown model: fixed part, in milliseconds.
 const PRIOR_FIRST_TOKEN_MS: f64 = 40.0;
@@ -18,8 +19,6 @@
 /// Most streams that are believed to fit into twice the time of an empty step: guards against a fitted
 /// slope of nearly nothing.
 const MOST_STREAMS: f64 = 256.0;
-/// Weight of a new sample in the means.
-const MEAN_SMOOTHING: f64 = 0.02;
 /// Cached share of a prompt to expect at home and elsewhere before any answer.
 const PRIOR_CACHED_AT_HOME: f64 = 0.5;
 
@@ -28,9 +27,9 @@
 struct ModelCost {
     first_token: LinearFit,
     inter_token: LinearFit,
-    output_tokens: f64,
-    cached_share_at_home: f64,
-    cached_share_elsewhere: f64,
+    output_tokens: RunningMean,
+    cached_share_at_home: RunningMean,
+    cached_share_elsewhere: RunningMean,
 }
 
 impl Default for ModelCost {
@@ -41,9 +40,9 @@
                 PRIOR_INTER_TOKEN_MS,
                 PRIOR_INTER_TOKEN_MS_PER_STREAM,
             ),
-            output_tokens: PRIOR_OUTPUT_TOKENS,
-            cached_share_at_home: PRIOR_CACHED_AT_HOME,
-            cached_share_elsewhere: 0.0,
+            output_tokens: RunningMean::with_prior(PRIOR_OUTPUT_TOKENS),
+            cached_share_at_home: RunningMean::with_prior(PRIOR_CACHED_AT_HOME),
+            cached_share_elsewhere: RunningMean::with_prior(0.0),
         }
     }
 }
@@ -73,21 +72,21 @@
     /// An answer had this many tokens.
     pub fn add_output_tokens(&self, model: &str, tokens: u32) {
         self.change(model, |cost| {
-            approach(&mut cost.output_tokens, f64::from(tokens));
+            cost.output_tokens.add(f64::from(tokens));
         });
     }
 
     /// A request sent to its home found this share of its prompt cached.
     pub fn add_cached_share(&self, model: &str, share: f64) {
         self.change(model, |cost| {
-            approach(&mut cost.cached_share_at_home, share.clamp(0.0, 1.0));
+            cost.cached_share_at_home.add(share.clamp(0.0, 1.0));
         });
     }
 
     /// A request sent elsewhere than to its home found this share of its prompt cached.
     pub fn add_cached_share_elsewhere(&self, model: &str, share: f64) {
         self.change(model, |cost| {
-            approach(&mut cost.cached_share_elsewhere, share.clamp(0.0, 1.0));
+            cost.cached_share_elsewhere.add(share.clamp(0.0, 1.0));
         });
     }
 
@@ -100,14 +99,14 @@
     /// Uncached tokens to expect of a prompt that is sent to its home.
     #[must_use]
     pub fn uncached_tokens_at_home(&self, model: &str, prompt_tokens: u64) -> u64 {
-        let share = 1.0 - self.read(model).cached_share_at_home;
+        let share = 1.0 - self.read(model).cached_share_at_home.value();
         (prompt_tokens as f64 * share).ceil() as u64
     }
 
     /// Uncached tokens to expect of a prompt that is sent elsewhere than to its home.
     #[must_use]
     pub fn uncached_tokens_elsewhere(&self, model: &str, prompt_tokens: u64) -> u64 {
-        let share = 1.0 - self.read(model).cached_share_elsewhere;
+        let share = 1.0 - self.read(model).cached_share_elsewhere.value();
         (prompt_tokens as f64 * share).ceil() as u64
     }
 
@@ -115,7 +114,7 @@
     #[must_use]
     pub fn home_gain(&self, model: &str) -> f64 {
         let cost = self.read(model);
-        (cost.cached_share_at_home - cost.cached_share_elsewhere).max(0.0)
+        (cost.cached_share_at_home.value() - cost.cached_share_elsewhere.value()).max(0.0)
     }
 
     /// Processor time that the warm cache at home saves on a prompt, in milliseconds.
@@ -134,7 +133,7 @@
         let prefill = cost.first_token.slope() * prefill_tokens as f64;
         let least_step_share = cost.inter_token.base() / MOST_STREAMS;
         let step_share = cost.inter_token.slope().max(least_step_share);
-        let tokens_left = cost.output_tokens / 2.0;
+        let tokens_left = cost.output_tokens.value() / 2.0;
         prefill + step_share * tokens_left * f64::from(decode_streams)
     }
 
@@ -148,8 +147,3 @@
         models.get(model).copied().unwrap_or_default()
     }
 }
-
-/// Moves a mean a little towards a new sample.
-fn approach(mean: &mut f64, sample: f64) {
-    *mean += (sample - *mean) * MEAN_SMOOTHING;
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod retry_budget;
 pub mod route_entry;
 pub mod routing_table;
+pub mod running_mean;
 pub mod serving_pool;
 
 pub use admission::AdmissionEstimate;
--- /dev/null
+++ b/crates/routing/src/running_mean.rs
@@ -0,0 +1,38 @@
+//! Mean that follows slow changes.
+
+/// Smallest weight of a new sample.
+const LEAST_SHARE: f64 = 0.02;
+
+/// Samples that the prior counts as.
+const PRIOR_SAMPLES: u32 = 2;
+
+/// A mean that starts at a prior, learns fast at first and then forgets slowly.
+#[derive(Clone, Copy, Debug)]
+pub struct RunningMean {
+    value: f64,
+    samples: u32,
+}
+
+impl RunningMean {
+    /// A mean before any sample.
+    #[must_use]
+    pub fn with_prior(prior: f64) -> Self {
+        Self {
+            value: prior,
+            samples: PRIOR_SAMPLES,
+        }
+    }
+
+    /// Takes one sample in.
+    pub fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let share = (1.0 / f64::from(self.samples)).max(LEAST_SHARE);
+        self.value += (sample - self.value) * share;
+    }
+
+    /// The mean.
+    #[must_use]
+    pub fn value(&self) -> f64 {
+        self.value
+    }
+}
