--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -10,6 +10,7 @@
 
 use crate::backend_protocol::COMPLETIONS_PATH;
 use crate::proxy_metrics::ProxyMetrics;
+use crate::proxy_state::ProxyState;
 use crate::request::admit::admit;
 use crate::request::attempt::FirstPart;
 use crate::request::authenticate::{authenticate, check_open};
@@ -139,19 +140,34 @@
         not_given = totals.not_given;
         totals.usage
     };
-    if by_affinity && let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
+    learn(state, &plan, sample, usage, by_affinity);
+    state.board.add_sample(&sample_key, sample);
+    not_given.map_or(Ok(()), Err)
+}
+
+/// Learns the model's cost from a whole answer.
+fn learn(
+    state: &ProxyState,
+    plan: &RequestPlan,
+    sample: CostSample,
+    usage: Option<Usage>,
+    by_affinity: bool,
+) {
+    let model = &plan.requirement.model;
+    if let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
         let share = usage.cached_tokens as f64 / usage.prompt_tokens as f64;
-        state.costs.add_cached_share(&plan.requirement.model, share);
+        if by_affinity {
+            state.costs.add_cached_share(model, share);
+        } else {
+            state.costs.add_cached_share_elsewhere(model, share);
+        }
     }
     if sample.output_tokens > 1 {
+        state.costs.add_output_tokens(model, sample.output_tokens);
         let inter_token = f64::from(sample.decode_ms) / f64::from(sample.output_tokens - 1);
         let streams = sample.streams_at_start + 1;
-        state
-            .costs
-            .add_inter_token(&plan.requirement.model, streams, inter_token);
+        state.costs.add_inter_token(model, streams, inter_token);
     }
-    state.board.add_sample(&sample_key, sample);
-    not_given.map_or(Ok(()), Err)
 }
 
 /// A session stays with its backend; without one, requests that share a prefix do.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,11 +18,12 @@
 pub mod retry_budget;
 pub mod route_entry;
 pub mod routing_table;
+pub mod running_mean;
 pub mod serving_pool;
 
 pub use admission::AdmissionEstimate;
 pub use backend_health::{BackendHealth, EjectionReason};
-pub use choice::{Candidate, Choice, choose};
+pub use choice::{Affinity, Candidate, Choice, choose};
 pub use cost_book::CostBook;
 pub use fair_queue::{FairQueue, FairQueues, QueueKey};
 pub use load_board::LoadBoard;
