--- a/crates/backend-model/src/lib.rs
+++ b/crates/backend-model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod options;
 pub mod prefix_cache;
 pub mod profile;
+mod progress;
 pub mod prompt;
 mod rates;
 mod run;
--- /dev/null
+++ b/crates/experiments/src/fleet/answers.rs
@@ -0,0 +1,111 @@
+//! Progress of backends and the answers that come from them.
+
+use millford_api::internal::CostSample;
+use millford_backend_model::{BackendEvent, BackendEventKind};
+use millford_core::MonotonicTime;
+
+use crate::fleet::event::Event;
+use crate::fleet::request::{Attempt, Request};
+use crate::fleet::simulation::Simulation;
+
+impl Simulation {
+    /// Requests with an attempt that the test takes.
+    pub(crate) fn requests_with(&self, test: impl Fn(&Request, &Attempt) -> bool) -> Vec<u64> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| {
+                let attempt = request.attempt.as_ref();
+                attempt.is_some_and(|attempt| test(request, attempt))
+            })
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Progresses a host to now and handles what happened on it.
+    pub(crate) fn advance_host(&mut self, host: usize) {
+        let events = self.hosts[host].advance(self.now);
+        let changed = !events.is_empty();
+        for event in events {
+            self.backend_event(event);
+        }
+        if changed {
+            self.reschedule_host(host);
+        }
+    }
+
+    /// Voids the host's pending change and schedules the present one.
+    pub(crate) fn reschedule_host(&mut self, host: usize) {
+        let present = &mut self.hosts[host];
+        present.generation += 1;
+        let generation = present.generation;
+        if let (true, Some(at)) = (present.alive, present.backend.next_change()) {
+            self.queue.add(at, Event::HostChange { host, generation });
+        }
+    }
+
+    fn backend_event(&mut self, event: BackendEvent) {
+        let Some(id) = self.runs.get(&event.run).copied() else {
+            return;
+        };
+        match event.kind {
+            BackendEventKind::FirstToken => self.first_token(id, event.at),
+            BackendEventKind::Tokens(_) => {}
+            BackendEventKind::Finished => self.finished(id, event.at),
+        }
+    }
+
+    fn first_token(&mut self, id: u64, at: MonotonicTime) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        attempt.first_token = Some(at);
+        attempt.ticket.first_piece();
+        if !self.hosts[attempt.host].is_active() {
+            attempt.ticket.held();
+        }
+        let costs = &self.proxies[request.proxy].costs;
+        let millis = at.since(attempt.sent).as_secs_f64() * 1000.0;
+        costs.add_first_token(request.model, attempt.queued_tokens, millis);
+        self.metrics
+            .note_first_token(request.arrived, at.since(request.arrived));
+    }
+
+    fn finished(&mut self, id: u64, at: MonotonicTime) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.take() else {
+            return;
+        };
+        self.runs.remove(&attempt.run);
+        let proxy = &mut self.proxies[request.proxy];
+        proxy.own_open[attempt.host] -= 1;
+        let first = attempt.first_token.unwrap_or(at);
+        let output_tokens = request.prompt.output_tokens;
+        let inter_token = at.since(first) / output_tokens.saturating_sub(1).max(1);
+        if output_tokens > 1 {
+            let millis = inter_token.as_secs_f64() * 1000.0;
+            let streams = attempt.streams_at_start + 1;
+            proxy.costs.add_inter_token(request.model, streams, millis);
+        }
+        proxy.costs.add_output_tokens(request.model, output_tokens);
+        let share = f64::from(attempt.cached_tokens) / f64::from(request.prompt.tokens);
+        if attempt.by_affinity {
+            proxy.costs.add_cached_share(request.model, share);
+        } else {
+            proxy.costs.add_cached_share_elsewhere(request.model, share);
+        }
+        let sample = CostSample {
+            prompt_tokens: u32::try_from(attempt.own_tokens).unwrap_or(u32::MAX),
+            first_token_ms: first.since(attempt.sent).as_millis() as u32,
+            output_tokens,
+            decode_ms: at.since(first).as_millis() as u32,
+            streams_at_start: attempt.streams_at_start,
+        };
+        proxy.board.add_sample(attempt.ticket.key(), sample);
+        self.metrics.note_finish(request.arrived, inter_token);
+    }
+}
--- a/crates/experiments/src/fleet/mod.rs
+++ b/crates/experiments/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet under simulated time: proxies, backends, the placement role, callers.
 
+mod answers;
 mod control;
 mod dispatch;
 pub mod event;
