--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use millford_control::OperatorReply;
+use millford_control::{OperatorReply, OperatorRequest};
 use millford_core::ShardId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -156,10 +156,9 @@
         }
     }
     heal(&mut cluster);
-    let request = cluster.ask(
-        &running(&cluster)[0],
-        millford_control::OperatorRequest::GetConfig,
-    );
+    // A spare that has not joined yet rightly answers that it is in no cluster.
+    let voter = cluster.leader(ShardId(0)).expect("a leader");
+    let request = cluster.ask(&voter, OperatorRequest::GetConfig);
     let OperatorReply::Config(reply) = cluster.answer(request) else {
         panic!("seed {seed}: no configuration after all is well");
     };
--- a/crates/feed/tests/first_subscription.rs
+++ b/crates/feed/tests/first_subscription.rs
@@ -31,7 +31,11 @@
         offset: 0,
     };
     let messages = publisher.subscribe(1, &nothing_shown);
-    assert_eq!(messages.len(), 1, "one message brings it to the newest state");
+    assert_eq!(
+        messages.len(),
+        1,
+        "one message brings it to the newest state"
+    );
     let Some(feed_message::Kind::Snapshot(snapshot)) = &messages[0].kind else {
         panic!("expected the whole state, got {:?}", messages[0]);
     };
