--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -307,6 +307,7 @@
     pub fn unanswered(&mut self, now: MonotonicTime, ask: &QuotaAsk) {
         self.answered(ask);
         self.ask_after = now + QUOTA_RETRY;
+        self.slots.report_again(self.ask_after);
     }
 
     fn answered(&mut self, ask: &QuotaAsk) {
