--- a/crates/control/src/gateway/member_list.rs
+++ b/crates/control/src/gateway/member_list.rs
@@ -1,6 +1,6 @@
 //! The replicated list of control nodes, as far as this node knows it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millford_api::command::{Command, RegisterControlMember, command};
 use millford_api::internal::{ReadState, StateSnapshot, shard_request};
@@ -48,8 +48,9 @@
     }
 
     fn keep_configuration(&mut self, items: &[StateItem]) {
-        let changed = |known: &StateItem| items.iter().any(|item| item.key == known.key);
-        self.configuration.retain(|known| !changed(known));
+        let changed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        self.configuration
+            .retain(|known| !changed.contains(known.key.as_str()));
         let present = items
             .iter()
             .filter(|item| item.value.is_some() && item.key.starts_with(keys::CONFIG_PREFIX));
--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -10,6 +10,7 @@
 
 use crate::backend_protocol::COMPLETIONS_PATH;
 use crate::proxy_metrics::ProxyMetrics;
+use crate::proxy_state::ProxyState;
 use crate::request::admit::admit;
 use crate::request::attempt::FirstPart;
 use crate::request::authenticate::{authenticate, check_open};
@@ -116,7 +117,8 @@
         ..CostSample::default()
     };
     let by_affinity = opened.attempt.replica.by_affinity;
-    let relayed = if let FirstPart::Plain { body, content_type } = &opened.part {
+    let not_given;
+    let usage = if let FirstPart::Plain { body, content_type } = &opened.part {
         let (body, content_type) = (body.clone(), content_type.clone());
         let mut attempt = opened.attempt;
         attempt.finish();
@@ -124,21 +126,33 @@
         let usage = plain_usage(&body);
         // The run is complete, whether or not the caller still takes the answer.
         let given = reply.whole(body, &content_type).await;
-        given.map_err(|_| Ended::CallerGone(RunState::MayHaveRun))?;
-        Ok(usage)
+        not_given = given.err().map(|_| Ended::CallerGone(RunState::MayHaveRun));
+        usage
     } else {
         let relayed = relay_stream(environment, &plan, opened, reply).await;
         match &relayed {
             Ok(_) => settle(environment, claim.as_ref(), RunOutcome::RunCompleted),
             Err(ended) => settle_ended(environment, claim.as_ref(), ended),
         }
-        relayed.map(|totals| {
-            sample.output_tokens = clamp_to_u32(totals.pieces);
-            sample.decode_ms = millis(totals.decode);
-            totals.usage
-        })
+        let totals = relayed?;
+        sample.output_tokens = clamp_to_u32(totals.pieces);
+        sample.decode_ms = millis(totals.decode);
+        not_given = totals.not_given;
+        totals.usage
     };
-    let usage = relayed?;
+    learn(state, &plan, sample, usage, by_affinity);
+    state.board.add_sample(&sample_key, sample);
+    not_given.map_or(Ok(()), Err)
+}
+
+/// Learns the model's cost from a whole answer.
+fn learn(
+    state: &ProxyState,
+    plan: &RequestPlan,
+    sample: CostSample,
+    usage: Option<Usage>,
+    by_affinity: bool,
+) {
     let model = &plan.requirement.model;
     if let Some(usage) = usage.filter(|usage| usage.prompt_tokens > 0) {
         let share = usage.cached_tokens as f64 / usage.prompt_tokens as f64;
@@ -154,8 +168,6 @@
         let streams = sample.streams_at_start + 1;
         state.costs.add_inter_token(model, streams, inter_token);
     }
-    state.board.add_sample(&sample_key, sample);
-    Ok(())
 }
 
 /// A session stays with its backend; without one, requests that share a prefix do.
