Split the tests of documents and of the quota into files of one job each

Reading, checking and canonical form of documents are a file each; the quota's simulated world has its events, random numbers and exact bucket beside it.

--- /dev/null
+++ b/crates/control-state/tests/document_json.rs
@@ -0,0 +1,139 @@
+//! Documents and orders that cannot be read: every fault with its code and path.
+
+mod support;
+
+use millford_control_state::document::{self, Fault};
+use millford_core::ResultCode::{BadField, BadJson, DocumentInvalid};
+use serde_json::{Value, json};
+use support::sound_document;
+
+/// Checks that the JSON cannot be read, with exactly these codes and paths.
+fn assert_unreadable(text: &str, expected: &[(millford_core::ResultCode, &str)]) {
+    let faults = document::parse(text.as_bytes()).expect_err("must not be read");
+    let found: Vec<_> = faults
+        .iter()
+        .map(|fault| (fault.code, fault.path.as_str()))
+        .collect();
+    assert_eq!(found, expected, "{faults:?}");
+}
+
+#[test]
+fn text_that_is_no_json_is_refused() {
+    for text in ["", "{", "nonsense", "{} {}", "{\"routes\":[]} x"] {
+        assert_unreadable(text, &[(BadJson, "")]);
+    }
+    assert_unreadable("{\"routes\": [}", &[(BadJson, "routes[0]")]);
+}
+
+#[test]
+fn fields_that_cannot_be_read_are_named() {
+    assert_unreadable("[]", &[(BadField, "")]);
+    assert_unreadable("{\"routes\": [[\"a\"]]}", &[(BadField, "routes[0]")]);
+    assert_unreadable(
+        "{\"tenants\": [{\"quota\": [1, 2, 3]}]}",
+        &[(BadField, "tenants[0].quota")],
+    );
+    assert_unreadable("{\"lanes\": []}", &[(BadField, "lanes")]);
+    assert_unreadable("{\"routes\": {}}", &[(BadField, "routes")]);
+    assert_unreadable(
+        "{\"routes\": [{\"name\": \"a\", \"deadline\": 1}]}",
+        &[(BadField, "routes[0].deadline")],
+    );
+    assert_unreadable(
+        "{\"routes\": [{\"deadline_ms\": -1}]}",
+        &[(BadField, "routes[0].deadline_ms")],
+    );
+    assert_unreadable(
+        "{\"routes\": [{\"resume\": \"sometimes\"}]}",
+        &[(BadField, "routes[0].resume")],
+    );
+    assert_unreadable(
+        "{\"tenants\": [{\"quota\": {\"burst\": 4294967296}}]}",
+        &[(BadField, "tenants[0].quota.burst")],
+    );
+    // A field given twice: the sentence names it, the path is that of its object.
+    assert_unreadable("{\"routes\": [], \"routes\": []}", &[(BadField, "")]);
+    assert_unreadable(
+        "{\"pools\": [{\"name\": \"a\", \"name\": \"b\"}]}",
+        &[(BadField, "pools[0]")],
+    );
+}
+
+#[test]
+fn every_entry_that_cannot_be_read_is_reported() {
+    assert_unreadable(
+        "{\"routes\": [{\"x\": 1}, {}, {\"pool\": 2}], \"pools\": [3], \"other\": 1}",
+        &[
+            (BadField, "other"),
+            (BadField, "pools[0]"),
+            (BadField, "routes[0].x"),
+            (BadField, "routes[2].pool"),
+        ],
+    );
+}
+
+#[test]
+fn faults_of_orders_are_named() {
+    let sound = serde_json::to_value(sound_document()).expect("JSON");
+    let bad = json!({"routes": [{"x": 1}]});
+    let unknown_pool = json!({"routes": [{"name": "a", "pool": "b", "deadline_ms": 1000}]});
+    let cases: [(Value, millford_core::ResultCode, &str); 9] = [
+        (json!([0, "a", sound]), BadField, ""),
+        (json!({"document": sound}), BadField, ""),
+        (json!({"base_revision": 0}), BadField, ""),
+        (
+            json!({"base_revision": -1, "document": sound}),
+            BadField,
+            "base_revision",
+        ),
+        (
+            json!({"base_revision": "1", "document": sound}),
+            BadField,
+            "base_revision",
+        ),
+        (
+            json!({"base_revision": 0, "document": sound, "force": true}),
+            BadField,
+            "force",
+        ),
+        (
+            json!({"base_revision": 0, "document": bad}),
+            BadField,
+            "document.routes[0].x",
+        ),
+        (
+            json!({"base_revision": 0, "document": unknown_pool}),
+            DocumentInvalid,
+            "document.routes[0].pool",
+        ),
+        (
+            json!({"base_revision": 0, "order_id": "a b", "document": sound}),
+            BadField,
+            "order_id",
+        ),
+    ];
+    for (order, code, path) in cases {
+        let text = order.to_string();
+        let faults = document::parse_order(text.as_bytes()).expect_err("must be refused");
+        assert_eq!(
+            (faults[0].code, faults[0].path.as_str()),
+            (code, path),
+            "{text}"
+        );
+        assert_eq!(faults.len(), 1, "{faults:?}");
+    }
+    let faults = document::parse_order(b"{").expect_err("must be refused");
+    assert_eq!(Fault::overall(&faults), BadJson);
+}
+
+#[test]
+fn a_sound_order_carries_the_digest_of_its_document() {
+    let order = json!({
+        "base_revision": 7,
+        "order_id": "order-1",
+        "document": serde_json::to_value(sound_document()).expect("JSON"),
+    });
+    let put = document::parse_order(order.to_string().as_bytes()).expect("a sound order");
+    assert_eq!((put.base_revision, put.order_id.as_str()), (7, "order-1"));
+    assert_eq!(put.digest, document::digest(&sound_document()));
+}
--- a/crates/control-state/tests/quota.rs
+++ b/crates/control-state/tests/quota.rs
@@ -1,11 +1,18 @@
 //! The quota holds over every window, and nobody under it is refused, in simulated time.
 
+#[path = "support/exact_bucket.rs"]
+mod exact_bucket;
+#[path = "support/quota_event.rs"]
+mod quota_event;
 #[path = "support/quota_world.rs"]
 mod quota_world;
+#[path = "support/random.rs"]
+mod random;
 
+use exact_bucket::{fits_bucket, served_by_exact_bucket};
 use millford_api::config::Quota;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
-use quota_world::{QuotaWorld, fits_bucket, served_by_exact_bucket};
+use quota_world::QuotaWorld;
 
 const SECOND: u64 = 1_000_000;
 /// Time in which arrivals come.
--- a/crates/control-state/tests/quota_desks.rs
+++ b/crates/control-state/tests/quota_desks.rs
@@ -3,13 +3,15 @@
 #[path = "support/desk_world.rs"]
 mod desk_world;
 #[allow(dead_code)]
-#[path = "support/quota_world.rs"]
-mod quota_world;
+#[path = "support/exact_bucket.rs"]
+mod exact_bucket;
+#[path = "support/random.rs"]
+mod random;
 
 use desk_world::DeskWorld;
+use exact_bucket::fits_bucket;
 use millford_api::config::Quota;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
-use quota_world::fits_bucket;
 
 /// Time in which calls arrive, in milliseconds.
 const RUN_MS: u64 = 6_000;
--- a/crates/control-state/tests/support/desk_world.rs
+++ b/crates/control-state/tests/support/desk_world.rs
@@ -9,7 +9,9 @@
 use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput, STEP_DOWN_BOUND};
 use millford_core::{MonotonicTime, ResultCode, ShardLayout, tenant_key};
 
-use crate::quota_world::{Random, TENANT};
+use crate::random::Random;
+
+const TENANT: &str = "library";
 
 /// Calls give up after this time, in milliseconds.
 const CALL_TIMEOUT_MS: u32 = 60_000;
--- a/crates/control-state/tests/support/quota_world.rs
+++ b/crates/control-state/tests/support/quota_world.rs
@@ -4,63 +4,17 @@
 
 use millford_api::config::Quota;
 use millford_api::internal::{QuotaAsk, QuotaReply, QuotaRequest};
-use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput, STEP_DOWN_BOUND};
+use millford_control_state::quota::{QuotaLedger, QuotaOptions, STEP_DOWN_BOUND};
 use millford_core::{MonotonicTime, ResultCode, ShardId};
 
+use crate::quota_event::{Event, to_event};
+use crate::random::Random;
+
 pub const TENANT: &str = "library";
 /// A lost ask is sent again after this time, in microseconds.
 const RESEND_MICROS: u64 = 30_000;
 const LEASE_MICROS: u64 = 1_000_000;
 
-/// Small seeded generator (splitmix64).
-pub struct Random(pub u64);
-
-impl Random {
-    pub fn below(&mut self, limit: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) % limit.max(1)
-    }
-}
-
-/// What happens, in the order of time.
-enum Event {
-    Arrival {
-        node: usize,
-    },
-    ToLeader {
-        leader: usize,
-        request: QuotaRequest,
-    },
-    ToNode {
-        node: usize,
-        epoch: u64,
-        at: u64,
-        reply: QuotaReply,
-    },
-    Recall {
-        node: usize,
-        epoch: u64,
-    },
-    Wake {
-        node: usize,
-        epoch: u64,
-    },
-    Crash {
-        node: usize,
-    },
-    /// The node says something that is no answer to a recall, such as a renewal of its slots.
-    Renew {
-        node: usize,
-    },
-    ElectLeader,
-    StopLeader {
-        leader: usize,
-    },
-}
-
 struct Ask {
     request: QuotaRequest,
     sent_at: u64,
@@ -405,58 +359,3 @@
         self.events.insert((at, self.sequence), event);
     }
 }
-
-/// How many of the arrivals an exact bucket would serve at once.
-pub fn served_by_exact_bucket(quota: &Quota, arrivals: &[u64]) -> u64 {
-    let mut times = arrivals.to_vec();
-    times.sort_unstable();
-    let burst = u64::from(quota.burst) * 1_000_000;
-    let mut level = burst;
-    let mut last = times.first().copied().unwrap_or(0);
-    let mut served = 0;
-    for time in times {
-        let earned = (time - last) * u64::from(quota.requests_per_second);
-        level = (level + earned).min(burst);
-        if level >= 1_000_000 {
-            level -= 1_000_000;
-            served += 1;
-        }
-        last = time;
-    }
-    served
-}
-
-/// Whether an exact bucket, full at the start, allows every spent token: the same as that no window
-/// holds more than the burst and what the rate gives in it.
-pub fn fits_bucket(quota: &Quota, spent: &[u64]) -> bool {
-    let mut times = spent.to_vec();
-    times.sort_unstable();
-    let burst = u64::from(quota.burst) * 1_000_000;
-    let mut level = burst;
-    let mut last = times.first().copied().unwrap_or(0);
-    for time in times {
-        let earned = (time - last) * u64::from(quota.requests_per_second);
-        level = (level + earned).min(burst);
-        if level < 1_000_000 {
-            return false;
-        }
-        level -= 1_000_000;
-        last = time;
-    }
-    true
-}
-
-fn to_event(output: QuotaOutput, asker_epoch: u64, lent_at: u64) -> Event {
-    match output {
-        QuotaOutput::Reply { member, reply } => Event::ToNode {
-            node: member.parse().expect("a node"),
-            epoch: asker_epoch,
-            at: lent_at,
-            reply,
-        },
-        QuotaOutput::Recall { member, epoch, .. } => Event::Recall {
-            node: member.parse().expect("a node"),
-            epoch,
-        },
-    }
-}
