Take HTTP statuses from one table in proxy and control

Cause: the proxies and the control nodes had a match of their own over the result codes, beside the one that is held against docs/ERRORS.md and the OpenAPI files; the three could drift apart.

--- a/crates/control/src/daemon/operator_http/answer.rs
+++ b/crates/control/src/daemon/operator_http/answer.rs
@@ -1,5 +1,6 @@
 //! Answers to operators as HTTP.
 
+use millford_api::http_status::http_status;
 use millford_api::operator::{ErrorBody, FaultBody};
 use millford_core::{Duration, ResultCode};
 use serde::Serialize;
@@ -73,23 +74,8 @@
 }
 
 fn status_of(code: ResultCode) -> StatusCode {
-    match code {
-        ResultCode::OperatorKeyWrong => StatusCode::UNAUTHORIZED,
-        ResultCode::PathUnknown | ResultCode::BackendUnknown => StatusCode::NOT_FOUND,
-        ResultCode::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
-        ResultCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ResultCode::ContentTypeUnsupported => StatusCode::UNSUPPORTED_MEDIA_TYPE,
-        ResultCode::RevisionConflict | ResultCode::OrderIdReused | ResultCode::RecoveryRefused => {
-            StatusCode::CONFLICT
-        }
-        ResultCode::OrderUncertain => StatusCode::GATEWAY_TIMEOUT,
-        ResultCode::BadJson
-        | ResultCode::BadField
-        | ResultCode::BadHeader
-        | ResultCode::BodyIncomplete
-        | ResultCode::DocumentInvalid => StatusCode::BAD_REQUEST,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
+    // Every status of the table is a valid one; the fallback is for the type only.
+    StatusCode::from_u16(http_status(code)).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 fn to_millis(delay: Duration) -> u64 {
--- a/crates/proxy/src/request/refusal.rs
+++ b/crates/proxy/src/request/refusal.rs
@@ -1,5 +1,6 @@
 //! The answer to a request that was not served.
 
+use millford_api::http_status::http_status;
 use millford_core::{ResultCode, RunState};
 use serde::Serialize;
 
@@ -60,7 +61,7 @@
     /// HTTP status of the refusal.
     #[must_use]
     pub fn status(&self) -> u16 {
-        status_of(self.code)
+        http_status(self.code)
     }
 
     /// The JSON body.
@@ -99,30 +100,6 @@
     retry_after_ms: Option<u32>,
 }
 
-fn status_of(code: ResultCode) -> u16 {
-    use ResultCode as Code;
-    match code {
-        Code::KeyMissing | Code::KeyUnknown => 401,
-        Code::NoRoute | Code::ModelUnknown | Code::PathUnknown => 404,
-        Code::MethodNotAllowed => 405,
-        Code::BodyTooLarge => 413,
-        Code::ContentTypeUnsupported => 415,
-        Code::HeadersTooLarge => 431,
-        Code::IdempotencyKeyReused => 422,
-        Code::AlreadyCompleted | Code::MayHaveRun | Code::AlreadyFailed => 409,
-        Code::QuotaExceeded | Code::StreamLimit => 429,
-        Code::DeadlineBeforeSend | Code::DeadlineAfterSend => 504,
-        Code::BackendLost
-        | Code::AnswerMismatch
-        | Code::AnswerTruncated
-        | Code::StreamOutOfOrder
-        | Code::BackendError
-        | Code::BackendSilent => 502,
-        Code::BadJson | Code::BadField | Code::BadHeader | Code::BodyIncomplete => 400,
-        _ => 503,
-    }
-}
-
 fn default_retry_after(code: ResultCode) -> Option<u32> {
     use ResultCode as Code;
     match code {
