--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -8,6 +8,7 @@
 use millford_membership::{Formation, FormationDecision, MemberDirectory, replica_group};
 use millford_storage::StorageError;
 
+use super::member_list::MemberList;
 use super::node_file::NodeFile;
 use super::sessions::OwnSession;
 use super::{Gateway, GatewayOutput, mint};
@@ -128,6 +129,8 @@
         }
         self.own_session = OwnSession::new(mint(&mut self.random));
         self.agents.clear();
+        // What the former replica of the list knew is not the present list.
+        self.members = MemberList::default();
         self.members.check_soon(now);
         let identity = self.file.identity();
         self.note(NodeNote::StartedOver(identity));
