--- a/crates/agent/src/input.rs
+++ b/crates/agent/src/input.rs
@@ -21,6 +21,11 @@
         /// Which connection.
         link: ControlLinkId,
     },
+    /// Bytes of a frame that is not whole yet have arrived: the control node lives.
+    LinkAlive {
+        /// Which connection.
+        link: ControlLinkId,
+    },
     /// The control node sent a frame.
     ControlFrame {
         /// On which connection.
--- a/crates/agent/src/quota/slot_hold.rs
+++ b/crates/agent/src/quota/slot_hold.rs
@@ -11,6 +11,7 @@
     until: MonotonicTime,
     in_use: u32,
     told_at: MonotonicTime,
+    renew_at: MonotonicTime,
     /// Request that carried the last ask.
     last_request: u64,
 }
@@ -24,6 +25,7 @@
             until: now,
             in_use: 0,
             told_at: now,
+            renew_at: now + SLOT_RENEWAL,
             last_request: 0,
         }
     }
@@ -59,17 +61,23 @@
     /// When the slots in use are to be reported again.
     #[must_use]
     pub fn renewal(&self) -> Option<MonotonicTime> {
-        (self.in_use > 0).then(|| self.told_at + SLOT_RENEWAL)
+        (self.in_use > 0).then_some(self.renew_at)
     }
 
     /// An ask for `wanted` slots goes out in request `request_id`.
     pub fn asked(&mut self, now: MonotonicTime, wanted: u32, request_id: u64) {
         self.told_at = now;
+        self.renew_at = now + SLOT_RENEWAL;
         self.last_request = request_id;
         // Safety: the leader may lend what the ask does not want to others as soon as it reads it.
         self.lent = self.lent.min(wanted);
     }
 
+    /// The last ask was not processed: what it reported is to be reported again at `at`.
+    pub fn report_again(&mut self, at: MonotonicTime) {
+        self.renew_at = at;
+    }
+
     /// The leader answered the ask of request `request_id`.
     pub fn granted(&mut self, slots: u32, until: MonotonicTime, request_id: u64) {
         // Safety: a later ask may have given up what this answer still grants.
