--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -3,7 +3,9 @@
 //! The types under `generated` come from the files in `proto`; `tools/generate` writes them and
 //! they are committed, so that a build needs no generator.
 
+pub mod http_status;
 pub mod json;
+pub mod operator;
 
 /// The operators' document.
 #[allow(clippy::all)]
--- /dev/null
+++ b/crates/control/src/operator/status.rs
@@ -0,0 +1,88 @@
+//! Parts of the answer to `GET /v1/status`.
+
+use millford_api::internal::{SessionStatus, ShardStatus};
+use millford_api::operator::{MemberBody, PlacementBody, ReplicaBody, SessionBody, ShardBody};
+use millford_api::state::{ControlMember, PoolPlacement, Replica, ReplicaState};
+use millford_core::NodeId;
+
+use crate::shard::ShardStanding;
+
+/// A control node, and whether the answering node hears from it.
+#[must_use]
+pub fn member_body(member: &ControlMember, in_touch: bool) -> MemberBody {
+    MemberBody {
+        node: NodeId(member.node_id).to_string(),
+        internal_address: member.internal_address.clone(),
+        operator_address: member.operator_address.clone(),
+        zone: member.zone.clone(),
+        in_touch,
+    }
+}
+
+/// A shard, as its leader told.
+#[must_use]
+pub fn shard_body(status: &ShardStatus) -> ShardBody {
+    let leader = NodeId(status.leader);
+    let text = |node: &u64| NodeId(*node).to_string();
+    ShardBody {
+        shard: status.shard,
+        leader: if leader.is_some() {
+            leader.to_string()
+        } else {
+            String::new()
+        },
+        term: status.term,
+        commit_index: status.commit_index,
+        voters: status.voters.iter().map(text).collect(),
+        learners: status.learners.iter().map(text).collect(),
+    }
+}
+
+/// A shard whose leader did not answer, as this node's own replica knows it.
+#[must_use]
+pub fn leaderless_body(standing: &ShardStanding) -> ShardBody {
+    ShardBody {
+        shard: standing.shard.0,
+        leader: String::new(),
+        term: standing.term,
+        commit_index: standing.commit_index,
+        voters: standing.voters.iter().map(NodeId::to_string).collect(),
+        learners: standing.learners.iter().map(NodeId::to_string).collect(),
+    }
+}
+
+/// An open session.
+#[must_use]
+pub fn session_body(status: &SessionStatus) -> SessionBody {
+    SessionBody {
+        member: status.member.clone(),
+        epoch: status.epoch,
+        zone: status.zone.clone(),
+        address: status.address.clone(),
+        shown_revision: status.shown_revision,
+    }
+}
+
+/// The replicas of a pool.
+#[must_use]
+pub fn placement_body(placement: &PoolPlacement) -> PlacementBody {
+    PlacementBody {
+        pool: placement.pool.clone(),
+        epoch: placement.epoch,
+        replicas: placement.replicas.iter().map(replica_body).collect(),
+    }
+}
+
+fn replica_body(replica: &Replica) -> ReplicaBody {
+    let state = match replica.state() {
+        ReplicaState::ReplicaActive => "active",
+        ReplicaState::ReplicaDraining => "draining",
+    };
+    ReplicaBody {
+        backend_id: replica.backend_id.clone(),
+        model: replica.model.clone(),
+        version: replica.version.clone(),
+        state: state.to_owned(),
+        weight_milli: replica.weight_milli,
+    }
+}
--- a/crates/lab/src/emulator/completion.rs
+++ b/crates/lab/src/emulator/completion.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::cost::PrefillCost;
+use super::engine::EngineRun;
 use super::execution::Execution;
 use super::http::{EmulatorBody, header_text, json_answer, refusal, set_attempt};
 use super::prompt::Prompt;
@@ -23,7 +23,7 @@
 };
 
 /// Status of a withdrawn or repeated attempt.
-const ATTEMPT_CLOSED: StatusCode = StatusCode::CONFLICT;
+const ATTEMPT_CLOSED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 /// Text of an answer that was crossed with another.
 const CROSSED: &str = "crossed-with-another";
 
@@ -37,10 +37,20 @@
     let attempt = header_text(&headers, ATTEMPT_HEADER);
     let prompt = match serde_json::from_slice::<Prompt>(&body) {
         Ok(prompt) => prompt,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &attempt, &error.to_string()),
+        Err(error) => {
+            return refusal(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &attempt,
+                &error.to_string(),
+            );
+        }
     };
     if !declares(&state, &prompt.model) {
-        return refusal(StatusCode::NOT_FOUND, &attempt, "model not declared here");
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &attempt,
+            "model not declared here",
+        );
     }
     if state.faults.borrow().refuse {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, &attempt, "refusing");
@@ -50,12 +60,28 @@
         .ok();
     let execution = execution(&state, &headers, &prompt, resume_from.unwrap_or(0));
     let answer = AnswerText::new(&execution.marker, &execution.run);
-    let Some(mut running) = state.begin(execution) else {
+    let left = prompt
+        .pieces()
+        .saturating_sub(resume_from.unwrap_or(0))
+        .max(1);
+    let output_tokens = u32::try_from(left).unwrap_or(u32::MAX);
+    let mut work = match state
+        .engine
+        .start(&prompt.model, &prompt.text(), output_tokens)
+    {
+        Ok(work) => work,
+        Err(refused) => {
+            return refusal(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &attempt,
+                &refused.to_string(),
+            );
+        }
+    };
+    let Some(running) = state.begin(execution) else {
         return refusal(ATTEMPT_CLOSED, &attempt, "attempt withdrawn or already run");
     };
-    let cost = state.prefill(&prompt.model, &prompt.text());
-    sleep(state.scaled(cost.duration)).await;
-    running.start_decoding();
+    work.wait_for(1).await;
     let crossed = state.faults.borrow().crossed;
     let answer = if crossed {
         AnswerText::new(CROSSED, CROSSED)
@@ -72,7 +98,7 @@
         stage: Stage::Pieces,
         answer,
         running,
-        cost,
+        work,
         stray,
     };
     let mut response = if prompt.stream {
@@ -130,7 +156,7 @@
     running: RunningExecution,
     answer: AnswerText,
     model: String,
-    cost: PrefillCost,
+    work: EngineRun,
     sequence: u64,
     pieces: u64,
     sent: u64,
@@ -166,9 +192,7 @@
     }
 
     async fn next_piece(&mut self) -> io::Result<Frame<Bytes>> {
-        if self.sent > 0 {
-            self.pace().await;
-        }
+        self.pace().await;
         if self.is_cut() {
             return Err(io::Error::other("cut by a fault switch"));
         }
@@ -183,8 +207,9 @@
     }
 
     /// Waits for the next token; a dark backend waits until it is lit again.
-    async fn pace(&self) {
-        sleep(self.state.scaled(self.state.decode_interval())).await;
+    async fn pace(&mut self) {
+        let tokens = u32::try_from(self.sent + 1).unwrap_or(u32::MAX);
+        self.work.wait_for(tokens).await;
         let mut faults = self.state.faults.subscribe();
         let _ = faults.wait_for(|faults| !faults.dark).await;
     }
@@ -221,8 +246,8 @@
 
     fn usage(&self) -> Value {
         json!({
-            "prompt_tokens": self.cost.prompt_tokens,
-            "cached_tokens": self.cost.cached_tokens,
+            "prompt_tokens": self.work.prompt_tokens,
+            "cached_tokens": self.work.started.cached_tokens,
             "completion_tokens": self.pieces,
         })
     }
@@ -230,6 +255,7 @@
     async fn plain(mut self) -> Response<EmulatorBody> {
         for _ in self.sequence..self.pieces {
             self.pace().await;
+            self.sent += 1;
         }
         let body = json!({
             "id": format!("chatcmpl-{}", self.answer.run()),
@@ -276,10 +302,12 @@
 fn cut_answer(body: &Value) -> Response<EmulatorBody> {
     let text = body.to_string().into_bytes();
     let half = Bytes::copy_from_slice(&text[..text.len() / 2]);
-    let frames = stream::iter([
-        Ok(Frame::data(half)),
-        Err(io::Error::other("cut by a fault switch")),
-    ]);
+    let cut = stream::once(async {
+        // The server sends what it holds while a body is pending, so the half leaves first.
+        tokio::task::yield_now().await;
+        Err(io::Error::other("cut by a fault switch"))
+    });
+    let frames = stream::iter([Ok(Frame::data(half))]).chain(cut);
     let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_LENGTH, length_of(body));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,15 @@
 //! Developers' laboratory: stand-ins, demonstration fleet, chaos, experiments, scale runs, reports.
 
 pub mod answer_text;
+pub mod arguments;
+pub mod bench;
 pub mod caller;
+pub mod chaos;
+pub mod checks;
+pub mod commands;
+pub mod demo;
 pub mod emulator;
+pub mod fleet;
 pub mod protocol;
 pub mod registry;
+pub mod workload;
--- a/crates/proxy/src/daemon/outstanding.rs
+++ b/crates/proxy/src/daemon/outstanding.rs
@@ -11,6 +11,8 @@
 struct Waiting<T> {
     frame: LocalFrame,
     answer: Option<oneshot::Sender<T>>,
+    /// The asker stopped waiting; the answer may still come.
+    abandoned: bool,
 }
 
 /// Frames of one kind by the number that their answers carry.
@@ -35,7 +37,16 @@
     }
 }
 
-/// Forgets a frame when its asker stops waiting.
+/// An answer that nobody waits for any more.
+#[derive(Debug)]
+pub struct Unclaimed<T> {
+    /// What was asked.
+    pub frame: LocalFrame,
+    /// The answer.
+    pub answer: T,
+}
+
+/// Marks a frame as abandoned when its asker stops waiting.
 pub struct Asked<T> {
     outstanding: Outstanding<T>,
     id: u64,
@@ -47,11 +58,19 @@
     pub async fn answer(&mut self) -> Option<T> {
         (&mut self.answer).await.ok()
     }
+
+    /// Stops waiting; takes an answer that was given at this very moment.
+    pub fn stop(&mut self) -> Option<T> {
+        self.answer.close();
+        self.answer.try_recv().ok()
+    }
 }
 
 impl<T> Drop for Asked<T> {
     fn drop(&mut self) {
-        self.outstanding.lock().remove(&self.id);
+        if let Some(waiting) = self.outstanding.lock().get_mut(&self.id) {
+            waiting.abandoned = true;
+        }
     }
 }
 
@@ -63,6 +82,7 @@
         let waiting = Waiting {
             frame,
             answer: Some(sender),
+            abandoned: false,
         };
         self.lock().insert(id, waiting);
         Asked {
@@ -77,22 +97,34 @@
         let waiting = Waiting {
             frame,
             answer: None,
+            abandoned: false,
         };
         self.lock().insert(id, waiting);
     }
 
     /// Gives the answer to whoever waits. An answer that nobody waits for any more is dropped.
     pub fn answered(&self, id: u64, answer: T) {
-        let waiting = self.lock().remove(&id);
-        if let Some(sender) = waiting.and_then(|waiting| waiting.answer) {
-            let _ = sender.send(answer);
+        drop(self.give(id, answer));
+    }
+
+    /// Gives the answer to whoever waits; hands it back with its frame if nobody does any more.
+    pub fn give(&self, id: u64, answer: T) -> Option<Unclaimed<T>> {
+        let waiting = self.lock().remove(&id)?;
+        match waiting.answer?.send(answer) {
+            Ok(()) => None,
+            Err(answer) => Some(Unclaimed {
+                frame: waiting.frame,
+                answer,
+            }),
         }
     }
 
-    /// Every frame without an answer, in the order of their numbers.
+    /// Every frame that is still waited for, in the order of their numbers. The others are
+    /// forgotten: on a new connection their answers cannot come any more.
     #[must_use]
     pub fn frames(&self) -> Vec<LocalFrame> {
-        let frames = self.lock();
+        let mut frames = self.lock();
+        frames.retain(|_, waiting| !waiting.abandoned);
         frames
             .values()
             .map(|waiting| waiting.frame.clone())
