Test the control node's parts by themselves

Aim: the order of a repair, the watch for a stalled disk, the pictures' differences and pace, and requests under way are each held by a test that names the rule. Conclusion: the stall watch, which the composed node cannot show without threads, is covered at its own level.

--- /dev/null
+++ b/crates/control/tests/parts.rs
@@ -0,0 +1,208 @@
+//! Parts of the control node by themselves: repair, stalls, pictures, requests under way.
+
+use std::time::Duration;
+
+use millford_api::internal::{ReplicaLoad, ShardRequest};
+use millford_control::LinkId;
+use millford_control::gateway::pending::{Origin, PendingRequests, refusal};
+use millford_control::gateway::stalls::Stalls;
+use millford_control::shard::picture_feed::PictureFeed;
+use millford_control::shard::repair::{GroupView, Repair, RepairStep, ReplicaView};
+use millford_control::shard::{MemberStanding, MemberView};
+use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId};
+
+const REPAIR: Repair = Repair {
+    replace_after: Duration::from_secs(5),
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn replica(node: u64, heard: u64, caught_up: bool) -> ReplicaView {
+    ReplicaView {
+        node: NodeId(node),
+        last_heard: at(heard),
+        caught_up,
+    }
+}
+
+fn members(spares: &[u64]) -> MemberView {
+    let mut view = MemberView::default();
+    for node in [1, 2, 3].iter().chain(spares) {
+        let standing = MemberStanding {
+            registered: true,
+            connected: true,
+            removed: false,
+        };
+        view.members.insert(NodeId(*node), standing);
+    }
+    view
+}
+
+fn decide(group: &GroupView, members: &MemberView) -> Option<RepairStep> {
+    REPAIR.decide(at(10_000), NodeId(1), group, members)
+}
+
+#[test]
+fn a_learner_catches_up_before_the_lost_voter_goes_and_votes_after() {
+    let mut group = GroupView {
+        voters: vec![
+            replica(1, 10_000, true),
+            replica(2, 9_900, true),
+            replica(3, 5_000, false),
+        ],
+        learners: Vec::new(),
+    };
+    let view = members(&[4]);
+    assert_eq!(
+        decide(&group, &view),
+        Some(RepairStep::AddLearner(NodeId(4)))
+    );
+    group.learners = vec![replica(4, 9_900, false)];
+    assert_eq!(decide(&group, &view), None, "it is behind");
+    group.learners = vec![replica(4, 9_900, true)];
+    assert_eq!(decide(&group, &view), Some(RepairStep::Remove(NodeId(3))));
+    group.voters.pop();
+    assert_eq!(decide(&group, &view), Some(RepairStep::Promote(NodeId(4))));
+}
+
+#[test]
+fn nothing_is_changed_without_a_spare_or_without_a_loss() {
+    let lost = GroupView {
+        voters: vec![
+            replica(1, 10_000, true),
+            replica(2, 9_900, true),
+            replica(3, 5_000, false),
+        ],
+        learners: Vec::new(),
+    };
+    assert_eq!(decide(&lost, &members(&[])), None);
+    let silent_for_less = GroupView {
+        voters: vec![
+            replica(1, 10_000, true),
+            replica(2, 9_900, true),
+            replica(3, 5_001, false),
+        ],
+        learners: Vec::new(),
+    };
+    assert_eq!(decide(&silent_for_less, &members(&[4])), None);
+}
+
+#[test]
+fn a_learner_goes_when_the_voter_came_back_or_when_it_is_lost_itself() {
+    let voters = vec![
+        replica(1, 10_000, true),
+        replica(2, 9_900, true),
+        replica(3, 9_900, true),
+    ];
+    let idle = GroupView {
+        voters: voters.clone(),
+        learners: vec![replica(4, 9_900, true)],
+    };
+    assert_eq!(
+        decide(&idle, &members(&[4])),
+        Some(RepairStep::Remove(NodeId(4)))
+    );
+    let silent = GroupView {
+        voters,
+        learners: vec![replica(4, 4_000, false)],
+    };
+    assert_eq!(
+        decide(&silent, &members(&[4])),
+        Some(RepairStep::Remove(NodeId(4)))
+    );
+}
+
+#[test]
+fn a_core_that_stays_silent_counts_as_stalled_until_it_is_heard() {
+    let mut stalls = Stalls::default();
+    stalls.heard(at(0), ShardId(0));
+    stalls.heard(at(900), ShardId(1));
+    stalls.tick(at(999));
+    assert!(!stalls.any());
+    stalls.tick(at(1000));
+    assert!(stalls.any(), "shard 0 is silent for a second");
+    stalls.heard(at(1010), ShardId(0));
+    stalls.tick(at(1020));
+    assert!(!stalls.any());
+}
+
+fn load(backend: &str, streams: u32) -> ReplicaLoad {
+    ReplicaLoad {
+        backend_id: backend.to_owned(),
+        model: "saga".to_owned(),
+        decode_streams: streams,
+        ..ReplicaLoad::default()
+    }
+}
+
+#[test]
+fn a_picture_carries_differences_and_lists_what_is_gone_as_idle() {
+    let mut feed = PictureFeed::default();
+    let first = feed.difference(at(20_000), "pool", vec![load("a", 1), load("b", 2)]);
+    assert_eq!(first.len(), 2);
+    let second = feed.difference(at(20_500), "pool", vec![load("a", 1), load("b", 3)]);
+    assert_eq!(second, [load("b", 3)]);
+    let third = feed.difference(at(21_000), "pool", vec![load("a", 1)]);
+    assert_eq!(third, [load("b", 0)]);
+    let whole = feed.difference(at(31_000), "pool", vec![load("a", 1)]);
+    assert_eq!(whole, [load("a", 1)], "for nodes that came since");
+}
+
+#[test]
+fn large_pictures_are_sent_more_rarely() {
+    let mut feed = PictureFeed::default();
+    feed.sent(at(0), 100);
+    assert!(feed.is_due(at(500)));
+    feed.sent(at(1000), 100_000);
+    assert!(!feed.is_due(at(30_000)));
+}
+
+fn submitted(requests: &mut PendingRequests, forwarded: bool) -> u64 {
+    let origin = Origin::Link {
+        link: LinkId(1),
+        request_id: 77,
+    };
+    let request = ShardRequest::default();
+    let patience = Duration::from_secs(2);
+    if forwarded {
+        requests.submit_forwarded(at(0), origin, request, patience)
+    } else {
+        requests.submit(at(0), origin, request, patience)
+    }
+}
+
+#[test]
+fn a_misdirected_request_goes_to_the_named_leader_and_a_forwarded_one_back() {
+    let mut requests = PendingRequests::default();
+    let ticket = submitted(&mut requests, false);
+    assert_eq!(requests.take_due(at(0)).len(), 1);
+    let wrong = refusal(&ShardRequest::default(), ResultCode::NotLeader, NodeId(5));
+    assert!(requests.answer(at(10), ticket, wrong.clone()).is_none());
+    let again = requests.take_due(at(100));
+    assert_eq!((again.len(), again[0].hint), (1, NodeId(5)));
+
+    let mut requests = PendingRequests::default();
+    let ticket = submitted(&mut requests, true);
+    assert_eq!(requests.take_due(at(0)).len(), 1);
+    assert!(requests.take_due(at(1500)).is_empty(), "tried once only");
+    let settled = requests
+        .answer(at(1510), ticket, wrong)
+        .expect("it goes back");
+    assert_eq!(settled.reply.leader_hint, 5);
+}
+
+#[test]
+fn a_request_without_an_answer_is_sent_again_and_given_up_at_its_deadline() {
+    let mut requests = PendingRequests::default();
+    submitted(&mut requests, false);
+    assert_eq!(requests.take_due(at(0)).len(), 1);
+    assert!(requests.take_due(at(600)).is_empty());
+    assert_eq!(requests.take_due(at(700)).len(), 1);
+    assert!(requests.take_overdue(at(1999)).is_empty());
+    let overdue = requests.take_overdue(at(2000));
+    assert_eq!(overdue.len(), 1);
+    assert_eq!(overdue[0].reply.code, ResultCode::ControlTimeout.number());
+    assert!(requests.is_empty());
+}
