--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -5,7 +5,7 @@
 
 use super::Gateway;
 use crate::link::LinkId;
-use crate::node_output::NodeNote;
+use crate::node_output::{NodeNote, NodeOutput};
 use crate::shard::{ShardInput, ShardOutput, ShardStanding};
 
 impl Gateway {
@@ -17,19 +17,24 @@
             }
             ShardOutput::Reply { ticket, reply } => self.handle_reply(now, ticket, reply),
             ShardOutput::Quota { ticket, reply } => self.handle_quota_reply(ticket, reply),
-            ShardOutput::Recall(recall) => self.to_all_agents(&frame::Body::QuotaRecall(recall)),
+            ShardOutput::Recall(recall) => self.tell_all_agents(&frame::Body::QuotaRecall(recall)),
             ShardOutput::AskLeader { read } => self.ask_leader(now, shard, read),
             ShardOutput::Feed {
                 subscriber,
                 message,
             } => self.feed(subscriber, message),
             ShardOutput::PublicChange(items) => self.public_change(now, shard, items),
-            ShardOutput::Standing(standing) => self.standing_changed(standing),
+            ShardOutput::Standing(standing) => self.standing_changed(now, standing),
             ShardOutput::Picture(picture) => {
-                self.to_all_agents(&frame::Body::LoadPicture(picture));
+                self.tell_all_agents(&frame::Body::LoadPicture(picture));
             }
             ShardOutput::Note(note) => self.note(note),
-            ShardOutput::Failed(code) => self.note(NodeNote::ReplicaFailed { shard, code }),
+            ShardOutput::Failed(code) => {
+                // What the disk holds is unknown. A new process reads it again; if none comes, a
+                // spare takes this node's place.
+                self.note(NodeNote::ReplicaFailed { shard, code });
+                self.emit(NodeOutput::Fatal { code });
+            }
         }
     }
 
@@ -37,7 +42,7 @@
         let shard = ShardId(subscribe.shard);
         if self.standings.contains_key(&shard) {
             let subscriber = link;
-            self.to_shard(
+            self.tell_shard(
                 shard,
                 ShardInput::Subscribe {
                     subscriber,
@@ -54,7 +59,7 @@
     }
 
     pub(super) fn unsubscribe_everywhere(&mut self, link: LinkId) {
-        self.to_every_shard(&ShardInput::Unsubscribe { subscriber: link });
+        self.tell_every_shard(&ShardInput::Unsubscribe { subscriber: link });
     }
 
     fn feed(&mut self, link: LinkId, message: FeedMessage) {
@@ -64,13 +69,14 @@
     }
 
     /// To the agents of this node and, through the other control nodes, to all others.
-    fn to_all_agents(&mut self, body: &frame::Body) {
-        self.to_own_agents(body);
+    fn tell_all_agents(&mut self, body: &frame::Body) {
+        self.tell_own_agents(body);
         self.send_to_every_node(body);
     }
 
-    fn standing_changed(&mut self, standing: ShardStanding) {
+    fn standing_changed(&mut self, now: MonotonicTime, standing: ShardStanding) {
         let shard = standing.shard;
+        self.stalls.heard(now, shard);
         let Some(former) = self.standings.insert(shard, standing.clone()) else {
             // A core that was stopped in the meantime.
             self.standings.remove(&shard);
--- a/crates/control/src/shard/mod.rs
+++ b/crates/control/src/shard/mod.rs
@@ -1,11 +1,13 @@
 //! One shard of the control state on this node: the replica and everything that hangs on it.
 
+mod applying;
 pub mod catalogue;
 pub mod core;
 mod feeding;
 pub mod input;
 pub mod members;
 pub mod output;
+pub mod picture_feed;
 pub mod placement_role;
 pub mod proposals;
 pub mod quota_desk;
