Lab: hot tenant, calls with revoked keys, undecided quota refusals judged too

Aim: press on quotas and revocations, and judge every way in which a tenant under its quota is turned away.

--- a/crates/lab/src/chaos/driver.rs
+++ b/crates/lab/src/chaos/driver.rs
@@ -47,6 +47,8 @@
     pub callers: CallersOptions,
     /// What was done.
     pub faults_done: Vec<FaultDone>,
+    /// Number of caller groups so far, each with markers of its own.
+    pub marker_seeds: u64,
     probe: ServiceProbe,
     orders: u64,
     seed: u64,
@@ -84,6 +86,7 @@
             probe: ServiceProbe::new(prober, seed),
             callers,
             faults_done: Vec::new(),
+            marker_seeds: 0,
             orders: 0,
             seed,
         }
@@ -194,6 +197,7 @@
             FaultKind::OperatorRace => self.race_operators().await,
             FaultKind::OrderResent => self.resend_order().await,
             FaultKind::KeyRevocation => self.revoke_keys().await,
+            FaultKind::HotTenant => self.press_quota().await,
             FaultKind::FullRestart => self.restart_after_changes().await,
             _ => self.strike_control(kind).await,
         }
--- a/crates/lab/src/chaos/fault_kind.rs
+++ b/crates/lab/src/chaos/fault_kind.rs
@@ -79,6 +79,8 @@
     OrderResent = "order-resent";
     /// A tenant's keys are revoked, and restored later.
     KeyRevocation = "key-revocation";
+    /// The tenant with the smallest quota sends far more than it.
+    HotTenant = "hot-tenant";
     /// Three hundred changes, then a full restart of the control plane.
     FullRestart = "full-restart";
 }
--- a/crates/lab/src/chaos/mod.rs
+++ b/crates/lab/src/chaos/mod.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod service_probe;
 pub mod status_view;
+pub mod tenant_faults;
 pub mod traffic_task;
 pub mod watcher;
 
--- a/crates/lab/src/chaos/operator_faults.rs
+++ b/crates/lab/src/chaos/operator_faults.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use millford_api::config::Document;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::driver::{Driver, Healed};
+use super::tenant_faults::call_steadily;
 use crate::checks::history::RevocationSeen;
 use crate::fleet::FleetError;
 use crate::fleet::operator::{Order, OrderAnswer};
@@ -15,6 +16,8 @@
 const CHANGES: usize = 300;
 /// How long a key stays revoked: past its bound, so that late use would show.
 const REVOKED_TIME: Duration = Duration::from_secs(5);
+/// Time between two calls with the revoked key.
+const REVOKED_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time after which an answer is lost.
 const SOONEST_LOSS: Duration = Duration::from_micros(200);
 /// Longest time after which an answer is lost.
@@ -67,8 +70,8 @@
 
     /// Revokes the keys of the last tenant and restores them.
     pub async fn revoke_keys(&mut self) -> Result<Healed, FleetError> {
-        let last = self.callers.tenants.len() - 1;
-        let tenant = self.callers.tenants[last].name.clone();
+        let calling = self.last_tenant();
+        let tenant = calling.name.clone();
         let (_, before) = self.read_configuration().await?;
         let named = before.tenants.iter().find(|known| known.name == tenant);
         let hashes = named
@@ -77,7 +80,10 @@
         let revoked = self
             .change(|document| set_keys(document, &tenant, &[]))
             .await?;
-        sleep(REVOKED_TIME).await;
+        let mut callers = self.callers_of(&calling);
+        call_steadily(&mut callers, REVOKED_PERIOD, REVOKED_TIME).await;
+        let calls = callers.finish().await;
+        self.log.add(|history| history.calls.extend(calls));
         let restored_micros = Some(machine_micros());
         self.change(|document| set_keys(document, &tenant, &hashes))
             .await?;
--- a/crates/lab/src/checks/quota_true.rs
+++ b/crates/lab/src/checks/quota_true.rs
@@ -6,7 +6,8 @@
 use super::verdict::Verdict;
 use crate::caller::{CallOutcome, Ending};
 
-/// Judges every refusal for the request rate.
+/// Judges every refusal for the request rate, and every refusal for want of a quota decision
+/// outside of disturbances.
 #[must_use]
 pub fn check(history: &History) -> Verdict {
     let mut verdict = Verdict::new("no tenant under its quota is turned away");
@@ -17,6 +18,9 @@
             .filter(|call| &call.tenant == tenant)
             .collect();
         for refused in calls.iter().filter(|call| is_quota_refusal(call)) {
+            if is_undecided(refused) && history.is_disturbed(refused.started_micros) {
+                continue;
+            }
             verdict.judged += 1;
             let level = level_at(&calls, refused.ended_micros, *quota);
             if level >= 1.0 {
@@ -31,8 +35,15 @@
 }
 
 fn is_quota_refusal(call: &CallOutcome) -> bool {
-    let quota_code = ResultCode::QuotaExceeded.number();
-    matches!(call.ending, Ending::Failure { code, .. } if code == quota_code)
+    has_code(call, ResultCode::QuotaExceeded) || is_undecided(call)
+}
+
+fn is_undecided(call: &CallOutcome) -> bool {
+    has_code(call, ResultCode::QuotaUnavailable)
+}
+
+fn has_code(call: &CallOutcome, wanted: ResultCode) -> bool {
+    matches!(call.ending, Ending::Failure { code, .. } if code == wanted.number())
 }
 
 /// Tokens that an exact bucket holds at `at`, if every call that began before and was not refused
--- a/crates/lab/tests/checkers.rs
+++ b/crates/lab/tests/checkers.rs
@@ -269,14 +269,14 @@
 #[test]
 fn a_step_back_shown_to_a_caller_is_caught_unless_the_node_was_not_ready() {
     let mut history = clean();
-    history.calls[20].revision = Some(0);
+    history.calls[5].revision = Some(0);
     assert_caught(&history, "falls back");
     refuse(
-        &mut history.calls[20],
+        &mut history.calls[5],
         ResultCode::NotReady,
         RunState::NotRun,
     );
-    history.executions.retain(|run| run.marker != "m20");
+    history.executions.retain(|run| run.marker != "m5");
     assert!(check_all(&history).held());
 }
 
@@ -372,6 +372,21 @@
     assert_caught(&history, "under its quota");
 }
 
+#[test]
+fn a_refusal_for_want_of_a_decision_is_caught_unless_disturbed() {
+    let mut history = clean();
+    let mut refused = call("extra", 2 * SECOND);
+    refuse(&mut refused, ResultCode::QuotaUnavailable, RunState::NotRun);
+    history.calls.push(refused);
+    assert_caught(&history, "under its quota");
+    let disturbance = Disturbance {
+        from_micros: SECOND,
+        until_micros: 3 * SECOND,
+    };
+    history.disturbances.push(disturbance);
+    assert!(check_all(&history).held());
+}
+
 #[test]
 fn a_refusal_over_the_quota_is_true() {
     let mut history = clean();
