--- a/crates/lab/src/chaos/mod.rs
+++ b/crates/lab/src/chaos/mod.rs
@@ -30,7 +30,7 @@
 use driver::Driver;
 use history_log::HistoryLog;
 use options::ChaosOptions;
-use report::ChaosReport;
+use report::{ChaosReport, write_history};
 use traffic_task::TrafficTask;
 use watcher::Watcher;
 
@@ -69,6 +69,9 @@
     history.calls.extend(calls);
     history.executions = driver.fleet.executions()?;
     history.quotas = quotas(&driver.fleet.plan)?;
+    if let Some(path) = &options.history {
+        write_history(&history, path)?;
+    }
     let report = ChaosReport {
         site: driver.fleet.plan.name,
         seed: options.seed,
--- a/crates/lab/src/chaos/options.rs
+++ b/crates/lab/src/chaos/options.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// Only this fault, again and again.
     pub only: Option<FaultKind>,
+    /// File for everything that was seen, call by call.
+    pub history: Option<PathBuf>,
     /// File for the report.
     pub json: Option<PathBuf>,
     /// Keep settings, logs and data on disk.
@@ -33,6 +35,7 @@
     options.optopt("", "minutes", "length of the run", "NUMBER");
     options.optopt("", "seed", "seed of the choice of faults", "NUMBER");
     options.optopt("", "only", "one fault, again and again", "FAULT");
+    options.optopt("", "history", "file for every call, run and order", "FILE");
     options.optopt("", "json", "file for the report", "FILE");
     options.optflag(
         "",
@@ -53,6 +56,7 @@
             minutes: value(matches, "minutes", 1.0)?,
             seed: value(matches, "seed", 1)?,
             only: optional(matches, "only")?,
+            history: optional(matches, "history")?,
             json: optional(matches, "json")?,
             keep_logs: matches.opt_present("keep-logs"),
         })
--- a/crates/lab/src/chaos/report.rs
+++ b/crates/lab/src/chaos/report.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::driver::FaultDone;
-use crate::checks::Report;
+use crate::checks::{History, Report};
 use crate::fleet::FleetError;
 use crate::workload::Figures;
 
@@ -26,6 +26,12 @@
     pub promises: Report,
 }
 
+/// Writes everything that was seen to a file, for the search of a violation's cause.
+pub fn write_history(history: &History, path: &Path) -> Result<(), FleetError> {
+    let text = serde_json::to_vec(history).unwrap_or_default();
+    std::fs::write(path, text).map_err(FleetError::io("writing the history"))
+}
+
 impl ChaosReport {
     /// Prints the report and writes the file, if one is asked for.
     pub fn publish(&self, json: Option<&Path>) -> Result<(), FleetError> {
--- a/crates/lab/src/chaos/status_view.rs
+++ b/crates/lab/src/chaos/status_view.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use crate::fleet::stand::wait_for;
+use crate::fleet::waiting::wait_for;
 use crate::fleet::{Fleet, FleetError};
 
 /// Longest wait for the repair of every shard.
--- a/crates/lab/src/demo/faults.rs
+++ b/crates/lab/src/demo/faults.rs
@@ -5,7 +5,7 @@
 use crate::caller::http_client::get;
 use crate::emulator::execution::Execution;
 use crate::fleet::operator::configuration_leader;
-use crate::fleet::stand::wait_for;
+use crate::fleet::waiting::wait_for;
 use crate::fleet::{Fleet, FleetError};
 
 /// Longest wait for streams to be under way.
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -1,6 +1,7 @@
 //! Emulated backends: an HTTP server that speaks the backend protocol and costs time as a model
 //! server does.
 
+mod answer_writer;
 pub mod attempts;
 pub mod completion;
 pub mod engine;
--- a/crates/lab/src/fleet/stand.rs
+++ b/crates/lab/src/fleet/stand.rs
@@ -7,25 +7,23 @@
 
 use millford_core::hash_tenant_key;
 use tempfile::TempDir;
-use tokio::time::{sleep, timeout};
 
 use super::backend_machine::{BackendMachine, BackendPlace, LAB_PROGRAM};
 use super::binaries::Binaries;
 use super::control_machine::{ControlCommon, ControlMachine, ControlPlace};
 use super::error::FleetError;
 use super::fleet_process::{FleetProcess, ProcessSpec};
-use super::front_machine::{FrontMachine, FrontPlace};
+use super::front_machine::FrontMachine;
 use super::operator::{CTL_PROGRAM, Operator};
+use super::places::{control_places, front_place};
 use super::ports::free_addresses;
 use super::site::SitePlan;
-use crate::caller::http_client::get;
+use super::waiting::{is_ready, wait_for};
 use crate::emulator::execution::Execution;
 use crate::emulator::options::BackendKind;
 
 /// Longest wait for the fleet to serve after the configuration was accepted.
 const SERVE_BOUND: Duration = Duration::from_secs(20);
-/// Pause between two looks at something that sends no event.
-const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
 /// A whole fleet on loopback. Dropping it kills every process of it.
 #[derive(Debug)]
@@ -275,27 +273,6 @@
     }
 }
 
-/// Looks again and again until `condition` holds.
-pub async fn wait_for<F, C>(what: &str, bound: Duration, condition: C) -> Result<(), FleetError>
-where
-    C: Fn() -> F,
-    F: Future<Output = bool>,
-{
-    let look = async {
-        while !condition().await {
-            sleep(LOOK_PERIOD).await;
-        }
-    };
-    timeout(bound, look).await.map_err(|_| FleetError::Timeout {
-        what: what.to_owned(),
-        bound,
-    })
-}
-
-async fn is_ready(address: SocketAddr) -> bool {
-    matches!(get(address, "/readyz", None).await, Ok(answer) if answer.status.is_success())
-}
-
 async fn start_registry(
     binaries: &Binaries,
     folder: &Path,
@@ -310,25 +287,3 @@
     })
     .await
 }
-
-fn control_places(plan: &SitePlan, addresses: &[SocketAddr]) -> Vec<ControlPlace> {
-    let pairs = addresses.chunks_exact(2).enumerate();
-    pairs
-        .map(|(index, pair)| ControlPlace {
-            name: format!("control-{}", index + 1),
-            zone: plan.zone(index),
-            internal: pair[0],
-            operator: pair[1],
-        })
-        .collect()
-}
-
-fn front_place(plan: &SitePlan, index: usize, addresses: &[SocketAddr]) -> FrontPlace {
-    FrontPlace {
-        name: format!("front-{}", index + 1),
-        zone: plan.zone(index),
-        local: addresses[0],
-        agent_http: addresses[1],
-        callers: addresses[2],
-    }
-}
