Wait for the picture before a new placer calls a draining replica empty

Cause: a new placer has no reports yet, so that a draining replica with open streams looked idle after a second. Tests: a new placer keeps the placement and waits; a lowered share recovers and then nothing moves. Conclusion: a change of leader no longer shortens a drain.

--- a/crates/placement/src/plan/retire.rs
+++ b/crates/placement/src/plan/retire.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use millford_core::MonotonicTime;
+use millford_core::{Duration, MonotonicTime};
 
 use crate::plan::draft::Draft;
 use crate::plan::moves::MoveReason;
@@ -14,12 +14,14 @@
 /// A new placer counts from its first tick: what drains then may take up to `drain_ms` more.
 #[derive(Clone, Debug, Default)]
 pub struct DrainClock {
+    started: Option<MonotonicTime>,
     since: BTreeMap<ReplicaKey, MonotonicTime>,
 }
 
 impl DrainClock {
     /// Starts the clock of what drains and forgets the rest.
     pub fn follow(&mut self, draft: &Draft, now: MonotonicTime) {
+        self.started.get_or_insert(now);
         let mut since = BTreeMap::new();
         for key in draft.draining() {
             let start = self.since.get(key).copied().unwrap_or(now);
@@ -28,6 +30,12 @@
         self.since = since;
     }
 
+    /// Whether this placer has been at work for so long.
+    fn has_run_for(&self, now: MonotonicTime, time: Duration) -> bool {
+        self.started
+            .is_some_and(|started| now.since(started) >= time)
+    }
+
     fn start(&self, key: &ReplicaKey) -> Option<MonotonicTime> {
         self.since.get(key).copied()
     }
@@ -47,13 +55,18 @@
 
 /// Removes draining replicas that are empty or past `drain_ms`.
 pub fn remove_drained(view: &PoolView, clock: &DrainClock, draft: &mut Draft) {
+    // A new placer has no picture yet: what it knows no work of is not known to be idle.
+    let picture_is_whole = clock.has_run_for(view.now, view.options.member_stale_after);
     let draining: Vec<ReplicaKey> = draft.draining().cloned().collect();
     for key in draining {
         let Some(start) = clock.start(&key) else {
             continue;
         };
         let drained_for = view.now.since(start);
-        let idle = view.load.work.get(&key).is_none_or(|work| work.is_idle());
+        let idle = match view.load.work.get(&key) {
+            Some(work) => work.is_idle(),
+            None => picture_is_whole,
+        };
         // A node may have sent work just before it saw the drain: wait until it has reported.
         if idle && drained_for >= view.options.least_drain.min(view.limits.drain) {
             draft.remove(&key, MoveReason::Drained);
--- a/crates/placement/tests/placer.rs
+++ b/crates/placement/tests/placer.rs
@@ -76,6 +76,49 @@
     assert!(ended.since(started) >= drain);
 }
 
+#[test]
+fn a_new_placer_keeps_the_placement_and_waits_for_its_picture() {
+    let mut fixture = two_versions();
+    fixture.load_active(BUSY_STREAMS);
+    fixture.run(Duration::from_secs(10));
+    fixture.set_state("b03", BackendState::BackendDraining);
+    fixture.tick();
+    let before = fixture.placement.clone().unwrap();
+    fixture.placer = Placer::new(PlacerOptions::default());
+    fixture.epoch += 1;
+    fixture.streams.clear();
+    // No report has come yet: nothing changes, although the draining replica shows no work.
+    for _ in 0..8 {
+        assert_eq!(fixture.tick(), Vec::new());
+    }
+    assert_eq!(fixture.placement, Some(before));
+    fixture.run(Duration::from_secs(3));
+    assert_eq!(fixture.times_of(MoveReason::Drained).len(), 1);
+    assert_eq!(fixture.active().len(), 11);
+}
+
+#[test]
+fn a_lowered_share_recovers_when_the_pressure_is_gone() {
+    let mut fixture = Fixture::new(pool(), shared_options());
+    shared_backends(&mut fixture);
+    fixture.tick();
+    fixture
+        .streams
+        .insert(ReplicaKey::new("s0", "heavy", "v1"), 100);
+    fixture.run(Duration::from_secs(30));
+    let least = |fixture: &Fixture| {
+        let replicas = &fixture.placement.as_ref().unwrap().replicas;
+        replicas.iter().map(|replica| replica.weight_milli).min()
+    };
+    assert!(least(&fixture) < Some(1000));
+    fixture.streams.clear();
+    fixture.run(Duration::from_secs(300));
+    assert_eq!(least(&fixture), Some(1000));
+    let settled = fixture.history.len();
+    fixture.run(Duration::from_secs(60));
+    assert_eq!(fixture.history.len(), settled);
+}
+
 #[test]
 fn a_calm_transition_goes_in_small_steps_and_ends() {
     let mut fixture = two_versions();
