--- a/crates/placement/src/load/smoothed_load.rs
+++ b/crates/placement/src/load/smoothed_load.rs
@@ -85,6 +85,16 @@
         &self.replicas
     }
 
+    /// Means of the replicas on one backend. Keys sort by backend first.
+    pub fn replicas_on<'a>(
+        &'a self,
+        backend: &'a str,
+    ) -> impl Iterator<Item = (&'a ReplicaKey, &'a SmoothedWork)> {
+        self.replicas
+            .range(ReplicaKey::new(backend, "", "")..)
+            .take_while(move |(key, _)| key.backend == backend)
+    }
+
     /// Share of the moments at which any prompt was in service on a backend.
     #[must_use]
     pub fn prefill_busy(&self, backend: &str) -> f64 {
@@ -95,10 +105,8 @@
     #[must_use]
     pub fn streams_on(&self, backend: &str) -> BTreeMap<String, f64> {
         let mut streams = BTreeMap::new();
-        for (key, mean) in &self.replicas {
-            if key.backend == backend {
-                *streams.entry(key.model.clone()).or_insert(0.0) += mean.streams;
-            }
+        for (key, mean) in self.replicas_on(backend) {
+            *streams.entry(key.model.clone()).or_insert(0.0) += mean.streams;
         }
         streams
     }
--- a/crates/placement/src/plan/pool_view.rs
+++ b/crates/placement/src/plan/pool_view.rs
@@ -157,8 +157,8 @@
     pub fn model_utilization(&self, backend: &str, model: &str) -> f64 {
         let mut decode = 0.0;
         let mut prefill: f64 = 0.0;
-        for (key, mean) in self.load.smoothed.replicas() {
-            if key.backend == backend && key.model == model {
+        for (key, mean) in self.load.smoothed.replicas_on(backend) {
+            if key.model == model {
                 decode += self.load.costs.decode_utilization(model, mean.streams);
                 prefill = prefill.max(mean.prefill_busy);
             }
