--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -6,21 +6,13 @@
 use millford_api::local::{LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply};
 use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout, tenant_key};
 
+use crate::quota::ask_sent::AskSent;
+use crate::quota::quota_tally::QuotaTally;
 use crate::quota::request_book::RequestBook;
-use crate::quota::tenant_slice::{AskSent, SliceAnswer, TenantSlice};
+use crate::quota::slice_answer::SliceAnswer;
+use crate::quota::tenant_slice::TenantSlice;
 use crate::quota::waiter::Waiter;
-use crate::timing::QUOTA_BATCH;
-
-/// How many asks were answered in which way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QuotaTally {
-    /// Granted.
-    pub granted: u64,
-    /// Refused: the quota is used up.
-    pub refused: u64,
-    /// Refused: no decision in time.
-    pub unavailable: u64,
-}
+use crate::timing::{QUOTA_BATCH, SLOT_RENEWAL_AHEAD};
 
 /// The slices of every tenant with work on this node.
 #[derive(Clone, Debug, Default)]
@@ -228,9 +220,35 @@
                 due.entry(shard).or_default().push(tenant.clone());
             }
         }
+        if !due.is_empty() {
+            self.add_renewals(now, layout, &mut due);
+        }
         due
     }
 
+    /// Reports of slots that are due soon go along: one by one they would make most of the node's
+    /// frames.
+    fn add_renewals(
+        &self,
+        now: MonotonicTime,
+        layout: ShardLayout,
+        due: &mut BTreeMap<ShardId, Vec<String>>,
+    ) {
+        let limit = now + SLOT_RENEWAL_AHEAD;
+        for tenant in &self.active {
+            let slice = self.slices.get(tenant);
+            if !slice.is_some_and(|slice| slice.renews_by(limit)) {
+                continue;
+            }
+            let shard = layout.shard_of(&tenant_key(tenant));
+            if let Some(tenants) = due.get_mut(&shard)
+                && !tenants.contains(tenant)
+            {
+                tenants.push(tenant.clone());
+            }
+        }
+    }
+
     /// The leader could not answer. A request that returns nothing is given up for a new one, whose
     /// lease counts from later; one that returns tokens keeps its id, so that they count once.
     fn unanswered(&mut self, now: MonotonicTime, request_id: u64) {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -5,7 +5,9 @@
 use millford_api::internal::{QuotaAsk, QuotaGrant};
 use millford_core::{Duration, MonotonicTime, ResultCode};
 
+use crate::quota::ask_sent::AskSent;
 use crate::quota::lease::TokenLease;
+use crate::quota::slice_answer::SliceAnswer;
 use crate::quota::slot_hold::SlotHold;
 use crate::quota::waiter::Waiter;
 use crate::timing::{LEASE_RETURN_BEFORE, QUOTA_RECALL_PAUSE, QUOTA_RETRY};
@@ -14,26 +16,6 @@
 /// what a request may be under way.
 const KEPT_AFTER_ASK: Duration = Duration::from_millis(2_000);
 
-/// Answer to one call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SliceAnswer {
-    /// Number that the proxy gave to its ask.
-    pub request_id: u64,
-    /// `Ok`, or why the call is refused.
-    pub code: ResultCode,
-    /// When asking again may help.
-    pub retry_after_ms: u32,
-}
-
-/// When an ask was sent, and in which request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AskSent {
-    /// When it was first sent.
-    pub at: MonotonicTime,
-    /// Number of the request.
-    pub request_id: u64,
-}
-
 /// Tokens, stream slots and waiting calls of one tenant.
 #[derive(Clone, Debug)]
 pub struct TenantSlice {
@@ -112,7 +94,7 @@
         let mut still_waiting = VecDeque::new();
         while let Some(waiter) = self.waiters.pop_front() {
             if self.admit(now, &waiter) {
-                answers.push(answer(&waiter, ResultCode::Ok, 0));
+                answers.push(SliceAnswer::to(&waiter, ResultCode::Ok, 0));
             } else {
                 still_waiting.push_back(waiter);
             }
@@ -154,7 +136,7 @@
         self.waiters.retain(|waiter| {
             let over = waiter.deadline <= now;
             if over {
-                answers.push(answer(waiter, ResultCode::QuotaUnavailable, 0));
+                answers.push(SliceAnswer::to(waiter, ResultCode::QuotaUnavailable, 0));
             }
             !over
         });
@@ -205,6 +187,12 @@
         self.slots.renewal()
     }
 
+    /// Whether the slots in use are to be reported by `limit`.
+    #[must_use]
+    pub fn renews_by(&self, limit: MonotonicTime) -> bool {
+        self.slots.renewal().is_some_and(|at| at <= limit)
+    }
+
     fn tokens_missing(&self, now: MonotonicTime) -> u32 {
         let waiting = u32::try_from(self.waiters.len()).unwrap_or(u32::MAX);
         let coming = self.outstanding.saturating_add(self.tokens(now));
@@ -345,17 +333,9 @@
                 kept -= 1;
                 return true;
             }
-            answers.push(answer(waiter, code, retry_after_ms));
+            answers.push(SliceAnswer::to(waiter, code, retry_after_ms));
             false
         });
         answers
     }
 }
-
-fn answer(waiter: &Waiter, code: ResultCode, retry_after_ms: u32) -> SliceAnswer {
-    SliceAnswer {
-        request_id: waiter.request_id,
-        code,
-        retry_after_ms,
-    }
-}
