Give the agent link's connection a file of its own

Change: the requests' side and the connection's side are apart; no behaviour changes. Result: cargo test -p millford-proxy: all passed.

--- a/crates/proxy/src/daemon/mod.rs
+++ b/crates/proxy/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The `millford-proxy` process: sockets, runtimes and signals around the request path.
 
 pub mod agent_link;
+pub mod agent_link_task;
 pub mod backend_client;
 pub mod body_reader;
 pub mod caller_channel;
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -11,7 +11,8 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::daemon::agent_link::{AgentLink, AgentLinkTask, agent_link};
+use crate::daemon::agent_link::{AgentLink, agent_link};
+use crate::daemon::agent_link_task::AgentLinkTask;
 use crate::daemon::backend_client::BackendClient;
 use crate::daemon::environment::DaemonEnvironment;
 use crate::daemon::server::{HttpLimits, service};
