Report load four times a second, as the pick lives on fresh counts

Cause: the daemon reported once a second while the experiments assume 200 ms, and a refresh at every fifth report met the ageing of five seconds. Change (crates/proxy, crates/routing): a report every 250 ms, unchanged work again after twelve reports, with its test. Reports carry only what changed, so that their bytes follow the traffic.

--- a/crates/proxy/src/daemon/reporter.rs
+++ b/crates/proxy/src/daemon/reporter.rs
@@ -1,4 +1,4 @@
-//! Tells the agent once a second what is in flight.
+//! Tells the agent several times a second what is in flight.
 
 use std::sync::Arc;
 
@@ -8,8 +8,8 @@
 use crate::daemon::agent_link::AgentLink;
 use crate::proxy_state::ProxyState;
 
-/// Time between two reports.
-pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two reports. They carry only what changed; the pick among backends lives on fresh counts.
+pub const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
 /// Reports for as long as the process lives.
 pub async fn run(state: Arc<ProxyState>, agent: AgentLink) {
--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -17,8 +17,8 @@
 const MAX_SAMPLES: usize = 64;
 
 /// Unchanged work in flight is reported again after this many reports without it: the placement role
-/// forgets counts that are not refreshed.
-const REFRESH_AFTER_REPORTS: u32 = 5;
+/// forgets counts that are not refreshed for five seconds. Four reports a second make this three.
+const REFRESH_AFTER_REPORTS: u32 = 12;
 
 /// Counts of one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/routing/tests/load.rs
+++ b/crates/routing/tests/load.rs
@@ -175,3 +175,22 @@
     let much_later = later + Duration::from_secs(120);
     assert_eq!(health.to_probe(much_later, quiet), ["b1"]);
 }
+
+/// The placement role forgets counts that are not refreshed: a long stream must show again and again.
+#[test]
+fn unchanged_work_is_reported_again_and_idle_replicas_are_not() {
+    let board = std::sync::Arc::new(millford_routing::LoadBoard::default());
+    let key = millford_routing::ReplicaKey {
+        pool: "pool".to_owned(),
+        backend_id: "b1".to_owned(),
+        ..millford_routing::ReplicaKey::default()
+    };
+    let ticket = board.start(key, 10);
+    assert_eq!(board.take_reports().len(), 1);
+    let repeated = (0..24).filter(|_| !board.take_reports().is_empty()).count();
+    assert_eq!(repeated, 2);
+    drop(ticket);
+    assert_eq!(board.take_reports().len(), 1);
+    let after_the_end = (0..24).filter(|_| !board.take_reports().is_empty()).count();
+    assert_eq!(after_the_end, 0);
+}
