--- a/crates/simulation/src/world/registry.rs
+++ b/crates/simulation/src/world/registry.rs
@@ -44,6 +44,8 @@
     pub view: Arc<RegistryView>,
     /// Number of faults that keep the list from changing.
     pub still: u32,
+    /// Backends retired while the list stood still.
+    pub unannounced: Vec<u16>,
 }
 
 impl RegistryList {
@@ -156,9 +158,11 @@
             entry.state = "draining".to_owned();
         }
         self.registry.publish();
-        self.record(Record::BackendLeaving {
-            backend: BackendNumber(number),
-        });
+        // While the list stands still nobody can know of the retirement.
+        match self.registry.still {
+            0 => self.announce_retirement(number),
+            _ => self.registry.unannounced.push(number),
+        }
         let leave = RegistryEvent::Leave { backend: number };
         self.after(LEAVE_AFTER, Event::Registry(leave));
         let replacement = self.add_backend(lookup);
@@ -168,6 +172,11 @@
         });
     }
 
+    fn announce_retirement(&mut self, number: u16) {
+        let backend = BackendNumber(number);
+        self.record(Record::BackendLeaving { backend });
+    }
+
     /// The list stands still, or moves again.
     pub fn still_registry(&mut self, still: bool) {
         match still {
@@ -175,5 +184,10 @@
             false => self.registry.still = self.registry.still.saturating_sub(1),
         }
         self.registry.publish();
+        if self.registry.still == 0 {
+            for number in std::mem::take(&mut self.registry.unannounced) {
+                self.announce_retirement(number);
+            }
+        }
     }
 }
