--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -23,10 +23,12 @@
         return Ok(ExitCode::SUCCESS);
     };
     let options = DemoOptions::read(&matches)?;
+    // A fleet that was left up is meant to be ended by a signal.
+    let status_at_end = if options.keep { 0 } else { INTERRUPTED_STATUS };
     tokio::select! {
         result = demonstrate(options) => result,
         // The fleet inside the other branch is dropped, and its processes with it.
-        end = wait_for_end() => end.map(|()| ExitCode::from(INTERRUPTED_STATUS)),
+        end = wait_for_end() => end.map(|()| ExitCode::from(status_at_end)),
     }
 }
 
