Lead the lab's command line to scenarios and experiments

Cause: millford-lab scenarios and experiment were only reachable as examples of their crates. Change: both commands are dispatched before the runtime starts, like scale.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,8 @@
   demo         the whole fleet on loopback, with faults while streams run
   chaos        a whole site under every fault, the promises checked
   bench        measurements: bench overhead
+  scenarios    the whole fleet under simulated time, over many seeds
+  experiment   routing and placement against what they replace
   scale        what a fleet of a given size costs, by hollow nodes
 
 Each command has --help.";
@@ -28,9 +30,8 @@
         println!("{USAGE}");
         return ExitCode::SUCCESS;
     }
-    // The scale rig brings runtimes of its own, whose threads it tells apart.
-    if command == "scale" {
-        return millford_scale::run(rest);
+    if let Some(status) = run_without_runtime(command, rest) {
+        return status;
     }
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -51,6 +52,17 @@
     }
 }
 
+/// Commands that need no runtime, or bring their own.
+fn run_without_runtime(command: &str, rest: &[String]) -> Option<ExitCode> {
+    match command {
+        "scenarios" => Some(millford_simulation::run(rest)),
+        "experiment" => Some(millford_experiments::run(rest)),
+        // The scale rig brings runtimes of its own, whose threads it tells apart.
+        "scale" => Some(millford_scale::run(rest)),
+        _ => None,
+    }
+}
+
 async fn dispatch(command: &str, rest: &[String]) -> Result<ExitCode, FleetError> {
     match command {
         "backend" => commands::backend::run(rest)
