--- a/crates/simulation/src/world/proxy_driver.rs
+++ b/crates/simulation/src/world/proxy_driver.rs
@@ -5,7 +5,7 @@
 
 use millford_api::local::{LocalFrame, ProxyHello, local_frame};
 use millford_proxy::control::frame_handler::FrameOutcome;
-use millford_proxy::daemon::prober::{PROBE_PERIOD, PROBE_TIMEOUT, QUIET_BEFORE_PROBE};
+use millford_proxy::daemon::prober::PROBE_PERIOD;
 use millford_proxy::request::completion::serve_completion;
 use millford_proxy::request::lookup::serve_lookup;
 use rand::{Rng, SeedableRng};
@@ -21,12 +21,11 @@
 use crate::world::proxy::{
     BackendLink, CallerPipe, ProxyAction, ProxyCore, SimulatedEnvironment, lock,
 };
-use crate::world::registry::{backend_at, backend_of_id};
+use crate::world::registry::backend_at;
 use crate::world::site::Site;
 
 const RECONNECT: Duration = Duration::from_millis(50);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-const TICKS_PER_REPORT: u64 = 4;
 
 impl Site {
     /// Starts a proxy with an empty state.
@@ -180,7 +179,7 @@
         }
     }
 
-    fn proxy_to_agent(&mut self, number: u16, frame: LocalFrame) {
+    pub(super) fn proxy_to_agent(&mut self, number: u16, frame: LocalFrame) {
         let Some(proxy) = self.proxies.get(&number).filter(|it| it.agent_open) else {
             return;
         };
@@ -399,79 +398,6 @@
         }
     }
 
-    fn proxy_tick(&mut self, number: u16) {
-        let Some(proxy) = self.proxies.get_mut(&number) else {
-            return;
-        };
-        proxy.ticks += 1;
-        let reports_due = proxy.ticks.is_multiple_of(TICKS_PER_REPORT);
-        let Some(core) = proxy.core.as_ref() else {
-            return;
-        };
-        let probing = proxy
-            .backends
-            .values()
-            .any(|purpose| matches!(purpose, BackendLink::Probe { .. }));
-        let now = lock(&core.port).now;
-        let due = match probing {
-            true => Vec::new(),
-            false => core.state.health.to_probe(now, QUIET_BEFORE_PROBE),
-        };
-        let reports = match reports_due {
-            true => core.state.board.take_reports(),
-            false => Vec::new(),
-        };
-        for report in reports {
-            let body = Some(local_frame::Body::LoadReport(report));
-            self.proxy_to_agent(number, LocalFrame { body });
-        }
-        for backend in due {
-            self.start_probe(number, backend);
-        }
-    }
-
-    fn start_probe(&mut self, number: u16, backend: String) {
-        let Some(target) = backend_of_id(&backend) else {
-            return;
-        };
-        let process = ProcessId::Proxy(number);
-        let boot = self.boot_of(process);
-        let link = self.open_link(process, ProcessId::Backend(target));
-        if let Some(proxy) = self.proxies.get_mut(&number) {
-            proxy.backends.insert(link, BackendLink::Probe { backend });
-        }
-        let input = ProcessInput::ProbeOverdue { link };
-        self.after(
-            PROBE_TIMEOUT,
-            Event::Input {
-                process,
-                boot,
-                input,
-            },
-        );
-    }
-
-    /// A probe was answered, failed or took too long.
-    pub fn probe_ends(&mut self, number: u16, link: LinkNumber, answered: bool) {
-        let Some(proxy) = self.proxies.get_mut(&number) else {
-            return;
-        };
-        if !matches!(proxy.backends.get(&link), Some(BackendLink::Probe { .. })) {
-            return;
-        }
-        let Some(BackendLink::Probe { backend }) = proxy.backends.remove(&link) else {
-            return;
-        };
-        if let Some(core) = proxy.core.as_ref() {
-            let now = lock(&core.port).now;
-            match answered {
-                true => core.state.health.probe_succeeded(&backend, now),
-                false => core.state.health.probe_failed(&backend),
-            };
-        }
-        self.close_link(ProcessId::Proxy(number), link);
-    }
-
     fn open_backend_link(&mut self, number: u16, address: &str, purpose: BackendLink) {
         let process = ProcessId::Proxy(number);
         let boot = self.boot_of(process);
