--- /dev/null
+++ b/crates/simulation/src/world/answer_driver.rs
@@ -0,0 +1,176 @@
+//! Answers of simulated backends, right and wrong.
+
+use bytes::Bytes;
+use millford_proxy::request::message::{AnswerHead, Framing};
+use rand::Rng;
+
+use crate::network::{HttpPacket, LinkNumber, ProcessId};
+use crate::scenario::AnswerFault;
+use crate::world::backend::{Answering, mark_of};
+use crate::world::site::Site;
+
+const OK: u16 = 200;
+
+impl Site {
+    pub(super) fn plain_answer(
+        &mut self,
+        number: u16,
+        link: LinkNumber,
+        work: &mut Answering,
+    ) -> bool {
+        self.finish_work(number, work);
+        let process = ProcessId::Backend(number);
+        if work.fault == Some(AnswerFault::Lost) {
+            self.close_link(process, link);
+            return false;
+        }
+        let mut shown = work.clone();
+        if work.fault == Some(AnswerFault::Crossed)
+            && let Some(other) = self.another_run(work.content)
+        {
+            shown = other;
+        }
+        let mark = mark_of(&shown.piece(0));
+        let body = format!(
+            "{{\"choices\":[{{\"message\":{{\"role\":\"assistant\",\"content\":\"{mark}\"}}}}]}}"
+        );
+        let cut = work.fault == Some(AnswerFault::Cut);
+        let unframed = cut && self.random.random_bool(0.5);
+        let framing = match unframed {
+            true => Framing::UntilClose,
+            false => Framing::Length(body.len() as u64),
+        };
+        let head = head_of(&shown, "application/json", framing);
+        self.backend_sends(number, link, HttpPacket::Head(Box::new(head)));
+        let mut bytes = Bytes::from(body);
+        if cut {
+            bytes.truncate(bytes.len() / 2);
+        }
+        self.backend_sends(number, link, HttpPacket::Chunk(bytes));
+        if !cut || unframed {
+            self.backend_sends(number, link, HttpPacket::Finish);
+        }
+        self.close_link(process, link);
+        false
+    }
+
+    // Sends one piece. Gives whether there is more to do.
+    pub(super) fn stream_step(
+        &mut self,
+        number: u16,
+        link: LinkNumber,
+        work: &mut Answering,
+    ) -> bool {
+        if work.fault == Some(AnswerFault::Lost) {
+            self.finish_work(number, work);
+            self.close_link(ProcessId::Backend(number), link);
+            return false;
+        }
+        if !work.head_sent {
+            work.head_sent = true;
+            if work.fault == Some(AnswerFault::Crossed) {
+                self.cross_streams(work);
+            }
+            let head = head_of(work, "text/event-stream", Framing::Chunked);
+            self.backend_sends(number, link, HttpPacket::Head(Box::new(head)));
+        }
+        if work.next < work.total {
+            self.send_piece(number, link, work, work.next);
+            work.next += 1;
+        }
+        if work.next < work.total {
+            return self.disturb_stream(number, link, work);
+        }
+        self.end_stream(number, link, work);
+        false
+    }
+
+    // From here on the answer is another run's, with or without that run's attempt id.
+    pub(super) fn cross_streams(&mut self, work: &mut Answering) {
+        let Some(other) = self.another_run(work.content) else {
+            return;
+        };
+        if self.random.random_bool(0.5) {
+            work.attempt = other.attempt;
+        }
+        work.content = other.content;
+        work.run = other.run;
+        work.run_number = other.run_number;
+    }
+
+    // Something that goes wrong after half of the stream. Gives whether the stream goes on.
+    pub(super) fn disturb_stream(
+        &mut self,
+        number: u16,
+        link: LinkNumber,
+        work: &mut Answering,
+    ) -> bool {
+        if !work.is_half_done() {
+            return true;
+        }
+        match work.fault {
+            Some(AnswerFault::Cut) => {
+                if self.random.random_bool(0.5) {
+                    self.backend_sends(number, link, HttpPacket::Finish);
+                }
+                self.close_link(ProcessId::Backend(number), link);
+                return false;
+            }
+            Some(AnswerFault::Stray) => {
+                if let Some(other) = self.another_run(work.content) {
+                    self.send_piece(number, link, &other, work.next);
+                }
+                work.fault = None;
+            }
+            Some(AnswerFault::Skipped) => {
+                // A last piece that is left out before the end marker cannot be told by anyone.
+                match self.random.random_bool(0.5) && work.next + 1 < work.total {
+                    true => work.next += 1,
+                    false => work.next = work.next.saturating_sub(1),
+                }
+                work.fault = None;
+            }
+            _ => {}
+        }
+        true
+    }
+
+    pub(super) fn end_stream(&mut self, number: u16, link: LinkNumber, work: &Answering) {
+        self.finish_work(number, work);
+        let mut end = String::from("data: [DONE]\n\n");
+        if work.fault == Some(AnswerFault::Stray) {
+            end.push_str("data: {\"stray\":true}\n\n");
+        }
+        self.backend_sends(number, link, HttpPacket::Chunk(Bytes::from(end)));
+        self.backend_sends(number, link, HttpPacket::Finish);
+        self.close_link(ProcessId::Backend(number), link);
+    }
+
+    pub(super) fn send_piece(
+        &mut self,
+        number: u16,
+        link: LinkNumber,
+        work: &Answering,
+        sequence: u64,
+    ) {
+        let mark = mark_of(&work.piece(sequence));
+        let run = &work.run;
+        let event = format!(
+            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{mark}\"}}}}],\
+             \"millford\":{{\"run\":\"{run}\",\"seq\":{sequence}}}}}\n\n"
+        );
+        self.backend_sends(number, link, HttpPacket::Chunk(Bytes::from(event)));
+    }
+}
+
+fn head_of(work: &Answering, content_type: &str, framing: Framing) -> AnswerHead {
+    AnswerHead {
+        status: OK,
+        attempt: Some(work.attempt.clone()),
+        not_run: false,
+        resume_at: work.resume_at,
+        retry_after_ms: None,
+        content_type: content_type.to_owned(),
+        framing,
+    }
+}
--- a/crates/simulation/src/world/backend_driver.rs
+++ b/crates/simulation/src/world/backend_driver.rs
@@ -10,7 +10,7 @@
 use crate::history::{AttemptNumber, BackendNumber, ContentNumber, Record};
 use crate::network::{HttpPacket, LinkNumber, Packet, ProcessId};
 use crate::scenario::AnswerFault;
-use crate::world::backend::{Answering, BackendProcess, mark_of};
+use crate::world::backend::{Answering, BackendProcess};
 use crate::world::callers::KEY_PREFIX;
 use crate::world::event::Event;
 use crate::world::process_input::ProcessInput;
@@ -24,7 +24,6 @@
 const REFUSAL_SHARE: f64 = 0.01;
 const RESUME_REFUSED_SHARE: f64 = 0.1;
 const RESUME_IGNORED_SHARE: f64 = 0.1;
-const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
 const RECENT_RUNS: usize = 8;
 
@@ -190,7 +189,7 @@
         }
     }
 
-    fn another_run(&mut self, content: ContentNumber) -> Option<Answering> {
+    pub(super) fn another_run(&mut self, content: ContentNumber) -> Option<Answering> {
         let recent = &self.faults.recent_runs;
         let others: Vec<&Answering> = recent.iter().filter(|it| it.content != content).collect();
         if others.is_empty() {
@@ -260,7 +259,7 @@
         self.work_after(number, link, delay);
     }
 
-    fn finish_work(&mut self, number: u16, work: &Answering) {
+    pub(super) fn finish_work(&mut self, number: u16, work: &Answering) {
         if let Some(backend) = self.backends.get_mut(&number) {
             backend.finished.insert(work.attempt.clone());
         }
@@ -271,154 +270,13 @@
         });
     }
 
-    fn plain_answer(&mut self, number: u16, link: LinkNumber, work: &mut Answering) -> bool {
-        self.finish_work(number, work);
-        let process = ProcessId::Backend(number);
-        if work.fault == Some(AnswerFault::Lost) {
-            self.close_link(process, link);
-            return false;
-        }
-        let mut shown = work.clone();
-        if work.fault == Some(AnswerFault::Crossed)
-            && let Some(other) = self.another_run(work.content)
-        {
-            shown = other;
-        }
-        let mark = mark_of(&shown.piece(0));
-        let body = format!(
-            "{{\"choices\":[{{\"message\":{{\"role\":\"assistant\",\"content\":\"{mark}\"}}}}]}}"
-        );
-        let cut = work.fault == Some(AnswerFault::Cut);
-        let unframed = cut && self.random.random_bool(0.5);
-        let framing = match unframed {
-            true => Framing::UntilClose,
-            false => Framing::Length(body.len() as u64),
-        };
-        let head = head_of(&shown, "application/json", framing);
-        self.backend_sends(number, link, HttpPacket::Head(Box::new(head)));
-        let mut bytes = Bytes::from(body);
-        if cut {
-            bytes.truncate(bytes.len() / 2);
-        }
-        self.backend_sends(number, link, HttpPacket::Chunk(bytes));
-        if !cut || unframed {
-            self.backend_sends(number, link, HttpPacket::Finish);
-        }
-        self.close_link(process, link);
-        false
-    }
-
-    // Sends one piece. Gives whether there is more to do.
-    fn stream_step(&mut self, number: u16, link: LinkNumber, work: &mut Answering) -> bool {
-        if work.fault == Some(AnswerFault::Lost) {
-            self.finish_work(number, work);
-            self.close_link(ProcessId::Backend(number), link);
-            return false;
-        }
-        if !work.head_sent {
-            work.head_sent = true;
-            if work.fault == Some(AnswerFault::Crossed) {
-                self.cross_streams(work);
-            }
-            let head = head_of(work, "text/event-stream", Framing::Chunked);
-            self.backend_sends(number, link, HttpPacket::Head(Box::new(head)));
-        }
-        if work.next < work.total {
-            self.send_piece(number, link, work, work.next);
-            work.next += 1;
-        }
-        if work.next < work.total {
-            return self.disturb_stream(number, link, work);
-        }
-        self.end_stream(number, link, work);
-        false
-    }
-
-    // From here on the answer is another run's, with or without that run's attempt id.
-    fn cross_streams(&mut self, work: &mut Answering) {
-        let Some(other) = self.another_run(work.content) else {
-            return;
-        };
-        if self.random.random_bool(0.5) {
-            work.attempt = other.attempt;
-        }
-        work.content = other.content;
-        work.run = other.run;
-        work.run_number = other.run_number;
-    }
-
-    // Something that goes wrong after half of the stream. Gives whether the stream goes on.
-    fn disturb_stream(&mut self, number: u16, link: LinkNumber, work: &mut Answering) -> bool {
-        if !work.is_half_done() {
-            return true;
-        }
-        match work.fault {
-            Some(AnswerFault::Cut) => {
-                if self.random.random_bool(0.5) {
-                    self.backend_sends(number, link, HttpPacket::Finish);
-                }
-                self.close_link(ProcessId::Backend(number), link);
-                return false;
-            }
-            Some(AnswerFault::Stray) => {
-                if let Some(other) = self.another_run(work.content) {
-                    self.send_piece(number, link, &other, work.next);
-                }
-                work.fault = None;
-            }
-            Some(AnswerFault::Skipped) => {
-                // A last piece that is left out before the end marker cannot be told by anyone.
-                match self.random.random_bool(0.5) && work.next + 1 < work.total {
-                    true => work.next += 1,
-                    false => work.next = work.next.saturating_sub(1),
-                }
-                work.fault = None;
-            }
-            _ => {}
-        }
-        true
-    }
-
-    fn end_stream(&mut self, number: u16, link: LinkNumber, work: &Answering) {
-        self.finish_work(number, work);
-        let mut end = String::from("data: [DONE]\n\n");
-        if work.fault == Some(AnswerFault::Stray) {
-            end.push_str("data: {\"stray\":true}\n\n");
-        }
-        self.backend_sends(number, link, HttpPacket::Chunk(Bytes::from(end)));
-        self.backend_sends(number, link, HttpPacket::Finish);
-        self.close_link(ProcessId::Backend(number), link);
-    }
-
-    fn send_piece(&mut self, number: u16, link: LinkNumber, work: &Answering, sequence: u64) {
-        let mark = mark_of(&work.piece(sequence));
-        let run = &work.run;
-        let event = format!(
-            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{mark}\"}}}}],\
-             \"millford\":{{\"run\":\"{run}\",\"seq\":{sequence}}}}}\n\n"
-        );
-        self.backend_sends(number, link, HttpPacket::Chunk(Bytes::from(event)));
-    }
-
-    fn backend_sends(&mut self, number: u16, link: LinkNumber, packet: HttpPacket) {
+    pub(super) fn backend_sends(&mut self, number: u16, link: LinkNumber, packet: HttpPacket) {
         let now = self.now();
         let process = ProcessId::Backend(number);
         self.send_packet(process, link, Packet::Http(packet), now);
     }
 }
 
-fn head_of(work: &Answering, content_type: &str, framing: Framing) -> AnswerHead {
-    AnswerHead {
-        status: OK,
-        attempt: Some(work.attempt.clone()),
-        not_run: false,
-        resume_at: work.resume_at,
-        retry_after_ms: None,
-        content_type: content_type.to_owned(),
-        framing,
-    }
-}
-
 fn content_of(request: &BackendRequest) -> Option<ContentNumber> {
     let body = String::from_utf8_lossy(&request.body);
     let text = match request.body.is_empty() {
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -1,7 +1,9 @@
 //! The simulated site: machines, processes, stand-ins, faults and the loop over events.
 
 pub mod agent_driver;
+pub mod agent_link_driver;
 pub mod agent_process;
+pub mod answer_driver;
 pub mod backend;
 pub mod backend_driver;
 pub mod caller_driver;
--- a/crates/simulation/src/world/proxy_driver.rs
+++ b/crates/simulation/src/world/proxy_driver.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use millford_api::local::{LocalFrame, ProxyHello, local_frame};
-use millford_proxy::control::frame_handler::FrameOutcome;
+use millford_api::local::LocalFrame;
 use millford_proxy::daemon::prober::PROBE_PERIOD;
 use millford_proxy::request::completion::serve_completion;
 use millford_proxy::request::lookup::serve_lookup;
@@ -24,7 +23,6 @@
 use crate::world::registry::backend_at;
 use crate::world::site::Site;
 
-const RECONNECT: Duration = Duration::from_millis(50);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl Site {
@@ -82,14 +80,6 @@
         }
     }
 
-    fn connect_to_agent(&mut self, number: u16) {
-        let link = self.open_link(ProcessId::Proxy(number), ProcessId::Agent(number));
-        if let Some(proxy) = self.proxies.get_mut(&number) {
-            proxy.agent = Some(link);
-            proxy.agent_open = false;
-        }
-    }
-
     /// Hands an input to a proxy.
     pub fn proxy_input(&mut self, number: u16, input: ProcessInput, waits: bool) {
         if matches!(input, ProcessInput::Tick) {
@@ -218,32 +208,6 @@
         }
     }
 
-    fn greet_agent(&mut self, number: u16) {
-        let boot_id = self.boot_of(ProcessId::Proxy(number));
-        let Some(proxy) = self.proxies.get_mut(&number) else {
-            return;
-        };
-        proxy.agent_open = true;
-        let Some(core) = proxy.core.as_ref() else {
-            return;
-        };
-        let hello = local_frame::Body::ProxyHello(ProxyHello {
-            boot_id,
-            caller_address: format!("10.0.2.{number}:8080"),
-        });
-        let mut frames = vec![LocalFrame { body: Some(hello) }];
-        frames.push(core.handler.shown_frame());
-        // What tasks queued for the old connection is among the unanswered, or out of date.
-        let mut port = lock(&core.port);
-        port.actions
-            .retain(|action| !matches!(action, ProxyAction::ToAgent(_)));
-        drop(port);
-        frames.extend(core.desk.unanswered());
-        for frame in frames {
-            self.proxy_to_agent(number, frame);
-        }
-    }
-
     fn proxy_link_closed(&mut self, number: u16, link: LinkNumber) {
         let Some(proxy) = self.proxies.get_mut(&number) else {
             return;
@@ -255,24 +219,6 @@
         self.backend_link_closed(number, link);
     }
 
-    fn lose_agent(&mut self, number: u16) {
-        let process = ProcessId::Proxy(number);
-        let boot = self.boot_of(process);
-        if let Some(proxy) = self.proxies.get_mut(&number) {
-            proxy.agent = None;
-            proxy.agent_open = false;
-        }
-        let input = ProcessInput::Reconnect;
-        self.after(
-            RECONNECT,
-            Event::Input {
-                process,
-                boot,
-                input,
-            },
-        );
-    }
-
     fn proxy_packet(&mut self, number: u16, link: LinkNumber, packet: Packet) {
         match packet {
             Packet::Local(frame) => {
@@ -289,67 +235,6 @@
         }
     }
 
-    fn local_frame(&mut self, number: u16, frame: LocalFrame) {
-        if self.holds_back(number, &frame) {
-            return;
-        }
-        let Some(proxy) = self.proxies.get_mut(&number) else {
-            return;
-        };
-        if proxy.first_frame.is_none() && is_configuration(&frame) {
-            proxy.first_frame = Some(frame.clone());
-        }
-        let Some(core) = proxy.core.as_mut() else {
-            return;
-        };
-        match core.handler.handle(frame) {
-            FrameOutcome::Nothing => self.note_shown(number),
-            FrameOutcome::Changed => {
-                let shown = core.handler.show();
-                self.note_shown(number);
-                if let Some(frame) = shown {
-                    self.proxy_to_agent(number, frame);
-                }
-            }
-            FrameOutcome::Reconnect => {
-                if let Some(link) = proxy.agent {
-                    self.close_link(ProcessId::Proxy(number), link);
-                }
-                self.lose_agent(number);
-            }
-            answer => core.desk.answered(&core.port, answer),
-        }
-    }
-
-    // A planted defect: the first front machine takes no state after its first revision.
-    fn holds_back(&self, number: u16, frame: &LocalFrame) -> bool {
-        let shows = self.proxies.get(&number).is_some_and(|it| it.shown > 0);
-        let is_state = matches!(
-            frame.body,
-            Some(local_frame::Body::Snapshot(_) | local_frame::Body::Change(_))
-        );
-        self.options.defect == Some(Defect::HoldsRevisions) && number == 1 && shows && is_state
-    }
-
-    fn note_shown(&mut self, number: u16) {
-        let Some(proxy) = self.proxies.get_mut(&number) else {
-            return;
-        };
-        let Some(core) = proxy.core.as_ref() else {
-            return;
-        };
-        // Until it is ready a proxy serves nothing, so it shows nothing.
-        let revision = core.state.table().revision();
-        if revision == proxy.shown || !core.state.is_ready() {
-            return;
-        }
-        proxy.shown = revision;
-        self.record(Record::RevisionShown {
-            front: FrontNumber(number),
-            revision,
-        });
-    }
-
     fn proxy_call(&mut self, number: u16, arrival: Arrival) {
         let call = arrival.call;
         self.record(Record::CallArrived { call });
@@ -424,12 +309,3 @@
         );
     }
 }
-
-fn is_configuration(frame: &LocalFrame) -> bool {
-    match &frame.body {
-        Some(local_frame::Body::Snapshot(snapshot)) => {
-            snapshot.shard == 0 && !snapshot.items.is_empty()
-        }
-        _ => false,
-    }
-}
