Let no queue of a hot tenant stand at the leader

Cause: calls of a hot tenant waited their whole 3 s and got 2004 at one or two nodes while others were served or refused. Three counts at the leader kept it from refusing. (1) What the rate gives in the longest wait was allowed to wait on top of the optimistic count, also for waits that the leader itself caused: old waiters at one node made room for a queue of rate times 3 s. (2) The optimistic count was never cut when waiting calls were given up, so that a queue once allowed was allowed for good, also in the next press. (3) The rest of a queue was refused only by its excess: as long as the tenant pressed, the queue of a takeover stood.

Ruled out: the recall race. A holder answers within two asks, and in the pure reproduction the asks were judged, with nothing to recall.

Change: only waiting that the leader could not hear of (silence of the node) is credited, once for all nodes of an outage; the count is cut to a burst and what waits; with an excess an eighth of the queue goes too.

The first press right after a cluster was formed starts from an empty bucket still.

--- a/crates/control-state/src/quota/account.rs
+++ b/crates/control-state/src/quota/account.rs
@@ -39,8 +39,15 @@
     pub(super) oldest_wait: Duration,
 }
 
-/// Part of what the rate gives in the longest wait that waiting requests may count on.
-const WAIT_CREDIT_PERCENT: u64 = 95;
+/// A node that was not heard of for longer than this may have kept requests waiting meanwhile.
+const ORDINARY_GAP: Duration = Duration::from_millis(100);
+
+/// How long after one node's return from an outage others of the same outage may still return.
+pub(super) const OUTAGE_RETURN: Duration = Duration::from_millis(1_000);
+
+/// Part of the queue that is given up with each refusal, so that no queue stands while the tenant
+/// goes on to be over its quota.
+const QUEUE_DRAIN_DIVISOR: u64 = 8;
 
 /// A wait in which the rate gives more than this many bursts comes from an outage.
 const LONG_WAIT_BURSTS: u64 = 2;
@@ -62,6 +69,14 @@
     burst: u32,
     bucket: Bucket,
     slices: BTreeMap<String, MemberSlice>,
+    outage: Option<OutageCredit>,
+}
+
+/// What the rate gave in an outage that some nodes return from, for the requests that waited there.
+#[derive(Clone, Copy, Debug)]
+struct OutageCredit {
+    tokens: u64,
+    until: MonotonicTime,
 }
 
 impl TokenAccount {
@@ -71,6 +86,7 @@
             burst: quota.burst,
             bucket: Bucket::new(quota, takeover, now),
             slices: BTreeMap::new(),
+            outage: None,
         }
     }
 
@@ -83,10 +99,11 @@
     ) -> TokenAnswer {
         self.advance(now, options);
         self.take_back(now, ask);
+        let unheard = self.unheard_wait(now, ask);
+        self.note_outage(now, unheard);
         let asked = ask.wanted.min(self.bucket.lendable());
         self.bucket.lend(asked);
-        self.bucket
-            .doubt(self.earned_before(asked, ask.oldest_wait));
+        self.bucket.doubt(self.earned_before(asked, unheard));
         let spare = if asked == ask.wanted && ask.wanted > 0 {
             self.spare_for(ask.member)
         } else {
@@ -105,7 +122,7 @@
             self.judge_missing(now, ask, missing, options, &mut answer);
         }
         let waiting = missing - answer.refused;
-        self.slice(now, ask).set_waiting(waiting, ask.oldest_wait);
+        self.slice(now, ask).set_waiting(waiting);
         let all_waiting = waiting + self.waiting_elsewhere(ask.member);
         self.bucket.set_waiting(all_waiting);
         answer
@@ -145,6 +162,9 @@
         self.slices.retain(|_, slice| !slice.is_empty());
         let waiting = self.slices.values().map(MemberSlice::waiting).sum();
         self.bucket.set_waiting(waiting);
+        if let Some(credit) = self.outage.take_if(|credit| credit.until <= now) {
+            self.bucket.doubt(credit.tokens);
+        }
     }
 
     /// Goes over to another quota.
@@ -181,12 +201,13 @@
     /// do for it and for all that waits already.
     ///
     /// The optimistic count is never below what a single exact bucket would have, the waiting
-    /// requests not yet taken out. While they waited that bucket would have gone on to earn for
-    /// them, full or not, so what the rate gives in the longest wait counts as well. A tenant
+    /// requests not yet taken out. For requests that waited where this leader could not hear of
+    /// them that bucket would have gone on to earn, full or not, so that counts as well. A tenant
     /// under its quota therefore never has more waiting than both together, and is not refused.
-    /// [`WAIT_CREDIT_PERCENT`] keeps a tenant over its quota from making its queue a standing one.
+    /// A tenant that has more is certainly over its quota: part of its queue goes too, because a
+    /// queue that stands lets every later request wait its time away.
     fn judge_missing(
-        &self,
+        &mut self,
         now: MonotonicTime,
         ask: TokenAsk<'_>,
         missing: u64,
@@ -200,10 +221,41 @@
             return;
         }
         let waiting = missing + self.waiting_elsewhere(ask.member);
-        let longest = self.longest_wait_elsewhere(ask.member).max(ask.oldest_wait);
-        let earned = self.bucket.tokens_earned(longest) * WAIT_CREDIT_PERCENT / 100;
+        let earned = self.outage.map_or(0, |credit| credit.tokens);
         let allowed = self.bucket.optimistic_tokens() + earned;
-        answer.refused = waiting.saturating_sub(allowed).min(missing);
+        let excess = waiting.saturating_sub(allowed).min(missing);
+        if excess == 0 {
+            return;
+        }
+        let drained = match self.outage {
+            Some(_) => 0,
+            None => allowed.div_ceil(QUEUE_DRAIN_DIVISOR).min(missing - excess),
+        };
+        self.bucket.forgo(drained);
+        answer.refused = excess + drained;
+    }
+
+    /// How long requests of the node may have waited without this leader's hearing of them.
+    ///
+    /// A returning node's asks may come in a row, the oldest first, so the silence before the first
+    /// of them counts for a while.
+    fn unheard_wait(&mut self, now: MonotonicTime, ask: TokenAsk<'_>) -> Duration {
+        let silence = self.slice(now, ask).hear(now, ask.epoch);
+        if silence.length <= ORDINARY_GAP {
+            return Duration::ZERO;
+        }
+        let heard = now.since(silence.ended);
+        ask.oldest_wait.saturating_sub(heard).min(silence.length)
+    }
+
+    /// Nodes that return from one outage share what was earned in it.
+    fn note_outage(&mut self, now: MonotonicTime, unheard: Duration) {
+        let tokens = self.bucket.tokens_earned(unheard);
+        let known = self.outage.map_or(0, |credit| credit.tokens);
+        if tokens > known {
+            let until = now + OUTAGE_RETURN;
+            self.outage = Some(OutageCredit { tokens, until });
+        }
     }
 
     /// Of tokens lent after a long wait, how many an exact bucket would have given at once, and
@@ -218,12 +270,6 @@
         }
     }
 
-    fn longest_wait_elsewhere(&self, member: &str) -> Duration {
-        let others = self.slices.iter().filter(|(name, _)| *name != member);
-        let waits = others.map(|(_, slice)| slice.longest_wait());
-        waits.max().unwrap_or_default()
-    }
-
     fn waiting_elsewhere(&self, member: &str) -> u64 {
         let others = self.slices.iter().filter(|(name, _)| *name != member);
         others.map(|(_, slice)| slice.waiting()).sum()
@@ -250,11 +296,8 @@
     }
 
     fn slice(&mut self, now: MonotonicTime, ask: TokenAsk<'_>) -> &mut MemberSlice {
-        let slice = self
-            .slices
+        self.slices
             .entry(ask.member.to_owned())
-            .or_insert_with(|| MemberSlice::new(ask.epoch, now));
-        slice.epoch = ask.epoch;
-        slice
+            .or_insert_with(|| MemberSlice::new(ask.epoch, now))
     }
 }
--- a/crates/control-state/src/quota/bucket.rs
+++ b/crates/control-state/src/quota/bucket.rs
@@ -87,6 +87,9 @@
         if doubt_ends_now {
             self.optimistic = self.optimistic.min(self.free + spare);
         }
+        if now >= turn {
+            self.cut_optimistic();
+        }
     }
 
     /// Whole tokens that may be lent.
@@ -115,6 +118,11 @@
         self.optimistic = self.optimistic.saturating_sub(tokens * MICRO);
     }
 
+    /// Takes requests out of the optimistic count that are refused although it would do for them.
+    pub(super) fn forgo(&mut self, requests: u64) {
+        self.optimistic = self.optimistic.saturating_sub(requests * MICRO);
+    }
+
     /// Puts spare tokens back. They counted against the burst all the time, so all come back.
     pub(super) fn return_spare(&mut self, tokens: u64, spare_left: u64) {
         let room = self.burst.saturating_sub(spare_left);
@@ -181,6 +189,12 @@
         self.rate.saturating_mul(micros)
     }
 
+    /// An exact bucket never holds more than a burst beside the requests not yet taken out.
+    /// Requests that were given up stop to count, or their number would stay in the count.
+    fn cut_optimistic(&mut self) {
+        self.optimistic = self.optimistic.min(self.burst + self.waiting);
+    }
+
     fn add_optimistic(&mut self, micro_tokens: u64) {
         let cap = self.burst + self.waiting;
         let more = self.optimistic.saturating_add(micro_tokens).min(cap);
--- a/crates/control-state/src/quota/member_slice.rs
+++ b/crates/control-state/src/quota/member_slice.rs
@@ -4,6 +4,11 @@
 
 use millford_core::{Duration, MonotonicTime};
 
+use super::account::OUTAGE_RETURN;
+
+/// Silence that is assumed before the first ask of a process.
+const LONGEST_SILENCE_SECONDS: u64 = 3_600;
+
 /// Asks after a recall, the last of which the node certainly sent after it got the recall.
 const ASKS_THAT_ANSWER: u32 = 2;
 
@@ -25,6 +30,13 @@
     pub(super) age: Duration,
 }
 
+/// A time in which nothing was heard of a node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Silence {
+    pub(super) length: Duration,
+    pub(super) ended: MonotonicTime,
+}
+
 /// Tokens that a node may hold, the oldest first.
 #[derive(Clone, Debug)]
 pub(super) struct MemberSlice {
@@ -37,8 +49,10 @@
     resolved: bool,
     /// Requests that the node's last ask left waiting.
     waiting: u64,
-    /// How long the oldest of them had waited then.
-    longest_wait: Duration,
+    /// When the node last asked.
+    asked_at: MonotonicTime,
+    /// The longest silence that ended of late.
+    silence: Silence,
     /// Tokens asked for in the present and the previous lease time.
     window_start: MonotonicTime,
     window_asked: u64,
@@ -55,7 +69,11 @@
             asks_since_recall: 0,
             resolved: true,
             waiting: 0,
-            longest_wait: Duration::ZERO,
+            asked_at: now,
+            silence: Silence {
+                length: Duration::from_secs(LONGEST_SILENCE_SECONDS),
+                ended: now,
+            },
             window_start: now,
             window_asked: 0,
             previous_asked: 0,
@@ -92,18 +110,25 @@
         self.waiting
     }
 
-    /// How long the oldest of the waiting requests had waited at the last ask.
-    pub(super) fn longest_wait(&self) -> Duration {
-        match self.waiting {
-            0 => Duration::ZERO,
-            _ => self.longest_wait,
+    /// The node asks under a session's epoch. Gives the longest silence that ended of late: what
+    /// waited through it may still be on its way.
+    pub(super) fn hear(&mut self, now: MonotonicTime, epoch: u64) -> Silence {
+        let length = match epoch == self.epoch {
+            true => now.since(self.asked_at),
+            false => Duration::from_secs(LONGEST_SILENCE_SECONDS),
+        };
+        let over = now.since(self.silence.ended) >= OUTAGE_RETURN;
+        if over || length > self.silence.length {
+            self.silence = Silence { length, ended: now };
         }
+        self.epoch = epoch;
+        self.asked_at = now;
+        self.silence
     }
 
-    /// Notes how many requests the last ask left waiting, and for how long.
-    pub(super) fn set_waiting(&mut self, waiting: u64, longest_wait: Duration) {
+    /// Notes how many requests the node's ask left waiting.
+    pub(super) fn set_waiting(&mut self, waiting: u64) {
         self.waiting = waiting;
-        self.longest_wait = longest_wait;
     }
 
     /// Notes what was lent.
