Keep elections from failing each other when answers are slow

Cause: every election time-out was 0.5-1 s, however long answers took. When a message and the sync before it take up to a second, a round is given up before its answers arrive, and a new leader steps down after 500 ms, before the first answer can be there. The next round raises the term and makes the late answers worthless. Also a shard's thread that did not run counted the lost time as the leader's silence, with the leader's messages perhaps still on the way to it.

Ruled out by reading: the shard's thread takes its whole queue (1,024 inputs) before the tick; seeds of the time-outs differ on all nodes; handovers that spread the leaders wait 15 s after any change of a leader.

Change: time-outs double, up to four times as long, after rounds in which others took part and nobody won; not while the others are silent. A leader that has committed nothing of its term yet is given the same patience. The owner tells the replica the time in which it did not run beyond 100 ms. In touch is judged by the quorum last heard on a leader also, so that a patient leader feeds no longer than a second without its quorum. Commits, confirmed reads and vote rules are as before.

A leader whose own thread is blocked for 500 ms still steps down.

--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -310,7 +310,8 @@
         leads,
         leader: status.leader,
         term: status.term,
-        in_touch: (leads || heard_lately) && member && stores && !status.removed,
+        // A leader that has not heard a quorum for this long may have a successor already.
+        in_touch: heard_lately && member && stores && !status.removed,
         removed: status.removed,
         voters: status.voters.clone(),
         learners: status.learners.clone(),
--- a/crates/control/src/shard/upkeep.rs
+++ b/crates/control/src/shard/upkeep.rs
@@ -17,9 +17,13 @@
 /// Shortest time between a change that was refused and the next try.
 const REPAIR_PERIOD: Duration = Duration::from_millis(100);
 
+/// A longer time between two ticks counts as this long for elections.
+const LONGEST_GAP: Duration = Duration::from_millis(100);
+
 /// When the regular duties are due.
 #[derive(Debug)]
 pub struct Upkeep {
+    last_tick: MonotonicTime,
     next_standing: MonotonicTime,
     next_progress: MonotonicTime,
     next_clock: MonotonicTime,
@@ -33,6 +37,7 @@
     #[must_use]
     pub fn new(now: MonotonicTime) -> Self {
         Self {
+            last_tick: now,
             next_standing: now,
             next_progress: now + PROGRESS_PERIOD,
             next_clock: now + CLOCK_PERIOD,
@@ -48,6 +53,14 @@
         self.silent_since.clear();
     }
 
+    /// The time since the last tick in which the core did not run: its thread waited for a processor
+    /// or the disk. Short gaps are none, so that a core that is always late still campaigns.
+    pub fn lost_time(&mut self, now: MonotonicTime) -> Option<Duration> {
+        let previous = std::mem::replace(&mut self.last_tick, now);
+        let gap = now.since(previous);
+        (gap > LONGEST_GAP).then(|| gap - LONGEST_GAP)
+    }
+
     /// Whether the gateway is to hear of the replica.
     pub fn standing_due(&mut self, now: MonotonicTime) -> bool {
         is_due(&mut self.next_standing, now, STANDING_PERIOD)
@@ -69,6 +82,9 @@
 
 impl ShardCore {
     pub(super) fn tick(&mut self, now: MonotonicTime) {
+        if let Some(lost) = self.upkeep.lost_time(now) {
+            self.replica.forgive_stall(lost);
+        }
         self.replica.tick(now);
         self.tick_subscriptions(now);
         self.confirm_progress(now);
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -1,7 +1,7 @@
 //! Elections: timers, pre-votes and votes of the candidate's side.
 
 use millford_api::replication::{VoteReply, VoteRequest, replication_message::Body};
-use millford_core::{MonotonicTime, NodeId};
+use millford_core::{Duration, MonotonicTime, NodeId};
 use rand::Rng;
 
 use crate::Replica;
@@ -18,6 +18,7 @@
         if self.is_leader() {
             self.tick_leader();
         } else if self.now >= self.election_at {
+            self.patience.round_failed();
             self.reset_election_timer();
             self.leader = NodeId::NONE;
             if self.may_campaign() {
@@ -26,6 +27,13 @@
         }
     }
 
+    /// The owner did not run for this long: what the leader sent meanwhile may still wait, so the
+    /// time is not the leader's silence. Only the wish to campaign is put off; what this replica
+    /// tells of its leader, and a leader's check of its quorum, go by real time.
+    pub fn forgive_stall(&mut self, lost: Duration) {
+        self.election_at = self.election_at + lost;
+    }
+
     fn may_campaign(&self) -> bool {
         let has_space = self.full_until.is_none_or(|until| self.now >= until);
         self.is_voter() && !self.removed && has_space
@@ -36,7 +44,7 @@
         let shortest = timing.election_timeout_min;
         let longest = timing.election_timeout_max;
         let timeout = self.random.random_range(shortest..=longest);
-        self.election_at = self.now + timeout;
+        self.election_at = self.now + self.patience.stretch(timeout);
     }
 
     /// Asks whether an election would succeed, without raising the term: a replica that was cut off
@@ -76,6 +84,7 @@
     }
 
     pub(crate) fn on_vote_reply(&mut self, from: NodeId, term: u64, reply: VoteReply) {
+        self.patience.note_other();
         // A granted pre-vote names the term that would follow and must not be taken over.
         let names_future_term = reply.pre_vote && reply.granted;
         if term > self.term && !names_future_term {
@@ -135,6 +144,7 @@
         self.leader = leader;
         self.leader_heard = Some(self.now);
         self.removed = false;
+        self.patience.clear();
         self.reset_election_timer();
     }
 
--- a/crates/replication/src/flush.rs
+++ b/crates/replication/src/flush.rs
@@ -76,6 +76,9 @@
             return;
         }
         self.advance_commit();
+        if self.has_committed_own_term() {
+            self.patience.clear();
+        }
         self.begin_read_round();
         self.confirm_reads();
         self.advance_transfer();
--- a/crates/replication/src/leadership.rs
+++ b/crates/replication/src/leadership.rs
@@ -39,6 +39,7 @@
     pub(crate) fn step_down(&mut self) {
         let previous = std::mem::replace(&mut self.role, RoleState::Follower);
         if let RoleState::Leader(state) = previous {
+            self.patience.round_failed();
             self.lost_leadership = true;
             self.failed_reads.extend(state.new_reads);
             for round in state.rounds {
@@ -67,7 +68,8 @@
     /// one. Done before any message is taken, so that answers which waited while the process was
     /// stopped do not count as fresh.
     pub(crate) fn check_quorum(&mut self) {
-        let timeout = self.options.timing.quorum_timeout;
+        // The first answers to a new leader take as long as the election's messages took.
+        let timeout = self.patience.stretch(self.options.timing.quorum_timeout);
         if self.is_leader() && !self.hears_quorum_of(self.configurations.latest(), timeout) {
             self.step_down();
         }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -29,6 +29,7 @@
 mod membership;
 mod message_check;
 mod options;
+mod patience;
 mod progress;
 mod reads;
 mod ready;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -11,6 +11,7 @@
 use crate::bootstrap::bootstrap;
 use crate::configuration::{Configuration, ConfigurationHistory};
 use crate::incoming_snapshot::IncomingSnapshot;
+use crate::patience::Patience;
 use crate::ready::{ConfirmedRead, RestoredSnapshot};
 use crate::role::RoleState;
 use crate::{NotLeader, OpenError, ReplicaOptions};
@@ -30,6 +31,7 @@
     pub(crate) leader: NodeId,
     pub(crate) leader_heard: Option<MonotonicTime>,
     pub(crate) election_at: MonotonicTime,
+    pub(crate) patience: Patience,
     pub(crate) configurations: ConfigurationHistory,
     pub(crate) commit_index: u64,
     /// Last index that a flush has handed out as committed or restored.
@@ -89,6 +91,7 @@
             leader: NodeId::NONE,
             leader_heard: None,
             election_at: now,
+            patience: Patience::default(),
             configurations,
             commit_index: snapshot_index,
             delivered_index: snapshot_index,
--- a/crates/replication/src/vote_receiving.rs
+++ b/crates/replication/src/vote_receiving.rs
@@ -20,6 +20,7 @@
             self.tell_removed(from, &request);
             return;
         }
+        self.patience.note_other();
         if request.pre_vote {
             self.answer_pre_vote(from, term, &request);
         } else {
