--- a/crates/control/src/shard/quota_desk.rs
+++ b/crates/control/src/shard/quota_desk.rs
@@ -1,9 +1,10 @@
 //! The quota ledger of a shard's leader, and who waits for its answers.
 
-use millford_api::internal::QuotaRequest;
+use millford_api::internal::{QuotaReply, QuotaRequest};
 use millford_api::state::{StateItem, state_value};
 use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
-use millford_core::{MonotonicTime, ShardId};
+use millford_core::{MonotonicTime, ResultCode, ShardId};
+use millford_replication::QUORUM_TIMEOUT;
 
 use super::core::ShardCore;
 use super::input::Ticket;
@@ -49,6 +50,16 @@
 impl ShardCore {
     /// An agent asks for quota.
     pub(super) fn ask_quota(&mut self, now: MonotonicTime, ticket: Ticket, request: &QuotaRequest) {
+        if !self.may_lend(now) {
+            let reply = QuotaReply {
+                shard: request.shard,
+                request_id: request.request_id,
+                code: ResultCode::NotLeader.number(),
+                ..QuotaReply::default()
+            };
+            self.outputs.push(ShardOutput::Quota { ticket, reply });
+            return;
+        }
         let outputs = self.quota.ledger.handle(now, request);
         for output in outputs {
             match output {
@@ -61,6 +72,13 @@
         self.send_recalls();
     }
 
+    /// A successor may lend a full lease after its election. This leader must have stopped by then,
+    /// also when its thread was late, or when it waits patiently for its first answers.
+    fn may_lend(&self, now: MonotonicTime) -> bool {
+        let heard = self.replica.status().leader_heard;
+        heard.is_some_and(|heard| now.since(heard) < QUORUM_TIMEOUT)
+    }
+
     pub(super) fn tick_quota(&mut self, now: MonotonicTime) {
         self.quota.ledger.tick(now);
         self.send_recalls();
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -46,7 +46,7 @@
 mod vote_receiving;
 mod voter_change;
 
-pub use options::{Limits, ReplicaOptions, TICK, Timing};
+pub use options::{Limits, QUORUM_TIMEOUT, ReplicaOptions, TICK, Timing};
 pub use ready::{ConfirmedRead, Ready, RestoredSnapshot};
 pub use refusal::{ChangeRefused, NotLeader, OpenError, SnapshotRefused, TransferRefused};
 pub use replica::Replica;
