Tell the placer's moves in the log

Cause: the reasons of a plan were dropped, so that nobody could see why a replica was placed, drained or put off.

Change: a short sentence for each move, part PLACEMENT. A move that is put off for long is told once, and a plan names eight moves at most and counts the rest.

Considered: a line for every reason of every plan; a deferred transition of 200 replicas would write 200 lines a second.

Conclusion: the bound is tested (50 moves give 9 lines, a repeat gives none).

--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -26,6 +26,8 @@
 pub const SHARD: PartLog = PartLog::new("SHARD");
 /// Log of membership.
 pub const MEMBERS: PartLog = PartLog::new("MEMBERS");
+/// Log of the placement role.
+pub const PLACEMENT: PartLog = PartLog::new("PLACEMENT");
 /// Log of the registry watch.
 pub const REGISTRY: PartLog = PartLog::new("REGISTRY");
 /// Log of the storage.
--- a/crates/control/src/daemon/notes.rs
+++ b/crates/control/src/daemon/notes.rs
@@ -1,7 +1,8 @@
 //! Events of the node as log lines.
 
-use super::{CONTROL, MEMBERS, SHARD};
+use super::{CONTROL, MEMBERS, PLACEMENT, SHARD};
 use crate::node_output::NodeNote;
+use crate::shard::move_notes::words_of;
 
 /// Writes an event to the log.
 pub fn log_note(note: &NodeNote) {
@@ -42,6 +43,14 @@
         NodeNote::ReplicaFailed { shard, code } => {
             SHARD.error(format!("The replica of shard {shard} stopped: {code}"));
         }
+        NodeNote::Placement {
+            pool,
+            replica,
+            reason,
+        } => PLACEMENT.info(format!("Pool {pool}: {replica} {}.", words_of(*reason))),
+        NodeNote::MorePlacements { pool, more } => {
+            PLACEMENT.info(format!("Pool {pool}: {more} more moves."));
+        }
         NodeNote::RecoveryForced(shard) => SHARD.error(format!(
             "FORCED RECOVERY: this node is the only voter of shard {shard}; orders may be lost."
         )),
--- a/crates/control/src/node_output.rs
+++ b/crates/control/src/node_output.rs
@@ -2,6 +2,7 @@
 
 use millford_api::internal::Frame;
 use millford_core::{NodeId, ResultCode, ShardId};
+use millford_placement::MoveReason;
 
 use crate::link::LinkId;
 use crate::operator::OperatorReply;
@@ -86,6 +87,22 @@
         /// Why.
         code: ResultCode,
     },
+    /// The placer moves a replica, or puts a move off.
+    Placement {
+        /// The pool.
+        pool: String,
+        /// The replica.
+        replica: String,
+        /// Why.
+        reason: MoveReason,
+    },
+    /// As [`Self::Placement`], for moves of one plan that are not named.
+    MorePlacements {
+        /// The pool.
+        pool: String,
+        /// How many.
+        more: usize,
+    },
     /// An operator forced recovery: the only voter of the shard is now this node.
     RecoveryForced(ShardId),
 }
--- a/crates/control/src/shard/mod.rs
+++ b/crates/control/src/shard/mod.rs
@@ -6,6 +6,7 @@
 mod feeding;
 pub mod input;
 pub mod members;
+pub mod move_notes;
 pub mod output;
 pub mod picture_feed;
 pub mod placement_role;
--- /dev/null
+++ b/crates/control/src/shard/move_notes.rs
@@ -0,0 +1,72 @@
+//! The placer's moves as events for the log, bounded.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millford_placement::{Move, MoveReason, ReplicaKey};
+
+use crate::node_output::NodeNote;
+
+/// Most moves of one plan that are named one by one; the rest are counted.
+const MOST_NAMED: usize = 8;
+
+/// What each pool's last plan said, so that a move that is put off for long is told once.
+#[derive(Debug, Default)]
+pub struct MoveNotes {
+    told: BTreeMap<String, BTreeSet<(ReplicaKey, MoveReason)>>,
+}
+
+impl MoveNotes {
+    /// Events for what a plan says and the pool's plan before it did not say.
+    pub fn of_plan(&mut self, pool: &str, moves: &[Move]) -> Vec<NodeNote> {
+        let present: BTreeSet<(ReplicaKey, MoveReason)> = moves
+            .iter()
+            .map(|step| (step.replica.clone(), step.reason))
+            .collect();
+        let before = self.told.insert(pool.to_owned(), present.clone());
+        let before = before.unwrap_or_default();
+        let fresh: Vec<&(ReplicaKey, MoveReason)> = present.difference(&before).collect();
+        let named = fresh.iter().take(MOST_NAMED);
+        let mut notes: Vec<NodeNote> = named
+            .map(|(replica, reason)| NodeNote::Placement {
+                pool: pool.to_owned(),
+                replica: replica.to_string(),
+                reason: *reason,
+            })
+            .collect();
+        let more = fresh.len().saturating_sub(MOST_NAMED);
+        if more > 0 {
+            notes.push(NodeNote::MorePlacements {
+                pool: pool.to_owned(),
+                more,
+            });
+        }
+        notes
+    }
+
+    /// Forgets pools that are not this shard's any more.
+    pub fn retain(&mut self, is_owned: impl Fn(&String) -> bool) {
+        self.told.retain(|pool, _| is_owned(pool));
+    }
+}
+
+/// The reason as the end of a sentence.
+#[must_use]
+pub fn words_of(reason: MoveReason) -> &'static str {
+    match reason {
+        MoveReason::Fenced => "is left alone, as a later leader places it",
+        MoveReason::Placed => "takes new work",
+        MoveReason::Retired => "is retired by the platform",
+        MoveReason::Drained => "is empty and removed",
+        MoveReason::DrainTimedOut => "is removed with work still open",
+        MoveReason::BandwidthRelief => "gets less work, for its memory bandwidth",
+        MoveReason::BandwidthExceeded => "is over its memory bandwidth, with no room elsewhere",
+        MoveReason::TransitionStep => "starts with the new version",
+        MoveReason::TransitionForced => "starts with the new version, deferred for too long",
+        MoveReason::TransitionDeferred => "waits with the new version for lower load",
+        MoveReason::TransitionBehindRetirements => "waits with the new version for retirements",
+        MoveReason::OldVersionWithdrawn => "takes no new work, as its version is old",
+        MoveReason::ScaledUp => "is added for more load",
+        MoveReason::ScaledDown => "is taken away for less load",
+        MoveReason::Reweighted => "gets another share of new work",
+    }
+}
--- a/crates/control/src/shard/placement_role.rs
+++ b/crates/control/src/shard/placement_role.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use super::core::ShardCore;
+use super::move_notes::MoveNotes;
 use super::output::ShardOutput;
 use super::picture_feed::PictureFeed;
 use super::proposals::Purpose;
@@ -23,6 +24,7 @@
 pub struct PlacementRole {
     placers: BTreeMap<String, Placer>,
     pictures: PictureFeed,
+    move_notes: MoveNotes,
     next_plan: MonotonicTime,
 }
 
@@ -30,6 +32,7 @@
     /// The replica leads from now on. What the predecessor learned is learned again from reports.
     pub fn lead(&mut self, now: MonotonicTime) {
         self.placers.clear();
+        self.move_notes = MoveNotes::default();
         self.pictures = PictureFeed::default();
         self.next_plan = now + PLACEMENT_PERIOD;
     }
@@ -97,6 +100,7 @@
         let pools = self.own_pools();
         let owned = |name: &String| pools.iter().any(|pool| pool.name == *name);
         self.placement.placers.retain(|name, _| owned(name));
+        self.placement.move_notes.retain(owned);
         for pool in pools {
             let purpose = Purpose::Placement(pool.name.clone());
             if !self.proposals.contains(&purpose) {
@@ -116,6 +120,12 @@
             .entry(pool.name.clone())
             .or_insert_with(|| Placer::new(PlacerOptions::default()));
         let outcome = placer.plan(now, epoch, pool, &backends, current.as_ref());
+        let notes = self
+            .placement
+            .move_notes
+            .of_plan(&pool.name, &outcome.reasons);
+        let notes = notes.into_iter().map(ShardOutput::Note);
+        self.outputs.extend(notes);
         let Some(placement) = outcome.placement else {
             return;
         };
--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -4,12 +4,15 @@
 
 use millford_api::internal::{ReplicaLoad, ShardRequest};
 use millford_control::LinkId;
+use millford_control::NodeNote;
 use millford_control::gateway::pending::{Origin, PendingRequests, refusal};
 use millford_control::gateway::stalls::Stalls;
+use millford_control::shard::move_notes::MoveNotes;
 use millford_control::shard::picture_feed::PictureFeed;
 use millford_control::shard::repair::{GroupView, Repair, RepairStep, ReplicaView};
 use millford_control::shard::{MemberStanding, MemberView};
 use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId};
+use millford_placement::{Move, MoveReason, ReplicaKey};
 
 const REPAIR: Repair = Repair {
     replace_after: Duration::from_secs(5),
@@ -206,3 +209,28 @@
     assert_eq!(overdue[0].reply.code, ResultCode::ControlTimeout.number());
     assert!(requests.is_empty());
 }
+
+#[test]
+fn moves_are_told_once_and_a_great_plan_is_counted() {
+    let moves_of = |count: usize| -> Vec<Move> {
+        let steps = (0..count).map(|number| Move {
+            replica: ReplicaKey::new(&format!("b{number:02}"), "m", "1"),
+            reason: MoveReason::TransitionDeferred,
+        });
+        steps.collect()
+    };
+    let mut notes = MoveNotes::default();
+    assert_eq!(notes.of_plan("pool", &moves_of(2)).len(), 2);
+    assert!(
+        notes.of_plan("pool", &moves_of(2)).is_empty(),
+        "told already"
+    );
+    assert!(notes.of_plan("pool", &[]).is_empty());
+    let many = notes.of_plan("pool", &moves_of(50));
+    assert_eq!(many.len(), 9);
+    let rest = NodeNote::MorePlacements {
+        pool: "pool".to_owned(),
+        more: 42,
+    };
+    assert_eq!(many[8], rest);
+}
