Give asks their age and grants their end between proxy and agent

Cause: (1) an ask that is sent again to a restarted agent began its wait anew, so the leader took an outage's queue for a press and refused tenants under their quota. (2) A proxy that stood still while its agent went on used a grant whose lease had ended, which the leader had lent again.

Considered: a token passed to the proxy with an absolute end; the clocks of two processes do not compare, so the end is a time since the proxy's ask, which is earlier than everything that the agent counts from.

Change: LocalQuotaAsk.waited_ms and LocalQuotaReply.use_within_ms (0 from older processes: unknown). The proxy sends the ask again when a grant comes too late, and gives the stream slot back. The simulator's proxy follows.

Tests of the proxy pass.

--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -54,7 +54,8 @@
         let waiter = Waiter {
             request_id: ask.request_id,
             needs_slot: ask.stream && limited_streams,
-            since: now,
+            arrived: now,
+            waited_before: Duration::from_millis(u64::from(ask.waited_ms)),
             deadline: now + Duration::from_millis(u64::from(ask.timeout_ms)),
         };
         let slice = self.slice(now, &ask.tenant);
@@ -290,6 +291,7 @@
                     granted: answer.code == ResultCode::Ok,
                     code: answer.code.number(),
                     retry_after_ms: answer.retry_after_ms,
+                    use_within_ms: answer.use_within_ms,
                 }
             })
             .collect()
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -93,41 +93,38 @@
         let mut answers = Vec::new();
         let mut still_waiting = VecDeque::new();
         while let Some(waiter) = self.waiters.pop_front() {
-            if self.admit(now, &waiter) {
-                answers.push(SliceAnswer::to(&waiter, ResultCode::Ok, 0));
-            } else {
-                still_waiting.push_back(waiter);
+            match self.admit(now, &waiter) {
+                Some(until) => answers.push(SliceAnswer::granted(&waiter, until)),
+                None => still_waiting.push_back(waiter),
             }
         }
         self.waiters = still_waiting;
         answers
     }
 
-    fn admit(&mut self, now: MonotonicTime, waiter: &Waiter) -> bool {
+    /// Until when the call may use its grant, if the slice can pay for it.
+    fn admit(&mut self, now: MonotonicTime, waiter: &Waiter) -> Option<MonotonicTime> {
         if waiter.needs_slot && !self.slots.is_free(now) {
-            return false;
-        }
-        if !self.spend(now) {
-            return false;
+            return None;
         }
+        let until = self.spend(now)?;
         if waiter.needs_slot {
             self.slots.take();
         }
-        true
+        Some(until)
     }
 
-    /// Spends one token of the lease that ends first.
-    fn spend(&mut self, now: MonotonicTime) -> bool {
+    /// Spends one token of the lease that ends first; gives the end of that lease.
+    fn spend(&mut self, now: MonotonicTime) -> Option<MonotonicTime> {
         let alive = self.leases.iter_mut();
         let first = alive
             .filter(|lease| now < lease.until && lease.tokens > 0)
             .min_by_key(|lease| lease.until);
-        let Some(lease) = first else {
-            return false;
-        };
+        let lease = first?;
         lease.tokens -= 1;
+        let until = lease.until;
         self.leases.retain(|lease| lease.tokens > 0);
-        true
+        Some(until)
     }
 
     /// Refuses the calls whose time is over.
@@ -232,8 +229,8 @@
     }
 
     fn oldest_wait_ms(&self, now: MonotonicTime) -> u32 {
-        let oldest = self.waiters.iter().map(|waiter| waiter.since).min();
-        let waited = oldest.map_or(Duration::ZERO, |since| now.since(since));
+        let waits = self.waiters.iter().map(|waiter| waiter.waited(now));
+        let waited = waits.max().unwrap_or_default();
         u32::try_from(waited.as_millis()).unwrap_or(u32::MAX)
     }
 
--- a/crates/agent/tests/open_streams.rs
+++ b/crates/agent/tests/open_streams.rs
@@ -15,6 +15,7 @@
         tenant: TENANT.to_owned(),
         stream: true,
         timeout_ms: 5_000,
+        waited_ms: 0,
     }
 }
 
--- /dev/null
+++ b/crates/agent/tests/quota_ages.rs
@@ -0,0 +1,67 @@
+//! Ages of asks and of grants: what an ask waited before it came here counts, and a grant says until
+//! when it may be used.
+
+use millford_agent::quota::QuotaDesk;
+use millford_api::internal::{QuotaGrant, QuotaReply, QuotaRequest};
+use millford_api::local::LocalQuotaAsk;
+use millford_core::{Duration, MonotonicTime, ResultCode, ShardLayout};
+
+const TENANT: &str = "t";
+const START: MonotonicTime = MonotonicTime::from_millis(10_000);
+const LEASE_MS: u32 = 1_000;
+
+fn desk_with_ask(waited_ms: u32) -> QuotaDesk {
+    let mut desk = QuotaDesk::default();
+    let ask = LocalQuotaAsk {
+        request_id: 7,
+        tenant: TENANT.to_owned(),
+        stream: false,
+        timeout_ms: 3_000,
+        waited_ms,
+    };
+    assert!(desk.ask(START, &ask, false).is_empty());
+    desk
+}
+
+fn request(desk: &mut QuotaDesk, now: MonotonicTime) -> QuotaRequest {
+    let mut id = 0;
+    let requests = desk.requests(now, ShardLayout::new(1), "node", 1, &mut id);
+    requests
+        .into_iter()
+        .next()
+        .expect("a request to the leader")
+}
+
+fn after(millis: u64) -> MonotonicTime {
+    START + Duration::from_millis(millis)
+}
+
+#[test]
+fn what_an_ask_waited_at_a_former_agent_is_told_to_the_leader() {
+    let mut desk = desk_with_ask(4_000);
+    let request = request(&mut desk, after(30));
+    assert_eq!(request.asks[0].oldest_wait_ms, 4_030);
+}
+
+#[test]
+fn a_grant_may_be_used_until_its_lease_ends() {
+    let mut desk = desk_with_ask(0);
+    let request = request(&mut desk, after(30));
+    let reply = QuotaReply {
+        shard: request.shard,
+        request_id: request.request_id,
+        code: ResultCode::Ok.number(),
+        term: 1,
+        grants: vec![QuotaGrant {
+            tenant: TENANT.to_owned(),
+            tokens: 1,
+            lease_ms: LEASE_MS,
+            ..QuotaGrant::default()
+        }],
+    };
+    let answers = desk.reply(after(200), &reply);
+    assert_eq!(answers.len(), 1);
+    assert!(answers[0].granted);
+    // Counted from the ask: the lease runs from when the request was sent, 30 ms later.
+    assert_eq!(answers[0].use_within_ms, LEASE_MS + 30);
+}
--- a/crates/agent/tests/quota_and_claims.rs
+++ b/crates/agent/tests/quota_and_claims.rs
@@ -38,6 +38,7 @@
         tenant: "t".to_owned(),
         stream,
         timeout_ms,
+        waited_ms: 0,
     }));
 }
 
--- a/crates/agent/tests/quota_over_nodes.rs
+++ b/crates/agent/tests/quota_over_nodes.rs
@@ -112,6 +112,7 @@
                 tenant: TENANT.to_owned(),
                 stream: true,
                 timeout_ms: TIMEOUT_MS,
+                waited_ms: 0,
             };
             let replies = self.desks[node].ask(self.now, &ask, true);
             self.take(node, replies);
--- a/crates/control-state/tests/support/desk_world.rs
+++ b/crates/control-state/tests/support/desk_world.rs
@@ -104,6 +104,7 @@
             tenant: TENANT.to_owned(),
             stream,
             timeout_ms: CALL_TIMEOUT_MS,
+            waited_ms: 0,
         };
         let limited = self.quota.concurrent_streams > 0;
         let now = self.now();
--- a/crates/proxy/src/control/frame_handler.rs
+++ b/crates/proxy/src/control/frame_handler.rs
@@ -7,7 +7,7 @@
 use millford_api::local::{
     AgentStatus, LocalClaimReply, LocalFrame, LocalQuotaReply, ProxyShown, local_frame,
 };
-use millford_core::ResultCode;
+use millford_core::{Duration, ResultCode};
 
 use crate::control::control_view::{ControlView, ViewOutcome};
 use crate::proxy_state::ProxyState;
@@ -28,6 +28,8 @@
         request_id: u64,
         /// The decision.
         answer: QuotaAnswer,
+        /// How long a grant may be used, counted from when the ask was sent.
+        use_within: Option<Duration>,
     },
     /// A claim is answered.
     Claim {
@@ -153,9 +155,11 @@
             retry_after_ms: reply.retry_after_ms,
         }
     };
+    let limit = Duration::from_millis(u64::from(reply.use_within_ms));
     FrameOutcome::Quota {
         request_id: reply.request_id,
         answer,
+        use_within: (reply.use_within_ms > 0).then_some(limit),
     }
 }
 
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod control_view;
 pub mod frame_handler;
+pub mod send_times;
--- a/crates/proxy/src/daemon/agent_link.rs
+++ b/crates/proxy/src/daemon/agent_link.rs
@@ -9,9 +9,11 @@
     LocalClaim, LocalFrame, LocalQuotaAsk, LocalQuotaRelease, LocalSettle, ProxyHello, local_frame,
 };
 use millford_core::Duration;
+use millford_core::time::monotonic_now;
 use tokio::sync::mpsc;
 
 use crate::control::frame_handler::FrameHandler;
+use crate::control::send_times::SendTimes;
 use crate::daemon::agent_link_task::AgentLinkTask;
 use crate::daemon::held_streams::HeldStreams;
 use crate::daemon::outstanding::Outstanding;
@@ -59,6 +61,7 @@
             tenant: ask.tenant,
             stream: ask.stream,
             timeout_ms: millis(ask.timeout),
+            waited_ms: 0,
         });
         let mut asked = self.quotas.ask(request_id, frame(body.clone()));
         self.send(body);
@@ -112,11 +115,23 @@
     }
 
     /// Passes a quota decision on. A grant that came too late is given back.
-    pub(super) fn answer_quota(&self, request_id: u64, answer: QuotaAnswer) {
+    ///
+    /// A process that stood still finds grants whose lease has ended meanwhile: the leader has lent
+    /// those tokens again. They are not used, and the ask is sent again.
+    pub(super) fn answer_quota(
+        &self,
+        request_id: u64,
+        answer: QuotaAnswer,
+        use_within: Option<Duration>,
+    ) {
         let mut held = self.held.lock();
         let Some(asked) = self.asked_quota(request_id) else {
             return;
         };
+        if answer == QuotaAnswer::Granted && self.ask_again_if_late(request_id, use_within, &asked)
+        {
+            return;
+        }
         let unclaimed = self.quotas.give(request_id, answer);
         if answer != QuotaAnswer::Granted {
             return;
@@ -133,6 +148,32 @@
         }
     }
 
+    fn ask_again_if_late(
+        &self,
+        request_id: u64,
+        use_within: Option<Duration>,
+        asked: &LocalQuotaAsk,
+    ) -> bool {
+        let now = monotonic_now();
+        let is_late = |times: &SendTimes| times.is_late(now, use_within);
+        let renewed = self
+            .quotas
+            .renew_late(request_id, is_late, |frame, times| times.renew(now, frame));
+        let Some(body) = renewed.and_then(|frame| frame.body) else {
+            return false;
+        };
+        if asked.stream {
+            // The agent counts the slot as taken; its token is gone.
+            self.send(release_body(QuotaRelease {
+                tenant: asked.tenant.clone(),
+                stream: true,
+                unused: false,
+            }));
+        }
+        self.send(body);
+        true
+    }
+
     fn asked_quota(&self, request_id: u64) -> Option<LocalQuotaAsk> {
         match self.quotas.frame(request_id)?.body {
             Some(local_frame::Body::QuotaAsk(ask)) => Some(ask),
@@ -154,7 +195,8 @@
     pub(super) fn unanswered(&self) -> Vec<LocalFrame> {
         let mut frames = self.settles.frames();
         frames.extend(self.claims.frames());
-        frames.extend(self.quotas.frames());
+        let now = monotonic_now();
+        frames.extend(self.quotas.renewed(|frame, times| times.renew(now, frame)));
         frames
     }
 }
--- a/crates/proxy/src/daemon/agent_link_task.rs
+++ b/crates/proxy/src/daemon/agent_link_task.rs
@@ -138,9 +138,11 @@
             FrameOutcome::Nothing => {}
             FrameOutcome::Changed => return Ok(true),
             FrameOutcome::Reconnect => return Err(closed()),
-            FrameOutcome::Quota { request_id, answer } => {
-                self.link.answer_quota(request_id, answer);
-            }
+            FrameOutcome::Quota {
+                request_id,
+                answer,
+                use_within,
+            } => self.link.answer_quota(request_id, answer, use_within),
             FrameOutcome::Claim { request_id, answer } => {
                 // A claim granted too late was settled as not run by its asker.
                 self.link.claims.answered(request_id, answer);
--- a/crates/proxy/src/daemon/outstanding.rs
+++ b/crates/proxy/src/daemon/outstanding.rs
@@ -4,12 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millford_api::local::LocalFrame;
+use millford_core::time::monotonic_now;
 use tokio::sync::oneshot;
 
+use crate::control::send_times::SendTimes;
+
 /// A frame and who waits for its answer.
 #[derive(Debug)]
 struct Waiting<T> {
     frame: LocalFrame,
+    /// When it was first sent, and when on this connection.
+    times: SendTimes,
     answer: Option<oneshot::Sender<T>>,
     /// The asker stopped waiting; the answer may still come.
     abandoned: bool,
@@ -81,6 +86,7 @@
         let (sender, receiver) = oneshot::channel();
         let waiting = Waiting {
             frame,
+            times: SendTimes::at(monotonic_now()),
             answer: Some(sender),
             abandoned: false,
         };
@@ -96,6 +102,7 @@
     pub fn keep(&self, id: u64, frame: LocalFrame) {
         let waiting = Waiting {
             frame,
+            times: SendTimes::at(monotonic_now()),
             answer: None,
             abandoned: false,
         };
@@ -137,6 +144,37 @@
             .collect()
     }
 
+    /// Like [`Self::frames`], each changed by `renew`, which gets its times. They are sent now.
+    #[must_use]
+    pub fn renewed(&self, renew: impl Fn(&mut LocalFrame, &mut SendTimes)) -> Vec<LocalFrame> {
+        let mut frames = self.lock();
+        frames.retain(|_, waiting| !waiting.abandoned);
+        let renewed = frames.values_mut().map(|waiting| {
+            let mut frame = waiting.frame.clone();
+            renew(&mut frame, &mut waiting.times);
+            frame
+        });
+        renewed.collect()
+    }
+
+    /// The frame with this number changed by `renew` for being sent again now, if its grant can no
+    /// longer be used; nothing while it can.
+    pub fn renew_late(
+        &self,
+        id: u64,
+        is_late: impl Fn(&SendTimes) -> bool,
+        renew: impl Fn(&mut LocalFrame, &mut SendTimes),
+    ) -> Option<LocalFrame> {
+        let mut frames = self.lock();
+        let waiting = frames.get_mut(&id)?;
+        if waiting.abandoned || !is_late(&waiting.times) {
+            return None;
+        }
+        let mut frame = waiting.frame.clone();
+        renew(&mut frame, &mut waiting.times);
+        Some(frame)
+    }
+
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- /dev/null
+++ b/crates/proxy/tests/send_times.rs
@@ -0,0 +1,48 @@
+//! Asks that are sent again say how long they waited, and old grants are not used.
+
+use millford_api::local::{LocalFrame, LocalQuotaAsk, local_frame};
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::control::send_times::SendTimes;
+
+const START: MonotonicTime = MonotonicTime::from_millis(5_000);
+
+fn after(millis: u64) -> MonotonicTime {
+    START + Duration::from_millis(millis)
+}
+
+fn ask() -> LocalQuotaAsk {
+    LocalQuotaAsk {
+        request_id: 1,
+        tenant: "t".to_owned(),
+        stream: true,
+        timeout_ms: 3_000,
+        waited_ms: 0,
+    }
+}
+
+#[test]
+fn an_ask_sent_again_states_its_age_and_the_time_left() {
+    let mut times = SendTimes::at(START);
+    let mut frame = LocalFrame {
+        body: Some(local_frame::Body::QuotaAsk(ask())),
+    };
+    times.renew(after(1_200), &mut frame);
+    let expected = LocalQuotaAsk {
+        timeout_ms: 1_800,
+        waited_ms: 1_200,
+        ..ask()
+    };
+    assert_eq!(frame.body, Some(local_frame::Body::QuotaAsk(expected)));
+}
+
+#[test]
+fn a_grant_is_late_once_its_time_since_the_last_sending_is_over() {
+    let limit = Some(Duration::from_millis(1_000));
+    let mut times = SendTimes::at(START);
+    assert!(!times.is_late(after(999), limit));
+    assert!(times.is_late(after(1_000), limit));
+    assert!(!times.is_late(after(60_000), None));
+    times.renew(after(900), &mut LocalFrame::default());
+    assert!(!times.is_late(after(1_899), limit));
+    assert!(times.is_late(after(1_900), limit));
+}
--- a/crates/scale/src/hollow/hollow_proxy.rs
+++ b/crates/scale/src/hollow/hollow_proxy.rs
@@ -163,6 +163,7 @@
             tenant,
             stream: true,
             timeout_ms: millis(ASK_TIMEOUT),
+            waited_ms: 0,
         };
         self.send(local_frame::Body::QuotaAsk(ask)).await;
     }
--- a/crates/simulation/src/world/proxy/agent_desk.rs
+++ b/crates/simulation/src/world/proxy/agent_desk.rs
@@ -6,7 +6,7 @@
 use millford_api::local::{
     LocalClaim, LocalFrame, LocalQuotaAsk, LocalQuotaRelease, LocalSettle, local_frame,
 };
-use millford_core::{Duration, ResultCode};
+use millford_core::{Duration, MonotonicTime, ResultCode};
 use millford_proxy::control::frame_handler::FrameOutcome;
 use millford_proxy::request::message::{ClaimAnswer, QuotaAnswer, QuotaAsk, QuotaRelease};
 
@@ -64,8 +64,11 @@
             tenant: ask.tenant,
             stream: ask.stream,
             timeout_ms: millis(ask.timeout),
+            waited_ms: 0,
         });
-        let asked = self.quotas.ask(request_id, frame(body.clone()));
+        let asked = self
+            .quotas
+            .ask(lock(port).now, request_id, frame(body.clone()));
         send(port, body);
         let answer = within(port, ask.timeout, asked).await;
         answer.unwrap_or(QuotaAnswer::Refused {
@@ -97,7 +100,9 @@
             claim: Some(claim),
             timeout_ms: millis(timeout),
         });
-        let asked = self.claims.ask(request_id, frame(body.clone()));
+        let asked = self
+            .claims
+            .ask(lock(port).now, request_id, frame(body.clone()));
         send(port, body);
         let answer = within(port, timeout, asked).await;
         answer.unwrap_or(ClaimAnswer::Unavailable)
@@ -110,14 +115,24 @@
             request_id,
             settle: Some(settle),
         });
-        self.settles.keep(request_id, frame(body.clone()));
+        self.settles
+            .keep(lock(port).now, request_id, frame(body.clone()));
         send(port, body);
     }
 
     /// Hands an answer to whoever waits. A grant that came too late is given back.
     pub fn answered(&self, port: &SharedPort, outcome: FrameOutcome) {
         match outcome {
-            FrameOutcome::Quota { request_id, answer } => {
+            FrameOutcome::Quota {
+                request_id,
+                answer,
+                use_within,
+            } => {
+                if answer == QuotaAnswer::Granted
+                    && self.ask_again_if_late(port, request_id, use_within)
+                {
+                    return;
+                }
                 let unclaimed = self.quotas.answered(request_id, answer);
                 if let Some(local_frame::Body::QuotaAsk(ask)) =
                     unclaimed.and_then(|frame| frame.body)
@@ -141,12 +156,36 @@
         }
     }
 
+    fn ask_again_if_late(
+        &self,
+        port: &SharedPort,
+        request_id: u64,
+        use_within: Option<Duration>,
+    ) -> bool {
+        let now = lock(port).now;
+        let renewed = self.quotas.renew_late(now, request_id, use_within);
+        let Some(local_frame::Body::QuotaAsk(ask)) = renewed.and_then(|frame| frame.body) else {
+            return false;
+        };
+        if ask.stream {
+            // The agent counts the slot as taken; its token is gone.
+            let release = LocalQuotaRelease {
+                tenant: ask.tenant.clone(),
+                stream: true,
+                unused: false,
+            };
+            send(port, local_frame::Body::QuotaRelease(release));
+        }
+        send(port, local_frame::Body::QuotaAsk(ask));
+        true
+    }
+
     /// Frames to send again on a new connection.
     #[must_use]
-    pub fn unanswered(&self) -> Vec<LocalFrame> {
-        let mut frames = self.settles.renew();
-        frames.extend(self.claims.renew());
-        frames.extend(self.quotas.renew());
+    pub fn unanswered(&self, now: MonotonicTime) -> Vec<LocalFrame> {
+        let mut frames = self.settles.renew(now);
+        frames.extend(self.claims.renew(now));
+        frames.extend(self.quotas.renew(now));
         frames
     }
 }
--- a/crates/simulation/src/world/proxy/asks.rs
+++ b/crates/simulation/src/world/proxy/asks.rs
@@ -5,9 +5,12 @@
 
 use futures::channel::oneshot;
 use millford_api::local::LocalFrame;
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::control::send_times::SendTimes;
 
 struct Waiting<T> {
     frame: LocalFrame,
+    times: SendTimes,
     answer: Option<oneshot::Sender<T>>,
 }
 
@@ -33,17 +36,27 @@
 
 impl<T> Asks<T> {
     /// Keeps a frame until it is answered.
-    pub fn ask(&self, number: u64, frame: LocalFrame) -> oneshot::Receiver<T> {
+    pub fn ask(&self, now: MonotonicTime, number: u64, frame: LocalFrame) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
         let answer = Some(sender);
-        self.lock().insert(number, Waiting { frame, answer });
+        let times = SendTimes::at(now);
+        let waiting = Waiting {
+            frame,
+            times,
+            answer,
+        };
+        self.lock().insert(number, waiting);
         receiver
     }
 
     /// Keeps a frame until it is answered; nobody waits for it.
-    pub fn keep(&self, number: u64, frame: LocalFrame) {
-        let answer = None;
-        self.lock().insert(number, Waiting { frame, answer });
+    pub fn keep(&self, now: MonotonicTime, number: u64, frame: LocalFrame) {
+        let waiting = Waiting {
+            frame,
+            times: SendTimes::at(now),
+            answer: None,
+        };
+        self.lock().insert(number, waiting);
     }
 
     /// Gives the answer to whoever waits; gives the frame back if nobody does any more.
@@ -56,13 +69,32 @@
     }
 
     /// Every frame that is still waited for; the others are forgotten.
-    pub fn renew(&self) -> Vec<LocalFrame> {
+    pub fn renew(&self, now: MonotonicTime) -> Vec<LocalFrame> {
         let mut frames = self.lock();
         frames.retain(|_, waiting| waiting.is_wanted());
-        frames
-            .values()
-            .map(|waiting| waiting.frame.clone())
-            .collect()
+        let renewed = frames.values_mut().map(|waiting| {
+            let mut frame = waiting.frame.clone();
+            waiting.times.renew(now, &mut frame);
+            frame
+        });
+        renewed.collect()
+    }
+
+    /// The frame to send again if its grant can no longer be used and it is still waited for.
+    pub fn renew_late(
+        &self,
+        now: MonotonicTime,
+        number: u64,
+        use_within: Option<Duration>,
+    ) -> Option<LocalFrame> {
+        let mut frames = self.lock();
+        let waiting = frames.get_mut(&number)?;
+        if !waiting.is_wanted() || !waiting.times.is_late(now, use_within) {
+            return None;
+        }
+        let mut frame = waiting.frame.clone();
+        waiting.times.renew(now, &mut frame);
+        Some(frame)
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Waiting<T>>> {
--- a/crates/simulation/src/world/proxy_driver.rs
+++ b/crates/simulation/src/world/proxy_driver.rs
@@ -237,8 +237,9 @@
         let mut port = lock(&core.port);
         port.actions
             .retain(|action| !matches!(action, ProxyAction::ToAgent(_)));
+        let now = port.now;
         drop(port);
-        frames.extend(core.desk.unanswered());
+        frames.extend(core.desk.unanswered(now));
         for frame in frames {
             self.proxy_to_agent(number, frame);
         }
