Test the time that a late shard thread loses

Aim: the rule by which control tells its replicas how long they did not run had no test of its own; only the replica's side had one.

Considered: a whole cluster with frozen threads; the simulated cluster ticks all cores together, so the rule is tested on the duties' clock directly.

Change: one test. Conclusion: a gap up to 100 ms counts, the rest is told once.

--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -10,6 +10,7 @@
 use millford_control::shard::move_notes::MoveNotes;
 use millford_control::shard::picture_feed::PictureFeed;
 use millford_control::shard::repair::{GroupView, Repair, RepairStep, ReplicaView};
+use millford_control::shard::upkeep::Upkeep;
 use millford_control::shard::{MemberStanding, MemberView};
 use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId};
 use millford_placement::{Move, MoveReason, ReplicaKey};
@@ -253,3 +254,13 @@
     };
     assert_eq!(many[8], rest);
 }
+
+#[test]
+fn time_in_which_the_core_did_not_run_is_lost_beyond_a_short_gap() {
+    let mut upkeep = Upkeep::new(at(0));
+    assert_eq!(upkeep.lost_time(at(20)), None);
+    assert_eq!(upkeep.lost_time(at(120)), None, "late, but it runs");
+    let lost = upkeep.lost_time(at(1120));
+    assert_eq!(lost, Some(Duration::from_millis(900)));
+    assert_eq!(upkeep.lost_time(at(1140)), None, "told once");
+}
