--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -1,7 +1,9 @@
 //! The simulated site: machines, processes, stand-ins, faults and the loop over events.
 
 pub mod agent_driver;
+pub mod agent_link_driver;
 pub mod agent_process;
+pub mod answer_driver;
 pub mod backend;
 pub mod backend_driver;
 pub mod caller_driver;
@@ -17,12 +19,14 @@
 pub mod link_driver;
 pub mod operator_driver;
 pub mod operators;
+pub mod probe_driver;
 pub mod process;
 pub mod process_input;
 pub mod proxy;
 pub mod proxy_driver;
 pub mod recorder;
 pub mod registry;
+pub mod roll_driver;
 pub mod run_options;
 pub mod site;
 pub mod targets;
