--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -10,6 +10,7 @@
 use millford_control::shard::move_notes::MoveNotes;
 use millford_control::shard::picture_feed::PictureFeed;
 use millford_control::shard::repair::{GroupView, Repair, RepairStep, ReplicaView};
+use millford_control::shard::upkeep::Upkeep;
 use millford_control::shard::{MemberStanding, MemberView};
 use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId};
 use millford_placement::{Move, MoveReason, ReplicaKey};
@@ -162,6 +163,25 @@
     assert!(!feed.is_due(at(30_000)));
 }
 
+#[test]
+fn pictures_of_a_small_site_come_sooner_within_their_budget() {
+    let mut feed = PictureFeed::default();
+    feed.set_site(16, 16);
+    feed.sent(at(0), 100);
+    assert!(!feed.is_due(at(249)));
+    assert!(feed.is_due(at(250)));
+    feed.sent(at(1000), 768);
+    assert!(!feed.is_due(at(1999)), "768 bytes a second");
+    assert!(feed.is_due(at(2000)));
+    for (backends, nodes) in [(17, 16), (16, 17)] {
+        feed.set_site(backends, nodes);
+        feed.sent(at(3000), 100);
+        assert!(!feed.is_due(at(3499)), "{backends} backends, {nodes} nodes");
+        feed.sent(at(4000), 512);
+        assert!(!feed.is_due(at(4999)));
+    }
+}
+
 fn submitted(requests: &mut PendingRequests, forwarded: bool) -> u64 {
     let origin = Origin::Link {
         link: LinkId(1),
@@ -234,3 +254,13 @@
     };
     assert_eq!(many[8], rest);
 }
+
+#[test]
+fn time_in_which_the_core_did_not_run_is_lost_beyond_a_short_gap() {
+    let mut upkeep = Upkeep::new(at(0));
+    assert_eq!(upkeep.lost_time(at(20)), None);
+    assert_eq!(upkeep.lost_time(at(120)), None, "late, but it runs");
+    let lost = upkeep.lost_time(at(1120));
+    assert_eq!(lost, Some(Duration::from_millis(900)));
+    assert_eq!(upkeep.lost_time(at(1140)), None, "told once");
+}
