Let a withdrawal carry its attempt's age, and backends say "unknown"

Cause: a backend that restarted knows nothing of what its former process ran. It answered "withdrawn" for such an attempt, and the proxy told the caller "not run", which could be a lie.

Considered: a boot id of the backend in every answer. Ruled out: the case that matters is the one in which no answer came, so the proxy has no boot id to compare with.

Change: DELETE /v1/attempts/{id} carries x-millford-attempt-age-ms: time since the attempt began on the proxy's monotonic clock, plus the withdrawal's time-out, plus a thousandth for clock speed. The time-out is in it since the backend compares when it reads, not when the proxy sends; an answer after the time-out therefore counts as none, also in a proxy that was frozen meanwhile. A backend that has been up for less, or gets no age, answers "unknown"; the proxy counts that as may have run. The emulator test that withdrew without an age now gives age 0 and still demands "withdrawn": without an age that answer is no longer allowed.

--- a/crates/lab/src/emulator/attempts.rs
+++ b/crates/lab/src/emulator/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts that a backend has met, so that one can be withdrawn before it arrives.
 
 use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,19 +11,31 @@
 pub enum AttemptState {
     /// It never ran and never will.
     Withdrawn,
+    /// It never will run here, but it is older than this backend: a former one may have run it.
+    Unknown,
     /// Work on it has begun.
     Running,
     /// Its work is over, whatever the result.
     Finished,
 }
 
-/// All attempts of one backend.
-#[derive(Debug, Default)]
+/// All attempts of one backend. None is forgotten.
+#[derive(Debug)]
 pub struct Attempts {
+    since: Instant,
     states: HashMap<String, AttemptState>,
 }
 
 impl Attempts {
+    /// No attempts; those that arrive from now on are known.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            since: Instant::now(),
+            states: HashMap::new(),
+        }
+    }
+
     /// Begins an attempt. False: it was withdrawn or has run, and must not run now.
     pub fn begin(&mut self, attempt: &str) -> bool {
         if self.states.contains_key(attempt) {
@@ -40,10 +53,18 @@
     }
 
     /// Withdraws an attempt. One that has not begun never will; one that has keeps its state.
-    pub fn withdraw(&mut self, attempt: &str) -> AttemptState {
-        *self
+    ///
+    /// `age` is an upper bound of the attempt's age. One that may be older than this list, or of
+    /// which no age is known, may have run before the list began.
+    pub fn withdraw(&mut self, attempt: &str, age: Option<Duration>) -> AttemptState {
+        let state = *self
             .states
             .entry(attempt.to_owned())
-            .or_insert(AttemptState::Withdrawn)
+            .or_insert(AttemptState::Withdrawn);
+        let all_known = age.is_some_and(|age| age <= self.since.elapsed());
+        match state {
+            AttemptState::Withdrawn if !all_known => AttemptState::Unknown,
+            known => known,
+        }
     }
 }
--- a/crates/lab/src/emulator/server.rs
+++ b/crates/lab/src/emulator/server.rs
@@ -3,9 +3,10 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -21,6 +22,7 @@
 use super::options::BackendOptions;
 use super::shared_stream::{SharedStream, StraySwitch};
 use super::state::BackendState;
+use crate::protocol::ATTEMPT_AGE_HEADER;
 
 /// Largest body taken, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -121,7 +123,9 @@
                 &json!({"error": "body incomplete"}),
             ),
         },
-        (&Method::DELETE, path) if path.starts_with("/v1/attempts/") => withdraw(path, &state),
+        (&Method::DELETE, path) if path.starts_with("/v1/attempts/") => {
+            withdraw(path, &head.headers, &state)
+        }
         (&Method::GET, _) => look_up(state, head.headers, head.uri).await,
         _ => json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such path"})),
     })
@@ -133,9 +137,11 @@
     let _ = faults.wait_for(|faults| !faults.dark).await;
 }
 
-fn withdraw(path: &str, state: &BackendState) -> Response<EmulatorBody> {
+fn withdraw(path: &str, headers: &HeaderMap, state: &BackendState) -> Response<EmulatorBody> {
     let attempt = path.trim_start_matches("/v1/attempts/");
-    let attempt_state = state.withdraw(attempt);
+    let age = headers.get(ATTEMPT_AGE_HEADER);
+    let age = age.and_then(|value| value.to_str().ok()?.parse().ok());
+    let attempt_state = state.withdraw(attempt, age.map(Duration::from_millis));
     json_answer(StatusCode::OK, &json!({"state": attempt_state}))
 }
 
--- a/crates/lab/src/emulator/state.rs
+++ b/crates/lab/src/emulator/state.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::attempts::Attempts;
+use super::attempts::{AttemptState, Attempts};
 use super::engine::Engine;
 use super::execution::{Execution, ExecutionEnd};
 use super::execution_log::{ExecutionIndex, ExecutionLog};
@@ -38,7 +38,7 @@
             None => ExecutionLog::default(),
         };
         let inner = Inner {
-            attempts: Attempts::default(),
+            attempts: Attempts::new(),
             executions,
         };
         let engine = Engine::new(&options);
@@ -68,8 +68,8 @@
     }
 
     /// Withdraws an attempt.
-    pub fn withdraw(&self, attempt: &str) -> super::attempts::AttemptState {
-        self.lock().attempts.withdraw(attempt)
+    pub fn withdraw(&self, attempt: &str, age: Option<Duration>) -> AttemptState {
+        self.lock().attempts.withdraw(attempt, age)
     }
 
     /// A copy of the execution log.
--- a/crates/lab/src/protocol.rs
+++ b/crates/lab/src/protocol.rs
@@ -3,6 +3,8 @@
 
 /// Names the attempt; the backend echoes it.
 pub const ATTEMPT_HEADER: &str = "x-millford-attempt";
+/// With a withdrawal: an upper bound of the attempt's age, in milliseconds.
+pub const ATTEMPT_AGE_HEADER: &str = "x-millford-attempt-age-ms";
 /// Names the run that an attempt starts or continues.
 pub const RUN_HEADER: &str = "x-millford-run";
 /// First sequence number that a continued run should send.
--- a/crates/lab/tests/emulator_protocol.rs
+++ b/crates/lab/tests/emulator_protocol.rs
@@ -21,6 +21,8 @@
 use tokio::time::timeout;
 
 const BOUND: Duration = Duration::from_secs(10);
+/// Older than any backend of a test.
+const HOUR_MILLIS: u64 = 3_600_000;
 
 async fn backend() -> BackendServer {
     let mut options = BackendOptions::standing_alone("backend", BackendKind::Model);
@@ -78,6 +80,18 @@
     serde_json::from_slice(&answer.body).expect("a list")
 }
 
+async fn withdraw(address: SocketAddr, attempt: &str, age_millis: Option<u64>) -> String {
+    let mut builder = Request::delete(format!("/v1/attempts/{attempt}")).header("host", "backend");
+    if let Some(millis) = age_millis {
+        builder = builder.header("x-millford-attempt-age-ms", millis);
+    }
+    let request = builder.body(Full::default()).expect("a valid request");
+    let answer = timeout(BOUND, send(address, request)).await;
+    let answer = answer.expect("in time").expect("an answer");
+    let bytes = answer.into_body().collect().await.expect("a whole body");
+    String::from_utf8(bytes.to_bytes().to_vec()).expect("text")
+}
+
 async fn set_faults(address: SocketAddr, faults: &FaultSwitches) {
     let answer = send_json(address, Method::PUT, "/admin/faults", faults)
         .await
@@ -135,11 +149,8 @@
 async fn a_withdrawn_attempt_never_runs_and_an_attempt_runs_once() {
     let server = backend().await;
     let address = server.address();
-    let path = "/v1/attempts/a-1";
-    let answer = send_json(address, Method::DELETE, path, &())
-        .await
-        .expect("an answer");
-    assert_eq!(&answer.body[..], br#"{"state":"withdrawn"}"#);
+    let state = withdraw(address, "a-1", Some(0)).await;
+    assert_eq!(state, r#"{"state":"withdrawn"}"#);
     let refused = post(address, "a-1", &body("m1", 2, false)).await;
     assert_eq!(refused.headers()["x-millford-run-state"], "not_run");
     assert!(executions(address).await.is_empty());
@@ -150,11 +161,25 @@
     assert_eq!(again.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(again.headers()["x-millford-run-state"], "not_run");
     assert_eq!(executions(address).await.len(), 1);
-    let answer = send_json(address, Method::DELETE, "/v1/attempts/a-2", &()).await;
-    assert_eq!(
-        &answer.expect("an answer").body[..],
-        br#"{"state":"finished"}"#
-    );
+    let state = withdraw(address, "a-2", Some(HOUR_MILLIS)).await;
+    assert_eq!(state, r#"{"state":"finished"}"#);
+}
+
+#[tokio::test]
+async fn a_backend_younger_than_the_attempt_promises_nothing_about_the_past() {
+    let server = backend().await;
+    let address = server.address();
+    // Its former incarnation may have run these.
+    for age in [Some(HOUR_MILLIS), None] {
+        for _ in 0..2 {
+            let state = withdraw(address, "a-1", age).await;
+            assert_eq!(state, r#"{"state":"unknown"}"#, "{age:?}");
+        }
+    }
+    // It keeps what it can keep: the attempt does not run here any more.
+    let refused = post(address, "a-1", &body("m1", 2, false)).await;
+    assert_eq!(refused.headers()["x-millford-run-state"], "not_run");
+    assert!(executions(address).await.is_empty());
 }
 
 #[tokio::test]
--- a/crates/proxy/src/backend_protocol.rs
+++ b/crates/proxy/src/backend_protocol.rs
@@ -26,6 +26,8 @@
 pub const HEALTH_PATH: &str = "/v1/health";
 /// Path under which attempts are withdrawn.
 pub const ATTEMPTS_PATH: &str = "/v1/attempts/";
+/// With a withdrawal: an upper bound of the attempt's age, in milliseconds.
+pub const ATTEMPT_AGE_HEADER: &str = "x-millford-attempt-age-ms";
 /// Field of a stream piece that carries its run and sequence number.
 pub const PIECE_FIELD: &str = "millford";
 /// Data of the event that ends a whole stream.
--- a/crates/proxy/src/daemon/backend_client.rs
+++ b/crates/proxy/src/daemon/backend_client.rs
@@ -4,20 +4,21 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use millford_core::Duration;
+use millford_core::time::monotonic_now;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::backend_protocol::{
-    ADAPTER_HEADER, ATTEMPT_HEADER, ATTEMPTS_PATH, DEADLINE_HEADER, HEALTH_PATH, RESUME_AT_HEADER,
-    RESUME_FROM_HEADER, RUN_HEADER, RUN_STATE_HEADER, RUN_STATE_NOT_RUN, STAGE_HEADER,
-    VERSION_HEADER,
+    ADAPTER_HEADER, ATTEMPT_AGE_HEADER, ATTEMPT_HEADER, ATTEMPTS_PATH, DEADLINE_HEADER,
+    HEALTH_PATH, RESUME_AT_HEADER, RESUME_FROM_HEADER, RUN_HEADER, RUN_STATE_HEADER,
+    RUN_STATE_NOT_RUN, STAGE_HEADER, VERSION_HEADER,
 };
 use crate::request::environment::BackendAnswer;
 use crate::request::message::{
@@ -95,8 +96,7 @@
 
     /// Withdraws an attempt.
     pub async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
-        let path = format!("{ATTEMPTS_PATH}{}", request.attempt);
-        let exchange = self.exchange("DELETE", &request.address, &path);
+        let exchange = self.exchange(&request.address, withdrawal(&request));
         let body = match tokio::time::timeout(request.timeout, exchange).await {
             Ok(Some(body)) => body,
             Ok(None) | Err(_) => return WithdrawAnswer::Unknown,
@@ -114,18 +114,14 @@
 
     /// Whether the backend answers a probe in time.
     pub async fn probe(&self, address: &str, timeout: Duration) -> bool {
-        let exchange = self.exchange("GET", address, HEALTH_PATH);
+        let request = small_request("GET", address, HEALTH_PATH);
+        let exchange = self.exchange(address, request);
         matches!(tokio::time::timeout(timeout, exchange).await, Ok(Some(_)))
     }
 
     /// A small request on a connection of its own; nothing unless it is answered with success.
-    async fn exchange(&self, method: &str, address: &str, path: &str) -> Option<Bytes> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, address)
-            .body(Full::<Bytes>::default())
-            .ok()?;
+    async fn exchange(&self, address: &str, request: request::Builder) -> Option<Bytes> {
+        let request = request.body(Full::<Bytes>::default()).ok()?;
         let stream = self.connect(address).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let _task = ConnectionTask(tokio::spawn(async move {
@@ -149,6 +145,19 @@
     }
 }
 
+fn small_request(method: &str, address: &str, path: &str) -> request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address)
+}
+
+fn withdrawal(request: &WithdrawRequest) -> request::Builder {
+    let path = format!("{ATTEMPTS_PATH}{}", request.attempt);
+    let age = request.age(monotonic_now()).as_micros().div_ceil(1000);
+    small_request("DELETE", &request.address, &path).header(ATTEMPT_AGE_HEADER, age.to_string())
+}
+
 fn http_request(request: &BackendRequest) -> Option<Request<Full<Bytes>>> {
     let method = match request.method {
         BackendMethod::Get => "GET",
--- a/crates/proxy/src/request/attempt.rs
+++ b/crates/proxy/src/request/attempt.rs
@@ -114,6 +114,7 @@
             backend_id: self.replica.key.backend_id.clone(),
             address: self.replica.address.clone(),
             attempt: self.id.clone(),
+            started: self.started,
             timeout: self.environment.state().limits.withdraw_timeout,
         }
     }
--- a/crates/proxy/src/request/message.rs
+++ b/crates/proxy/src/request/message.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use millford_api::command::RunOutcome;
-use millford_core::{Duration, ResultCode};
+use millford_core::{Duration, MonotonicTime, ResultCode};
 
 /// Set once a byte of a request may have left for a backend.
 #[derive(Clone, Debug, Default)]
@@ -174,10 +174,30 @@
     pub address: String,
     /// Attempt.
     pub attempt: String,
+    /// When the attempt began: before its first byte could leave.
+    pub started: MonotonicTime,
     /// Longest time to wait for the answer.
     pub timeout: Duration,
 }
 
+/// Share of an attempt's age that is added for clocks of different speed: 1 in this many parts.
+const CLOCK_SPEED_SHARE: u32 = 1000;
+
+impl WithdrawRequest {
+    /// Upper bound of the attempt's age at any moment at which an answer is still taken, when the
+    /// withdrawal is sent at `now`.
+    ///
+    /// Safety: a backend that has been up for at least this long when it reads the withdrawal was
+    /// up when the attempt's first byte left. The age is counted when the withdrawal is sent and
+    /// the backend's time when it is read, so the longest way between them is added: answers after
+    /// `timeout` are not taken.
+    #[must_use]
+    pub fn age(&self, now: MonotonicTime) -> Duration {
+        let age = now.since(self.started) + self.timeout;
+        age + age / CLOCK_SPEED_SHARE
+    }
+}
+
 /// What the backend says about a withdrawn attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WithdrawAnswer {
@@ -187,6 +207,6 @@
     Running,
     /// It ran to its end.
     Finished,
-    /// No answer.
+    /// No answer in time, or the backend cannot know.
     Unknown,
 }
--- a/crates/proxy/src/request/send_progress.rs
+++ b/crates/proxy/src/request/send_progress.rs
@@ -55,7 +55,7 @@
         let attempts = std::mem::take(&mut self.unconfirmed);
         let withdrawals = attempts
             .into_iter()
-            .map(|attempt| environment.withdraw(attempt));
+            .map(|attempt| withdraw_in_time(environment, attempt));
         let answers = futures::future::join_all(withdrawals).await;
         let all_withdrawn = answers
             .iter()
@@ -68,3 +68,19 @@
         Refusal { run, ..refusal }
     }
 }
+
+/// Withdraws one attempt. An answer after the time-out counts as none: the age that the backend
+/// compared with would no longer be an upper bound. A process that was frozen meanwhile may well
+/// find such an answer before it finds that the time is over.
+async fn withdraw_in_time<E: RequestEnvironment>(
+    environment: &E,
+    attempt: WithdrawRequest,
+) -> WithdrawAnswer {
+    let asked = environment.now();
+    let timeout = attempt.timeout;
+    let answer = environment.withdraw(attempt).await;
+    if environment.now().since(asked) > timeout {
+        return WithdrawAnswer::Unknown;
+    }
+    answer
+}
--- a/crates/proxy/tests/daemon_path.rs
+++ b/crates/proxy/tests/daemon_path.rs
@@ -268,6 +268,28 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_withdrawal_carries_the_age_of_its_attempt() {
+    let answer: Answer =
+        Arc::new(
+            |request: &RawRequest| match request.head.starts_with("DELETE") {
+                true => with_length(request, r#"{"state":"unknown"}"#).into_bytes(),
+                false => Vec::new(),
+            },
+        );
+    let proxy = start(&Fixture::default(), answer).await;
+    let request = post(&headers("x-millford-deadline-ms: 200\r\n"), CHAT);
+    let seen = exchange(proxy.address, &request).await;
+    assert!(seen.contains("\"run\":\"may_have_run\""), "{seen}");
+    let requests = proxy.backend_requests.lock().expect("requests").clone();
+    let mut requests = requests.iter();
+    let withdrawal = requests.find(|request| request.head.starts_with("DELETE"));
+    let age = withdrawal.expect("one").header("x-millford-attempt-age-ms");
+    let timeout = RequestLimits::default().withdraw_timeout.as_millis();
+    let age: u128 = age.parse().expect("a number");
+    assert!(age >= timeout + 100, "{age}");
+}
+
 #[tokio::test]
 async fn a_leaving_proxy_refuses_and_says_not_run() {
     let answer = answering(|request| with_length(request, "{}"));
--- a/crates/proxy/tests/run_state.rs
+++ b/crates/proxy/tests/run_state.rs
@@ -41,6 +41,32 @@
     }
 }
 
+#[test]
+fn a_withdrawal_confirmed_after_its_time_out_proves_nothing() {
+    let environment = Fixture::once().environment();
+    let timeout = environment.state().limits.withdraw_timeout;
+    environment.usually(Script::LoseBeforeHead);
+    environment.answer_withdrawals(WithdrawAnswer::Withdrawn);
+    environment.delay_withdrawals(timeout + Duration::from_millis(1));
+    let seen = serve(&environment, request(false));
+    assert_eq!(seen.error().run, MAY_HAVE_RUN);
+}
+
+#[test]
+fn the_age_of_an_attempt_covers_its_start_and_the_way_of_the_withdrawal() {
+    let environment = Fixture::once().environment();
+    environment.usually(Script::NeverAnswer);
+    let seen = serve(&environment, request(false));
+    assert_eq!(seen.error().code, ResultCode::DeadlineAfterSend);
+    let sent_at = environment.sent()[0].at;
+    let now = environment.clock.now();
+    let recorded = environment.recorded();
+    let withdrawal = &recorded.withdrawals[0];
+    assert!(withdrawal.started <= sent_at);
+    let limits = &environment.state().limits;
+    assert!(withdrawal.age(now) >= now.since(sent_at) + limits.withdraw_timeout);
+}
+
 #[test]
 fn one_unconfirmed_attempt_among_several_keeps_may_have_run() {
     let environment = Fixture::default().environment();
--- a/crates/proxy/tests/support/environment.rs
+++ b/crates/proxy/tests/support/environment.rs
@@ -45,6 +45,7 @@
     quota: QuotaAnswer,
     claim: ClaimAnswer,
     withdrawal: WithdrawAnswer,
+    withdrawal_delay: Duration,
     random: StdRng,
 }
 
@@ -65,6 +66,7 @@
             quota: QuotaAnswer::Granted,
             claim: ClaimAnswer::Granted,
             withdrawal: WithdrawAnswer::Unknown,
+            withdrawal_delay: Duration::ZERO,
             random: StdRng::seed_from_u64(seed),
         };
         Self {
@@ -99,6 +101,11 @@
         self.scripts().withdrawal = answer;
     }
 
+    /// Withdrawals are answered this long after they are asked for.
+    pub fn delay_withdrawals(&self, delay: Duration) {
+        self.scripts().withdrawal_delay = delay;
+    }
+
     pub fn recorded(&self) -> MutexGuard<'_, Recorded> {
         self.recorded.lock().expect("record")
     }
@@ -188,6 +195,8 @@
 
     async fn withdraw(&self, request: WithdrawRequest) -> WithdrawAnswer {
         self.recorded().withdrawals.push(request);
+        let delay = self.scripts().withdrawal_delay;
+        self.clock.sleep(delay).await;
         self.scripts().withdrawal
     }
 
--- a/crates/simulation/src/network/packet.rs
+++ b/crates/simulation/src/network/packet.rs
@@ -1,5 +1,7 @@
 //! What travels on simulated connections.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use millford_api::internal::Frame;
 use millford_api::local::LocalFrame;
@@ -30,8 +32,13 @@
     Chunk(Bytes),
     /// The body ended whole, as its framing has it.
     Finish,
-    /// Withdraw the attempt with this id.
-    Withdraw(String),
+    /// Withdraw an attempt.
+    Withdraw {
+        /// Its id.
+        attempt: String,
+        /// Upper bound of its age.
+        age: Duration,
+    },
     /// Answer to a withdrawal.
     WithdrawAnswer(WithdrawAnswer),
     /// Is the backend well?
--- a/crates/simulation/src/world/backend/backend_process.rs
+++ b/crates/simulation/src/world/backend/backend_process.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use millford_core::MonotonicTime;
+
 use crate::network::LinkNumber;
 use crate::world::backend::answering::Answering;
 use crate::world::process::ProcessState;
@@ -12,6 +14,8 @@
     pub process: ProcessState,
     /// Whether it serves lookups rather than models.
     pub lookup: bool,
+    /// When it last started afresh.
+    pub started_at: MonotonicTime,
     /// Work by connection.
     pub work: BTreeMap<LinkNumber, Answering>,
     /// Attempts that may never run.
@@ -31,6 +35,7 @@
         Self {
             process,
             lookup,
+            started_at: MonotonicTime::ZERO,
             work: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
             started: BTreeSet::new(),
--- a/crates/simulation/src/world/backend_driver.rs
+++ b/crates/simulation/src/world/backend_driver.rs
@@ -51,7 +51,9 @@
 
     /// The backend starts afresh: it knows nothing of earlier attempts.
     pub fn start_backend(&mut self, number: u16) {
+        let now = self.now();
         if let Some(backend) = self.backends.get_mut(&number) {
+            backend.started_at = now;
             backend.work.clear();
             backend.withdrawn.clear();
             backend.started.clear();
@@ -86,8 +88,8 @@
     fn backend_packet(&mut self, number: u16, link: LinkNumber, packet: HttpPacket) {
         match packet {
             HttpPacket::Request(request) => self.backend_request(number, link, *request),
-            HttpPacket::Withdraw(attempt) => {
-                let answer = self.withdraw_attempt(number, attempt);
+            HttpPacket::Withdraw { attempt, age } => {
+                let answer = self.withdraw_attempt(number, attempt, age);
                 self.backend_sends(number, link, HttpPacket::WithdrawAnswer(answer));
             }
             HttpPacket::Probe => self.backend_sends(number, link, HttpPacket::ProbeAnswer),
@@ -95,7 +97,8 @@
         }
     }
 
-    fn withdraw_attempt(&mut self, number: u16, attempt: String) -> WithdrawAnswer {
+    fn withdraw_attempt(&mut self, number: u16, attempt: String, age: Duration) -> WithdrawAnswer {
+        let now = self.now();
         let Some(backend) = self.backends.get_mut(&number) else {
             return WithdrawAnswer::Unknown;
         };
@@ -107,7 +110,11 @@
             return WithdrawAnswer::Running;
         }
         backend.withdrawn.insert(attempt);
-        WithdrawAnswer::Withdrawn
+        // Its former incarnation may have run an attempt older than itself.
+        match now.since(backend.started_at) >= age {
+            true => WithdrawAnswer::Withdrawn,
+            false => WithdrawAnswer::Unknown,
+        }
     }
 
     fn backend_request(&mut self, number: u16, link: LinkNumber, request: BackendRequest) {
--- a/crates/simulation/src/world/exchange_driver.rs
+++ b/crates/simulation/src/world/exchange_driver.rs
@@ -31,7 +31,10 @@
                 let request = self.spoil_request(call, request);
                 HttpPacket::Request(request)
             }
-            Some(BackendLink::Withdraw { attempt, .. }) => HttpPacket::Withdraw(attempt.clone()),
+            Some(BackendLink::Withdraw { attempt, age, .. }) => HttpPacket::Withdraw {
+                attempt: attempt.clone(),
+                age: *age,
+            },
             Some(BackendLink::Probe { .. }) => HttpPacket::Probe,
             None => return,
         };
--- a/crates/simulation/src/world/proxy/proxy_process.rs
+++ b/crates/simulation/src/world/proxy/proxy_process.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use millford_api::local::LocalFrame;
 use millford_core::MonotonicTime;
@@ -29,6 +30,7 @@
     Withdraw {
         exchange: ExchangeNumber,
         attempt: String,
+        age: Duration,
     },
     /// To probe the backend with this id.
     Probe { backend: String },
--- a/crates/simulation/src/world/proxy_driver.rs
+++ b/crates/simulation/src/world/proxy_driver.rs
@@ -165,6 +165,7 @@
             ProxyAction::Withdraw { exchange, request } => {
                 let purpose = BackendLink::Withdraw {
                     exchange,
+                    age: request.age(self.now()),
                     attempt: request.attempt,
                 };
                 self.open_backend_link(number, &request.address, purpose);
