Callers: no revision before one is shown, bounded connections, models

Three faults of the callers' interface.

Cause: a node without a configuration (2007) sent x-millford-revision: 0, a number that no revision has. Change: the header is left out while no revision is shown.

Cause: a caller could hold a connection for ever by sending its headers byte by byte, and nothing bounded the connections. Considered: to stop accepting at the cap; ruled out, since callers then see a time-out that does not say whether their request ran. Change: the proxy accepts for itself and serves HTTP/1.1 with a time-out for headers (header_timeout_ms, 15 s, which also ends idle kept connections) and a cap (max_connections, 16384).

GET /v1/models lists the models of the routes shown, as `model` or `model@version`, for a tenant's key and without taking quota.

--- /dev/null
+++ b/crates/proxy/src/daemon/models.rs
@@ -0,0 +1,71 @@
+//! The list of models in the shape that OpenAI clients ask for.
+
+use http::{HeaderMap, StatusCode};
+use millford_core::ResultCode;
+use millford_routing::RoutingTable;
+use serde::Serialize;
+
+use crate::daemon::caller_headers::read_headers;
+use crate::daemon::responses::{HttpResponse, REQUEST_ID_HEADER, set, set_revision, text_response};
+use crate::request::authenticate::{authenticate, check_open};
+use crate::request::environment::RequestEnvironment;
+use crate::request::plan::fresh_id;
+use crate::request::record::RequestRecord;
+use crate::request::refusal::Refusal;
+
+/// Path of the list.
+pub const MODELS_PATH: &str = "/v1/models";
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    /// The interface demands a time; a route has none.
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// Lists the models of the routes in force. It takes nothing from the tenant's quota.
+pub fn list_models<E: RequestEnvironment>(
+    environment: &E,
+    headers: &HeaderMap,
+    max_header_bytes: u64,
+) -> Result<HttpResponse, Refusal> {
+    let headers = read_headers(headers, max_header_bytes)?;
+    let state = environment.state();
+    check_open(state)?;
+    let table = state.table();
+    authenticate(&table, &headers)?;
+    let mut record = RequestRecord::new(fresh_id([environment.random(), environment.random()]));
+    record.code = ResultCode::Ok;
+    record.count(state);
+    let mut response = text_response(StatusCode::OK, body(&table));
+    set(&mut response, "content-type", "application/json");
+    set(&mut response, REQUEST_ID_HEADER, &record.request_id);
+    set_revision(&mut response, table.revision());
+    Ok(response)
+}
+
+fn body(table: &RoutingTable) -> String {
+    let models = table.models();
+    let list = ModelList {
+        object: "list",
+        data: models.iter().map(|model| entry(model)).collect(),
+    };
+    serde_json::to_string(&list).unwrap_or_default()
+}
+
+fn entry(model: &str) -> ModelEntry<'_> {
+    ModelEntry {
+        id: model,
+        object: "model",
+        created: 0,
+        owned_by: "millford",
+    }
+}
--- a/crates/proxy/src/daemon/responses.rs
+++ b/crates/proxy/src/daemon/responses.rs
@@ -13,6 +13,9 @@
 /// Header that names the configuration revision that decided the request.
 pub const REVISION_HEADER: &str = "x-millford-revision";
 
+/// Revision of a table that shows no configuration.
+const NO_REVISION: u64 = 0;
+
 /// An answer as warp sends it.
 pub type HttpResponse = warp::reply::Response;
 
@@ -32,7 +35,7 @@
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     set(response, "content-type", &head.content_type);
     set(response, REQUEST_ID_HEADER, &head.request_id);
-    set(response, REVISION_HEADER, &head.revision.to_string());
+    set_revision(response, head.revision);
     if let Some(length) = head.content_length {
         set(response, "content-length", &length.to_string());
     } else {
@@ -51,6 +54,13 @@
     }
 }
 
+/// Names the revision that decided; a node that shows none yet names none.
+pub fn set_revision(response: &mut HttpResponse, revision: u64) {
+    if revision != NO_REVISION {
+        set(response, REVISION_HEADER, &revision.to_string());
+    }
+}
+
 /// A refusal with its JSON body.
 pub fn refusal_response(refusal: &Refusal) -> HttpResponse {
     let status = StatusCode::from_u16(refusal.status());
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -14,6 +14,7 @@
 use crate::daemon::agent_link::{AgentLink, agent_link};
 use crate::daemon::agent_link_task::AgentLinkTask;
 use crate::daemon::backend_client::BackendClient;
+use crate::daemon::connections::serve_connections;
 use crate::daemon::environment::DaemonEnvironment;
 use crate::daemon::server::{HttpLimits, service};
 use crate::daemon::settings::ProxySettings;
@@ -100,7 +101,11 @@
     let state = Arc::clone(&environment.shared);
     let agent = environment.agent.clone();
     let filter = service(Arc::new(environment), limits);
-    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    tokio::spawn(serve_connections(
+        listener,
+        filter,
+        settings.connection_limits(),
+    ));
     println!("millford-proxy ready callers={bound}");
     LOG.info(format!("Serving callers at {bound}."));
     tokio::select! {
--- a/crates/proxy/src/daemon/server.rs
+++ b/crates/proxy/src/daemon/server.rs
@@ -14,8 +14,9 @@
 use crate::daemon::body_reader::read_body;
 use crate::daemon::caller_channel::caller_channel;
 use crate::daemon::caller_headers::read_headers;
+use crate::daemon::models::{MODELS_PATH, list_models};
 use crate::daemon::responses::{
-    HttpResponse, REVISION_HEADER, channel_response, refusal_response, set, text_response,
+    HttpResponse, channel_response, refusal_response, set, set_revision, text_response,
 };
 use crate::request::caller::CallerRequest;
 use crate::request::completion::serve_completion;
@@ -71,6 +72,13 @@
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .then(move |environment, headers, body| completion(environment, limits, headers, body));
+    let models = warp::path!("v1" / "models")
+        .and(warp::get())
+        .and(environment.clone())
+        .and(warp::header::headers_cloned())
+        .map(move |environment: Arc<E>, headers: HeaderMap| {
+            models(environment.as_ref(), limits, &headers)
+        });
     let lookup = warp::get()
         .and(warp::path::full())
         .and(query)
@@ -94,6 +102,8 @@
         .unify()
         .or(completion)
         .unify()
+        .or(models)
+        .unify()
         .or(lookup)
         .unify()
         .or(refused)
@@ -136,6 +146,15 @@
     channel_response(channel).await
 }
 
+fn models<E: RequestEnvironment>(
+    environment: &E,
+    limits: HttpLimits,
+    headers: &HeaderMap,
+) -> HttpResponse {
+    list_models(environment, headers, limits.max_header_bytes)
+        .unwrap_or_else(|refusal| early_refusal(environment, &refusal))
+}
+
 async fn lookup<E>(
     environment: Arc<E>,
     limits: HttpLimits,
@@ -176,13 +195,18 @@
     let mut response = refusal_response(refusal);
     // The rest of the request was not read: the connection cannot be used again.
     set(&mut response, "connection", "close");
-    let revision = environment.state().table().revision();
-    set(&mut response, REVISION_HEADER, &revision.to_string());
+    set_revision(&mut response, environment.state().table().revision());
     response
 }
 
 fn unserved<E: RequestEnvironment>(path: &str, environment: &E) -> HttpResponse {
-    let own_paths = [COMPLETIONS_PATH, HEALTH_PATH, READY_PATH, METRICS_PATH];
+    let own_paths = [
+        COMPLETIONS_PATH,
+        MODELS_PATH,
+        HEALTH_PATH,
+        READY_PATH,
+        METRICS_PATH,
+    ];
     let known = own_paths.contains(&path) || environment.state().table().match_path(path).is_ok();
     let refusal = if known {
         Refusal::not_run(ResultCode::MethodNotAllowed)
--- a/crates/proxy/src/daemon/settings.rs
+++ b/crates/proxy/src/daemon/settings.rs
@@ -6,6 +6,7 @@
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
+use crate::daemon::connections::ConnectionLimits;
 use crate::limits::RequestLimits;
 
 /// Settings file of `millford-proxy`.
@@ -28,6 +29,11 @@
     pub max_body_bytes: u64,
     /// Largest sum of the request headers, in bytes.
     pub max_header_bytes: u64,
+    /// Most connections of callers open at one time.
+    pub max_connections: u64,
+    /// Longest time for the whole headers of a request, and for a kept connection to be idle, in
+    /// milliseconds.
+    pub header_timeout_ms: u64,
     /// Longest time to open a connection to a backend, in milliseconds.
     pub connect_timeout_ms: u64,
     /// Estimated time to the first token above which requests wait or are shed, in milliseconds.
@@ -50,6 +56,8 @@
             log_format: LogFormat::default(),
             max_body_bytes: 4 * 1024 * 1024,
             max_header_bytes: 16 * 1024,
+            max_connections: 16_384,
+            header_timeout_ms: 15_000,
             connect_timeout_ms: 300,
             first_token_limit_ms: to_millis(limits.first_token_limit),
             stream_silence_ms: to_millis(limits.stream_silence),
@@ -69,6 +77,15 @@
         }
     }
 
+    /// Limits of the callers' connections.
+    #[must_use]
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            max_connections: usize::try_from(self.max_connections).unwrap_or(usize::MAX),
+            header_timeout: Duration::from_millis(self.header_timeout_ms),
+        }
+    }
+
     /// How to log.
     #[must_use]
     pub fn log_options(&self) -> LogOptions {
@@ -89,6 +106,8 @@
         SettingsKey::text("log_format", "text or json"),
         SettingsKey::number("max_body_bytes", "largest request body"),
         SettingsKey::number("max_header_bytes", "largest sum of the request headers"),
+        SettingsKey::number("max_connections", "most connections of callers"),
+        SettingsKey::number("header_timeout_ms", "longest time for a request's headers"),
         SettingsKey::number("connect_timeout_ms", "longest time to reach a backend"),
         SettingsKey::number("first_token_limit_ms", "estimated first token to admit"),
         SettingsKey::number("stream_silence_ms", "silence that ejects a backend"),
@@ -114,6 +133,8 @@
         let positive = [
             ("max_body_bytes", self.max_body_bytes),
             ("max_header_bytes", self.max_header_bytes),
+            ("max_connections", self.max_connections),
+            ("header_timeout_ms", self.header_timeout_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
             ("first_token_limit_ms", self.first_token_limit_ms),
             ("stream_silence_ms", self.stream_silence_ms),
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -1,6 +1,6 @@
 //! Everything that the feed carries, indexed for the request path.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use millford_api::config::{Pool, Tenant};
@@ -105,6 +105,22 @@
         &self.routes
     }
 
+    /// Names by which callers can ask for models: the model, and the model with its version where
+    /// a route names one. Lookup routes and routes for any model name none.
+    #[must_use]
+    pub fn models(&self) -> BTreeSet<String> {
+        let mut names = BTreeSet::new();
+        for route in self.routes.iter().filter(|route| !route.is_lookup()) {
+            let matches = &route.matches;
+            match (matches.model.as_str(), matches.version.as_str()) {
+                ("", _) => {}
+                (model, "") => _ = names.insert(model.to_owned()),
+                (model, version) => _ = names.insert(format!("{model}@{version}")),
+            }
+        }
+        names
+    }
+
     fn add_tenant(&mut self, tenant: &Tenant) {
         let shared = Arc::new(tenant.clone());
         for key_hash in &tenant.key_hashes {
