Emulator: what came before a cut leaves first in a stream too

Cause: a_cut_answer_has_no_end failed now and then with "connection closed before message completed": when the pieces before the cut were ready at once, the server held head and pieces in its buffer, met the error and dropped all of them. The plain answer had a pause before its cut, the stream had none.

Change: the same pause before a stream's cut. The test is untouched.

--- a/crates/lab/src/emulator/answer_writer.rs
+++ b/crates/lab/src/emulator/answer_writer.rs
@@ -69,6 +69,8 @@
     async fn next_piece(&mut self) -> io::Result<Frame<Bytes>> {
         self.pace().await;
         if self.is_cut() {
+            // As for a plain answer: the head and the pieces so far leave first.
+            tokio::task::yield_now().await;
             return Err(io::Error::other("cut by a fault switch"));
         }
         let last = self.sequence + 1 >= self.pieces;
