Name the start of the emulator's list of attempts

Cause: clippy asks for a Default beside `new`; a default that reads the clock would mislead. Change: `new` is `starting_now`. clippy for proxy, routing, lab and simulation, all targets, -D warnings: no findings.

--- a/crates/lab/src/emulator/attempts.rs
+++ b/crates/lab/src/emulator/attempts.rs
@@ -29,7 +29,7 @@
 impl Attempts {
     /// No attempts; those that arrive from now on are known.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn starting_now() -> Self {
         Self {
             since: Instant::now(),
             states: HashMap::new(),
--- a/crates/lab/src/emulator/state.rs
+++ b/crates/lab/src/emulator/state.rs
@@ -38,7 +38,7 @@
             None => ExecutionLog::default(),
         };
         let inner = Inner {
-            attempts: Attempts::new(),
+            attempts: Attempts::starting_now(),
             executions,
         };
         let engine = Engine::new(&options);
