Credit what waited through an outage for as long as it may wait

Cause: the ledger forgot a node's silence after one second, while the calls that had waited through it were still queued for many more; they were then refused in bulk though their tenant was under its quota.

Ruled out: the first ask of a node that the leader never heard (it is credited already).

Change: a silence counts for 10 s after its end instead of 1 s. Only refusing depends on it, not lending.

The 122 tests of control-state and agent pass, the hot tenant's among them.

--- a/crates/control-state/src/quota/account.rs
+++ b/crates/control-state/src/quota/account.rs
@@ -43,7 +43,7 @@
 const ORDINARY_GAP: Duration = Duration::from_millis(100);
 
 /// How long after one node's return from an outage others of the same outage may still return.
-pub(super) const OUTAGE_RETURN: Duration = Duration::from_millis(1_000);
+pub(super) const OUTAGE_RETURN: Duration = Duration::from_millis(10_000);
 
 /// Part of the queue that is given up with each refusal, so that no queue stands while the tenant
 /// goes on to be over its quota.
