Let one piece of code end every request, and one write a shard's whole state

Cause: completions and lookups ended with the same lines (refusal out, record completed), and the feed's publisher and view each built the same whole state.

No behaviour.

Ruled out: joining the two request functions themselves; each is to be read from top to bottom.

No test was changed.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod outcome;
 pub mod position;
 pub mod publisher;
+mod state_snapshot;
 pub mod term_history;
 pub mod view;
 
--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -14,6 +14,7 @@
 use crate::delivery::{FeedDelivery, SubscriberId};
 use crate::follower::Follower;
 use crate::position::FeedPosition;
+use crate::state_snapshot::state_snapshot;
 use crate::term_history::TermHistory;
 
 /// Turns the applied entries of one shard's replica into messages for its subscribers.
@@ -162,18 +163,7 @@
     /// The whole public state.
     #[must_use]
     pub fn state(&self) -> StateSnapshot {
-        let items = self.items.iter();
-        StateSnapshot {
-            shard: self.shard.0,
-            term: self.position.term,
-            offset: self.position.offset,
-            items: items
-                .map(|(key, value)| StateItem {
-                    key: key.clone(),
-                    value: Some(value.clone()),
-                })
-                .collect(),
-        }
+        state_snapshot(self.shard, self.position, &self.items)
     }
 
     fn catch_up(&mut self, from: FeedPosition) -> Vec<FeedMessage> {
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -11,6 +11,7 @@
 
 use crate::outcome::FeedOutcome;
 use crate::position::FeedPosition;
+use crate::state_snapshot::state_snapshot;
 
 /// A copy of one shard's public state that never steps back.
 #[derive(Clone, Debug)]
@@ -62,18 +63,7 @@
     /// The state shown, whole, for a consumer that starts anew.
     #[must_use]
     pub fn snapshot(&self) -> StateSnapshot {
-        let items = self.items.iter();
-        StateSnapshot {
-            shard: self.shard.0,
-            term: self.position.term,
-            offset: self.position.offset,
-            items: items
-                .map(|(key, value)| StateItem {
-                    key: key.clone(),
-                    value: Some(value.clone()),
-                })
-                .collect(),
-        }
+        state_snapshot(self.shard, self.position, &self.items)
     }
 
     /// Takes a message of the feed. Messages of another shard are ignored as stale.
--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -4,7 +4,7 @@
 use millford_api::command::{Claim, RunOutcome};
 use millford_api::config::Tenant;
 use millford_api::internal::CostSample;
-use millford_core::{Duration, ResultCode, RunState};
+use millford_core::{Duration, RunState};
 use millford_routing::prefix::{prefix_hash, session_hash};
 use sha2::{Digest, Sha256};
 
@@ -17,6 +17,7 @@
 use crate::request::caller::{CallerRequest, CallerSink};
 use crate::request::chat_request::ChatRequest;
 use crate::request::claim_hold::ClaimHold;
+use crate::request::conclude::conclude;
 use crate::request::deadline::deadline_of;
 use crate::request::environment::RequestEnvironment;
 use crate::request::first_answer::{Ended, first_answer};
@@ -45,15 +46,7 @@
     let mut reply = Reply::new(environment, caller, request_id, revision);
     let open = OpenRequest::start(environment.state());
     let served = complete(environment, &request, &mut reply, &mut record).await;
-    match served {
-        Ok(()) => record.code = ResultCode::Ok,
-        Err(Ended::Refused(refusal)) => {
-            record.code = refusal.code;
-            // The refusal goes out at once; a caller that left does not need it.
-            let _ = reply.refuse(&refusal).await;
-        }
-        Err(Ended::CallerGone(_)) => record.caller_left = true,
-    }
+    conclude(served, &mut reply, &mut record).await;
     drop(open);
     record.count(environment.state());
     record
--- a/crates/proxy/src/request/lookup.rs
+++ b/crates/proxy/src/request/lookup.rs
@@ -7,6 +7,7 @@
 use crate::request::attempt::FirstPart;
 use crate::request::authenticate::{authenticate, check_open};
 use crate::request::caller::{CallerRequest, CallerSink};
+use crate::request::conclude::conclude;
 use crate::request::deadline::deadline_of;
 use crate::request::environment::RequestEnvironment;
 use crate::request::first_answer::{Ended, first_answer};
@@ -36,14 +37,7 @@
     let mut reply = Reply::new(environment, caller, request_id, revision);
     let open = OpenRequest::start(environment.state());
     let served = look_up(environment, &request, &mut reply, &mut record).await;
-    match served {
-        Ok(()) => record.code = ResultCode::Ok,
-        Err(Ended::Refused(refusal)) => {
-            record.code = refusal.code;
-            let _ = reply.refuse(&refusal).await;
-        }
-        Err(Ended::CallerGone(_)) => record.caller_left = true,
-    }
+    conclude(served, &mut reply, &mut record).await;
     drop(open);
     record.count(environment.state());
     record
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -12,6 +12,7 @@
 pub mod choose_backend;
 pub mod claim_hold;
 pub mod completion;
+pub mod conclude;
 pub mod deadline;
 pub mod environment;
 pub mod failure;
