--- a/crates/agent/src/daemon/agent_settings.rs
+++ b/crates/agent/src/daemon/agent_settings.rs
@@ -17,6 +17,8 @@
     pub local_address: String,
     /// Address of health and metrics.
     pub http_address: String,
+    /// Address where the proxy beside the agent exchanges news with other proxies. May be empty.
+    pub exchange_address: String,
     /// Internal addresses of control nodes to begin with.
     pub seeds: Vec<String>,
     /// Address of the service registry, read while no control node is in touch. May be empty.
@@ -35,6 +37,10 @@
         SettingsKey::text("zone", "zone of this node"),
         SettingsKey::text("local_address", "loopback address for the proxy"),
         SettingsKey::text("http_address", "address of health and metrics"),
+        SettingsKey::text(
+            "exchange_address",
+            "IP:PORT where the proxy exchanges news with other proxies",
+        ),
         SettingsKey::list("seeds", "internal addresses of control nodes to begin with"),
         SettingsKey::text(
             "registry_address",
@@ -62,6 +68,10 @@
             let text = "At least one address is required.";
             faults.push(SettingsFault::new("seeds", text));
         }
+        if !self.exchange_address.is_empty() {
+            let exchange = self.exchange_address.as_str();
+            require_addresses(&mut faults, &[("exchange_address", exchange)]);
+        }
         for seed in &self.seeds {
             require_addresses(&mut faults, &[("seeds", seed)]);
         }
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use millford_core::time::monotonic_now;
+use millford_registry::SharedRegistry;
 use millford_settings::PartLog;
 use tokio::sync::mpsc;
 
@@ -16,13 +17,12 @@
 use crate::input::AgentInput;
 use crate::options::AgentOptions;
 use crate::output::AgentOutput;
-use crate::registry::client;
+use crate::registry::RegistryView;
 
 const LOG: PartLog = PartLog::new("AGENT");
 const LINK_LOG: PartLog = PartLog::new("LINK");
 
 /// What a driver works with.
-#[derive(Debug)]
 pub struct DriverParts {
     /// Identity and starting points.
     pub options: AgentOptions,
@@ -32,8 +32,8 @@
     pub sources: EventSources,
     /// The proxy's outlet, whenever it changes.
     pub outlets: mpsc::Receiver<Option<ProxyOutlet>>,
-    /// Address of the registry; empty without one.
-    pub registry_address: String,
+    /// The service registry, if there is one to read.
+    pub registry: Option<SharedRegistry>,
     /// Keeps the list of control nodes.
     pub saved_members: Option<SavedMembers>,
     /// Counts the link's traffic.
@@ -43,7 +43,6 @@
 }
 
 /// One agent at work.
-#[derive(Debug)]
 pub struct Driver {
     core: AgentCore,
     parts: DriverParts,
@@ -137,18 +136,21 @@
     }
 
     fn read_registry(&mut self) {
-        let address = self.parts.registry_address.clone();
+        let Some(registry) = self.parts.registry.clone() else {
+            return;
+        };
         let running = self
             .registry_read
             .as_ref()
             .is_some_and(|task| !task.is_finished());
-        if address.is_empty() || running {
+        if running {
             return;
         }
         let queues = self.parts.queues.clone();
         self.registry_read = Some(tokio::spawn(async move {
-            match client::read(&address).await {
-                Ok(view) => {
+            match registry.read().await {
+                Ok(list) => {
+                    let view = RegistryView::from(&list);
                     queues.state(AgentInput::Registry(view)).await;
                 }
                 Err(error) => LOG.debug(format_args!("{error}.")),
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -18,4 +18,5 @@
 pub use event_queues::EventQueues;
 pub use proxy_outlet::ProxyOutlet;
 pub use report::AgentReport;
+pub use run::{run, run_with};
 pub use traffic_meter::TrafficMeter;
--- a/crates/agent/src/daemon/run.rs
+++ b/crates/agent/src/daemon/run.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::{self, LogOptions, parse_level};
 use millford_settings::{DaemonCommand, PartLog};
 use tokio::net::TcpListener;
@@ -57,6 +58,22 @@
 /// # Errors
 /// Fails when the process cannot start.
 pub fn run(settings: AgentSettings) -> Result<(), StartError> {
+    let address = settings.registry_address.as_str();
+    let registry = (!address.is_empty()).then(|| -> SharedRegistry {
+        let registry = HttpRegistry::new(address);
+        Arc::new(registry)
+    });
+    run_with(settings, registry)
+}
+
+/// As [`run`], with a registry of the caller's choice.
+///
+/// # Errors
+/// Fails when the process cannot start.
+pub fn run_with(
+    settings: AgentSettings,
+    registry: Option<SharedRegistry>,
+) -> Result<(), StartError> {
     let level = parse_level(&settings.log_level).unwrap_or(spdlog::Level::Info);
     let format = settings.log_format;
     logging::init(LogOptions { level, format }).map_err(setup_error)?;
@@ -65,10 +82,13 @@
         .enable_all()
         .build()
         .map_err(setup_error)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, registry))
 }
 
-async fn serve(settings: AgentSettings) -> Result<(), StartError> {
+async fn serve(
+    settings: AgentSettings,
+    registry: Option<SharedRegistry>,
+) -> Result<(), StartError> {
     let local = bind(&settings.local_address).await?;
     let http = bind(&settings.http_address).await?;
     let local_address = local.local_addr().map_err(setup_error)?;
@@ -83,7 +103,7 @@
         queues: queues.clone(),
         sources,
         outlets,
-        registry_address: settings.registry_address,
+        registry,
         saved_members,
         meter: Arc::clone(&meter),
         report: report.clone(),
@@ -138,6 +158,7 @@
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         address,
+        exchange_address: settings.exchange_address.clone(),
         boot_id: rand::random(),
         control_addresses: kept.chain(settings.seeds.iter().cloned()).collect(),
         random_seed: rand::random(),
@@ -147,10 +168,15 @@
 fn stop_on_signal(queues: EventQueues) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(setup_error)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(setup_error)?;
+    // A changed settings file takes effect at the next start: members are learned from the feed.
+    let mut hang_up = signal(SignalKind::hangup()).map_err(setup_error)?;
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hang_up.recv() => LOG.info("The settings file is read at the next start."),
+            }
         }
         LOG.info("Told to stop.");
         queues.state(AgentInput::Stop).await;
--- a/crates/agent/src/registry/mod.rs
+++ b/crates/agent/src/registry/mod.rs
@@ -1,8 +1,5 @@
-//! The service registry, read by the agent itself while no control node answers.
-//!
-//! See `docs/REGISTRY-PROTOCOL.md`. Another shape of registry is put in place here.
+//! The service registry, read by the agent itself while it is out of touch with every control node.
 
-pub mod client;
 pub mod overlay;
 pub mod view;
 
--- a/crates/agent/src/registry/view.rs
+++ b/crates/agent/src/registry/view.rs
@@ -1,7 +1,6 @@
 //! The part of the registry's list that an agent needs.
 
 use millford_api::state::BackendState;
-use serde::Deserialize;
 
 /// One registered backend.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,41 +18,14 @@
     pub entries: Vec<RegistryEntry>,
 }
 
-#[derive(Deserialize)]
-struct ListBody {
-    backends: Vec<ListEntry>,
-}
-
-#[derive(Deserialize)]
-struct ListEntry {
-    id: String,
-    #[serde(default)]
-    state: String,
-}
-
-impl RegistryView {
-    /// Reads the body of `GET /v1/backends`. Fields that the agent does not need are skipped.
-    ///
-    /// # Errors
-    /// Fails when the body is not such a list.
-    pub fn from_json(body: &[u8]) -> Result<Self, serde_json::Error> {
-        let list: ListBody = serde_json::from_slice(body)?;
-        let entries = list.backends.into_iter();
-        let entries = entries
-            .map(|entry| RegistryEntry {
-                state: state_named(&entry.state),
-                id: entry.id,
-            })
-            .collect();
-        Ok(Self { entries })
-    }
-}
-
-/// A state that the agent does not know is no reason to take work away.
-fn state_named(name: &str) -> BackendState {
-    match name {
-        "draining" => BackendState::BackendDraining,
-        "gone" => BackendState::BackendGone,
-        _ => BackendState::BackendActive,
+impl From<&millford_registry::RegistryView> for RegistryView {
+    fn from(list: &millford_registry::RegistryView) -> Self {
+        let entries = list.backends.iter().map(|entry| RegistryEntry {
+            id: entry.id.clone(),
+            state: entry.backend_state(),
+        });
+        Self {
+            entries: entries.collect(),
+        }
     }
 }
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -25,6 +25,7 @@
             boot_id: options.boot_id,
             zone: options.zone.clone(),
             address: options.address.clone(),
+            exchange_address: options.exchange_address.clone(),
         };
         Self {
             open,
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -115,6 +115,7 @@
         term: 1,
         offset: 1,
         items: vec![head(1)],
+        ..Default::default()
     };
     let message = FeedMessage {
         shard: 0,
--- a/crates/agent/tests/support/fleet.rs
+++ b/crates/agent/tests/support/fleet.rs
@@ -238,5 +238,6 @@
         boot_id,
         control_addresses: addresses.iter().map(|at| (*at).to_owned()).collect(),
         random_seed: 7,
+        ..Default::default()
     }
 }
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -43,6 +43,7 @@
         name: name.to_owned(),
         key_hashes: Vec::new(),
         quota: Some(quota),
+        ..Default::default()
     };
     item(
         &format!("config/tenant/{name}"),
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -42,3 +42,9 @@
 pub mod local {
     include!("generated/millford.local.rs");
 }
+
+/// Datagrams between proxies.
+#[allow(clippy::all)]
+pub mod exchange {
+    include!("generated/millford.exchange.rs");
+}
--- a/crates/api/src/operator/config_body.rs
+++ b/crates/api/src/operator/config_body.rs
@@ -37,4 +37,7 @@
     pub digest: String,
     /// The whole configuration, its lists sorted by name.
     pub document: Document,
+    /// The document as the operator sent it, when it came in another form; not part of this body.
+    #[serde(skip)]
+    pub source: Vec<u8>,
 }
--- a/crates/api/tests/openapi.rs
+++ b/crates/api/tests/openapi.rs
@@ -69,6 +69,7 @@
                 revision: 2,
                 digest: String::new(),
                 document: Document::default(),
+                source: Vec::new(),
             },
         );
         self.add("DrainBody", DrainBody { drain: true });
--- a/crates/control-state/examples/large_document.rs
+++ b/crates/control-state/examples/large_document.rs
@@ -96,6 +96,7 @@
             burst: 20,
             concurrent_streams: 8,
         }),
+        ..Default::default()
     }
 }
 
@@ -114,6 +115,7 @@
         order_id: format!("order-{base_revision}"),
         digest: document::digest(document),
         document: Some(document.clone()),
+        ..Default::default()
     };
     Command {
         kind: Some(Kind::PutConfig(put)),
--- a/crates/control-state/src/document/canonical.rs
+++ b/crates/control-state/src/document/canonical.rs
@@ -19,6 +19,9 @@
     document
         .routes
         .sort_by(|left, right| left.name.cmp(&right.name));
+    document
+        .forward_routes
+        .sort_by(|left, right| left.name.cmp(&right.name));
     document
         .pools
         .sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/control-state/src/document/check.rs
+++ b/crates/control-state/src/document/check.rs
@@ -4,6 +4,7 @@
 
 use millford_api::config::{Document, Pool};
 
+use super::check_forward::{check_forward_routes, check_http_limits};
 use super::check_pool::check_pools;
 use super::check_route::check_routes;
 use super::check_tenant::check_tenants;
@@ -21,6 +22,8 @@
         .map(|pool| (pool.name.as_str(), pool))
         .collect();
     check_routes(&document.routes, &pools, &mut faults);
+    check_forward_routes(&document.forward_routes, &pools, &mut faults);
+    check_http_limits(document.http_limits.as_ref(), &mut faults);
     check_pools(&document.pools, &mut faults);
     check_tenants(&document.tenants, &mut faults);
     faults.into_faults()
--- /dev/null
+++ b/crates/control-state/src/document/check_forward.rs
@@ -0,0 +1,101 @@
+//! Rules of forwarding routes and of the HTTP limits.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::{ForwardRoute, HttpLimits, Pool};
+
+use super::check::check_name;
+use super::fault_list::FaultList;
+use super::limits;
+
+/// Checks every forwarding route, alone and against the others and the pools.
+pub(super) fn check_forward_routes(
+    routes: &[ForwardRoute],
+    pools: &BTreeMap<&str, &Pool>,
+    faults: &mut FaultList,
+) {
+    faults.count("forward_routes", routes.len(), limits::MAX_FORWARD_ROUTES);
+    let mut names = BTreeMap::new();
+    let mut places: BTreeMap<(String, &str), usize> = BTreeMap::new();
+    for (index, route) in routes.iter().enumerate() {
+        let path = format!("forward_routes[{index}]");
+        check_name(format!("{path}.name"), &route.name, &mut names, faults);
+        check_prefix(&path, route, faults);
+        let place = (route.host.to_ascii_lowercase(), route.path_prefix.as_str());
+        if let Some(first) = places.get(&place) {
+            let text = format!("forward_routes[{first}] has the same host and path prefix");
+            faults.add(format!("{path}.path_prefix"), text);
+        } else {
+            places.insert(place, index);
+        }
+        check_pools_of(&path, route, pools, faults);
+        check_behaviour(&path, route, faults);
+    }
+}
+
+/// Checks the limits of callers' HTTP connections.
+pub(super) fn check_http_limits(limits: Option<&HttpLimits>, faults: &mut FaultList) {
+    let Some(limits) = limits else {
+        return;
+    };
+    let fields = [
+        ("max_header_bytes", u64::from(limits.max_header_bytes)),
+        ("max_body_bytes", limits.max_body_bytes),
+        ("header_timeout_ms", u64::from(limits.header_timeout_ms)),
+        ("idle_timeout_ms", u64::from(limits.idle_timeout_ms)),
+    ];
+    for (field, value) in fields {
+        if value == 0 {
+            faults.add(format!("http_limits.{field}"), "must be above 0");
+        }
+    }
+}
+
+fn check_prefix(path: &str, route: &ForwardRoute, faults: &mut FaultList) {
+    if route.host.is_empty() {
+        faults.add(format!("{path}.host"), "the host is empty");
+    }
+    let prefix = &route.path_prefix;
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        let text = "a path prefix begins and ends with '/'";
+        faults.add(format!("{path}.path_prefix"), text);
+    }
+}
+
+fn check_pools_of(
+    path: &str,
+    route: &ForwardRoute,
+    pools: &BTreeMap<&str, &Pool>,
+    faults: &mut FaultList,
+) {
+    let field = format!("{path}.pools");
+    faults.count(
+        field.clone(),
+        route.pools.len(),
+        limits::MAX_POOLS_PER_ROUTE,
+    );
+    for (index, share) in route.pools.iter().enumerate() {
+        if !pools.contains_key(share.pool.as_str()) {
+            let text = format!("no pool is named \"{}\"", share.pool);
+            faults.add(format!("{field}[{index}].pool"), text);
+        }
+    }
+    let total: u64 = route
+        .pools
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
+    if total == 0 {
+        faults.add(field, "the weights add up to 0");
+    }
+}
+
+fn check_behaviour(path: &str, route: &ForwardRoute, faults: &mut FaultList) {
+    if route.timeout_ms == 0 {
+        faults.add(format!("{path}.timeout_ms"), "must be above 0");
+    }
+    if route.resumable && !route.stream {
+        let text = "only a stream can be resumed";
+        faults.add(format!("{path}.resumable"), text);
+    }
+}
--- a/crates/control-state/src/document/check_tenant.rs
+++ b/crates/control-state/src/document/check_tenant.rs
@@ -20,7 +20,10 @@
         let path = format!("tenants[{index}]");
         check_name(format!("{path}.name"), &tenant.name, &mut names, faults);
         check_keys(&path, tenant, &mut hashes, faults);
-        check_quota(&path, tenant.quota.as_ref(), faults);
+        // A tenant whose tokens are limited needs no limit on its requests.
+        if tenant.quota.is_some() || tenant.token_quota.is_none() {
+            check_quota(&path, tenant.quota.as_ref(), faults);
+        }
     }
 }
 
--- a/crates/control-state/src/document/items.rs
+++ b/crates/control-state/src/document/items.rs
@@ -8,7 +8,7 @@
 use super::canonical::normalized;
 use crate::keys;
 
-/// One item for each route, pool and tenant, by key.
+/// One item for each route, pool and tenant, and one for the HTTP limits, by key.
 #[must_use]
 pub fn items(document: &Document) -> BTreeMap<String, Kind> {
     let document = normalized(document);
@@ -19,6 +19,13 @@
     for pool in document.pools {
         items.insert(keys::pool(&pool.name), Kind::Pool(pool));
     }
+    for route in document.forward_routes {
+        let key = keys::forward_route(&route.name);
+        items.insert(key, Kind::ForwardRoute(route));
+    }
+    if let Some(limits) = document.http_limits {
+        items.insert(keys::HTTP_LIMITS.to_owned(), Kind::HttpLimits(limits));
+    }
     for tenant in document.tenants {
         items.insert(keys::tenant(&tenant.name), Kind::Tenant(tenant));
     }
@@ -34,6 +41,8 @@
             Some(Kind::Route(route)) => document.routes.push(route.clone()),
             Some(Kind::Pool(pool)) => document.pools.push(pool.clone()),
             Some(Kind::Tenant(tenant)) => document.tenants.push(tenant.clone()),
+            Some(Kind::ForwardRoute(route)) => document.forward_routes.push(route.clone()),
+            Some(Kind::HttpLimits(limits)) => document.http_limits = Some(*limits),
             _ => {}
         }
     }
--- a/crates/control-state/src/document/limits.rs
+++ b/crates/control-state/src/document/limits.rs
@@ -4,6 +4,10 @@
 
 /// Most routes.
 pub const MAX_ROUTES: usize = 1_000;
+/// Most forwarding routes.
+pub const MAX_FORWARD_ROUTES: usize = 20_000;
+/// Most pools that share one forwarding route.
+pub const MAX_POOLS_PER_ROUTE: usize = 32;
 /// Most pools.
 pub const MAX_POOLS: usize = 500;
 /// Most tenants; three times the planned 16,000.
--- a/crates/control-state/src/document/mod.rs
+++ b/crates/control-state/src/document/mod.rs
@@ -2,6 +2,7 @@
 
 mod canonical;
 mod check;
+mod check_forward;
 mod check_pool;
 mod check_route;
 mod check_tenant;
--- a/crates/control-state/src/document/order.rs
+++ b/crates/control-state/src/document/order.rs
@@ -42,6 +42,8 @@
         order_id: order.order_id,
         digest: digest(&order.document),
         document: Some(order.document),
+        revision: 0,
+        source: Vec::new(),
     })
 }
 
--- a/crates/control-state/src/document/parse.rs
+++ b/crates/control-state/src/document/parse.rs
@@ -8,7 +8,14 @@
 use super::fault::Fault;
 
 /// Fields that hold lists; every other field of a document holds a single value.
-const LIST_FIELDS: [&str; 5] = ["routes", "pools", "tenants", "key_hashes", "adapters"];
+const LIST_FIELDS: [&str; 6] = [
+    "routes",
+    "forward_routes",
+    "pools",
+    "tenants",
+    "key_hashes",
+    "adapters",
+];
 
 /// Reads a document. It is not checked yet: see [`super::check`].
 ///
--- a/crates/control-state/src/keys.rs
+++ b/crates/control-state/src/keys.rs
@@ -2,6 +2,8 @@
 
 /// Key of the number and digest of the configuration in force.
 pub const CONFIG_HEAD: &str = "config/head";
+/// Key of the limits of callers' HTTP connections.
+pub const HTTP_LIMITS: &str = "config/limits";
 /// Prefix of every key of the configuration.
 pub const CONFIG_PREFIX: &str = "config/";
 /// Prefix of the control members' keys.
@@ -17,6 +19,18 @@
     format!("config/route/{name}")
 }
 
+/// Key of the forwarding route with this name.
+#[must_use]
+pub fn forward_route(name: &str) -> String {
+    format!("config/forward/{name}")
+}
+
+/// Key of a proxy's address for news of other proxies.
+#[must_use]
+pub fn proxy_member(member: &str) -> String {
+    format!("proxy/{member}")
+}
+
 /// Key of the pool with this name.
 #[must_use]
 pub fn pool(name: &str) -> String {
--- a/crates/control-state/src/machine/applied.rs
+++ b/crates/control-state/src/machine/applied.rs
@@ -37,6 +37,15 @@
         Self::with_kind(code, Some(command_result::Kind::PutConfig(result)))
     }
 
+    /// Whether this is the answer to an order that was accepted now, not earlier.
+    pub(crate) fn is_accepted_order(&self) -> bool {
+        let accepted = self.result.code == ResultCode::Ok.number();
+        match &self.result.kind {
+            Some(command_result::Kind::PutConfig(result)) => accepted && !result.repeated_order,
+            _ => false,
+        }
+    }
+
     /// Answer to a claim.
     pub(crate) fn claim(code: ResultCode, result: ClaimResult) -> Self {
         Self::with_kind(code, Some(command_result::Kind::Claim(result)))
--- a/crates/control-state/src/machine/configuration.rs
+++ b/crates/control-state/src/machine/configuration.rs
@@ -35,6 +35,11 @@
         OrderFate::New if order.base_revision != present => {
             Applied::order(ResultCode::RevisionConflict, present, false)
         }
+        // Numbers only grow, so that no node ever takes an older configuration for a newer one.
+        OrderFate::New if order.revision != 0 && order.revision <= present => {
+            Applied::order(ResultCode::RevisionNotAbove, present, false)
+        }
+        OrderFate::New if order.revision != 0 => accept(state, record, order, order.revision),
         OrderFate::New => accept(state, record, order, present + 1),
     }
 }
--- a/crates/control-state/src/machine/session_registry.rs
+++ b/crates/control-state/src/machine/session_registry.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeMap;
 
 use millford_api::command::{CloseSession, OpenSession, SessionRecord};
+use millford_api::state::{ProxyMember, StateItem, state_value::Kind};
 use millford_core::ResultCode;
 
 use super::applied::Applied;
+use super::public_state::PublicState;
+use crate::keys;
 
 /// Open sessions by member.
 #[derive(Clone, Debug, Default)]
@@ -17,7 +20,9 @@
 impl SessionRegistry {
     /// Opens a session. Resent by the same process, it gives the same epoch again; another process
     /// of that member gets a new epoch, which fences whatever the old one was granted.
-    pub(crate) fn open(&mut self, open: &OpenSession) -> Applied {
+    ///
+    /// A member whose proxy exchanges news is listed for the other proxies while the session is open.
+    pub(crate) fn open(&mut self, state: &mut PublicState, open: &OpenSession) -> Applied {
         let epoch = match self.sessions.get(&open.member) {
             Some(known) if known.boot_id == open.boot_id => known.epoch,
             _ => self.next_epoch(),
@@ -30,11 +35,13 @@
             address: open.address.clone(),
         };
         self.sessions.insert(open.member.clone(), record);
-        Applied::session(epoch)
+        let mut applied = Applied::session(epoch);
+        applied.changes = list_proxy(state, open).into_iter().collect();
+        applied
     }
 
     /// Closes exactly the named epoch; a newer session of the member stays.
-    pub(crate) fn close(&mut self, close: &CloseSession) -> Applied {
+    pub(crate) fn close(&mut self, state: &mut PublicState, close: &CloseSession) -> Applied {
         let Some(known) = self.sessions.get(&close.member) else {
             return Applied::code(ResultCode::SessionClosed);
         };
@@ -42,7 +49,8 @@
             return Applied::code(ResultCode::EpochFenced);
         }
         self.sessions.remove(&close.member);
-        Applied::code(ResultCode::Ok)
+        let unlisted = state.delete(&keys::proxy_member(&close.member));
+        Applied::changed(unlisted.into_iter().collect())
     }
 
     /// Every open session by member.
@@ -69,3 +77,16 @@
         self.last_epoch
     }
 }
+
+fn list_proxy(state: &mut PublicState, open: &OpenSession) -> Option<StateItem> {
+    let key = keys::proxy_member(&open.member);
+    if open.exchange_address.is_empty() {
+        return state.delete(&key);
+    }
+    let member = ProxyMember {
+        name: open.member.clone(),
+        exchange_address: open.exchange_address.clone(),
+        zone: open.zone.clone(),
+    };
+    state.set(key, Kind::ProxyMember(member))
+}
--- a/crates/control-state/src/machine/shard_machine.rs
+++ b/crates/control-state/src/machine/shard_machine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use millford_api::command::{Command, SessionRecord, UpdateBackends, command};
+use millford_api::command::{Command, PutConfig, SessionRecord, UpdateBackends, command};
 use millford_api::state::{Backend, StateValue};
 use millford_core::{ResultCode, ShardId};
 
@@ -28,6 +28,7 @@
     pub(super) sessions: SessionRegistry,
     pub(super) catalogue: Catalogue,
     pub(super) shard_time_ms: u64,
+    pub(super) config_source: Vec<u8>,
 }
 
 impl ShardMachine {
@@ -44,6 +45,7 @@
             sessions: SessionRegistry::default(),
             catalogue: Catalogue::default(),
             shard_time_ms: 0,
+            config_source: Vec::new(),
         }
     }
 
@@ -96,6 +98,12 @@
         configuration::present_revision(&self.public)
     }
 
+    /// The configuration's document as the operator sent it; empty if it came in the usual form.
+    #[must_use]
+    pub fn config_source(&self) -> &[u8] {
+        &self.config_source
+    }
+
     /// The open sessions by member.
     #[must_use]
     pub fn sessions(&self) -> &BTreeMap<String, SessionRecord> {
@@ -149,11 +157,11 @@
     fn apply_kind(&mut self, kind: &command::Kind) -> Applied {
         use command::Kind;
         match kind {
-            Kind::PutConfig(order) => configuration::put(&mut self.public, &mut self.orders, order),
+            Kind::PutConfig(order) => self.put_config(order),
             Kind::Claim(claim) => self.claims.claim(claim, self.shard_time_ms),
             Kind::SettleClaim(settle) => self.claims.settle(settle, self.shard_time_ms),
-            Kind::OpenSession(open) => self.sessions.open(open),
-            Kind::CloseSession(close) => self.sessions.close(close),
+            Kind::OpenSession(open) => self.sessions.open(&mut self.public, open),
+            Kind::CloseSession(close) => self.sessions.close(&mut self.public, close),
             Kind::UpdateBackends(update) => self.catalogue.update(&mut self.public, update),
             Kind::DrainBackend(order) => self.catalogue.drain(&mut self.public, order),
             Kind::SetPlacement(set) => placements::set(&mut self.public, set.placement.as_ref()),
@@ -167,6 +175,15 @@
         }
     }
 
+    /// The source is kept beside the items: nodes need it for nothing but reading it back.
+    fn put_config(&mut self, order: &PutConfig) -> Applied {
+        let applied = configuration::put(&mut self.public, &mut self.orders, order);
+        if applied.is_accepted_order() {
+            self.config_source.clone_from(&order.source);
+        }
+        applied
+    }
+
     fn advance_clock(&mut self, elapsed_ms: u64) -> Applied {
         self.shard_time_ms = self.shard_time_ms.saturating_add(elapsed_ms);
         self.claims.drop_old(self.shard_time_ms);
--- a/crates/control-state/src/machine/snapshot.rs
+++ b/crates/control-state/src/machine/snapshot.rs
@@ -26,6 +26,7 @@
             shard_time_ms: self.shard_time_ms,
             next_epoch: self.sessions.last_epoch() + 1,
             drains: self.catalogue.drains().cloned().collect(),
+            config_source: self.config_source.clone(),
         };
         snapshot.encode_to_vec()
     }
@@ -51,6 +52,7 @@
         let last_epoch = snapshot.next_epoch.saturating_sub(1);
         self.sessions.replace(snapshot.sessions, last_epoch);
         self.catalogue.replace(snapshot.drains);
+        self.config_source = snapshot.config_source;
         Ok(())
     }
 }
--- a/crates/control-state/src/selection.rs
+++ b/crates/control-state/src/selection.rs
@@ -10,8 +10,16 @@
     let Some(selector) = selector else {
         return true;
     };
-    // A backend that declares nothing, such as a plain lookup server, fits an empty selector only.
-    if *selector == Selector::default() {
+    if !selector.service.is_empty() && selector.service != backend.service {
+        return false;
+    }
+    let names_labels = !selector.model.is_empty()
+        || !selector.version.is_empty()
+        || !selector.stage.is_empty()
+        || !selector.adapters.is_empty();
+    // A backend that declares nothing, such as a plain lookup server, fits only a selector that
+    // names no label.
+    if !names_labels {
         return true;
     }
     let mut declarations = backend.declarations.iter();
--- a/crates/control-state/tests/machine.rs
+++ b/crates/control-state/tests/machine.rs
@@ -93,6 +93,7 @@
         boot_id,
         zone: "a".to_owned(),
         address: "127.0.0.1:1".to_owned(),
+        ..Default::default()
     }
 }
 
--- a/crates/control-state/tests/support/mod.rs
+++ b/crates/control-state/tests/support/mod.rs
@@ -46,6 +46,7 @@
         name: name.to_owned(),
         key_hashes: vec![hash_tenant_key(&format!("key of {name}"))],
         quota: Some(quota(10, 20, 4)),
+        ..Default::default()
     }
 }
 
@@ -64,6 +65,7 @@
         routes: vec![route("captions", "saga"), route("questions", "edda")],
         pools: vec![pool("saga"), pool("edda")],
         tenants: vec![tenant("library"), tenant("school")],
+        ..Default::default()
     }
 }
 
@@ -74,6 +76,7 @@
         order_id: order_id.to_owned(),
         digest: document::digest(wanted),
         document: Some(wanted.clone()),
+        ..Default::default()
     }))
 }
 
@@ -91,5 +94,6 @@
         cores: 8,
         bandwidth_gbps: 100.0,
         state: 0,
+        ..Default::default()
     }
 }
--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -17,7 +17,8 @@
 use millford_core::ResultCode;
 use millford_settings::PartLog;
 
-pub use run::run;
+pub use operator_http::OperatorPort;
+pub use run::{ControlAdapters, OperatorServer, run, run_with};
 pub use settings::ControlSettings;
 
 /// Log of the process itself.
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -5,7 +5,10 @@
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use millford_core::ResultCode;
+use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::parse_level;
 use millford_settings::{LogOptions, logging};
 use millford_storage::{Disk, FileDisk};
@@ -60,9 +63,44 @@
     }
 }
 
+/// Serves operators on a bound address until the process ends.
+pub type OperatorServer =
+    Box<dyn FnOnce(TcpListener, OperatorPort) -> BoxFuture<'static, ()> + Send>;
+
+/// The sides of a control node that a deployment may speak in its own way.
+pub struct ControlAdapters {
+    /// The service registry, if one is watched.
+    pub registry: Option<SharedRegistry>,
+    /// The operators' interface.
+    pub operators: OperatorServer,
+}
+
+impl ControlAdapters {
+    /// The product's own interfaces, as the settings name them.
+    #[must_use]
+    pub fn of_settings(settings: &ControlSettings) -> Self {
+        let address = settings.registry_address.as_str();
+        let registry = (!address.is_empty()).then(|| -> SharedRegistry {
+            let registry = HttpRegistry::new(address);
+            Arc::new(registry)
+        });
+        Self {
+            registry,
+            operators: Box::new(|listener, port| operator_http::serve(listener, port).boxed()),
+        }
+    }
+}
+
 /// Runs the daemon until SIGTERM or SIGINT.
 #[must_use]
 pub fn run(settings: ControlSettings) -> ExitCode {
+    let adapters = ControlAdapters::of_settings(&settings);
+    run_with(settings, adapters)
+}
+
+/// As [`run`], with interfaces of the caller's choice.
+#[must_use]
+pub fn run_with(settings: ControlSettings, adapters: ControlAdapters) -> ExitCode {
     let level = parse_level(&settings.log_level).unwrap_or(spdlog::Level::Info);
     let format = settings.log_format;
     if let Err(error) = logging::init(LogOptions { level, format }) {
@@ -76,7 +114,7 @@
         Ok(runtime) => runtime,
         Err(error) => return failed(&StartError::other(error)),
     };
-    match runtime.block_on(serve(settings)) {
+    match runtime.block_on(serve(settings, adapters)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => failed(&error),
     }
@@ -87,7 +125,7 @@
     ExitCode::FAILURE
 }
 
-async fn serve(settings: ControlSettings) -> Result<(), StartError> {
+async fn serve(settings: ControlSettings, adapters: ControlAdapters) -> Result<(), StartError> {
     let internal = bind(&settings.internal_address).await?;
     let operator = bind(&settings.operator_address).await?;
     let internal_address = local_address(&internal)?;
@@ -113,12 +151,12 @@
         .spawn(move || thread.run())
         .map_err(StartError::other)?;
     tokio::spawn(listen(internal, queue.clone()));
-    if !settings.registry_address.is_empty() {
-        let watch = registry_watch::watch(settings.registry_address.clone(), queue.clone());
+    if let Some(registry) = adapters.registry {
+        let watch = registry_watch::watch(registry, queue.clone(), shared.clone());
         tokio::spawn(watch);
     }
     let port = OperatorPort::new(queue.clone(), shared.clone(), &settings.operator_key_hash);
-    tokio::spawn(operator_http::serve(operator, port));
+    tokio::spawn((adapters.operators)(operator, port));
     println!("millford-control ready internal={internal_address} operator={operator_address}");
     wait_for_end().await?;
     leave(&queue, &shared).await;
@@ -170,11 +208,15 @@
 async fn wait_for_end() -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::other)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::other)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    // A changed settings file takes effect at the next start: members are known from the cluster.
+    let mut hang_up = signal(SignalKind::hangup()).map_err(StartError::other)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => CONTROL.info("The settings file is read at the next start."),
+        }
     }
-    Ok(())
 }
 
 /// Hands leaderships over, so that the others need no election time-out.
--- a/crates/control/src/daemon/shared.rs
+++ b/crates/control/src/daemon/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use millford_core::ShardId;
 use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::gateway::Gateway;
@@ -11,6 +12,7 @@
     formed: AtomicBool,
     in_touch: AtomicBool,
     leads: AtomicUsize,
+    leads_services: AtomicUsize,
     registry: Registry,
     gauges: Gauges,
 }
@@ -39,6 +41,7 @@
             formed: AtomicBool::new(false),
             in_touch: AtomicBool::new(false),
             leads: AtomicUsize::new(0),
+            leads_services: AtomicUsize::new(0),
             registry,
             gauges,
         })
@@ -53,6 +56,10 @@
         self.formed.store(formed, Ordering::Relaxed);
         self.in_touch.store(in_touch, Ordering::Relaxed);
         self.leads.store(leads, Ordering::Relaxed);
+        let data = standings
+            .values()
+            .filter(|standing| standing.leads && standing.shard != ShardId::CONFIGURATION);
+        self.leads_services.store(data.count(), Ordering::Relaxed);
         self.gauges.formed.set(formed.into());
         self.gauges.in_touch.set(in_touch.into());
         self.gauges.leaderships.set(to_gauge(leads));
@@ -90,6 +97,12 @@
         self.leads.load(Ordering::Relaxed)
     }
 
+    /// Number of shards that this node leads and that own services.
+    #[must_use]
+    pub fn leads_services(&self) -> usize {
+        self.leads_services.load(Ordering::Relaxed)
+    }
+
     /// The metrics.
     #[must_use]
     pub fn registry(&self) -> &Registry {
--- a/crates/control/src/gateway/member_list.rs
+++ b/crates/control/src/gateway/member_list.rs
@@ -72,6 +72,7 @@
             // Without a replica of the list, the leader is asked.
             let read = shard_request::Kind::ReadState(ReadState {
                 key_prefix: keys::CONTROL_PREFIX.to_owned(),
+                with_source: false,
             });
             self.submit(
                 now,
--- a/crates/control/src/gateway/operator_answers.rs
+++ b/crates/control/src/gateway/operator_answers.rs
@@ -8,11 +8,11 @@
 use millford_control_state::document;
 use millford_control_state::planner::{self, PlanCatalogue, SAMPLED_SESSIONS, sample_sessions};
 use millford_core::{ResultCode, ShardId};
+use millford_registry::RegistryView;
 
 use super::is_ok;
 use crate::operator::status::placement_body;
 use crate::operator::{OperatorFailure, OperatorReply};
-use crate::registry::RegistryView;
 
 /// Adds what a shard's public state tells to a status.
 pub fn add_state(status: &mut StatusReply, state: &StateSnapshot) {
@@ -112,6 +112,7 @@
         revision: head.revision,
         digest: hex::encode(&head.digest),
         document: document::document_of(values),
+        source: state.config_source.clone(),
     }
 }
 
--- a/crates/control/src/gateway/operators.rs
+++ b/crates/control/src/gateway/operators.rs
@@ -54,6 +54,7 @@
         let body = OperatorRequest::PutConfig(PutConfig {
             // The document travels in the command only.
             document: None,
+            source: Vec::new(),
             ..order.clone()
         });
         self.desk.open(request, body, 1);
@@ -64,7 +65,10 @@
 
     fn ask_configuration(&mut self, now: MonotonicTime, request: u64, body: OperatorRequest) {
         self.desk.open(request, body, 1);
-        let kind = read_under(keys::CONFIG_PREFIX);
+        let kind = shard_request::Kind::ReadState(ReadState {
+            key_prefix: keys::CONFIG_PREFIX.to_owned(),
+            with_source: true,
+        });
         self.ask(now, request, ShardId::CONFIGURATION, kind);
     }
 
@@ -243,5 +247,6 @@
 fn read_under(prefix: &str) -> shard_request::Kind {
     shard_request::Kind::ReadState(ReadState {
         key_prefix: prefix.to_owned(),
+        with_source: false,
     })
 }
--- a/crates/control/src/gateway/sessions.rs
+++ b/crates/control/src/gateway/sessions.rs
@@ -112,6 +112,7 @@
             boot_id: self.own_session.boot_id,
             zone: self.options.zone.clone(),
             address: self.options.internal_address.clone(),
+            exchange_address: String::new(),
         };
         let command = Command {
             kind: Some(command::Kind::OpenSession(open)),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,15 +12,14 @@
 pub mod node_output;
 pub mod operator;
 pub mod options;
-pub mod registry;
 pub mod shard;
 pub mod timing;
 
 pub use gateway::{Gateway, GatewayInput, GatewayOutput};
 pub use link::{LinkId, PeerKind};
+pub use millford_registry::{RegistryEntry, RegistryView};
 pub use node::ControlNode;
 pub use node_input::NodeInput;
 pub use node_output::{NodeNote, NodeOutput};
 pub use operator::{OperatorReply, OperatorRequest};
 pub use options::ControlOptions;
-pub use registry::{RegistryEntry, RegistryView};
--- a/crates/control/src/node_input.rs
+++ b/crates/control/src/node_input.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use millford_api::internal::Frame;
+use millford_registry::RegistryView;
 
 use crate::link::{LinkId, PeerKind};
 use crate::operator::OperatorRequest;
-use crate::registry::RegistryView;
 
 /// One input of the node's logic.
 #[derive(Clone, Debug)]
--- a/crates/control/src/shard/applying.rs
+++ b/crates/control/src/shard/applying.rs
@@ -12,7 +12,7 @@
 
 use super::core::ShardCore;
 use super::output::ShardOutput;
-use crate::timing::SNAPSHOT_ENTRIES;
+use crate::timing::{SNAPSHOT_BYTES, SNAPSHOT_ENTRIES};
 
 impl ShardCore {
     pub(super) fn restore(&mut self, now: MonotonicTime, snapshot: &RestoredSnapshot) {
@@ -61,6 +61,7 @@
             self.machine.skip(entry.index, entry.term);
             return None;
         };
+        self.bytes_since_snapshot += bytes.len();
         // Only commands that this code encoded get into the log; one of a newer release that
         // cannot be read changes nothing here and is refused in the same way on every replica.
         let command = Command::decode(bytes.as_slice()).unwrap_or_default();
@@ -71,13 +72,16 @@
 
     pub(super) fn take_snapshot(&mut self) {
         let applied = self.machine.applied_index();
-        if applied < self.snapshot_index + SNAPSHOT_ENTRIES {
+        let many = applied >= self.snapshot_index + SNAPSHOT_ENTRIES;
+        let large = self.bytes_since_snapshot >= SNAPSHOT_BYTES && applied > self.snapshot_index;
+        if !many && !large {
             return;
         }
         let data = self.machine.snapshot();
         // A refusal leaves the log longer; the next entries try again.
         let _ = self.replica.save_snapshot(applied, data);
         self.snapshot_index = applied;
+        self.bytes_since_snapshot = 0;
     }
 
     fn public_changed(&mut self, now: MonotonicTime, changes: Vec<StateItem>) {
--- a/crates/control/src/shard/catalogue.rs
+++ b/crates/control/src/shard/catalogue.rs
@@ -9,11 +9,11 @@
 use millford_control_state::keys;
 use millford_control_state::selection::selects;
 use millford_core::{MonotonicTime, ShardId, service_key};
+use millford_registry::RegistryView;
 
 use super::core::ShardCore;
 use super::proposals::Purpose;
 use super::upkeep::command_of;
-use crate::registry::RegistryView;
 
 /// What the leader compares the catalogue with.
 #[derive(Debug, Default)]
--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -71,6 +71,8 @@
     pub(super) standing: ShardStanding,
     pub(super) outputs: Vec<ShardOutput>,
     pub(super) snapshot_index: u64,
+    /// Bytes of the entries that were applied since the last snapshot.
+    pub(super) bytes_since_snapshot: usize,
     failed: bool,
 }
 
@@ -100,6 +102,7 @@
             standing: ShardStanding::unknown(shard),
             outputs: Vec::new(),
             snapshot_index: 0,
+            bytes_since_snapshot: 0,
             failed: false,
             options,
         })
--- a/crates/control/src/shard/input.rs
+++ b/crates/control/src/shard/input.rs
@@ -6,10 +6,10 @@
 use millford_api::replication::ReplicationMessage;
 use millford_api::state::StateItem;
 use millford_core::NodeId;
+use millford_registry::RegistryView;
 
 use super::members::MemberView;
 use crate::link::LinkId;
-use crate::registry::RegistryView;
 
 /// Number under which the gateway remembers who is to be answered.
 pub type Ticket = u64;
--- a/crates/control/src/shard/reads.rs
+++ b/crates/control/src/shard/reads.rs
@@ -14,6 +14,8 @@
         ticket: Ticket,
         /// Keys that start with this.
         prefix: String,
+        /// With the configuration's document as the operator sent it.
+        with_source: bool,
     },
     /// Answer with the index itself.
     Index {
--- a/crates/control/src/shard/serving.rs
+++ b/crates/control/src/shard/serving.rs
@@ -27,8 +27,14 @@
         match request.kind {
             Some(Kind::Propose(command)) => self.propose_request(ticket, &command),
             Some(Kind::ReadState(read)) => {
-                let prefix = read.key_prefix;
-                self.read(now, ReadPurpose::State { ticket, prefix });
+                self.read(
+                    now,
+                    ReadPurpose::State {
+                        ticket,
+                        prefix: read.key_prefix,
+                        with_source: read.with_source,
+                    },
+                );
             }
             Some(Kind::ReadIndex(_)) => self.read(now, ReadPurpose::Index { ticket }),
             Some(Kind::Status(_)) => self.read(now, ReadPurpose::Status { ticket }),
@@ -130,9 +136,16 @@
 
     fn serve(&mut self, purpose: ReadPurpose, index: u64) {
         match purpose {
-            ReadPurpose::State { ticket, prefix } => {
-                let state = shard_reply::Kind::State(self.state_under(&prefix));
-                self.reply_ok(ticket, state);
+            ReadPurpose::State {
+                ticket,
+                prefix,
+                with_source,
+            } => {
+                let mut state = self.state_under(&prefix);
+                if with_source {
+                    state.config_source = self.machine.config_source().to_vec();
+                }
+                self.reply_ok(ticket, shard_reply::Kind::State(state));
             }
             ReadPurpose::Index { ticket } => {
                 self.reply_ok(ticket, shard_reply::Kind::ReadIndex(index));
@@ -180,6 +193,7 @@
                     value: Some(value.clone()),
                 })
                 .collect(),
+            config_source: Vec::new(),
         }
     }
 
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -66,3 +66,7 @@
 
 /// Log entries after which a snapshot of the shard is taken.
 pub const SNAPSHOT_ENTRIES: u64 = 512;
+
+/// Bytes of log entries after which a snapshot is taken, however few the entries are: a hundred
+/// changes of a large document must not fill a small disk.
+pub const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/control/tests/support/agent.rs
+++ b/crates/control/tests/support/agent.rs
@@ -96,6 +96,7 @@
             boot_id,
             zone: "zone".to_owned(),
             address: "agent:1".to_owned(),
+            ..Default::default()
         };
         self.propose(cluster, shard, command::Kind::OpenSession(open));
         let reply = self.reply(cluster);
--- a/crates/control/tests/support/orders.rs
+++ b/crates/control/tests/support/orders.rs
@@ -19,6 +19,7 @@
             burst: 20,
             concurrent_streams: 4,
         }),
+        ..Default::default()
     });
     Document {
         routes: Vec::new(),
@@ -32,6 +33,7 @@
             ..Pool::default()
         }],
         tenants: tenants.collect(),
+        ..Default::default()
     }
 }
 
@@ -41,6 +43,7 @@
         order_id: id.to_owned(),
         digest: document::digest(&wanted),
         document: Some(wanted),
+        ..Default::default()
     })
 }
 
--- a/crates/control/tests/work.rs
+++ b/crates/control/tests/work.rs
@@ -10,9 +10,9 @@
     Frame, LoadReport, QuotaAsk, QuotaReply, QuotaRequest, ReplicaLoad, frame, shard_reply,
 };
 use millford_api::state::{BackendState, state_value::Kind};
-use millford_control::registry::view::RegistryDeclaration;
 use millford_control::{NodeInput, OperatorReply, OperatorRequest, RegistryEntry, RegistryView};
 use millford_core::{ResultCode, ShardId, ShardLayout, service_key, tenant_key};
+use millford_registry::RegistryDeclaration;
 use support::orders::{accept, document, led};
 use support::{Cluster, TestAgent};
 
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -131,6 +131,8 @@
     ServerUnreachable = 4008, "The control node could not be reached.";
     /// Forced recovery was refused.
     RecoveryRefused = 4009, "Forced recovery was refused.";
+    /// The number chosen for the configuration is not above the present one.
+    RevisionNotAbove = 4010, "The chosen number is not above that of the present configuration.";
     /// The shard has no leader now.
     NoLeader = 5001, "The shard has no leader now.";
     /// This replica does not lead the shard.
--- a/crates/feed/src/state_snapshot.rs
+++ b/crates/feed/src/state_snapshot.rs
@@ -23,5 +23,6 @@
         term: position.term,
         offset: position.offset,
         items: items.collect(),
+        config_source: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/forward/src/backend/mod.rs
@@ -0,0 +1,8 @@
+//! Kept connections to backends.
+
+pub mod connection;
+pub mod connection_pools;
+pub mod health_watch;
+
+pub use connection::Connection;
+pub use connection_pools::{AcquireError, ConnectionPools, Lease};
--- /dev/null
+++ b/crates/forward/src/daemon/run.rs
@@ -0,0 +1,149 @@
+//! Starts the process and ends it cleanly.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use miette::{IntoDiagnostic, WrapErr, miette};
+use millford_api::local::ProxyHello;
+use millford_core::time::monotonic_now;
+use millford_core::{Duration, ResultCode};
+use millford_proxy::daemon::agent_link::{AgentLink, agent_link};
+use millford_proxy::daemon::agent_link_task::AgentLinkTask;
+use millford_proxy::daemon::reporter;
+use millford_proxy::limits::RequestLimits;
+use millford_proxy::proxy_state::ProxyState;
+use millford_settings::PartLog;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::backend::health_watch;
+use crate::daemon::callers::{CallerConnections, serve_callers};
+use crate::daemon::readiness::serve_readiness;
+use crate::exchange;
+use crate::node::ForwardNode;
+use crate::protocol::ForwardProtocol;
+use crate::settings::ForwardSettings;
+
+const LOG: PartLog = PartLog::new("FORWARD");
+
+/// Time from the signal to leave until idle connections are closed: by then no new caller is sent
+/// here, and those who hold a connection were told to close it.
+const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2200);
+/// Shortest time from the signal to leave to the end.
+const SHORTEST_LEAVE: Duration = Duration::from_millis(3200);
+/// Time between two looks at the open connections while leaving.
+const LEAVE_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs until a signal ends the process.
+///
+/// # Errors
+/// Fails when the process cannot start.
+pub fn run<P: ForwardProtocol>(settings: &ForwardSettings, protocol: P) -> miette::Result<()> {
+    let agent_address: SocketAddr = settings.agent_address.parse().into_diagnostic()?;
+    let state = Arc::new(ProxyState::new(RequestLimits::default()));
+    let node = Arc::new(ForwardNode::new(settings, Arc::clone(&state), protocol));
+    let hello = ProxyHello {
+        boot_id: rand::random(),
+        caller_address: settings.caller_address.clone(),
+    };
+    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    start_control_thread(state, agent, task)?;
+    let traffic = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    traffic.block_on(serve(settings, node))
+}
+
+/// The feed shares no queue and no thread with the traffic: a drain is seen in time at any load.
+fn start_control_thread(
+    state: Arc<ProxyState>,
+    agent: AgentLink,
+    task: AgentLinkTask,
+) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let work = async move {
+        tokio::join!(task.run(), reporter::run(state, agent));
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(work))
+        .into_diagnostic()?;
+    Ok(())
+}
+
+async fn serve<P: ForwardProtocol>(
+    settings: &ForwardSettings,
+    node: Arc<ForwardNode<P>>,
+) -> miette::Result<()> {
+    let callers = bind(&settings.caller_address).await?;
+    let readiness = bind(&settings.readiness_address).await?;
+    let exchange_socket = UdpSocket::bind(&settings.exchange_address)
+        .await
+        .map_err(|error| cannot_bind(&settings.exchange_address, &error))?;
+    let mut terminate = signal(SignalKind::terminate())
+        .into_diagnostic()
+        .wrap_err("cannot wait for signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut hang_up = signal(SignalKind::hangup()).into_diagnostic()?;
+    let connections = CallerConnections::default();
+    tokio::spawn(serve_callers(
+        callers,
+        Arc::clone(&node),
+        connections.clone(),
+    ));
+    tokio::spawn(serve_readiness(readiness, Arc::clone(&node)));
+    tokio::spawn(exchange::run(Arc::clone(&node), exchange_socket));
+    tokio::spawn(health_watch::run(Arc::clone(&node)));
+    println!("millford-forward ready callers={}", settings.caller_address);
+    LOG.info(format!("Serving callers at {}.", settings.caller_address));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => LOG.info("The settings file is read at the next start."),
+        }
+    }
+    let longest = Duration::from_millis(settings.leave_timeout_ms);
+    leave(&node, &connections, longest).await;
+    Ok(())
+}
+
+async fn bind(address: &str) -> miette::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| cannot_bind(address, &error))
+}
+
+fn cannot_bind(address: &str, error: &std::io::Error) -> miette::Report {
+    let code = ResultCode::AddressInUse;
+    miette!(code = "address_in_use_7002", "{code} {address}: {error}")
+}
+
+/// No longer ready; requests go on to be served until callers have gone elsewhere, and open ones end by
+/// themselves within a bound.
+async fn leave<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    connections: &CallerConnections,
+    longest: Duration,
+) {
+    LOG.info("Leaving: no longer ready.");
+    let begun = monotonic_now();
+    node.state.set_draining();
+    tokio::time::sleep(CLOSE_IDLE_AFTER.min(longest)).await;
+    connections.close_when_idle();
+    loop {
+        let passed = monotonic_now().since(begun);
+        let empty = connections.open() == 0;
+        if passed >= longest || (empty && passed >= SHORTEST_LEAVE.min(longest)) {
+            break;
+        }
+        tokio::time::sleep(LEAVE_CHECK).await;
+    }
+    LOG.info(format!(
+        "Left with {} open connections.",
+        connections.open()
+    ));
+}
--- /dev/null
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -0,0 +1,106 @@
+//! Carries news over UDP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use millford_api::exchange::ProxyNews;
+use millford_core::time::monotonic_now;
+use millford_core::{Duration, MonotonicTime};
+use millford_settings::PartLog;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use crate::exchange::news::{NewsWriter, take_news};
+use crate::exchange::peer_table::PeerTable;
+use crate::node::ForwardNode;
+use crate::protocol::ForwardProtocol;
+
+const LOG: PartLog = PartLog::new("PEERS");
+
+/// Shortest time between two datagrams to the same peer.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(100);
+
+/// What each peer adds to the period: a node's datagrams a second stay bounded.
+const PERIOD_FOR_EACH_PEER: Duration = Duration::from_millis(8);
+
+/// Everything is told again after this long, for peers that missed it.
+const WHOLE_PERIOD: Duration = Duration::from_millis(1000);
+
+/// Largest datagram that is read, in bytes.
+const MOST_BYTES: usize = 65_536;
+
+/// Exchanges news for as long as the process lives.
+pub async fn run<P: ForwardProtocol>(node: Arc<ForwardNode<P>>, socket: UdpSocket) {
+    let mut exchange = Exchange {
+        writer: NewsWriter::new(rand::random()),
+        peers: PeerTable::default(),
+        next_whole: monotonic_now(),
+        next_send: monotonic_now(),
+    };
+    let mut ticks = tokio::time::interval(SHORTEST_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => exchange.tick(&node, &socket).await,
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, _)) => exchange.receive(&node, &buffer[..length]),
+                Err(error) => LOG.debug(format_args!("A datagram could not be read: {error}.")),
+            },
+        }
+    }
+}
+
+struct Exchange {
+    writer: NewsWriter,
+    peers: PeerTable,
+    next_whole: MonotonicTime,
+    next_send: MonotonicTime,
+}
+
+impl Exchange {
+    async fn tick<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, socket: &UdpSocket) {
+        let now = monotonic_now();
+        node.state.board.set_others(&self.peers.work(now));
+        node.quotas.tick(now);
+        if now < self.next_send {
+            return;
+        }
+        let table = node.state.table();
+        let addresses: Vec<SocketAddr> = table
+            .forward()
+            .peers()
+            .iter()
+            .filter(|peer| peer.name != node.name)
+            .filter_map(|peer| peer.exchange_address.parse().ok())
+            .collect();
+        let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
+        self.next_send = now + SHORTEST_PERIOD.max(PERIOD_FOR_EACH_PEER * count);
+        let whole = now >= self.next_whole;
+        if whole {
+            self.next_whole = now + WHOLE_PERIOD;
+            node.directory.expire(now);
+        }
+        let Some(news) = self.writer.write(node, now, whole) else {
+            return;
+        };
+        let bytes = news.encode_to_vec();
+        for address in addresses {
+            // A datagram that cannot be sent is as good as lost: the next one makes it good.
+            let _ = socket.send_to(&bytes, address).await;
+        }
+    }
+
+    fn receive<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, bytes: &[u8]) {
+        let Ok(news) = ProxyNews::decode(bytes) else {
+            LOG.debug("A datagram is no news of a proxy.");
+            return;
+        };
+        let now = monotonic_now();
+        if news.member == node.name || !self.peers.take(now, &news) {
+            return;
+        }
+        take_news(node, now, &news);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/exchange/news.rs
@@ -0,0 +1,143 @@
+//! Makes this node's news and takes in those of its peers.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::{Tenant, TokenQuota};
+use millford_api::exchange::{PromptPlace, ProxyNews, ReplicaWork, TenantUsage};
+use millford_core::MonotonicTime;
+use millford_routing::{PartPlace, RoutingTable};
+
+use crate::node::ForwardNode;
+use crate::protocol::ForwardProtocol;
+use crate::quota::PeerCount;
+
+/// Most tenants in one datagram.
+const MOST_TENANTS: usize = 256;
+
+/// This node's side: what was told last, so that an idle node is quiet.
+#[derive(Debug)]
+pub struct NewsWriter {
+    boot_id: u64,
+    sequence: u64,
+    told: BTreeMap<String, u64>,
+    told_work: Vec<ReplicaWork>,
+}
+
+impl NewsWriter {
+    /// A writer that has told nothing.
+    #[must_use]
+    pub fn new(boot_id: u64) -> Self {
+        Self {
+            boot_id,
+            sequence: 0,
+            told: BTreeMap::new(),
+            told_work: Vec::new(),
+        }
+    }
+
+    /// The news since the last call, or everything when `whole`; nothing when there are none.
+    pub fn write<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        now: MonotonicTime,
+        whole: bool,
+    ) -> Option<ProxyNews> {
+        let usage = self.usage(node, now, whole);
+        let work = work_of(node);
+        let places = places_of(node);
+        let unchanged = usage.is_empty() && places.is_empty() && work == self.told_work;
+        if unchanged && !whole {
+            return None;
+        }
+        self.told_work.clone_from(&work);
+        self.sequence += 1;
+        Some(ProxyNews {
+            member: node.name.clone(),
+            boot_id: self.boot_id,
+            sequence: self.sequence,
+            usage,
+            work,
+            work_complete: true,
+            places,
+        })
+    }
+
+    fn usage<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        now: MonotonicTime,
+        whole: bool,
+    ) -> Vec<TenantUsage> {
+        let mut usage = Vec::new();
+        for level in node.quotas.levels(now) {
+            let changed = self.told.get(&level.tenant) != Some(&level.used_tokens);
+            if usage.len() < MOST_TENANTS && (whole || changed) {
+                self.told.insert(level.tenant.clone(), level.used_tokens);
+                usage.push(TenantUsage {
+                    tenant: level.tenant,
+                    used_tokens: level.used_tokens,
+                    level_tokens: level.level_tokens,
+                });
+            }
+        }
+        usage
+    }
+}
+
+/// Takes in a peer's counts and places; its work goes through the table of peers.
+pub fn take_news<P: ForwardProtocol>(node: &ForwardNode<P>, now: MonotonicTime, news: &ProxyNews) {
+    let table = node.state.table();
+    for usage in &news.usage {
+        let Some(quota) = quota_of(&table, &usage.tenant) else {
+            continue;
+        };
+        let count = PeerCount {
+            member: &news.member,
+            boot_id: news.boot_id,
+            tenant: &usage.tenant,
+            used_tokens: usage.used_tokens,
+            level_tokens: usage.level_tokens,
+        };
+        node.quotas.peer_count(now, &quota, count);
+    }
+    for place in &news.places {
+        let place = PartPlace {
+            part: place.part,
+            backend_id: place.backend_id.clone(),
+            tokens: place.tokens,
+        };
+        node.directory.told(now, &place);
+    }
+}
+
+fn quota_of(table: &RoutingTable, name: &str) -> Option<TokenQuota> {
+    let mut tenants = table.tenants();
+    let tenant = tenants.find(|tenant| tenant.name == name)?;
+    let tenant: &Tenant = tenant;
+    crate::quota::tenant_quotas::limiting(tenant).copied()
+}
+
+fn work_of<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<ReplicaWork> {
+    let work = node.state.board.own_work().into_iter();
+    work.map(|(key, counts)| ReplicaWork {
+        backend_id: key.backend_id,
+        pool: key.pool,
+        model: key.model,
+        version: key.version,
+        prefill_tokens: counts.prefill_tokens,
+        decode_streams: counts.decode_streams,
+        held_requests: counts.held_requests,
+    })
+    .collect()
+}
+
+fn places_of<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<PromptPlace> {
+    let places = node.directory.take_news().into_iter();
+    places
+        .map(|place| PromptPlace {
+            part: place.part,
+            backend_id: place.backend_id,
+            tokens: place.tokens,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,17 @@
+//! Forwarding of opaque HTTP requests and event streams by host and path prefix.
+
+pub mod backend;
+pub mod daemon;
+pub mod exchange;
+pub mod node;
+pub mod own_protocol;
+pub mod protocol;
+pub mod quota;
+pub mod request;
+pub mod settings;
+
+pub use daemon::run;
+pub use node::ForwardNode;
+pub use own_protocol::MillfordProtocol;
+pub use protocol::{AnswerFacts, Dispatch, ForwardProtocol, RequestFacts};
+pub use settings::ForwardSettings;
--- /dev/null
+++ b/crates/forward/src/node.rs
@@ -0,0 +1,96 @@
+//! State that all requests of one forwarding proxy share.
+
+use std::sync::Arc;
+
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::proxy_state::ProxyState;
+use millford_routing::{EjectionReason, PromptDirectory};
+use tokio::sync::watch;
+
+use crate::backend::ConnectionPools;
+use crate::protocol::ForwardProtocol;
+use crate::quota::TenantQuotas;
+use crate::settings::ForwardSettings;
+
+/// Everything that a request needs. Each part has its own locks.
+pub struct ForwardNode<P> {
+    /// What the deployment's headers mean.
+    pub protocol: P,
+    /// Name of the node.
+    pub name: String,
+    /// Zone of the node.
+    pub zone: String,
+    /// Routing table, work in flight, costs, health and budgets.
+    pub state: Arc<ProxyState>,
+    /// Where prompt parts were read.
+    pub directory: PromptDirectory,
+    /// Token quotas.
+    pub quotas: TenantQuotas,
+    /// Connections to backends.
+    pub connections: Arc<ConnectionPools>,
+    ejections: watch::Sender<u64>,
+}
+
+impl<P: ForwardProtocol> ForwardNode<P> {
+    /// A node that has been told nothing.
+    #[must_use]
+    pub fn new(settings: &ForwardSettings, state: Arc<ProxyState>, protocol: P) -> Self {
+        state.board.follow_peers();
+        let (ejections, _) = watch::channel(0);
+        Self {
+            protocol,
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            state,
+            directory: PromptDirectory::default(),
+            quotas: TenantQuotas::default(),
+            connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
+            ejections,
+        }
+    }
+
+    /// Takes a backend out of use; requests that wait for it and may go elsewhere hear of it.
+    pub fn eject(&self, backend_id: &str, reason: EjectionReason) {
+        if self.state.health.ejection(backend_id).is_some() {
+            return;
+        }
+        self.state.eject(backend_id, reason);
+        self.connections.forget_idle(backend_id);
+        self.ejections.send_modify(|count| *count += 1);
+    }
+
+    /// Bytes came from a backend.
+    pub fn heard(&self, backend_id: &str, now: MonotonicTime) {
+        self.state.health.heard(backend_id, now);
+    }
+
+    /// Resolves once the backend is ejected or no longer listed.
+    pub async fn until_ejected(&self, backend_id: &str) {
+        let mut ejections = self.ejections.subscribe();
+        while self.state.health.is_usable(backend_id) {
+            if ejections.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Connections that this node may have to one backend, when all nodes together may have
+    /// `all_nodes`.
+    #[must_use]
+    pub fn connection_share(&self, all_nodes: u32) -> u32 {
+        if all_nodes == 0 {
+            return MOST_CONNECTIONS;
+        }
+        let peers = self.state.table().forward().peers().len().max(1);
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        // A tenth stays free for nodes that come and go, and for probes.
+        let usable = all_nodes - all_nodes.div_ceil(10);
+        (usable / peers).clamp(1, MOST_CONNECTIONS)
+    }
+}
+
+/// Most connections of one node to one backend.
+const MOST_CONNECTIONS: u32 = 128;
+
+/// Time that a refused caller should wait when nothing better is known.
+pub const USUAL_RETRY_AFTER: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/forward/src/protocol.rs
@@ -0,0 +1,76 @@
+//! What a deployment's headers mean, on both sides of the proxy.
+
+use http::{HeaderMap, HeaderValue};
+use millford_core::Duration;
+use millford_routing::PromptPart;
+
+/// What a caller's headers say about a request. Everything is optional: what cannot be read counts
+/// as absent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestFacts {
+    /// Identity of this try; a backend's answer names it.
+    pub request_id: Option<String>,
+    /// The tenant's key. It is hashed at once and goes no further.
+    pub tenant_key: Option<String>,
+    /// How long the caller waits.
+    pub time_budget: Option<Duration>,
+    /// Model that is asked for; empty for requests to no model.
+    pub model: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Option<u64>,
+    /// Most tokens of the answer.
+    pub output_tokens: Option<u64>,
+    /// Parts of the prompt in order. The last one is the request's or its session's own.
+    pub parts: Vec<PromptPart>,
+    /// The event after which the caller wants to take a stream up again.
+    pub resume_after: Option<u64>,
+}
+
+/// What the proxy tells a backend with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatch<'a> {
+    /// Identity of the backend that is meant: another one at its address must not run the request.
+    pub backend_id: &'a str,
+    /// Time that is left.
+    pub time_left: Duration,
+    /// Name of the caller's tenant.
+    pub tenant: Option<&'a str>,
+    /// Rank among requests; 0 goes first, 9 last.
+    pub urgency: u32,
+    /// The event after which a stream is to go on.
+    pub resume_after: Option<u64>,
+}
+
+/// What a backend's headers say about its answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request that the answer belongs to.
+    pub request_id: Option<String>,
+    /// The backend says that it did not run the request and never will.
+    pub not_run: bool,
+    /// The answer carries the backend's signature.
+    pub signed: bool,
+    /// How long the backend keeps an idle connection open.
+    pub keep_alive: Option<Duration>,
+    /// Version of the model's weights that answered.
+    pub model_version: Option<u64>,
+}
+
+/// Translates between a deployment's headers and the product's terms. It decides nothing.
+pub trait ForwardProtocol: Send + Sync + 'static {
+    /// Reads a caller's headers.
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Turns a caller's headers into those for a backend: the key goes, the dispatch comes in.
+    /// Headers that concern one connection only are gone already.
+    fn write_dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
+
+    /// Reads a backend's headers.
+    fn read_answer(&self, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Value of `Retry-After` for a delay.
+    fn retry_after(&self, delay: Duration) -> HeaderValue;
+
+    /// Path at which the readiness address tells whether new callers are welcome.
+    fn readiness_path(&self) -> &str;
+}
--- /dev/null
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -0,0 +1,95 @@
+//! One tenant's token bucket, as one node believes it to stand in the whole fleet.
+
+use millford_api::config::TokenQuota;
+use millford_core::{Duration, MonotonicTime};
+
+/// Debt never exceeds this many bursts: counts of peers that arrive late must not shut a tenant out
+/// for long.
+const MOST_DEBT_BURSTS: f64 = 1.0;
+
+/// A bucket that may be in debt: a request is admitted while anything is left, whatever its size, so
+/// that large requests are not refused more often than small ones. Over any span the admitted
+/// tokens exceed rate and burst by at most one request and what peers had not told of yet.
+#[derive(Clone, Debug)]
+pub struct ClusterBucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    updated: MonotonicTime,
+}
+
+impl ClusterBucket {
+    /// A full bucket.
+    #[must_use]
+    pub fn new(quota: &TokenQuota, now: MonotonicTime) -> Self {
+        let (rate, burst) = figures(quota);
+        Self {
+            rate,
+            burst,
+            level: burst,
+            updated: now,
+        }
+    }
+
+    /// Takes a changed quota over. What is left stays, up to the new burst.
+    pub fn set_quota(&mut self, quota: &TokenQuota, now: MonotonicTime) {
+        self.refill(now);
+        (self.rate, self.burst) = figures(quota);
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Admits a request of this many tokens, or says when to come back.
+    ///
+    /// # Errors
+    /// The time until something is left.
+    pub fn admit(&mut self, now: MonotonicTime, tokens: u64) -> Result<(), Duration> {
+        self.refill(now);
+        if self.level > 0.0 {
+            self.level -= tokens as f64;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((1.0 - self.level) / self.rate))
+    }
+
+    /// Gives back what a request took that never left for a backend.
+    pub fn give_back(&mut self, now: MonotonicTime, tokens: u64) {
+        self.refill(now);
+        self.level = (self.level + tokens as f64).min(self.burst);
+    }
+
+    /// Takes out what peers admitted, or puts back what was wrongly assumed of them.
+    pub fn charge(&mut self, now: MonotonicTime, tokens: f64) {
+        self.refill(now);
+        let floor = -self.burst * MOST_DEBT_BURSTS;
+        self.level = (self.level - tokens).clamp(floor, self.burst);
+    }
+
+    /// Believes a peer that knows of less: for a node that has just started.
+    pub fn lower_to(&mut self, now: MonotonicTime, level: f64) {
+        self.refill(now);
+        self.level = self.level.min(level);
+    }
+
+    /// What is left now.
+    pub fn level(&mut self, now: MonotonicTime) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+    }
+}
+
+/// Rate and burst; neither is 0, so that every wait has an end.
+fn figures(quota: &TokenQuota) -> (f64, f64) {
+    let rate = quota.tokens_per_second.max(1) as f64;
+    let burst = if quota.burst == 0 {
+        rate
+    } else {
+        quota.burst as f64
+    };
+    (rate, burst)
+}
--- /dev/null
+++ b/crates/forward/src/quota/peer_usage.rs
@@ -0,0 +1,77 @@
+//! What one peer admits of one tenant, also while nothing is heard of it.
+
+use millford_core::{Duration, MonotonicTime};
+
+/// A peer that is silent for this long is assumed to go on as before.
+const SILENT_AFTER: Duration = Duration::from_millis(400);
+
+/// Time constant with which the assumption fades: a peer that died admits nothing.
+const FADE_S: f64 = 4.0;
+
+/// Weight of the newest rate in the smoothed one.
+const NEWEST_SHARE: f64 = 0.3;
+
+/// Shortest time between two counts that a rate is taken from, in seconds.
+const SHORTEST_SPAN_S: f64 = 0.05;
+
+/// Cumulative count of one peer, and what was assumed of it since it was heard last.
+#[derive(Clone, Debug)]
+pub struct PeerUsage {
+    boot_id: u64,
+    total: u64,
+    heard: MonotonicTime,
+    rate: f64,
+    assumed: f64,
+    assumed_until: MonotonicTime,
+}
+
+impl PeerUsage {
+    /// The first count that is heard of a peer. What it admitted before is past.
+    #[must_use]
+    pub fn first(boot_id: u64, total: u64, now: MonotonicTime) -> Self {
+        Self {
+            boot_id,
+            total,
+            heard: now,
+            rate: 0.0,
+            assumed: 0.0,
+            assumed_until: now,
+        }
+    }
+
+    /// A newer count. Gives the tokens to charge; less than 0 when more had been assumed.
+    pub fn heard(&mut self, boot_id: u64, total: u64, now: MonotonicTime) -> f64 {
+        // A restarted peer counts from 0 again.
+        let former = if boot_id == self.boot_id {
+            self.total
+        } else {
+            0
+        };
+        let admitted = total.saturating_sub(former) as f64;
+        let span = now.since(self.heard).as_secs_f64();
+        if span >= SHORTEST_SPAN_S {
+            let newest = admitted / span;
+            self.rate += (newest - self.rate) * NEWEST_SHARE;
+        }
+        self.boot_id = boot_id;
+        self.total = total;
+        self.heard = now;
+        let assumed = std::mem::take(&mut self.assumed);
+        self.assumed_until = now;
+        admitted - assumed
+    }
+
+    /// The tokens to charge for a peer that is silent: it may be cut off and admit as before.
+    pub fn assume(&mut self, now: MonotonicTime) -> f64 {
+        let silence = now.since(self.heard);
+        if silence < SILENT_AFTER {
+            return 0.0;
+        }
+        let span = now.since(self.assumed_until).as_secs_f64();
+        let fading = (-silence.as_secs_f64() / FADE_S).exp();
+        let tokens = self.rate * fading * span;
+        self.assumed_until = now;
+        self.assumed += tokens;
+        tokens
+    }
+}
--- /dev/null
+++ b/crates/forward/src/request/choose.rs
@@ -0,0 +1,201 @@
+//! Which backend gets a request.
+
+use millford_core::MonotonicTime;
+use millford_core::time::monotonic_now;
+use millford_routing::{
+    ModelRequest, PromptPart, ReplicaKey, ServingPool, ServingReplica, rendezvous,
+};
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::node::ForwardNode;
+use crate::protocol::ForwardProtocol;
+use crate::request::plan::Plan;
+
+/// A request to no model counts as this many prompt tokens, so that backends with fewer of them
+/// under way are preferred.
+const PLAIN_REQUEST_TOKENS: u64 = 100;
+
+/// What reading a part again costs the fleet beside the time that it takes, as a share of that time:
+/// it displaces other parts, and holds up the streams beside it.
+const REREAD_PENALTY: f64 = 1.0;
+
+/// Share of a part that nobody keeps that its home counts as saving, so that nodes which meet the
+/// part at the same time send it to the same backend.
+const HOME_SAVING: f64 = 0.5;
+
+/// What a backend in another zone has to be ahead by, in milliseconds of work.
+const OTHER_ZONE_MS: f64 = 2.0;
+
+/// Candidates whose costs differ by less than this share are equal.
+const JITTER: f64 = 0.04;
+
+/// The backend that a request goes to.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What its counts belong to.
+    pub key: ReplicaKey,
+    /// IP address and port.
+    pub address: String,
+    /// Prompt tokens that it is expected to read.
+    pub uncached_tokens: u64,
+    /// Connections that the backend takes from all nodes together.
+    pub max_connections: u32,
+}
+
+/// The cheapest backend that was not tried yet; nothing when there is none.
+///
+/// The cost is the estimated work in flight on the backend, of every model at that model's own cost,
+/// plus the request's own: what of its prompt the backend has not read lately. Placement's weights
+/// bound the use of the backends' memory bandwidth.
+pub fn choose<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    plan: &Plan,
+    tried: &[String],
+) -> Option<Target> {
+    let now = monotonic_now();
+    let table = node.state.table();
+    let pool = table.pool(&plan.pool)?;
+    let candidates = usable(node, pool, plan, tried);
+    let savings = savings(node, now, plan, &candidates);
+    let costs = &node.state.costs;
+    let prompt = plan.prompt_tokens();
+    let mut random = rand::rng();
+    let mut best: Option<(f64, &ServingReplica, u64)> = None;
+    for (replica, saving) in candidates.iter().zip(savings) {
+        let own_tokens = own_tokens(plan, prompt, saving.cached);
+        let load = node.state.board.backend_load(&replica.backend.id, 1, costs);
+        let own = costs.work_ms(&plan.facts.model, own_tokens, 0);
+        let shared_again = saving.shared.saturating_sub(saving.cached) as f64 - saving.home;
+        let again = costs.work_ms(&plan.facts.model, shared_again.max(0.0) as u64, 0);
+        let weight = f64::from(replica.weight_milli.max(1)) / 1000.0;
+        let zone = if replica.backend.zone == node.zone {
+            0.0
+        } else {
+            OTHER_ZONE_MS
+        };
+        let jitter = 1.0 + JITTER * random.random::<f64>();
+        let cost = ((load + own + REREAD_PENALTY * again) / weight + zone) * jitter;
+        if best.is_none_or(|(least, _, _)| cost < least) {
+            best = Some((cost, replica, own_tokens));
+        }
+    }
+    let (_, replica, uncached_tokens) = best?;
+    Some(Target {
+        key: ReplicaKey {
+            backend_id: replica.backend.id.clone(),
+            pool: plan.pool.clone(),
+            model: plan.facts.model.clone(),
+            version: replica.version.clone(),
+        },
+        address: replica.backend.address.clone(),
+        uncached_tokens,
+        max_connections: pool.max_connections,
+    })
+}
+
+/// Backends that take new work and were not tried; ejected ones only when there are no others.
+fn usable<'a, P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    pool: &'a ServingPool,
+    plan: &Plan,
+    tried: &[String],
+) -> Vec<&'a ServingReplica> {
+    let wanted = ModelRequest {
+        model: plan.facts.model.clone(),
+        ..ModelRequest::default()
+    };
+    let mut candidates = pool.candidates(&wanted);
+    if candidates.is_empty() {
+        // Backends that declare no model take whatever their pool's routes send.
+        candidates = pool.candidates(&ModelRequest::default());
+    }
+    candidates.retain(|replica| !tried.contains(&replica.backend.id));
+    let healthy = |replica: &&ServingReplica| node.state.health.is_usable(&replica.backend.id);
+    if candidates.iter().any(healthy) {
+        candidates.retain(healthy);
+    }
+    candidates
+}
+
+/// What one candidate saves of a prompt, in tokens.
+#[derive(Clone, Copy, Debug, Default)]
+struct Saving {
+    /// Read lately, from the first part on.
+    cached: u64,
+    /// All parts that may come again.
+    shared: u64,
+    /// Counted in favour of the home of a part that nobody keeps.
+    home: f64,
+}
+
+fn savings<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    now: MonotonicTime,
+    plan: &Plan,
+    candidates: &[&ServingReplica],
+) -> Vec<Saving> {
+    let parts = shared_parts(plan);
+    if !plan.route.sticky || parts.is_empty() {
+        return vec![Saving::default(); candidates.len()];
+    }
+    let holders = node.directory.holders(now, parts);
+    let shared: u64 = parts.iter().map(|part| u64::from(part.tokens)).sum();
+    let ids: Vec<&str> = candidates
+        .iter()
+        .map(|replica| replica.backend.id.as_str())
+        .collect();
+    let cached = ids.iter().map(|id| cached_tokens(parts, &holders, id));
+    let mut savings: Vec<Saving> = cached
+        .map(|cached| Saving {
+            cached,
+            shared,
+            home: 0.0,
+        })
+        .collect();
+    let homeless = parts
+        .iter()
+        .zip(&holders)
+        .find(|(_, holders)| !holders.iter().any(|holder| ids.contains(&holder.as_str())));
+    if let Some((part, _)) = homeless
+        && let Some(home) = home_of(part, &ids)
+    {
+        savings[home].home = f64::from(part.tokens) * HOME_SAVING;
+    }
+    savings
+}
+
+/// Tokens of the parts that a backend keeps, each with all parts before it.
+fn cached_tokens(parts: &[PromptPart], holders: &[Vec<String>], backend_id: &str) -> u64 {
+    let kept = parts
+        .iter()
+        .zip(holders)
+        .take_while(|(_, holders)| holders.iter().any(|holder| holder == backend_id));
+    kept.map(|(part, _)| u64::from(part.tokens)).sum()
+}
+
+fn home_of(part: &PromptPart, ids: &[&str]) -> Option<usize> {
+    let key = xxh3_64(&part.id.to_be_bytes());
+    let scores = ids
+        .iter()
+        .enumerate()
+        .map(|(index, id)| (rendezvous::score(key, id, 1000), index));
+    let best = scores.max_by(|(left, _), (right, _)| left.total_cmp(right))?;
+    Some(best.1)
+}
+
+/// The parts that other requests may share: all but the last, which is the request's own.
+#[must_use]
+pub fn shared_parts(plan: &Plan) -> &[PromptPart] {
+    match plan.facts.parts.split_last() {
+        Some((_, shared)) => shared,
+        None => &[],
+    }
+}
+
+fn own_tokens(plan: &Plan, prompt: u64, cached: u64) -> u64 {
+    if plan.facts.model.is_empty() && prompt == 0 {
+        return PLAIN_REQUEST_TOKENS;
+    }
+    prompt.saturating_sub(cached).max(1)
+}
--- /dev/null
+++ b/crates/forward/src/request/first_answer.rs
@@ -0,0 +1,103 @@
+//! Attempts at a request until one brings an answer that may go to the caller.
+
+use millford_core::time::monotonic_now;
+use millford_core::{Duration, ResultCode};
+
+use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
+use crate::protocol::ForwardProtocol;
+use crate::request::attempt::{AttemptFailure, Opened, attempt};
+use crate::request::choose::choose;
+use crate::request::plan::Plan;
+use crate::request::refusal::Refusal;
+
+/// Backends that one request may be offered to, those that it never left for included.
+const MOST_OFFERS: usize = 6;
+
+/// Backends that may refuse one request before it is given up.
+const MOST_REFUSALS: u32 = 3;
+
+/// What the attempts at one request have used up.
+#[derive(Clone, Debug, Default)]
+pub struct Trail {
+    /// Backends that were tried.
+    pub tried: Vec<String>,
+    /// Sends that arrived or may have.
+    pub sends: u32,
+    /// Sends that the backend may have run.
+    pub runs: u32,
+    /// Sends that the backend refused.
+    pub refusals: u32,
+}
+
+/// The first answer that may go to the caller.
+///
+/// # Errors
+/// Why there is none. A refusal that says "not run" is true: nothing left, or each backend that got
+/// the request gave its word.
+pub async fn first_answer<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    plan: &Plan,
+    trail: &mut Trail,
+) -> Result<Opened, Refusal> {
+    let mut last = Refusal::new(ResultCode::NoBackend).with_retry_after(USUAL_RETRY_AFTER);
+    node.state.budget.earn();
+    while trail.tried.len() < MOST_OFFERS {
+        if plan.deadline <= monotonic_now() {
+            return Err(out_of_time(trail));
+        }
+        let Some(target) = choose(node, plan, &trail.tried) else {
+            return Err(last);
+        };
+        // Every send after the first comes out of the fleet's budget, wherever it goes.
+        if trail.sends > 0 && !node.state.budget.try_spend() {
+            return Err(last);
+        }
+        trail.tried.push(target.key.backend_id.clone());
+        match attempt(node, plan, target, None).await {
+            Ok(opened) => {
+                trail.sends += 1;
+                trail.runs += 1;
+                return Ok(opened);
+            }
+            Err(AttemptFailure::NotSent) => {
+                if trail.sends > 0 {
+                    node.state.budget.refund();
+                }
+            }
+            Err(AttemptFailure::NotRun { retry_after }) => {
+                trail.sends += 1;
+                trail.refusals += 1;
+                if trail.runs == 0 {
+                    last = busy(retry_after);
+                }
+                if trail.refusals >= MOST_REFUSALS {
+                    return Err(last);
+                }
+            }
+            Err(AttemptFailure::Lost(code)) => {
+                trail.sends += 1;
+                trail.runs += 1;
+                last = Refusal::new(code);
+                if !plan.is_repeatable() || trail.runs >= plan.most_runs() {
+                    return Err(last);
+                }
+            }
+            Err(AttemptFailure::TimedOut) => {
+                return Err(Refusal::new(ResultCode::DeadlineAfterSend));
+            }
+        }
+    }
+    Err(last)
+}
+
+fn busy(retry_after: Option<Duration>) -> Refusal {
+    let delay = retry_after.unwrap_or(USUAL_RETRY_AFTER);
+    Refusal::new(ResultCode::BackendRefused).with_retry_after(delay)
+}
+
+fn out_of_time(trail: &Trail) -> Refusal {
+    if trail.runs > 0 {
+        return Refusal::new(ResultCode::DeadlineAfterSend);
+    }
+    Refusal::new(ResultCode::Overloaded).with_retry_after(USUAL_RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/forward/src/request/mod.rs
@@ -0,0 +1,18 @@
+//! The request path: one function a request, read from top to bottom.
+//!
+//! [`serve`] holds the order of the steps; the other modules are the steps.
+
+pub mod answer_body;
+pub mod attempt;
+pub mod authorize;
+pub mod choose;
+pub mod event_splitter;
+pub mod first_answer;
+pub mod headers;
+pub mod plan;
+pub mod read_body;
+pub mod refusal;
+pub mod relay;
+pub mod serve;
+
+pub use serve::serve;
--- /dev/null
+++ b/crates/forward/src/request/read_body.rs
@@ -0,0 +1,29 @@
+//! Reads a caller's body whole, so that it can be sent more than once.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use millford_core::ResultCode;
+
+use crate::request::refusal::Refusal;
+
+/// Reads the body.
+///
+/// # Errors
+/// A body that is larger than `most` bytes, or that breaks off.
+pub async fn read_body(mut body: Incoming, most: u64) -> Result<Bytes, Refusal> {
+    let too_large = Refusal::new(ResultCode::BodyTooLarge).closing();
+    let broken = Refusal::new(ResultCode::BodyIncomplete).closing();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + data.len()) as u64 > most {
+            return Err(too_large);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/forward/src/request/serve.rs
@@ -0,0 +1,130 @@
+//! A forwarded request, from the caller's head to the answer.
+
+use std::sync::Arc;
+
+use http::header::{CONNECTION, HOST};
+use http::{HeaderMap, HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use millford_api::config::{ForwardRoute, HttpLimits};
+use millford_core::ResultCode;
+use millford_core::time::monotonic_now;
+use rand::Rng;
+
+use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
+use crate::protocol::ForwardProtocol;
+use crate::request::answer_body::AnswerBody;
+use crate::request::authorize::authorize;
+use crate::request::first_answer::{Trail, first_answer};
+use crate::request::headers::{remove_hop_by_hop, size_of};
+use crate::request::plan::Plan;
+use crate::request::read_body::read_body;
+use crate::request::refusal::Refusal;
+use crate::request::relay::relay;
+
+/// Largest body where the configuration sets no limit, in bytes.
+const USUAL_MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Largest headers where the configuration sets no limit, in bytes.
+const USUAL_MAX_HEADER_BYTES: u32 = 16 * 1024;
+
+/// Serves one request. Whatever happens, the caller gets its final answer at once.
+pub async fn serve<P: ForwardProtocol>(
+    node: Arc<ForwardNode<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut response = match forward(&node, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(&node.protocol),
+    };
+    if node.state.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn forward<P: ForwardProtocol>(
+    node: &Arc<ForwardNode<P>>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrived = monotonic_now();
+    let (mut head, body) = request.into_parts();
+    let table = node.state.table();
+    if !node.state.is_ready() {
+        let not_ready = Refusal::new(ResultCode::NotReady).with_retry_after(USUAL_RETRY_AFTER);
+        return Err(not_ready.closing());
+    }
+    let limits = table.forward().limits().copied().unwrap_or_default();
+    check_headers(&head.headers, &limits)?;
+    let host = host_of(&head.headers);
+    let route = table.forward().find(host, head.uri.path());
+    let route = route.ok_or(Refusal::new(ResultCode::PathUnknown).closing())?;
+    let facts = node.protocol.read_request(&head.headers);
+    let tenant = authorize(&table, route, &facts).map_err(Refusal::closing)?;
+    let body = read_body(body, body_limit(&limits)).await?;
+    remove_hop_by_hop(&mut head.headers);
+    let plan = Plan {
+        deadline: Plan::deadline_of(arrived, route, &facts),
+        route: Arc::clone(route),
+        pool: draw_pool(route),
+        tenant,
+        facts,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        arrived,
+    };
+    let tokens = plan.quota_tokens();
+    if let Some(tenant) = &plan.tenant {
+        let admitted = node.quotas.admit(monotonic_now(), tenant, tokens);
+        admitted
+            .map_err(|delay| Refusal::new(ResultCode::QuotaExceeded).with_retry_after(delay))?;
+    }
+    let mut trail = Trail::default();
+    match first_answer(node, &plan, &mut trail).await {
+        Ok(opened) => Ok(relay(Arc::clone(node), plan, trail, opened)),
+        Err(refusal) => {
+            if let (Some(tenant), 0) = (&plan.tenant, trail.runs) {
+                node.quotas.give_back(monotonic_now(), tenant, tokens);
+            }
+            Err(refusal)
+        }
+    }
+}
+
+fn check_headers(headers: &HeaderMap, limits: &HttpLimits) -> Result<(), Refusal> {
+    let most = match limits.max_header_bytes {
+        0 => USUAL_MAX_HEADER_BYTES,
+        bytes => bytes,
+    };
+    if size_of(headers) as u64 > u64::from(most) {
+        return Err(Refusal::new(ResultCode::HeadersTooLarge).closing());
+    }
+    Ok(())
+}
+
+fn body_limit(limits: &HttpLimits) -> u64 {
+    match limits.max_body_bytes {
+        0 => USUAL_MAX_BODY_BYTES,
+        bytes => bytes,
+    }
+}
+
+fn host_of(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST).and_then(|value| value.to_str().ok());
+    host.unwrap_or_default()
+}
+
+/// One of the route's pools, by weight.
+fn draw_pool(route: &ForwardRoute) -> String {
+    let total: u32 = route.pools.iter().map(|share| share.weight).sum();
+    let mut left = rand::rng().random_range(0..total.max(1));
+    for share in &route.pools {
+        if left < share.weight {
+            return share.pool.clone();
+        }
+        left -= share.weight;
+    }
+    String::new()
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of a forwarding proxy.
+
+use millford_core::Duration;
+use millford_settings::fault::{require_addresses, require_texts};
+use millford_settings::logging::{LogOptions, parse_level};
+use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
+use serde::Deserialize;
+
+/// Settings file of `millford-forward`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ForwardSettings {
+    /// Name of the node; the agent's session has the same.
+    pub name: String,
+    /// Zone of the node.
+    pub zone: String,
+    /// IP address and port for callers.
+    pub caller_address: String,
+    /// IP address and port that tells whether new callers are welcome, and metrics.
+    pub readiness_address: String,
+    /// IP address and port for datagrams of other proxies.
+    pub exchange_address: String,
+    /// IP address and port of the agent beside the proxy.
+    pub agent_address: String,
+    /// Least severe level that is logged.
+    pub log_level: String,
+    /// Form of a log line.
+    pub log_format: LogFormat,
+    /// Longest time from the signal to leave to the end of the process, in milliseconds.
+    pub leave_timeout_ms: u64,
+    /// Longest time to open a connection to a backend, in milliseconds.
+    pub connect_timeout_ms: u64,
+}
+
+impl Default for ForwardSettings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            zone: String::new(),
+            caller_address: String::new(),
+            readiness_address: String::new(),
+            exchange_address: String::new(),
+            agent_address: String::new(),
+            log_level: "info".to_owned(),
+            log_format: LogFormat::default(),
+            leave_timeout_ms: 7500,
+            connect_timeout_ms: 400,
+        }
+    }
+}
+
+impl ForwardSettings {
+    /// How to log.
+    #[must_use]
+    pub fn log_options(&self) -> LogOptions {
+        LogOptions {
+            level: parse_level(&self.log_level).unwrap_or(spdlog::Level::Info),
+            format: self.log_format,
+        }
+    }
+
+    /// Longest time to open a connection to a backend.
+    #[must_use]
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+}
+
+impl Settings for ForwardSettings {
+    const KEYS: &'static [SettingsKey] = &[
+        SettingsKey::text("name", "name of the node"),
+        SettingsKey::text("zone", "zone of the node"),
+        SettingsKey::text("caller_address", "IP address and port for callers"),
+        SettingsKey::text("readiness_address", "IP address and port for readiness"),
+        SettingsKey::text("exchange_address", "IP address and port for other proxies"),
+        SettingsKey::text("agent_address", "IP address and port of the agent"),
+        SettingsKey::text("log_level", "error, warn, info, debug or trace"),
+        SettingsKey::text("log_format", "text or json"),
+        SettingsKey::number("leave_timeout_ms", "longest time to leave"),
+        SettingsKey::number("connect_timeout_ms", "longest time to reach a backend"),
+    ];
+
+    fn faults(&self) -> Vec<SettingsFault> {
+        let mut faults = Vec::new();
+        require_texts(&mut faults, &[("name", &self.name), ("zone", &self.zone)]);
+        require_addresses(
+            &mut faults,
+            &[
+                ("caller_address", &self.caller_address),
+                ("readiness_address", &self.readiness_address),
+                ("exchange_address", &self.exchange_address),
+                ("agent_address", &self.agent_address),
+            ],
+        );
+        if parse_level(&self.log_level).is_none() {
+            faults.push(SettingsFault::new("log_level", "This is not a log level."));
+        }
+        let positive = [
+            ("leave_timeout_ms", self.leave_timeout_ms),
+            ("connect_timeout_ms", self.connect_timeout_ms),
+        ];
+        for (key, value) in positive {
+            if value == 0 {
+                faults.push(SettingsFault::new(key, "The value must be above 0."));
+            }
+        }
+        faults
+    }
+}
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -178,6 +178,7 @@
             burst: 100,
             concurrent_streams: 0,
         }),
+        ..Default::default()
     }
 }
 
--- a/crates/proxy/tests/support/stub_agent.rs
+++ b/crates/proxy/tests/support/stub_agent.rs
@@ -61,6 +61,7 @@
                 term: 1,
                 offset: 5,
                 items: items.to_vec(),
+                ..Default::default()
             }),
             local_frame::Body::Status(AgentStatus {
                 in_touch: true,
--- a/crates/control/src/registry/client.rs
+++ b/crates/registry/src/http_registry.rs
@@ -1,4 +1,4 @@
-//! Reads the service registry over HTTP.
+//! Reads a service registry that speaks `docs/REGISTRY-PROTOCOL.md`.
 
 use std::time::Duration;
 
@@ -9,7 +9,9 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
-use super::view::RegistryView;
+use crate::error::RegistryError;
+use crate::service_registry::{Reading, ServiceRegistry};
+use crate::view::RegistryView;
 
 /// Largest list that is read, in bytes.
 const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
@@ -17,33 +19,13 @@
 /// Longest time for one reading.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Why a reading gave nothing. None of this is a reason to stop using backends.
-#[derive(Debug, thiserror::Error)]
-pub enum RegistryError {
-    /// No answer, or a broken one.
-    #[error("the registry does not answer: {0}")]
-    Unreachable(String),
-    /// An answer that is no list.
-    #[error("the registry answered with status {0}")]
-    Status(StatusCode),
-    /// A list that cannot be read.
-    #[error("the registry's list cannot be read: {0}")]
-    Unreadable(#[from] serde_json::Error),
-    /// The list names no backend.
-    #[error("the registry lists nothing")]
-    Empty,
-    /// No answer in time.
-    #[error("the registry did not answer in time")]
-    Late,
-}
-
 /// Client of one registry.
-pub struct RegistryClient {
+pub struct HttpRegistry {
     address: String,
     client: Client<HttpConnector, Empty<Bytes>>,
 }
 
-impl RegistryClient {
+impl HttpRegistry {
     /// A client of the registry at this address, IP and port.
     #[must_use]
     pub fn new(address: &str) -> Self {
@@ -53,11 +35,7 @@
         }
     }
 
-    /// Reads the list.
-    ///
-    /// # Errors
-    /// See [`RegistryError`].
-    pub async fn read(&self) -> Result<RegistryView, RegistryError> {
+    async fn read_in_time(&self) -> Result<RegistryView, RegistryError> {
         let reading = tokio::time::timeout(READ_TIMEOUT, self.read_unbounded());
         let view = reading.await.map_err(|_| RegistryError::Late)??;
         if view.backends.is_empty() {
@@ -81,3 +59,9 @@
         Ok(serde_json::from_slice(&body.to_bytes())?)
     }
 }
+
+impl ServiceRegistry for HttpRegistry {
+    fn read(&self) -> Reading<'_> {
+        Box::pin(self.read_in_time())
+    }
+}
--- a/crates/control/src/registry/view.rs
+++ b/crates/registry/src/view.rs
@@ -21,9 +21,12 @@
     /// Memory bandwidth, in GB/s.
     #[serde(default)]
     pub bandwidth_gbps: f64,
-    /// `active` or `draining`.
+    /// `active`, `draining` or `gone`.
     #[serde(default)]
     pub state: String,
+    /// Name of the service that the backend belongs to; empty where the registry knows none.
+    #[serde(default)]
+    pub service: String,
     /// What the backend can serve.
     #[serde(default)]
     pub declarations: Vec<RegistryDeclaration>,
@@ -60,13 +63,20 @@
 }
 
 impl RegistryEntry {
-    /// The backend as the catalogue holds it.
+    /// The state that the registry gives the backend. One that is not known is no reason to take
+    /// work away.
     #[must_use]
-    pub fn to_backend(&self) -> Backend {
-        let state = match self.state.as_str() {
+    pub fn backend_state(&self) -> BackendState {
+        match self.state.as_str() {
             "draining" => BackendState::BackendDraining,
+            "gone" => BackendState::BackendGone,
             _ => BackendState::BackendActive,
-        };
+        }
+    }
+
+    /// The backend as the catalogue holds it.
+    #[must_use]
+    pub fn to_backend(&self) -> Backend {
         Backend {
             id: self.id.clone(),
             address: self.address.clone(),
@@ -74,7 +84,8 @@
             declarations: self.declarations.iter().map(to_declaration).collect(),
             cores: self.cores,
             bandwidth_gbps: self.bandwidth_gbps,
-            state: state as i32,
+            state: self.backend_state().into(),
+            service: self.service.clone(),
         }
     }
 }
--- a/crates/routing/src/backend_health.rs
+++ b/crates/routing/src/backend_health.rs
@@ -47,6 +47,8 @@
     bad_probes: u32,
     last_used: Option<MonotonicTime>,
     last_heard: Option<MonotonicTime>,
+    /// The first use since it was heard last.
+    unheard_since: Option<MonotonicTime>,
     /// Probed whether or not it is in use.
     watched: bool,
 }
@@ -63,13 +65,17 @@
 impl BackendHealth {
     /// Work was sent to the backend.
     pub fn used(&self, id: &str, now: MonotonicTime) {
-        self.entry(id, |health| health.last_used = Some(now));
+        self.entry(id, |health| {
+            health.last_used = Some(now);
+            health.unheard_since.get_or_insert(now);
+        });
     }
 
     /// Bytes came from the backend.
     pub fn heard(&self, id: &str, now: MonotonicTime) {
         self.entry(id, |health| {
             health.last_heard = Some(now);
+            health.unheard_since = None;
             health.bad_probes = 0;
         });
     }
@@ -139,6 +145,18 @@
         due.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether nothing was heard for `span`, neither since the last sign of life nor since the first
+    /// use after it. Only of interest while requests are under way.
+    #[must_use]
+    pub fn is_silent(&self, id: &str, now: MonotonicTime, span: Duration) -> bool {
+        let backends = self.lock();
+        let Some(health) = backends.get(id) else {
+            return false;
+        };
+        let newest = health.unheard_since.max(health.last_heard);
+        newest.is_some_and(|at| now.since(at) >= span)
+    }
+
     /// Whether any other backend was heard within `span`.
     #[must_use]
     pub fn others_heard(&self, id: &str, now: MonotonicTime, span: Duration) -> bool {
--- /dev/null
+++ b/crates/routing/src/forward_table.rs
@@ -0,0 +1,63 @@
+//! Routes of opaque HTTP requests, by host and path prefix.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use millford_api::config::{ForwardRoute, HttpLimits};
+use millford_api::state::ProxyMember;
+
+/// Forwarding routes, HTTP limits and the other proxies, as the feed shows them.
+#[derive(Clone, Debug, Default)]
+pub struct ForwardTable {
+    /// Routes of each host in lower case, the longest prefix first.
+    hosts: BTreeMap<String, Vec<Arc<ForwardRoute>>>,
+    limits: Option<HttpLimits>,
+    peers: Vec<ProxyMember>,
+}
+
+impl ForwardTable {
+    /// The route with the longest prefix of the path among those of the host.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<ForwardRoute>> {
+        let routes = self.hosts.get(&host_name(host))?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// What callers may send and how long they may take, if the configuration says.
+    #[must_use]
+    pub fn limits(&self) -> Option<&HttpLimits> {
+        self.limits.as_ref()
+    }
+
+    /// Every proxy with an open session, this one included.
+    #[must_use]
+    pub fn peers(&self) -> &[ProxyMember] {
+        &self.peers
+    }
+
+    pub(crate) fn add_route(&mut self, route: &ForwardRoute) {
+        let routes = self.hosts.entry(host_name(&route.host)).or_default();
+        let length = route.path_prefix.len();
+        let place = routes.partition_point(|other| other.path_prefix.len() >= length);
+        routes.insert(place, Arc::new(route.clone()));
+    }
+
+    pub(crate) fn set_limits(&mut self, limits: HttpLimits) {
+        self.limits = Some(limits);
+    }
+
+    pub(crate) fn add_peer(&mut self, member: &ProxyMember) {
+        self.peers.push(member.clone());
+    }
+}
+
+/// The host without a port, in lower case. An IPv6 address keeps its brackets.
+fn host_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -1,6 +1,7 @@
 //! Work in flight per replica, in shards that each have their own lock.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millford_api::internal::{CostSample, LoadPicture, LoadReport, ReplicaLoad};
@@ -47,6 +48,8 @@
 #[derive(Debug)]
 pub struct LoadBoard {
     shards: Vec<Mutex<BoardShard>>,
+    /// Whether the other nodes themselves tell what they have in flight.
+    follows_peers: AtomicBool,
 }
 
 impl Default for LoadBoard {
@@ -54,6 +57,7 @@
         let shards = (0..BOARD_SHARDS).map(|_| Mutex::default());
         Self {
             shards: shards.collect(),
+            follows_peers: AtomicBool::new(false),
         }
     }
 }
@@ -130,8 +134,44 @@
         reports.into_values().collect()
     }
 
+    /// From now on the other nodes' counts come from [`Self::set_others`] only: they are fresher
+    /// there than in the pictures of the control plane.
+    pub fn follow_peers(&self) {
+        self.follows_peers.store(true, Ordering::Relaxed);
+    }
+
+    /// Sets what the other nodes have in flight; a replica that is not named is idle there.
+    pub fn set_others(&self, others: &BTreeMap<ReplicaKey, ReplicaCounts>) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for (key, entry) in shard.iter_mut() {
+                entry.others = others.get(key).copied().unwrap_or_default();
+            }
+        }
+        for (key, counts) in others {
+            self.change(key, |entry| entry.others = *counts);
+        }
+    }
+
+    /// This node's own work in flight, idle replicas left out.
+    #[must_use]
+    pub fn own_work(&self) -> BTreeMap<ReplicaKey, ReplicaCounts> {
+        let mut work = BTreeMap::new();
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let busy = shard
+                .iter()
+                .filter(|(_, entry)| entry.own != ReplicaCounts::default());
+            work.extend(busy.map(|(key, entry)| (key.clone(), entry.own)));
+        }
+        work
+    }
+
     /// Takes in what all nodes together have in flight; this node's last report is part of it.
     pub fn merge_picture(&self, picture: &LoadPicture) {
+        if self.follows_peers.load(Ordering::Relaxed) {
+            return;
+        }
         for load in &picture.loads {
             let key = ReplicaKey {
                 pool: picture.service.clone(),
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -8,6 +8,7 @@
 use millford_api::state::{Backend, PoolPlacement, StateValue};
 use millford_core::ResultCode;
 
+use crate::forward_table::ForwardTable;
 use crate::model_request::ModelRequest;
 use crate::route_entry::RouteEntry;
 use crate::serving_pool::ServingPool;
@@ -22,6 +23,7 @@
     routes: Vec<Arc<RouteEntry>>,
     pools: BTreeMap<String, Arc<ServingPool>>,
     tenants_by_key_hash: BTreeMap<String, Arc<Tenant>>,
+    forward: ForwardTable,
 }
 
 impl RoutingTable {
@@ -48,6 +50,9 @@
                 Some(Kind::Placement(placement)) => {
                     placements.insert(placement.pool.as_str(), placement);
                 }
+                Some(Kind::ForwardRoute(route)) => table.forward.add_route(route),
+                Some(Kind::HttpLimits(limits)) => table.forward.set_limits(*limits),
+                Some(Kind::ProxyMember(member)) => table.forward.add_peer(member),
                 Some(Kind::ControlMember(_)) | None => {}
             }
         }
@@ -70,6 +75,23 @@
         self.revision
     }
 
+    /// Forwarding routes, HTTP limits and the other proxies.
+    #[must_use]
+    pub fn forward(&self) -> &ForwardTable {
+        &self.forward
+    }
+
+    /// Whether the configuration lists tenants, so that requests need a key.
+    #[must_use]
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants_by_key_hash.is_empty()
+    }
+
+    /// The tenants that hold a valid key, in the order of their keys' hashes; one may come twice.
+    pub fn tenants(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.tenants_by_key_hash.values()
+    }
+
     /// The tenant that owns a key with this hash.
     #[must_use]
     pub fn tenant_of_key_hash(&self, key_hash: &str) -> Option<&Arc<Tenant>> {
--- a/crates/routing/src/serving_pool.rs
+++ b/crates/routing/src/serving_pool.rs
@@ -45,6 +45,8 @@
     pub drain: Duration,
     /// Version that should serve requests that name none. Empty: the highest one.
     pub target_version: String,
+    /// Connections that one backend takes from all nodes together; 0 when no limit is known.
+    pub max_connections: u32,
     replicas: Vec<ServingReplica>,
     backends: BTreeMap<String, Arc<Backend>>,
 }
@@ -75,6 +77,7 @@
             name: pool.name.clone(),
             drain,
             target_version: pool.target_version.clone(),
+            max_connections: pool.max_connections,
             replicas,
             backends: by_id.collect(),
         }
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -174,6 +174,7 @@
             name: "library".to_owned(),
             key_hashes: vec!["aa".to_owned(), "BB".to_owned()],
             quota: None,
+            ..Default::default()
         }),
     );
     let table = items.table();
--- a/crates/scale/src/hollow/hollow_node.rs
+++ b/crates/scale/src/hollow/hollow_node.rs
@@ -53,7 +53,7 @@
             queues: queues.clone(),
             sources,
             outlets,
-            registry_address: String::new(),
+            registry: None,
             saved_members: None,
             meter: Arc::clone(&meter),
             report: report.clone(),
@@ -102,5 +102,6 @@
         boot_id: rand::random(),
         control_addresses: seeds.to_vec(),
         random_seed: seed ^ u64::from(number),
+        ..Default::default()
     }
 }
--- a/crates/scale/src/rig/document.rs
+++ b/crates/scale/src/rig/document.rs
@@ -37,6 +37,7 @@
         tenants: (0..size.tenants)
             .map(|number| tenant(number, change))
             .collect(),
+        ..Default::default()
     }
 }
 
@@ -78,5 +79,6 @@
             burst: 400,
             concurrent_streams: 2_000,
         }),
+        ..Default::default()
     }
 }
--- a/crates/simulation/src/world/agent_driver.rs
+++ b/crates/simulation/src/world/agent_driver.rs
@@ -43,6 +43,7 @@
             boot_id,
             control_addresses,
             random_seed,
+            ..Default::default()
         };
         agent.core = Some(AgentCore::new(&options, local));
         self.tick_after(process, boot, START_TICK);
--- a/crates/simulation/src/world/operators.rs
+++ b/crates/simulation/src/world/operators.rs
@@ -138,6 +138,7 @@
             order_id: format!("order-{}", order.number.0),
             digest: digest(&document),
             document: Some(document),
+            ..Default::default()
         }
     }
 
@@ -173,6 +174,7 @@
             routes: vec![captions, questions, once, lookups],
             pools: vec![pool("models", "generate"), pool("lookups", "lookup")],
             tenants: self.tenants(draft),
+            ..Default::default()
         }
     }
 
@@ -189,6 +191,7 @@
                 .map(|key| hash_tenant_key(&key_text(*key)))
                 .collect(),
             quota: Some(quota),
+            ..Default::default()
         });
         tenants.take(usize::from(self.topology.tenants)).collect()
     }
--- a/crates/simulation/src/world/registry.rs
+++ b/crates/simulation/src/world/registry.rs
@@ -6,8 +6,8 @@
 
 use millford_agent::{RegistryEntry as AgentEntry, RegistryView as AgentView};
 use millford_api::state::BackendState;
-use millford_control::registry::view::RegistryDeclaration;
-use millford_control::registry::{RegistryEntry, RegistryView};
+use millford_control::{RegistryEntry, RegistryView};
+use millford_registry::RegistryDeclaration;
 
 use crate::history::{BackendNumber, Record};
 use crate::network::ProcessId;
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -6,13 +6,14 @@
 use std::path::Path;
 
 /// Protocol files, relative to the `proto` folder.
-const PROTOCOL_FILES: [&str; 6] = [
+const PROTOCOL_FILES: [&str; 7] = [
     "millford/config.proto",
     "millford/state.proto",
     "millford/replication.proto",
     "millford/command.proto",
     "millford/internal.proto",
     "millford/local.proto",
+    "millford/exchange.proto",
 ];
 
 /// Packages whose types are also read from and written as JSON.
