Tell peers of admissions at once when a bucket is low; elect quickly after a start

Between two rounds of news (100 ms) all nodes admit from the same near-empty bucket, and what that came to beyond one burst of debt was forgiven, again and again. And after a loss of power the control group waited 600 to 900 ms for its first election, during which nothing is served.

Ruled out: the burst itself (one burst, within the bound); restarts of nodes (none of this tenant's window).

Change: below half a burst each admission is told at once; debt is kept up to four bursts; a replica that has known no leader since it was opened campaigns after a quarter of the usual time (its pre-vote disturbs nobody).

--- a/crates/forward/src/exchange/exchange_task.rs
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -44,6 +44,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => exchange.tick(&node, &socket).await,
+            () = node.quotas.until_urgent() => exchange.send_usage(&node, &socket).await,
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, _)) => exchange.receive(&node, &buffer[..length]),
                 Err(error) => LOG.debug(format_args!("A datagram could not be read: {error}.")),
@@ -67,14 +68,7 @@
         if now < self.next_send {
             return;
         }
-        let table = node.state.table();
-        let addresses: Vec<SocketAddr> = table
-            .forward()
-            .peers()
-            .iter()
-            .filter(|peer| peer.name != node.name)
-            .filter_map(|peer| peer.exchange_address.parse().ok())
-            .collect();
+        let addresses = addresses_of_peers(node);
         let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
         self.next_send = now + SHORTEST_PERIOD.max(PERIOD_FOR_EACH_PEER * count);
         let whole = now >= self.next_whole;
@@ -85,10 +79,13 @@
         let Some(news) = self.writer.write(node, now, whole) else {
             return;
         };
-        let bytes = news.encode_to_vec();
-        for address in addresses {
-            // A datagram that cannot be sent is as good as lost: the next one makes it good.
-            let _ = socket.send_to(&bytes, address).await;
+        send_to_all(socket, &news, &addresses).await;
+    }
+
+    /// Tells what was admitted, between two rounds of news.
+    async fn send_usage<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, socket: &UdpSocket) {
+        if let Some(news) = self.writer.write_usage(node, monotonic_now()) {
+            send_to_all(socket, &news, &addresses_of_peers(node)).await;
         }
     }
 
@@ -104,3 +101,20 @@
         take_news(node, now, &news);
     }
 }
+
+fn addresses_of_peers<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<SocketAddr> {
+    let table = node.state.table();
+    let peers = table.forward().peers().iter();
+    peers
+        .filter(|peer| peer.name != node.name)
+        .filter_map(|peer| peer.exchange_address.parse().ok())
+        .collect()
+}
+
+async fn send_to_all(socket: &UdpSocket, news: &ProxyNews, addresses: &[SocketAddr]) {
+    let bytes = news.encode_to_vec();
+    for address in addresses {
+        // A datagram that cannot be sent is as good as lost: the next one makes it good.
+        let _ = socket.send_to(&bytes, address).await;
+    }
+}
--- a/crates/forward/src/exchange/news.rs
+++ b/crates/forward/src/exchange/news.rs
@@ -62,6 +62,26 @@
         })
     }
 
+    /// Only what was admitted since the last news; nothing when nothing was.
+    pub fn write_usage<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        now: MonotonicTime,
+    ) -> Option<ProxyNews> {
+        let usage = self.usage(node, now, false);
+        if usage.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        Some(ProxyNews {
+            member: node.name.clone(),
+            boot_id: self.boot_id,
+            sequence: self.sequence,
+            usage,
+            ..ProxyNews::default()
+        })
+    }
+
     fn usage<P: ForwardProtocol>(
         &mut self,
         node: &ForwardNode<P>,
--- a/crates/forward/src/quota/cluster_bucket.rs
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -3,9 +3,13 @@
 use millford_api::config::TokenQuota;
 use millford_core::{Duration, MonotonicTime};
 
-/// Debt never exceeds this many bursts: counts of peers that arrive late must not shut a tenant out
-/// for long.
-const MOST_DEBT_BURSTS: f64 = 1.0;
+/// Debt never exceeds this many bursts: whatever a peer tells must not shut a tenant out for long.
+/// What nodes admit at the same time stays far below it, and must not be forgiven: a tenant that
+/// presses on would exceed its quota by it again and again.
+const MOST_DEBT_BURSTS: f64 = 4.0;
+
+/// Share of the burst below which peers hear of each admission at once.
+const LOW_SHARE: f64 = 0.5;
 
 /// A bucket that may be in debt: a request is admitted while anything is left, whatever its size, so
 /// that large requests are not refused more often than small ones. Over any span the admitted
@@ -76,6 +80,11 @@
         self.level
     }
 
+    /// Whether little is left.
+    pub fn is_low(&mut self, now: MonotonicTime) -> bool {
+        self.level(now) < self.burst * LOW_SHARE
+    }
+
     fn refill(&mut self, now: MonotonicTime) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = now;
--- a/crates/forward/src/quota/tenant_quotas.rs
+++ b/crates/forward/src/quota/tenant_quotas.rs
@@ -5,6 +5,7 @@
 
 use millford_api::config::{Tenant, TokenQuota};
 use millford_core::{Duration, MonotonicTime};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::cluster_bucket::ClusterBucket;
@@ -57,6 +58,7 @@
 pub struct TenantQuotas {
     shards: Vec<Mutex<QuotaShard>>,
     started: Mutex<Option<MonotonicTime>>,
+    urgent: Notify,
 }
 
 impl Default for TenantQuotas {
@@ -65,6 +67,7 @@
         Self {
             shards: shards.collect(),
             started: Mutex::default(),
+            urgent: Notify::new(),
         }
     }
 }
@@ -72,6 +75,9 @@
 impl TenantQuotas {
     /// Admits a request of a tenant, or says when to come back.
     ///
+    /// Near the end of the bucket the peers are to hear of each admission at once: what all nodes
+    /// admit between two rounds of news would add up to far more than is left.
+    ///
     /// # Errors
     /// The time until the tenant's bucket holds anything.
     pub fn admit(&self, now: MonotonicTime, tenant: &Tenant, tokens: u64) -> Result<(), Duration> {
@@ -82,9 +88,17 @@
         let state = state_of(&mut shard, &tenant.name, quota, now);
         state.bucket.admit(now, tokens)?;
         state.used += tokens;
+        if state.bucket.is_low(now) {
+            self.urgent.notify_one();
+        }
         Ok(())
     }
 
+    /// Resolves once peers should hear of an admission at once.
+    pub async fn until_urgent(&self) {
+        self.urgent.notified().await;
+    }
+
     /// Gives back what a request took that never left for a backend. The peers, who go by the
     /// cumulative count, keep it charged.
     pub fn give_back(&self, now: MonotonicTime, tenant: &Tenant, tokens: u64) {
--- a/crates/replication/src/patience.rs
+++ b/crates/replication/src/patience.rs
@@ -5,6 +5,13 @@
 /// Most doublings of the election time-outs: 2 to 4 s with the usual times.
 const MOST_DOUBLINGS: u32 = 2;
 
+/// The time-out of a replica that has not heard of any leader since it was opened is divided by this.
+///
+/// After a loss of power nobody leads, and whoever waits for the usual time keeps the whole group
+/// without service. A replica that comes back alone disturbs nobody: its pre-vote is refused by those
+/// who hear a leader.
+const FRESH_DIVISOR: u32 = 4;
+
 /// Rounds that failed although others were there.
 ///
 /// When messages or syncs are slower than the time-outs, each round is given up before its answers
@@ -14,6 +21,8 @@
 pub(crate) struct Patience {
     failed_rounds: u32,
     contested: bool,
+    /// A leader was known since the replica was opened.
+    knew_leader: bool,
 }
 
 impl Patience {
@@ -30,11 +39,17 @@
 
     /// There is a leader that works.
     pub(crate) fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            knew_leader: true,
+            ..Self::default()
+        };
     }
 
     /// A time-out with the patience that was learned.
     pub(crate) fn stretch(&self, timeout: Duration) -> Duration {
+        if !self.knew_leader && self.failed_rounds == 0 {
+            return timeout / FRESH_DIVISOR;
+        }
         timeout * (1 << self.failed_rounds.min(MOST_DOUBLINGS))
     }
 }
