Keep shared prompt parts where they were read, and be exact about refusals

Quotas refused tenants that were a little under them, since a node also counts what ends before it runs.

The OpenAPI file, the table of result codes and their tests know the grown document.

--- a/crates/api/src/http_status.rs
+++ b/crates/api/src/http_status.rs
@@ -14,7 +14,8 @@
         | ResultCode::BadField
         | ResultCode::BadHeader
         | ResultCode::BodyIncomplete
-        | ResultCode::DocumentInvalid => 400,
+        | ResultCode::DocumentInvalid
+        | ResultCode::RevisionNotAbove => 400,
         ResultCode::KeyMissing | ResultCode::KeyUnknown | ResultCode::OperatorKeyWrong => 401,
         ResultCode::NoRoute
         | ResultCode::ModelUnknown
--- a/crates/api/tests/openapi.rs
+++ b/crates/api/tests/openapi.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use millford_api::config::{
-    Document, Hedge, Pool, Quota, Resume, Route, RouteMatch, Selector, Tenant,
+    Document, ForwardRoute, Hedge, HttpLimits, Pool, Quota, Resume, Route, RouteMatch, Selector,
+    Tenant, TokenQuota, WeightedPool,
 };
 use millford_api::http_status::http_status;
 use millford_api::operator::{
@@ -45,6 +46,10 @@
         self.add("Selector", Selector::default());
         self.add("Tenant", Tenant::default());
         self.add("Quota", Quota::default());
+        self.add("TokenQuota", TokenQuota::default());
+        self.add("HttpLimits", HttpLimits::default());
+        self.add("ForwardRoute", ForwardRoute::default());
+        self.add("WeightedPool", WeightedPool::default());
     }
 
     fn of_orders(&mut self) {
--- a/crates/control-state/src/document/parse.rs
+++ b/crates/control-state/src/document/parse.rs
@@ -1,6 +1,6 @@
 //! Reads a document from JSON. Unknown fields are refused with their path.
 
-use millford_api::config::{Document, Pool, Route, Tenant};
+use millford_api::config::{Document, ForwardRoute, HttpLimits, Pool, Route, Tenant};
 use millford_core::ResultCode;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -89,11 +89,14 @@
         let path = join(prefix, field);
         match field.as_str() {
             "routes" => faults.extend(list_faults::<Route>(&path, value)),
+            "forward_routes" => faults.extend(list_faults::<ForwardRoute>(&path, value)),
+            "http_limits" => faults.extend(value_faults::<Option<HttpLimits>>(&path, value)),
             "pools" => faults.extend(list_faults::<Pool>(&path, value)),
             "tenants" => faults.extend(list_faults::<Tenant>(&path, value)),
             _ => faults.push(bad_field(
                 &path,
-                "unknown field, expected one of `routes`, `pools`, `tenants`",
+                "unknown field, expected one of `routes`, `pools`, `tenants`, `forward_routes`, \
+                 `http_limits`",
             )),
         }
     }
@@ -106,14 +109,16 @@
     };
     let mut faults = Vec::new();
     for (index, entry) in entries.iter().enumerate() {
-        let entry_path = format!("{path}[{index}]");
-        if let Err(error) = serde_path_to_error::deserialize::<_, T>(entry) {
-            faults.push(fault(&entry_path, &error));
-        }
+        faults.extend(value_faults::<T>(&format!("{path}[{index}]"), entry));
     }
     faults
 }
 
+fn value_faults<T: DeserializeOwned>(path: &str, value: &Value) -> Option<Fault> {
+    let read = serde_path_to_error::deserialize::<_, T>(value);
+    read.err().map(|error| fault(path, &error))
+}
+
 fn fault(prefix: &str, error: &serde_path_to_error::Error<serde_json::Error>) -> Fault {
     let inner = error.inner();
     let code = if inner.is_data() {
--- a/crates/control-state/tests/openapi_limits.rs
+++ b/crates/control-state/tests/openapi_limits.rs
@@ -39,6 +39,8 @@
     let property = |schema: &str, field: &str| schemas[schema]["properties"][field].clone();
     let counts = [
         ("Document", "routes", limits::MAX_ROUTES),
+        ("Document", "forward_routes", limits::MAX_FORWARD_ROUTES),
+        ("ForwardRoute", "pools", limits::MAX_POOLS_PER_ROUTE),
         ("Document", "pools", limits::MAX_POOLS),
         ("Document", "tenants", limits::MAX_TENANTS),
         ("Tenant", "key_hashes", limits::MAX_KEYS_PER_TENANT),
--- a/crates/forward/src/daemon/callers.rs
+++ b/crates/forward/src/daemon/callers.rs
@@ -23,8 +23,9 @@
 /// Longest time for the headers of a request, and for a kept connection to be idle, where the
 /// configuration sets none.
 const USUAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Room for the head of a request, in bytes. What is larger is refused before it is read whole.
-const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+/// Room for the head of a request, in bytes: the usual limit of headers and the request line. Every
+/// open connection may keep as much.
+const HEAD_BUFFER_BYTES: usize = 24 * 1024;
 
 /// Counts open connections, and tells them to close once their request is answered.
 #[derive(Clone, Debug)]
--- a/crates/forward/src/quota/cluster_bucket.rs
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -8,6 +8,12 @@
 /// presses on would exceed its quota by it again and again.
 const MOST_DEBT_BURSTS: f64 = 4.0;
 
+/// What a node counts is a little more than what runs: requests that end before they run, and counts
+/// that cross on their way. A tenant under its quota must not be refused for it.
+const RATE_HEADROOM: f64 = 1.02;
+/// As [`RATE_HEADROOM`], for the burst.
+const BURST_HEADROOM: f64 = 1.1;
+
 /// Share of the burst below which peers hear of each admission at once.
 const LOW_SHARE: f64 = 0.5;
 
@@ -100,5 +106,5 @@
     } else {
         quota.burst as f64
     };
-    (rate, burst)
+    (rate * RATE_HEADROOM, burst * BURST_HEADROOM)
 }
--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -18,7 +18,7 @@
 
 /// What reading a part again costs the fleet beside the time that it takes, as a share of that time:
 /// it displaces other parts, and holds up the streams beside it.
-const REREAD_PENALTY: f64 = 1.0;
+const REREAD_PENALTY: f64 = 6.0;
 
 /// Share of a part that nobody keeps that its home counts as saving, so that nodes which meet the
 /// part at the same time send it to the same backend.
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -32,7 +32,7 @@
 /// with it the connection to the backend: its work ends there too.
 pub fn relay<P: ForwardProtocol>(
     node: Arc<ForwardNode<P>>,
-    plan: Plan,
+    mut plan: Plan,
     trail: Trail,
     opened: Opened,
 ) -> Response<AnswerBody> {
@@ -41,6 +41,9 @@
     if is_events {
         // Another backend's part of the stream may have another length.
         remove_length(&mut head.headers);
+    } else {
+        // It is not sent again; a long stream need not keep a long prompt.
+        plan.body = Bytes::new();
     }
     let left = plan.deadline.since(monotonic_now());
     let relay = Relay {
