--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use millford_api::config::{ForwardRoute, HttpLimits};
-use millford_core::ResultCode;
 use millford_core::time::monotonic_now;
+use millford_core::{Duration, ResultCode};
 use rand::Rng;
 
 use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
@@ -24,6 +24,10 @@
 /// Largest body where the configuration sets no limit, in bytes.
 const USUAL_MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Time to come back to a node that has no confirmed configuration yet: after a loss of power the
+/// control plane leads again, and nodes have its state, about this long after their start.
+const READY_AFTER: Duration = Duration::from_millis(450);
+
 /// Largest headers where the configuration sets no limit, in bytes.
 const USUAL_MAX_HEADER_BYTES: u32 = 16 * 1024;
 
@@ -51,7 +55,7 @@
     let (mut head, body) = request.into_parts();
     let table = node.state.table();
     if !node.state.is_ready() {
-        let not_ready = Refusal::new(ResultCode::NotReady).with_retry_after(USUAL_RETRY_AFTER);
+        let not_ready = Refusal::new(ResultCode::NotReady).with_retry_after(READY_AFTER);
         return Err(not_ready.closing());
     }
     let limits = table.forward().limits().copied().unwrap_or_default();
