--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -18,14 +18,7 @@
 
 /// What reading a part again costs the fleet beside the time that it takes, as a share of that time:
 /// it displaces other parts, and holds up the streams beside it.
-const REREAD_PENALTY: f64 = 6.0;
-
-/// Share of the route's target that may pass before a request's own prefill is done, as estimated:
-/// beyond it a warm cache is worth less than the time that is lost.
-const TARGET_SHARE: f64 = 0.4;
-
-/// What each millisecond beyond that share counts.
-const LATENESS_PENALTY: f64 = 4.0;
+const REREAD_PENALTY: f64 = 12.0;
 
 /// Share of a part that nobody keeps that its home counts as saving, so that nodes which meet the
 /// part at the same time send it to the same backend.
@@ -67,10 +60,6 @@
     let savings = savings(node, now, plan, &candidates);
     let costs = &node.state.costs;
     let prompt = plan.prompt_tokens();
-    let target_ms = match plan.route.target_ms {
-        0 => f64::INFINITY,
-        millis => f64::from(millis),
-    };
     let mut random = rand::rng();
     let mut best: Option<(f64, &ServingReplica, u64)> = None;
     for (replica, saving) in candidates.iter().zip(savings) {
@@ -85,9 +74,8 @@
         } else {
             OTHER_ZONE_MS
         };
-        let late = ((load + own) - target_ms * TARGET_SHARE).max(0.0) * LATENESS_PENALTY;
         let jitter = 1.0 + JITTER * random.random::<f64>();
-        let cost = ((load + own + late + REREAD_PENALTY * again) / weight + zone) * jitter;
+        let cost = ((load + own + REREAD_PENALTY * again) / weight + zone) * jitter;
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, replica, own_tokens));
         }
