--- a/crates/simulation/src/world/agent_link_driver.rs
+++ b/crates/simulation/src/world/agent_link_driver.rs
@@ -131,6 +131,9 @@
     }
 }
 
+/// Key of the number of the configuration in force.
+const CONFIG_HEAD_KEY: &str = "config/head";
+
 /// Whether the frame carries items of the configuration.
 fn is_configuration(frame: &LocalFrame) -> bool {
     match &frame.body {
@@ -149,5 +152,5 @@
         Some(local_frame::Body::Change(change)) => &change.items,
         _ => return false,
     };
-    items.iter().any(|item| item.key == keys::CONFIG_HEAD)
+    items.iter().any(|item| item.key == CONFIG_HEAD_KEY)
 }
