--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -10,7 +10,7 @@
 use millford_core::{Duration, ResultCode};
 use rand::Rng;
 
-use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
+use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 use crate::request::answer_body::AnswerBody;
 use crate::request::authorize::authorize;
--- a/crates/forward/tests/quota.rs
+++ b/crates/forward/tests/quota.rs
@@ -152,7 +152,7 @@
 #[test]
 fn a_node_that_is_cut_off_does_not_double_the_quota() {
     let mut fleet = Fleet::new(4);
-    let mut step = |fleet: &mut Fleet, rounds: usize, cut: bool| {
+    let step = |fleet: &mut Fleet, rounds: usize, cut: bool| {
         for _ in 0..rounds {
             for node in 0..4 {
                 fleet.ask(node, 15);
