--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -16,7 +16,7 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// First delay once every known control node was tried in vain; doubled up to [`RETRY_CEILING`].
-pub const RETRY_FIRST: Duration = Duration::from_millis(50);
+pub const RETRY_FIRST: Duration = Duration::from_millis(100);
 
 /// Longest delay between two rounds over the known control nodes.
 pub const RETRY_CEILING: Duration = Duration::from_millis(1000);
--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -24,9 +24,6 @@
 /// part at the same time send it to the same backend.
 const HOME_SAVING: f64 = 0.5;
 
-/// A beginning that prompts have in common is first read by one in this many of the backends.
-const FAMILIES: usize = 4;
-
 /// What a backend in another zone has to be ahead by, in milliseconds of work.
 const OTHER_ZONE_MS: f64 = 2.0;
 
@@ -156,8 +153,14 @@
             home: 0.0,
         })
         .collect();
-    if let Some((home, tokens)) = home_of(parts, &holders, &ids) {
-        savings[home].home = tokens * HOME_SAVING;
+    let homeless = parts
+        .iter()
+        .zip(&holders)
+        .find(|(_, holders)| !holders.iter().any(|holder| ids.contains(&holder.as_str())));
+    if let Some((part, _)) = homeless
+        && let Some(home) = home_of(part, &ids)
+    {
+        savings[home].home = f64::from(part.tokens) * HOME_SAVING;
     }
     savings
 }
@@ -171,39 +174,14 @@
     kept.map(|(part, _)| u64::from(part.tokens)).sum()
 }
 
-/// The home of a prompt some of whose parts nobody keeps, and how many tokens those hold.
-///
-/// It is drawn by the most special part among a few backends that belong to the most general one, or
-/// among those that keep what comes before. So prompts with a common beginning meet on few backends,
-/// and still not all of them on one.
-fn home_of(parts: &[PromptPart], holders: &[Vec<String>], ids: &[&str]) -> Option<(usize, f64)> {
-    let kept_by = |place: usize| -> Vec<usize> {
-        let kept = |id: &&str| holders[place].iter().any(|holder| holder == id);
-        (0..ids.len()).filter(|index| kept(&ids[*index])).collect()
-    };
-    let homeless = (0..parts.len()).find(|place| kept_by(*place).is_empty())?;
-    let (first, last) = (parts.first()?, parts.last()?);
-    let family = match homeless {
-        0 => best_for(
-            first,
-            ids,
-            (0..ids.len()).collect(),
-            ids.len().div_ceil(FAMILIES),
-        ),
-        place => kept_by(place - 1),
-    };
-    let home = best_for(last, ids, family, 1);
-    let tokens: u32 = parts[homeless..].iter().map(|part| part.tokens).sum();
-    Some((*home.first()?, f64::from(tokens)))
-}
-
-/// Those of the candidates that score highest for a part.
-fn best_for(part: &PromptPart, ids: &[&str], mut among: Vec<usize>, count: usize) -> Vec<usize> {
+fn home_of(part: &PromptPart, ids: &[&str]) -> Option<usize> {
     let key = xxh3_64(&part.id.to_be_bytes());
-    let score = |index: &usize| rendezvous::score(key, ids[*index], 1000);
-    among.sort_by(|left, right| score(right).total_cmp(&score(left)));
-    among.truncate(count);
-    among
+    let scores = ids
+        .iter()
+        .enumerate()
+        .map(|(index, id)| (rendezvous::score(key, id, 1000), index));
+    let best = scores.max_by(|(left, _), (right, _)| left.total_cmp(right))?;
+    Some(best.1)
 }
 
 /// The parts that other requests may share: all but the last, which is the request's own.
