Keep only the most special shared part of a prompt in one place

Change: the penalty and the home go by the last shared part alone; beginnings cost what their reading takes.

--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -22,7 +22,7 @@
 
 /// Share of a part that nobody keeps that its home counts as saving, so that nodes which meet the
 /// part at the same time send it to the same backend.
-const HOME_SAVING: f64 = 0.5;
+const HOME_SAVING: f64 = 0.3;
 
 /// What a backend in another zone has to be ahead by, in milliseconds of work.
 const OTHER_ZONE_MS: f64 = 2.0;
@@ -66,8 +66,7 @@
         let own_tokens = own_tokens(plan, prompt, saving.cached);
         let load = node.state.board.backend_load(&replica.backend.id, 1, costs);
         let own = costs.work_ms(&plan.facts.model, own_tokens, 0);
-        let shared_again = saving.shared.saturating_sub(saving.cached) as f64 - saving.home;
-        let again = costs.work_ms(&plan.facts.model, shared_again.max(0.0) as u64, 0);
+        let again = costs.work_ms(&plan.facts.model, saving.again, 0);
         let weight = f64::from(replica.weight_milli.max(1)) / 1000.0;
         let zone = if replica.backend.zone == node.zone {
             0.0
@@ -123,12 +122,12 @@
 struct Saving {
     /// Read lately, from the first part on.
     cached: u64,
-    /// All parts that may come again.
-    shared: u64,
-    /// Counted in favour of the home of a part that nobody keeps.
-    home: f64,
+    /// Of the most special shared part, what would be read again although another backend keeps it.
+    again: u64,
 }
 
+/// The beginnings that many prompts have in common are soon kept everywhere; what is to stay in one
+/// place is the part that few prompts share.
 fn savings<P: ForwardProtocol>(
     node: &ForwardNode<P>,
     now: MonotonicTime,
@@ -136,33 +135,34 @@
     candidates: &[&ServingReplica],
 ) -> Vec<Saving> {
     let parts = shared_parts(plan);
-    if !plan.route.sticky || parts.is_empty() {
+    let (true, Some(special)) = (plan.route.sticky, parts.last()) else {
         return vec![Saving::default(); candidates.len()];
-    }
+    };
     let holders = node.directory.holders(now, parts);
-    let shared: u64 = parts.iter().map(|part| u64::from(part.tokens)).sum();
     let ids: Vec<&str> = candidates
         .iter()
         .map(|replica| replica.backend.id.as_str())
         .collect();
-    let cached = ids.iter().map(|id| cached_tokens(parts, &holders, id));
-    let mut savings: Vec<Saving> = cached
-        .map(|cached| Saving {
-            cached,
-            shared,
-            home: 0.0,
-        })
-        .collect();
-    let homeless = parts
-        .iter()
-        .zip(&holders)
-        .find(|(_, holders)| !holders.iter().any(|holder| ids.contains(&holder.as_str())));
-    if let Some((part, _)) = homeless
-        && let Some(home) = home_of(part, &ids)
-    {
-        savings[home].home = f64::from(part.tokens) * HOME_SAVING;
-    }
-    savings
+    let kept_by = |id: &str| {
+        let holders = holders.last().into_iter().flatten();
+        holders.into_iter().any(|holder| holder == id)
+    };
+    let home = match ids.iter().any(|id| kept_by(id)) {
+        true => None,
+        false => home_of(special, &ids),
+    };
+    let tokens = u64::from(special.tokens);
+    let saved_at_home = (tokens as f64 * HOME_SAVING) as u64;
+    let savings = ids.iter().enumerate().map(|(index, id)| {
+        let again = match (kept_by(id), home == Some(index)) {
+            (true, _) => 0,
+            (false, true) => tokens - saved_at_home,
+            (false, false) => tokens,
+        };
+        let cached = cached_tokens(parts, &holders, id);
+        Saving { cached, again }
+    });
+    savings.collect()
 }
 
 /// Tokens of the parts that a backend keeps, each with all parts before it.
