Tell few peers of admissions as soon as a bucket is touched

Cause: when a tenant begins to press on, half of its burst was admitted by every node before any heard of it; the debt was then paid by refusing what an exact count would have admitted.

Change: up to 16 peers hear at once below 95% of a burst, more peers below 50% as before (datagrams grow with both).

--- a/crates/forward/src/exchange/exchange_task.rs
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -69,6 +69,7 @@
             return;
         }
         let addresses = addresses_of_peers(node);
+        node.quotas.set_peers(addresses.len());
         let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
         self.next_send = now + SHORTEST_PERIOD.max(PERIOD_FOR_EACH_PEER * count);
         let whole = now >= self.next_whole;
--- a/crates/forward/src/quota/cluster_bucket.rs
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -14,9 +14,6 @@
 /// As [`RATE_HEADROOM`], for the burst.
 const BURST_HEADROOM: f64 = 1.1;
 
-/// Share of the burst below which peers hear of each admission at once.
-const LOW_SHARE: f64 = 0.5;
-
 /// A bucket that may be in debt: a request is admitted while anything is left, whatever its size, so
 /// that large requests are not refused more often than small ones. Over any span the admitted
 /// tokens exceed rate and burst by at most one request and what peers had not told of yet.
@@ -86,9 +83,9 @@
         self.level
     }
 
-    /// Whether little is left.
-    pub fn is_low(&mut self, now: MonotonicTime) -> bool {
-        self.level(now) < self.burst * LOW_SHARE
+    /// Whether less than this share of a burst is left.
+    pub fn is_below(&mut self, now: MonotonicTime, share: f64) -> bool {
+        self.level(now) < self.burst * share
     }
 
     fn refill(&mut self, now: MonotonicTime) {
--- a/crates/forward/src/quota/tenant_quotas.rs
+++ b/crates/forward/src/quota/tenant_quotas.rs
@@ -1,6 +1,7 @@
 //! The buckets of all tenants, in shards that each have their own lock.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use millford_api::config::{Tenant, TokenQuota};
@@ -14,6 +15,15 @@
 /// Number of shards; a power of two.
 const QUOTA_SHARDS: usize = 16;
 
+/// Up to this many peers hear of admissions while a bucket is hardly touched.
+const FEW_PEERS: usize = 16;
+
+/// Share of the burst below which few peers hear of each admission at once.
+const LOW_SHARE_OF_FEW: f64 = 0.95;
+
+/// As [`LOW_SHARE_OF_FEW`], for many peers: each admission costs as many datagrams.
+const LOW_SHARE_OF_MANY: f64 = 0.5;
+
 /// A node that has run for less takes over what its peers believe to be left.
 const YOUNG_FOR: Duration = Duration::from_secs(2);
 
@@ -59,6 +69,7 @@
     shards: Vec<Mutex<QuotaShard>>,
     started: Mutex<Option<MonotonicTime>>,
     urgent: Notify,
+    has_many_peers: AtomicBool,
 }
 
 impl Default for TenantQuotas {
@@ -68,6 +79,7 @@
             shards: shards.collect(),
             started: Mutex::default(),
             urgent: Notify::new(),
+            has_many_peers: AtomicBool::new(false),
         }
     }
 }
@@ -88,12 +100,22 @@
         let state = state_of(&mut shard, &tenant.name, quota, now);
         state.bucket.admit(now, tokens)?;
         state.used += tokens;
-        if state.bucket.is_low(now) {
+        let low_share = match self.has_many_peers.load(Ordering::Relaxed) {
+            true => LOW_SHARE_OF_MANY,
+            false => LOW_SHARE_OF_FEW,
+        };
+        if state.bucket.is_below(now, low_share) {
             self.urgent.notify_one();
         }
         Ok(())
     }
 
+    /// Notes how many peers hear of each admission.
+    pub fn set_peers(&self, count: usize) {
+        let many = count > FEW_PEERS;
+        self.has_many_peers.store(many, Ordering::Relaxed);
+    }
+
     /// Resolves once peers should hear of an admission at once.
     pub async fn until_urgent(&self) {
         self.urgent.notified().await;
