--- a/crates/forward/src/daemon/callers.rs
+++ b/crates/forward/src/daemon/callers.rs
@@ -25,7 +25,7 @@
 const USUAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Room for the head of a request, in bytes: the usual limit of headers and the request line. Every
 /// open connection may keep as much.
-const HEAD_BUFFER_BYTES: usize = 24 * 1024;
+const HEAD_BUFFER_BYTES: usize = 18 * 1024;
 
 /// Counts open connections, and tells them to close once their request is answered.
 #[derive(Clone, Debug)]
@@ -87,7 +87,8 @@
     let idle_timeout = idle_timeout(&node);
     let service = service_fn(move |request| {
         let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(serve(node, request).await) }
+        // In a box of its own: an idle connection need not keep the place of a request under way.
+        Box::pin(async move { Ok::<_, Infallible>(serve(node, request).await) })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
