--- a/crates/control-state/src/planner/document_changes.rs
+++ b/crates/control-state/src/planner/document_changes.rs
@@ -102,7 +102,7 @@
 
     fn note(&mut self, key: String, before: Option<Kind>, after: Option<Kind>) {
         let list = match after.as_ref().or(before.as_ref()) {
-            Some(Kind::Route(_)) => Some(&mut self.routes),
+            Some(Kind::Route(_) | Kind::ForwardRoute(_)) => Some(&mut self.routes),
             Some(Kind::Pool(_)) => Some(&mut self.pools),
             Some(Kind::Tenant(_)) => Some(&mut self.tenants),
             _ => None,
@@ -167,6 +167,7 @@
 fn fields_of(kind: &Kind) -> BTreeMap<String, Value> {
     match kind {
         Kind::Route(route) => object(route),
+        Kind::ForwardRoute(route) => object(route),
         Kind::Pool(pool) => object(pool),
         Kind::Tenant(tenant) => object(tenant),
         _ => BTreeMap::new(),
