--- /dev/null
+++ b/crates/control-state/tests/chosen_revisions.rs
@@ -0,0 +1,116 @@
+//! Numbers that operators choose, and documents that are read back as they were sent.
+
+mod support;
+
+use millford_api::command::{PutConfig, PutConfigResult, command::Kind, command_result};
+use millford_control_state::{Applied, ShardMachine, document};
+use millford_core::{ResultCode, ShardId};
+use quickcheck::QuickCheck;
+use support::{command, sound_document, tenant};
+
+struct Machine {
+    machine: ShardMachine,
+    index: u64,
+}
+
+impl Machine {
+    fn new() -> Self {
+        Self {
+            machine: ShardMachine::new(ShardId::CONFIGURATION),
+            index: 0,
+        }
+    }
+
+    fn put(&mut self, base: u64, revision: u64, text: &str) -> (ResultCode, PutConfigResult) {
+        self.index += 1;
+        let mut wanted = sound_document();
+        wanted.tenants.push(tenant(&format!("tenant-{text}")));
+        let order = PutConfig {
+            base_revision: base,
+            order_id: String::new(),
+            digest: document::digest(&wanted),
+            document: Some(wanted),
+            revision,
+            source: text.as_bytes().to_vec(),
+        };
+        let applied: Applied = self
+            .machine
+            .apply(self.index, 1, &command(Kind::PutConfig(order)));
+        let code = ResultCode::from_number(applied.result.code).expect("a known code");
+        match applied.result.kind {
+            Some(command_result::Kind::PutConfig(result)) => (code, result),
+            _ => panic!("no answer to an order"),
+        }
+    }
+}
+
+#[test]
+fn numbers_rise_in_uneven_steps() {
+    let mut machine = Machine::new();
+    assert_eq!(machine.put(0, 7, "a").1.revision, 7);
+    assert_eq!(machine.put(7, 8, "b").1.revision, 8);
+    assert_eq!(machine.put(8, 1000, "c").1.revision, 1000);
+    assert_eq!(machine.put(1000, 0, "d").1.revision, 1001, "the next one");
+    assert_eq!(machine.machine.config_source(), b"d");
+}
+
+#[test]
+fn a_number_that_is_not_above_the_present_one_is_refused() {
+    let mut machine = Machine::new();
+    machine.put(0, 7, "a");
+    for revision in [1, 6, 7] {
+        let (code, result) = machine.put(7, revision, "b");
+        assert_eq!((code, result.revision), (ResultCode::RevisionNotAbove, 7));
+    }
+    assert_eq!(machine.machine.config_source(), b"a");
+    assert_eq!(machine.machine.revision(), 7);
+}
+
+#[test]
+fn of_two_orders_under_one_number_one_wins_and_resent_ones_are_acknowledged() {
+    let mut machine = Machine::new();
+    assert_eq!(machine.put(0, 5, "a").0, ResultCode::Ok);
+    assert_eq!(machine.put(0, 5, "b").0, ResultCode::RevisionConflict);
+    let (code, again) = machine.put(0, 5, "a");
+    assert_eq!(
+        (code, again.revision, again.repeated_order),
+        (ResultCode::Ok, 5, true)
+    );
+    machine.put(5, 6, "c");
+    // Also after later changes, and after a restart from a snapshot.
+    let snapshot = machine.machine.snapshot();
+    let mut restored = Machine::new();
+    restored.machine.restore(&snapshot).expect("a snapshot");
+    restored.index = machine.index;
+    assert_eq!(restored.put(0, 5, "a").0, ResultCode::Ok);
+    assert_eq!(
+        restored.machine.config_source(),
+        b"c",
+        "what is in force is read back"
+    );
+    assert_eq!(restored.put(0, 5, "b").0, ResultCode::RevisionConflict);
+}
+
+#[test]
+fn numbers_never_fall_whatever_is_ordered() {
+    fn holds(orders: Vec<(u8, u8, u8)>) -> bool {
+        let mut machine = Machine::new();
+        let mut last = 0;
+        for (base, revision, text) in orders {
+            let base = if base % 2 == 0 {
+                last
+            } else {
+                u64::from(base % 16)
+            };
+            let (code, result) = machine.put(base, u64::from(revision % 16), &format!("{text}"));
+            let present = machine.machine.revision();
+            let accepted = code == ResultCode::Ok && !result.repeated_order;
+            if present < last || accepted && present <= last || !accepted && present != last {
+                return false;
+            }
+            last = present;
+        }
+        true
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- /dev/null
+++ b/crates/routing/tests/forward_table.rs
@@ -0,0 +1,164 @@
+//! Forwarding routes, what prompts are known to be kept where, and counts told by peers.
+
+use std::collections::BTreeMap;
+
+use millford_api::config::ForwardRoute;
+use millford_api::state::state_value::Kind;
+use millford_api::state::{ProxyMember, StateValue};
+use millford_core::{Duration, MonotonicTime};
+use millford_routing::{
+    BackendHealth, LoadBoard, PartPlace, PromptDirectory, PromptPart, ReplicaCounts, ReplicaKey,
+    RoutingTable,
+};
+use quickcheck::quickcheck;
+use std::sync::Arc;
+
+fn table(routes: &[(&str, &str)]) -> RoutingTable {
+    let items = routes.iter().enumerate().map(|(number, (host, prefix))| {
+        let route = ForwardRoute {
+            name: format!("route-{number}"),
+            host: (*host).to_owned(),
+            path_prefix: (*prefix).to_owned(),
+            ..ForwardRoute::default()
+        };
+        (
+            format!("config/forward/{}", route.name),
+            Kind::ForwardRoute(route),
+        )
+    });
+    let peer = ProxyMember {
+        name: "node-2".to_owned(),
+        ..ProxyMember::default()
+    };
+    let items: Vec<(String, StateValue)> = items
+        .chain([("proxy/node-2".to_owned(), Kind::ProxyMember(peer))])
+        .map(|(key, kind)| (key, StateValue { kind: Some(kind) }))
+        .collect();
+    RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
+}
+
+fn found(table: &RoutingTable, host: &str, path: &str) -> Option<String> {
+    table
+        .forward()
+        .find(host, path)
+        .map(|route| route.name.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(&[
+        ("a.example", "/"),
+        ("a.example", "/x/"),
+        ("a.example", "/x/y/"),
+        ("B.example", "/x/"),
+    ]);
+    let name = |number: u32| Some(format!("route-{number}"));
+    assert_eq!(found(&table, "a.example", "/x/y/z"), name(2));
+    assert_eq!(found(&table, "a.example", "/x/yz"), name(1));
+    assert_eq!(found(&table, "a.example", "/x"), name(0));
+    assert_eq!(found(&table, "A.Example:8080", "/x/"), name(1));
+    assert_eq!(found(&table, "b.example", "/x/1"), name(3));
+    assert_eq!(found(&table, "b.example", "/"), None);
+    assert_eq!(found(&table, "", "/x/"), None);
+    assert_eq!(table.forward().peers().len(), 1);
+}
+
+quickcheck! {
+    fn a_path_goes_to_its_longest_prefix(lengths: Vec<u8>, depth: u8) -> bool {
+        let prefix = |length: u8| format!("/{}", "p/".repeat(usize::from(length % 8)));
+        let mut prefixes: Vec<String> = lengths.iter().map(|length| prefix(*length)).collect();
+        prefixes.sort();
+        prefixes.dedup();
+        let routes: Vec<(&str, &str)> = prefixes.iter().map(|prefix| ("h", prefix.as_str())).collect();
+        let table = table(&routes);
+        let path = prefix(depth);
+        let expected = prefixes.iter().filter(|prefix| path.starts_with(prefix.as_str())).max_by_key(|prefix| prefix.len());
+        table.forward().find("h", &path).map(|route| route.path_prefix.clone()) == expected.cloned()
+    }
+}
+
+#[test]
+fn parts_are_known_where_they_were_sent_and_forgotten_in_time() {
+    let directory = PromptDirectory::default();
+    let at = MonotonicTime::from_millis;
+    let parts = [
+        PromptPart { id: 1, tokens: 10 },
+        PromptPart { id: 2, tokens: 20 },
+        PromptPart { id: 3, tokens: 30 },
+    ];
+    directory.sent(at(0), "b-1", &parts, 2);
+    let told = PartPlace {
+        part: 2,
+        backend_id: "b-2".to_owned(),
+        tokens: 20,
+    };
+    directory.told(at(1000), &told);
+    assert_eq!(
+        directory.holders(at(2000), &parts),
+        [vec!["b-1"], vec!["b-1", "b-2"], vec!["b-1"]]
+    );
+    let news: Vec<u64> = directory
+        .take_news()
+        .iter()
+        .map(|place| place.part)
+        .collect();
+    assert_eq!(news, [1, 2], "what nobody shares is not told");
+    assert!(directory.take_news().is_empty());
+    assert_eq!(
+        directory.holders(at(25_500), &parts),
+        [vec![], vec!["b-2"], Vec::<&str>::new()]
+    );
+    directory.expire(at(60_000));
+    assert_eq!(
+        directory.holders(at(1000), &parts),
+        [Vec::<&str>::new(), vec![], vec![]]
+    );
+}
+
+#[test]
+fn work_told_by_peers_replaces_the_pictures() {
+    let board = Arc::new(LoadBoard::default());
+    board.follow_peers();
+    let key = ReplicaKey {
+        backend_id: "b-1".to_owned(),
+        pool: "p".to_owned(),
+        model: "m".to_owned(),
+        version: "1".to_owned(),
+    };
+    let ticket = board.start(key.clone(), 100);
+    let theirs = ReplicaCounts {
+        prefill_tokens: 50,
+        decode_streams: 2,
+        held_requests: 0,
+    };
+    board.set_others(&BTreeMap::from([(key.clone(), theirs)]));
+    board.merge_picture(&millford_api::internal::LoadPicture::default());
+    assert_eq!(board.counts(&key).prefill_tokens, 150);
+    assert_eq!(board.own_work()[&key].prefill_tokens, 100);
+    board.set_others(&BTreeMap::new());
+    assert_eq!(board.counts(&key).decode_streams, 0);
+    drop(ticket);
+    assert!(board.own_work().is_empty());
+}
+
+#[test]
+fn a_backend_is_silent_since_its_last_sign_or_the_first_use_after_it() {
+    let health = BackendHealth::default();
+    let at = MonotonicTime::from_millis;
+    let span = Duration::from_millis(600);
+    assert!(!health.is_silent("b", at(5000), span), "nothing was sent");
+    health.used("b", at(10_000));
+    health.used("b", at(10_500));
+    assert!(!health.is_silent("b", at(10_550), span));
+    assert!(
+        health.is_silent("b", at(10_600), span),
+        "later uses do not hide it"
+    );
+    health.heard("b", at(10_700));
+    assert!(!health.is_silent("b", at(11_200), span));
+    health.used("b", at(20_000));
+    assert!(
+        !health.is_silent("b", at(20_100), span),
+        "it was idle, not silent"
+    );
+}
