--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -225,6 +225,7 @@
             slots_wanted,
             slots_in_use: self.slots.in_use(),
             oldest_wait_ms: self.oldest_wait_ms(now),
+            waiting: u32::try_from(self.waiters.len()).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/control-state/src/quota/account.rs
+++ b/crates/control-state/src/quota/account.rs
@@ -34,6 +34,8 @@
     pub(super) member: &'ask str,
     pub(super) epoch: u64,
     pub(super) wanted: u64,
+    /// Every request that waits at the node, those of its asks under way included.
+    pub(super) waiting: u64,
     pub(super) returned: u64,
     /// How long the oldest waiting request has waited.
     pub(super) oldest_wait: Duration,
@@ -122,9 +124,13 @@
             self.judge_missing(now, ask, missing, options, &mut answer);
         }
         let waiting = missing - answer.refused;
-        self.slice(now, ask).set_waiting(waiting);
-        let all_waiting = waiting + self.waiting_elsewhere(ask.member);
-        self.bucket.set_waiting(all_waiting);
+        // An ask names only what no ask before it named. What the others named still waits: were it
+        // left out, the optimistic count would be cut to what is left, and the next ask for all of
+        // them would be refused.
+        let queued = ask.waiting.max(ask.wanted) - asked - answer.refused;
+        self.slice(now, ask).set_waiting(waiting, queued);
+        let all_queued = self.slices.values().map(MemberSlice::queued).sum();
+        self.bucket.set_waiting(all_queued);
         answer
     }
 
@@ -160,8 +166,8 @@
         }
         self.bucket.doubt(unknown);
         self.slices.retain(|_, slice| !slice.is_empty());
-        let waiting = self.slices.values().map(MemberSlice::waiting).sum();
-        self.bucket.set_waiting(waiting);
+        let queued = self.slices.values().map(MemberSlice::queued).sum();
+        self.bucket.set_waiting(queued);
         if let Some(credit) = self.outage.take_if(|credit| credit.until <= now) {
             self.bucket.doubt(credit.tokens);
         }
--- a/crates/control-state/src/quota/member_slice.rs
+++ b/crates/control-state/src/quota/member_slice.rs
@@ -49,6 +49,7 @@
     resolved: bool,
     /// Requests that the node's last ask left waiting.
     waiting: u64,
+    queued: u64,
     /// When the node last asked.
     asked_at: MonotonicTime,
     /// The longest silence that ended of late.
@@ -69,6 +70,7 @@
             asks_since_recall: 0,
             resolved: true,
             waiting: 0,
+            queued: 0,
             asked_at: now,
             silence: Silence {
                 length: Duration::from_secs(LONGEST_SILENCE_SECONDS),
@@ -126,9 +128,15 @@
         self.silence
     }
 
-    /// Notes how many requests the node's ask left waiting.
-    pub(super) fn set_waiting(&mut self, waiting: u64) {
+    /// Every request that waits at the node, under whichever ask.
+    pub(super) fn queued(&self) -> u64 {
+        self.queued
+    }
+
+    /// Notes how many requests the node's ask left waiting, and how many wait there in all.
+    pub(super) fn set_waiting(&mut self, waiting: u64, queued: u64) {
         self.waiting = waiting;
+        self.queued = queued.max(waiting);
     }
 
     /// Notes what was lent.
--- a/crates/control-state/src/quota/tenant_account.rs
+++ b/crates/control-state/src/quota/tenant_account.rs
@@ -127,6 +127,7 @@
             member: &context.request.member,
             epoch: context.request.epoch,
             wanted: u64::from(ask.tokens),
+            waiting: u64::from(ask.waiting),
             returned: u64::from(ask.returned_tokens),
             oldest_wait: Duration::from_millis(u64::from(ask.oldest_wait_ms)),
         };
--- a/crates/control-state/tests/quota_outage.rs
+++ b/crates/control-state/tests/quota_outage.rs
@@ -77,3 +77,47 @@
     let other = answer(&mut ledger, now, "front-2", 1, 0);
     assert!(!other.refused, "an exact bucket would have earned again");
 }
+
+#[test]
+fn what_waits_under_other_asks_is_not_forgotten() {
+    let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
+    let quota = Quota {
+        requests_per_second: RATE,
+        burst: BURST,
+        concurrent_streams: 0,
+    };
+    ledger.set_quota(MonotonicTime::ZERO, "tenant", Some(quota));
+    ledger.lead(MonotonicTime::ZERO, 7);
+    let mut ask = |at_ms: u64, request_id: u64, tokens: u32, waiting: u32| {
+        let request = QuotaRequest {
+            shard: 1,
+            request_id,
+            member: "front-1".to_owned(),
+            epoch: 1,
+            asks: vec![QuotaAsk {
+                tenant: "tenant".to_owned(),
+                tokens,
+                waiting,
+                oldest_wait_ms: OUTAGE_MS,
+                ..QuotaAsk::default()
+            }],
+        };
+        let outputs = ledger.handle(MonotonicTime::from_millis(at_ms), &request);
+        let replies = outputs.into_iter().find_map(|output| match output {
+            QuotaOutput::Reply { reply, .. } => Some(reply),
+            QuotaOutput::Recall { .. } => None,
+        });
+        replies.expect("a reply").grants.remove(0)
+    };
+    // Forty wait after an outage of three seconds; ten are served at once.
+    let first = ask(120_000, 1, 40, 40);
+    assert_eq!((first.tokens, first.refused_tokens), (BURST, 0));
+    // While their ask is under way, others come as fast as the rate serves them.
+    for step in 1..=20 {
+        let next = ask(120_000 + step * 500, 1 + step, 5, 35);
+        assert_eq!(next.refused_tokens, 0, "step {step}");
+    }
+    // The credit of the outage has ended; all that still wait ask again.
+    let last = ask(130_200, 100, 30, 30);
+    assert_eq!(last.refused_tokens, 0, "they waited within their quota");
+}
