Let the settings say how many voters a shard has

Cause: on the larger site two core machines may lose their disks at once, and a shard had three voters there too. Groups grow to it by the same repair steps that replace a lost voter.

--- a/crates/control/src/daemon/gateway_thread.rs
+++ b/crates/control/src/daemon/gateway_thread.rs
@@ -231,6 +231,7 @@
             voters,
             layout: ShardLayout::new(data_shards),
             seed: self.options.seed,
+            voters_per_shard: self.options.voters_per_shard,
             replace_after: self.options.replace_after,
             disk: Arc::new(move || folders(&shard_folder(shard))),
         }
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -183,6 +183,7 @@
         operator_address: operator.to_owned(),
         seeds: settings.seeds.clone(),
         data_shards: settings.data_shards,
+        voters_per_shard: settings.voters_per_shard as usize,
         replace_after: Duration::from_millis(settings.replace_after_ms),
         seed: rand::random(),
     }
--- a/crates/control/src/daemon/settings.rs
+++ b/crates/control/src/daemon/settings.rs
@@ -5,9 +5,14 @@
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
+use crate::options::VOTERS_PER_SHARD;
+
 /// Length of a SHA-256 in hexadecimal.
 const HASH_DIGITS: usize = 64;
 
+/// Most voters of a shard: more make every commit slower and bear no disk more that is likely to go.
+const MAX_VOTERS: u32 = 9;
+
 /// Settings of `millford-control`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -30,6 +35,8 @@
     pub cluster_size: u32,
     /// Data shards of a cluster that this node forms.
     pub data_shards: u32,
+    /// Voters of a shard when there are enough nodes; an odd number, 2n + 1 to bear n lost disks.
+    pub voters_per_shard: u32,
     /// Silence after which a lost voter is replaced, in milliseconds.
     pub replace_after_ms: u64,
     /// Least severe level that is logged.
@@ -50,6 +57,7 @@
             registry_address: String::new(),
             cluster_size: 3,
             data_shards: 6,
+            voters_per_shard: VOTERS_PER_SHARD as u32,
             replace_after_ms: 5000,
             log_level: "info".to_owned(),
             log_format: LogFormat::Text,
@@ -71,6 +79,7 @@
         SettingsKey::text("registry_address", "IP:PORT of the service registry"),
         SettingsKey::number("cluster_size", "control nodes that form the cluster"),
         SettingsKey::number("data_shards", "data shards of a new cluster"),
+        SettingsKey::number("voters_per_shard", "voters of a shard, an odd number"),
         SettingsKey::number(
             "replace_after_ms",
             "silence after which a lost voter is replaced",
@@ -109,6 +118,11 @@
             let text = "must be the number of seeds";
             faults.push(SettingsFault::new("cluster_size", text));
         }
+        let odd = self.voters_per_shard % 2 == 1;
+        if !odd || self.voters_per_shard > MAX_VOTERS {
+            let text = "must be an odd number, at most 9";
+            faults.push(SettingsFault::new("voters_per_shard", text));
+        }
         if self.replace_after_ms < 1000 {
             let text = "must be at least 1000, longer than an election";
             faults.push(SettingsFault::new("replace_after_ms", text));
--- a/crates/control/src/gateway/cluster.rs
+++ b/crates/control/src/gateway/cluster.rs
@@ -13,7 +13,6 @@
 use super::sessions::OwnSession;
 use super::{Gateway, GatewayOutput, mint};
 use crate::node_output::NodeNote;
-use crate::options::VOTERS_PER_SHARD;
 use crate::shard::{ShardInput, ShardStanding};
 
 /// Longest time that a removed node keeps replicas that may still be counted on.
@@ -218,9 +217,12 @@
             .map(|member| NodeId(member.node_id))
             .collect();
         let layout = millford_core::ShardLayout::new(form.data_shards);
-        let groups = layout
-            .all()
-            .map(|shard| (shard, replica_group(&nodes, shard, VOTERS_PER_SHARD)));
+        let groups = layout.all().map(|shard| {
+            (
+                shard,
+                replica_group(&nodes, shard, self.options.voters_per_shard),
+            )
+        });
         groups
             .filter(|(_, group)| group.contains(&self.file.identity()))
             .collect()
@@ -247,7 +249,7 @@
             .collect();
         // A founder that stopped between writing the file and opening the shard begins with the
         // same first voters; a replica that holds anything takes its voters from its storage.
-        let voters = replica_group(&founders, shard, VOTERS_PER_SHARD);
+        let voters = replica_group(&founders, shard, self.options.voters_per_shard);
         self.start_shard_with(shard, voters);
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -146,6 +146,7 @@
             voters,
             layout,
             seed: self.options.seed,
+            voters_per_shard: self.options.voters_per_shard,
             replace_after: self.options.replace_after,
             disk: Arc::new(move || folders(&shard_folder(shard))),
         };
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -2,7 +2,7 @@
 
 use millford_core::Duration;
 
-/// Number of voters that a shard has when there are enough nodes.
+/// Voters of a shard when the settings name no other number: one may be lost.
 pub const VOTERS_PER_SHARD: usize = 3;
 
 /// Options of one control node.
@@ -18,6 +18,8 @@
     pub seeds: Vec<String>,
     /// Data shards of a cluster that this node forms.
     pub data_shards: u32,
+    /// Voters that a shard has when there are enough nodes: 2n + 1 of them bear the loss of n disks.
+    pub voters_per_shard: usize,
     /// Silence after which a voter is replaced by a spare.
     pub replace_after: Duration,
     /// Seed of the node's random numbers; from the operating system in the daemon.
--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -43,6 +43,8 @@
     pub layout: ShardLayout,
     /// Seed of the replica's random numbers.
     pub seed: u64,
+    /// Voters of a whole group.
+    pub voters_per_shard: usize,
     /// Silence after which a voter is replaced.
     pub replace_after: Duration,
     /// Opens the shard's disk.
@@ -93,6 +95,7 @@
             subscriptions: Subscriptions::default(),
             repair: Repair {
                 replace_after: options.replace_after,
+                voters: options.voters_per_shard,
             },
             members: MemberView::default(),
             catalogue: CatalogueDuty::default(),
--- a/crates/control/src/shard/repair.rs
+++ b/crates/control/src/shard/repair.rs
@@ -3,7 +3,6 @@
 use millford_core::{Duration, MonotonicTime, NodeId};
 
 use super::members::MemberView;
-use crate::options::VOTERS_PER_SHARD;
 
 /// One replica as its leader sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +44,8 @@
 pub struct Repair {
     /// Silence after which a voter counts as lost.
     pub replace_after: Duration,
+    /// Voters of a whole group.
+    pub voters: usize,
 }
 
 impl Repair {
@@ -64,7 +65,7 @@
         let lost = lost.map(|voter| voter.node);
         match group.learners.first() {
             Some(learner) => self.with_learner(now, learner, lost, group, members),
-            None => without_learner(lost, group, members),
+            None => self.without_learner(lost, group, members),
         }
     }
 
@@ -82,7 +83,7 @@
         if !learner.caught_up {
             return None;
         }
-        if group.voters.len() < VOTERS_PER_SHARD {
+        if group.voters.len() < self.voters {
             return Some(RepairStep::Promote(learner.node));
         }
         // A learner that is no longer needed goes: the voter it was to replace came back.
@@ -93,18 +94,19 @@
         let silent = now.since(replica.last_heard) >= self.replace_after;
         silent || members.get(replica.node).removed
     }
-}
 
-fn without_learner(
-    lost: Option<NodeId>,
-    group: &GroupView,
-    members: &MemberView,
-) -> Option<RepairStep> {
-    let short = group.voters.len() < VOTERS_PER_SHARD;
-    if lost.is_none() && !short {
-        return None;
+    fn without_learner(
+        &self,
+        lost: Option<NodeId>,
+        group: &GroupView,
+        members: &MemberView,
+    ) -> Option<RepairStep> {
+        let short = group.voters.len() < self.voters;
+        if lost.is_none() && !short {
+            return None;
+        }
+        let votes = |node: &NodeId| group.voters.iter().any(|voter| voter.node == *node);
+        let spare = members.candidates().find(|node| !votes(node));
+        spare.map(RepairStep::AddLearner)
     }
-    let votes = |node: &NodeId| group.voters.iter().any(|voter| voter.node == *node);
-    let spare = members.candidates().find(|node| !votes(node));
-    spare.map(RepairStep::AddLearner)
 }
--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -17,6 +17,7 @@
 
 const REPAIR: Repair = Repair {
     replace_after: Duration::from_secs(5),
+    voters: 3,
 };
 
 fn at(millis: u64) -> MonotonicTime {
--- a/crates/control/tests/repair.rs
+++ b/crates/control/tests/repair.rs
@@ -176,3 +176,32 @@
     cluster.boot("node-5");
     wait_until_whole(&mut cluster, &["node-1", "node-4", "node-5"]);
 }
+
+/// A cluster of five machines, formed by three of them, with groups of five.
+fn five_voters(seed: u64) -> Cluster {
+    let seeds = ["node-1", "node-2", "node-3"].map(str::to_owned);
+    let mut cluster = Cluster::empty(seeds.to_vec(), seed).with_voters(5);
+    for address in FIVE {
+        cluster.boot(address);
+    }
+    cluster.run_until(Duration::from_secs(12), "leaders", Cluster::is_led);
+    cluster
+}
+
+const FIVE: [&str; 5] = ["node-1", "node-2", "node-3", "node-4", "node-5"];
+
+#[test]
+fn groups_grow_to_five_voters_and_bear_the_loss_of_any_two_disks() {
+    for (first, second) in [(0, 1), (1, 2), (0, 2), (3, 4), (2, 3)] {
+        let mut cluster = five_voters(first as u64 + 10);
+        wait_until_whole(&mut cluster, &FIVE);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        cluster.kill(FIVE[first]);
+        cluster.kill(FIVE[second]);
+        let mut left = FIVE.iter().enumerate();
+        let left = left.find(|(place, _)| *place != first && *place != second);
+        let (_, survivor) = left.expect("three are left");
+        cluster.run_until(Duration::from_secs(12), "leaders", Cluster::is_led);
+        assert_eq!(revision(&mut cluster, survivor), 1, "{first} and {second}");
+    }
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -55,6 +55,7 @@
     last_link: u64,
     last_request: u64,
     replace_after: Duration,
+    voters_per_shard: usize,
 }
 
 impl Cluster {
@@ -86,9 +87,16 @@
             last_link: 0,
             last_request: 0,
             replace_after: Duration::from_secs(5),
+            voters_per_shard: 3,
         }
     }
 
+    /// Groups of this many voters on machines that start from now on.
+    pub fn with_voters(mut self, voters: usize) -> Self {
+        self.voters_per_shard = voters;
+        self
+    }
+
     /// Starts the machine at this address, with the disk that it has.
     pub fn boot(&mut self, address: &str) {
         self.boots += 1;
@@ -108,6 +116,7 @@
             operator_address: format!("{address}-operator"),
             seeds: machine.seeds.clone(),
             data_shards: 2,
+            voters_per_shard: self.voters_per_shard,
             replace_after: self.replace_after,
             seed: self.seed * 1_000_000 + boot,
         };
--- a/crates/simulation/src/world/control_driver.rs
+++ b/crates/simulation/src/world/control_driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use millford_control::options::VOTERS_PER_SHARD;
 use millford_control::timing::TICK;
 use millford_control::{ControlNode, ControlOptions, LinkId, NodeInput, NodeOutput, PeerKind};
 use millford_core::MonotonicTime;
@@ -95,6 +96,7 @@
             operator_address: format!("10.0.1.{number}:{OPERATOR_PORT}"),
             seeds: seed_addresses(),
             data_shards: DATA_SHARDS,
+            voters_per_shard: VOTERS_PER_SHARD,
             replace_after: REPLACE_AFTER,
             seed: self.random.random(),
         }
