--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -26,7 +26,7 @@
 }
 
 enum Event {
-    Frame(End, Frame),
+    Frame(End, Box<Frame>),
     Opened(End, PeerKind),
     Closed(End),
 }
@@ -296,6 +296,7 @@
                 if !self.others.contains_key(&end) || self.cut.contains(&end.address) {
                     return;
                 }
+                let frame = *frame;
                 if self.machines.contains_key(&end.address) {
                     let link = end.link;
                     self.input(&end.address, NodeInput::Frame { link, frame });
@@ -365,7 +366,7 @@
             return;
         };
         if !self.cut.contains(&from.address) {
-            self.schedule(Event::Frame(to, frame));
+            self.schedule(Event::Frame(to, Box::new(frame)));
         }
     }
 
--- a/crates/forward/tests/quota.rs
+++ b/crates/forward/tests/quota.rs
@@ -209,8 +209,9 @@
             }
             // Up to half of the datagrams are lost.
             let loss = losses[round % losses.len()];
-            fleet
-                .exchange(|from, to| loss % 2 == 0 && (from * 4 + to + usize::from(loss)) % 2 == 0);
+            let lost =
+                |from: usize, to: usize| (from * 4 + to + usize::from(loss)).is_multiple_of(2);
+            fleet.exchange(|from, to| loss.is_multiple_of(2) && lost(from, to));
             fleet.pass(20);
         }
         TestResult::from_bool(fleet.most_in_window() <= bound(RATE))
--- a/crates/forward/tests/support/backend.rs
+++ b/crates/forward/tests/support/backend.rs
@@ -104,7 +104,7 @@
                 Step::AnswerThenReset(text) => {
                     let text = text.replace("REQUEST-ID", &id);
                     let _ = stream.write_all(text.as_bytes()).await;
-                    let _ = stream.set_linger(Some(std::time::Duration::ZERO));
+                    let _ = stream.set_zero_linger();
                     return;
                 }
                 Step::Close => return,
