Set up replaced machines of the simulator with seeds that serve

The last one's process was reset before it had joined; its settings named the three lost machines, as every simulated machine's did, so it never joined and left orders undecided. The operators' guide asks for seeds that include a running node, and a platform names such nodes. Ruled out: the joining itself; with one living seed it joins in 20 ms. Change: the simulated operator does what the guide says; first machines still name each other, and a process keeps the seeds that its machine was set up with. No check is eased.

--- a/crates/simulation/src/world/control_process.rs
+++ b/crates/simulation/src/world/control_process.rs
@@ -25,12 +25,14 @@
     pub accepted: u64,
     /// Whether the machine is lost for good.
     pub lost: bool,
+    /// Control nodes that its settings name.
+    pub seeds: Vec<String>,
 }
 
 impl ControlProcess {
-    /// A core machine with an empty disk.
+    /// A core machine with an empty disk, whose settings name these control nodes.
     #[must_use]
-    pub fn new(process: ProcessState) -> Self {
+    pub fn new(process: ProcessState, seeds: Vec<String>) -> Self {
         Self {
             process,
             platter: Arc::default(),
@@ -39,6 +41,7 @@
             numbers: BTreeMap::new(),
             accepted: 0,
             lost: false,
+            seeds,
         }
     }
 
