--- a/crates/simulation/src/world/agent_link_driver.rs
+++ b/crates/simulation/src/world/agent_link_driver.rs
@@ -137,9 +137,8 @@
 /// Whether the frame carries items of the configuration.
 fn is_configuration(frame: &LocalFrame) -> bool {
     match &frame.body {
-        Some(local_frame::Body::Snapshot(snapshot)) => {
-            snapshot.shard == 0 && !snapshot.items.is_empty()
-        }
+        // An empty snapshot counts: it is where the changes after it begin.
+        Some(local_frame::Body::Snapshot(snapshot)) => snapshot.shard == 0,
         Some(local_frame::Body::Change(change)) => change.shard == 0,
         _ => false,
     }
