Read a header and set up a led ledger in one place in the tests

Change: header_of and led_ledger, called from all of them. No assertion, no bound and no literal has changed.

--- a/crates/control-state/tests/quota_outage.rs
+++ b/crates/control-state/tests/quota_outage.rs
@@ -11,15 +11,8 @@
 
 /// The answer of a leader, just elected, to a node where `waiting` requests wait.
 fn first_answer(waiting: u32, oldest_wait_ms: u32) -> QuotaGrant {
-    let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
-    let quota = Quota {
-        requests_per_second: RATE,
-        burst: BURST,
-        concurrent_streams: 0,
-    };
     let elected = MonotonicTime::from_millis(10_000);
-    ledger.set_quota(elected, "tenant", Some(quota));
-    ledger.lead(elected, 7);
+    let mut ledger = led_ledger(elected);
     // The former leader may have led until then.
     let settled = elected + QuotaOptions::default().step_down_bound;
     answer(&mut ledger, settled, "front-1", waiting, oldest_wait_ms)
@@ -66,6 +59,19 @@
     replies.expect("a reply").grants.remove(0)
 }
 
+/// A ledger that leads from this moment and knows the tenant's quota.
+fn led_ledger(elected: MonotonicTime) -> QuotaLedger {
+    let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
+    let quota = Quota {
+        requests_per_second: RATE,
+        burst: BURST,
+        concurrent_streams: 0,
+    };
+    ledger.set_quota(elected, "tenant", Some(quota));
+    ledger.lead(elected, 7);
+    ledger
+}
+
 #[test]
 fn demand_under_the_rate_is_not_refused_after_an_outage() {
     // Nine a second for three seconds without a leader: an exact bucket would have served all.
@@ -75,14 +81,7 @@
 
 #[test]
 fn who_waited_through_an_outage_does_not_crowd_out_others() {
-    let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
-    let quota = Quota {
-        requests_per_second: RATE,
-        burst: BURST,
-        concurrent_streams: 0,
-    };
-    ledger.set_quota(MonotonicTime::ZERO, "tenant", Some(quota));
-    ledger.lead(MonotonicTime::ZERO, 7);
+    let mut ledger = led_ledger(MonotonicTime::ZERO);
     // Long after the election, so that the bucket is certainly full.
     let now = MonotonicTime::from_millis(120_000);
     ledger.tick(now);
@@ -94,14 +93,7 @@
 
 #[test]
 fn what_waits_under_other_asks_is_not_forgotten() {
-    let mut ledger = QuotaLedger::new(ShardId(1), QuotaOptions::default());
-    let quota = Quota {
-        requests_per_second: RATE,
-        burst: BURST,
-        concurrent_streams: 0,
-    };
-    ledger.set_quota(MonotonicTime::ZERO, "tenant", Some(quota));
-    ledger.lead(MonotonicTime::ZERO, 7);
+    let mut ledger = led_ledger(MonotonicTime::ZERO);
     let mut ask = |at_ms: u64, request_id: u64, tokens: u32, waiting: u32| {
         let ask = QuotaAsk {
             tokens,
--- a/crates/forward/tests/support/backend.rs
+++ b/crates/forward/tests/support/backend.rs
@@ -6,6 +6,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::head::header_of;
+
 /// One request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -16,13 +18,7 @@
 impl Received {
     /// Value of a header.
     pub fn header(&self, name: &str) -> Option<String> {
-        let mut lines = self.head.lines().skip(1);
-        lines.find_map(|line| {
-            let (found, value) = line.split_once(':')?;
-            found
-                .eq_ignore_ascii_case(name)
-                .then(|| value.trim().to_owned())
-        })
+        header_of(&self.head, name)
     }
 }
 
--- a/crates/forward/tests/support/caller.rs
+++ b/crates/forward/tests/support/caller.rs
@@ -5,6 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::head::header_of;
 use super::node::{HOST, KEY};
 
 /// An answer as it came, and whether it was whole by its framing.
@@ -19,13 +20,7 @@
 impl Reply {
     /// Value of a header.
     pub fn header(&self, name: &str) -> Option<String> {
-        let mut lines = self.head.lines().skip(1);
-        lines.find_map(|line| {
-            let (found, value) = line.split_once(':')?;
-            found
-                .eq_ignore_ascii_case(name)
-                .then(|| value.trim().to_owned())
-        })
+        header_of(&self.head, name)
     }
 }
 
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod backend;
 pub mod caller;
+pub mod head;
 pub mod node;
