--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use millford_api::internal::CostSample;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
@@ -46,7 +46,8 @@
         plan.body = Bytes::new();
     }
     let left = plan.deadline.since(monotonic_now());
-    let relay = Relay {
+    let is_empty = body.is_end_stream();
+    let mut relay = Relay {
         time_limit: Box::pin(tokio::time::sleep(left)),
         source: Source {
             backend_id: opened.target.key.backend_id.clone(),
@@ -70,6 +71,9 @@
         trail,
         ended: false,
     };
+    if is_empty {
+        relay.finish();
+    }
     let chunks = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await {
@@ -134,10 +138,14 @@
             match self.arrival().await? {
                 Arrival::Chunk(bytes) => {
                     self.note_chunk();
-                    match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
-                        None => return Ok(Some(bytes)),
-                    }
+                    let Some(splitter) = &mut self.splitter else {
+                        // Of a body with a length nobody asks for the end once it was sent whole.
+                        if self.source.body.is_end_stream() {
+                            self.finish();
+                        }
+                        return Ok(Some(bytes));
+                    };
+                    splitter.push(&bytes);
                 }
                 Arrival::End => self.end().await?,
                 Arrival::Lost => self.resume().await?,
@@ -212,12 +220,17 @@
         if rest.is_some_and(|rest| !rest.is_empty()) {
             return self.resume().await;
         }
+        self.finish();
+        Ok(())
+    }
+
+    /// The answer was read whole: its connection can carry another request.
+    fn finish(&mut self) {
         self.ended = true;
         self.learn();
         if let Some(lease) = self.source.opened.lease.take() {
             lease.give_back(self.source.opened.keep_alive);
         }
-        Ok(())
     }
 
     /// Adds what the answer cost to what placement and routing learn from.
--- /dev/null
+++ b/crates/forward/tests/event_splitter.rs
@@ -0,0 +1,52 @@
+//! Streams are split into whole events wherever the bytes are cut.
+
+use millford_forward::request::event_splitter::EventSplitter;
+use quickcheck::QuickCheck;
+
+fn events_of(parts: &[&[u8]]) -> (Vec<(String, Option<u64>)>, String) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for part in parts {
+        splitter.push(part);
+        while let Some(event) = splitter.next_event() {
+            let text = String::from_utf8(event.bytes.to_vec()).unwrap();
+            events.push((text, event.id));
+        }
+    }
+    let rest = String::from_utf8(splitter.take_rest().to_vec()).unwrap();
+    (events, rest)
+}
+
+#[test]
+fn ids_are_read_whatever_comes_before_them() {
+    let text =
+        b"version: 3\nid: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: no id\n\nid: x\n\nid: 9";
+    let (events, rest) = events_of(&[text]);
+    let ids: Vec<Option<u64>> = events.iter().map(|(_, id)| *id).collect();
+    assert_eq!(ids, [Some(7), Some(8), None, None]);
+    assert_eq!(rest, "id: 9");
+}
+
+#[test]
+fn cuts_make_no_difference() {
+    fn same(ids: Vec<u16>, cuts: Vec<usize>) -> bool {
+        let text: String = ids
+            .iter()
+            .map(|id| format!("id: {id}\ndata: piece\n\n"))
+            .collect();
+        let bytes = text.as_bytes();
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+        places.extend([0, bytes.len()]);
+        places.sort_unstable();
+        let parts: Vec<&[u8]> = places
+            .windows(2)
+            .map(|pair| &bytes[pair[0]..pair[1]])
+            .collect();
+        let (events, rest) = events_of(&parts);
+        let found: Vec<Option<u64>> = events.iter().map(|(_, id)| *id).collect();
+        let expected: Vec<Option<u64>> = ids.iter().map(|id| Some(u64::from(*id))).collect();
+        let joined: String = events.iter().map(|(text, _)| text.as_str()).collect();
+        found == expected && rest.is_empty() && joined == text
+    }
+    QuickCheck::new().quickcheck(same as fn(Vec<u16>, Vec<usize>) -> bool);
+}
--- /dev/null
+++ b/crates/forward/tests/forwarding.rs
@@ -0,0 +1,295 @@
+//! Requests through a real node to scripted backends: what arrives, what comes back, what never runs twice.
+
+mod support;
+
+use millford_api::config::{HttpLimits, TokenQuota};
+use support::backend::{Step, StubBackend, not_run, signed};
+use support::caller::{call, request};
+use support::node::{HOST, Setup, TestNode};
+
+#[tokio::test]
+async fn method_path_and_body_go_unchanged_and_the_key_does_not() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    let headers = "x-millford-tenant: forged\r\nx-other: kept\r\nConnection: x-hop\r\nx-hop: 1\r\n";
+    let reply = call(node.callers, &request("/work/a?b=c", headers, "body")).await;
+    assert_eq!((reply.status, reply.body.as_str()), (200, "done"));
+    assert_eq!(reply.header("x-millford-signature").as_deref(), Some("s"));
+    let received = &backend.received()[0];
+    assert!(received.head.starts_with("POST /work/a?b=c HTTP/1.1"));
+    assert_eq!(received.body, b"body");
+    assert_eq!(received.header("host").as_deref(), Some(HOST));
+    assert_eq!(received.header("x-other").as_deref(), Some("kept"));
+    assert_eq!(
+        received.header("x-millford-tenant").as_deref(),
+        Some("tenant")
+    );
+    assert_eq!(
+        received.header("x-millford-backend").as_deref(),
+        Some("backend-0")
+    );
+    assert_eq!(received.header("authorization"), None);
+    assert_eq!(received.header("x-hop"), None);
+}
+
+#[tokio::test]
+async fn the_time_that_is_left_is_passed_on() {
+    let backend = StubBackend::start(vec![Step::Answer(signed(""))]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    call(
+        node.callers,
+        &request("/work/", "x-millford-deadline-ms: 700\r\n", ""),
+    )
+    .await;
+    call(
+        node.callers,
+        &request("/work/", "x-millford-deadline-ms: 90000\r\n", ""),
+    )
+    .await;
+    call(
+        node.callers,
+        &request("/work/", "x-millford-deadline-ms: never\r\n", ""),
+    )
+    .await;
+    let left: Vec<u64> = backend
+        .received()
+        .iter()
+        .map(|received| {
+            received
+                .header("x-millford-deadline-ms")
+                .unwrap()
+                .parse()
+                .unwrap()
+        })
+        .collect();
+    assert!(left[0] <= 700 && left[0] > 500, "{left:?}");
+    assert!(
+        left[1] <= 2000 && left[2] <= 2000,
+        "the route's own limit: {left:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_backend_that_did_not_run_it_is_followed_by_another() {
+    let full = StubBackend::start(vec![Step::Answer(not_run(503))]).await;
+    let free = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&full, &free]).await;
+    for _ in 0..8 {
+        let reply = call(node.callers, &request("/work/", "", "")).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert_eq!(free.received().len(), 8);
+}
+
+#[tokio::test]
+async fn when_all_are_full_the_promise_and_the_time_are_passed_on() {
+    let full = StubBackend::start(vec![Step::Answer(not_run(503))]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&full]).await;
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.header("retry-after").is_some());
+    assert_eq!(full.received().len(), 1);
+}
+
+#[tokio::test]
+async fn what_may_not_be_repeated_is_sent_once_and_its_fate_is_not_promised() {
+    for step in [
+        Step::Close,
+        Step::AnswerThenReset("HTTP/1.1 200 OK\r\n".to_owned()),
+        Step::Answer("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_owned()),
+        Step::Answer("HTTP/1.1 429 Busy\r\ncontent-length: 0\r\n\r\n".to_owned()),
+        // Another request's answer, and one without a signature.
+        Step::Answer(signed("other").replace("REQUEST-ID", "id-of-another")),
+        Step::Answer(signed("bare").replace("x-millford-signature: s\r\n", "")),
+        Step::Answer(
+            signed("packed").replace("content-length", "content-encoding: gzip\r\ncontent-length"),
+        ),
+        Step::Answer("these are no answers\r\n\r\n".to_owned()),
+    ] {
+        let first = StubBackend::start(vec![step.clone()]).await;
+        let second = StubBackend::start(vec![step.clone()]).await;
+        let node = TestNode::start(&Setup::with(|_| {}), &[&first, &second]).await;
+        let reply = call(node.callers, &request("/work/", "", "")).await;
+        assert_eq!(reply.status, 502, "{step:?}");
+        assert_eq!(reply.header("x-millford-signature"), None);
+        assert_eq!(
+            first.received().len() + second.received().len(),
+            1,
+            "{step:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_repeatable_request_goes_on_elsewhere_within_its_attempts() {
+    let lost = StubBackend::start(vec![Step::Close]).await;
+    let good = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let setup = Setup::with(|route| {
+        route.repeatable = true;
+        route.max_attempts = 2;
+    });
+    let node = TestNode::start(&setup, &[&lost, &good]).await;
+    for _ in 0..6 {
+        let reply = call(node.callers, &request("/work/", "", "")).await;
+        assert_eq!(reply.status, 200);
+    }
+    let setup = Setup::with(|route| route.repeatable = true);
+    let alone = TestNode::start(&setup, &[&lost]).await;
+    let before = lost.received().len();
+    let reply = call(alone.callers, &request("/work/", "", "")).await;
+    assert_eq!(reply.status, 502);
+    assert_eq!(lost.received().len(), before + 1);
+}
+
+#[tokio::test]
+async fn a_failure_of_the_backend_itself_goes_back_as_it_is() {
+    let answer = signed("broken").replace("200 OK", "500 Failed");
+    let backend = StubBackend::start(vec![Step::Answer(answer)]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert_eq!((reply.status, reply.body.as_str()), (500, "broken"));
+    assert_eq!(reply.header("x-millford-signature").as_deref(), Some("s"));
+}
+
+#[tokio::test]
+async fn an_answer_that_is_cut_never_looks_whole() {
+    let cut = signed("0123456789").replace("content-length: 10", "content-length: 20");
+    let backend = StubBackend::start(vec![Step::AnswerThenReset(cut)]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert!(!reply.whole, "{reply:?}");
+}
+
+#[tokio::test]
+async fn the_final_answer_comes_when_the_time_is_over() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    let setup = Setup::with(|route| route.timeout_ms = 300);
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let begun = std::time::Instant::now();
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert_eq!(reply.status, 504);
+    assert!(begun.elapsed() < std::time::Duration::from_millis(800));
+}
+
+#[tokio::test]
+async fn callers_are_refused_by_number() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let mut setup = Setup::with(|_| {});
+    setup.limits = Some(HttpLimits {
+        max_header_bytes: 1000,
+        max_body_bytes: 8,
+        header_timeout_ms: 1000,
+        idle_timeout_ms: 1000,
+    });
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let good = request("/work/", "", "");
+    let long = format!("x-long: {}\r\n", "a".repeat(1200));
+    let cases = [
+        (good.replace("/work/", "/other/"), 404, "1009"),
+        (good.replace(HOST, "other.example"), 404, "1009"),
+        (good.replace("Bearer key", "Bearer lost-key"), 401, "1004"),
+        (good.replace("Authorization", "x-none"), 401, "1003"),
+        (good.replace("Bearer ", "Basic "), 401, "1003"),
+        (request("/work/", &long, ""), 431, "1008"),
+        (request("/work/", "", "123456789"), 413, "1007"),
+    ];
+    for (text, status, code) in cases {
+        let reply = call(node.callers, &text).await;
+        assert_eq!(reply.status, status, "{text}");
+        assert!(reply.body.starts_with(code), "{}", reply.body);
+    }
+    assert!(backend.received().is_empty());
+    let malformed = [
+        "GARBAGE\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        "POST /work/ HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+    ];
+    for text in malformed {
+        assert_eq!(call(node.callers, text).await.status, 400, "{text}");
+    }
+    assert_eq!(
+        call(node.callers, &good).await.status,
+        200,
+        "nothing is lost by it"
+    );
+}
+
+#[tokio::test]
+async fn a_node_without_a_configuration_says_so() {
+    let backend = StubBackend::start(vec![Step::Answer(signed(""))]).await;
+    let setup = Setup::with(|_| {});
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let settings = millford_forward::ForwardSettings::default();
+    let state = std::sync::Arc::new(millford_proxy::proxy_state::ProxyState::new(
+        Default::default(),
+    ));
+    let empty = std::sync::Arc::new(millford_forward::ForwardNode::new(
+        &settings,
+        state,
+        millford_forward::MillfordProtocol,
+    ));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(millford_forward::daemon::callers::serve_callers(
+        listener,
+        empty,
+        node.connections.clone(),
+    ));
+    let reply = call(address, &request("/work/", "", "")).await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.header("retry-after").is_some());
+}
+
+#[tokio::test]
+async fn a_tenant_over_its_tokens_is_told_when_to_come_back() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let mut setup = Setup::with(|_| {});
+    setup.quota = Some(TokenQuota {
+        tokens_per_second: 10,
+        burst: 100,
+        default_tokens: 1,
+    });
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let large = request("/work/", "x-millford-tokens: 200,100\r\n", "");
+    assert_eq!(
+        call(node.callers, &large).await.status,
+        200,
+        "whatever its size"
+    );
+    let refused = call(node.callers, &request("/work/", "", "")).await;
+    assert_eq!(refused.status, 429);
+    let seconds: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!((15.0..=30.0).contains(&seconds), "{seconds}");
+    assert_eq!(backend.received().len(), 1);
+}
+
+#[tokio::test]
+async fn connections_to_backends_are_kept() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    for _ in 0..5 {
+        assert_eq!(
+            call(node.callers, &request("/work/", "", "")).await.status,
+            200
+        );
+    }
+    assert_eq!(backend.connections(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_takes_its_request_along() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    let node = TestNode::start(&Setup::with(|_| {}), &[&backend]).await;
+    let mut stream = tokio::net::TcpStream::connect(node.callers).await.unwrap();
+    let text = request("/work/", "", "");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, text.as_bytes())
+        .await
+        .unwrap();
+    while node.node.connections.leased("backend-0") == 0 {
+        tokio::task::yield_now().await;
+    }
+    drop(stream);
+    while node.node.connections.leased("backend-0") > 0 {
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/quota.rs
@@ -0,0 +1,221 @@
+//! Token quotas over several nodes, in simulated time.
+
+use millford_api::config::{Tenant, TokenQuota};
+use millford_core::{Duration, MonotonicTime};
+use millford_forward::quota::{PeerCount, TenantQuotas};
+use quickcheck::{QuickCheck, TestResult};
+
+const RATE: u64 = 1000;
+const BURST: u64 = 1000;
+/// Rate and burst that a node keeps beyond the tenant's, and what one window may exceed them by.
+const HEADROOM: f64 = 1.15;
+
+fn tenant() -> Tenant {
+    Tenant {
+        name: "tenant".to_owned(),
+        token_quota: Some(TokenQuota {
+            tokens_per_second: RATE,
+            burst: BURST,
+            default_tokens: 1,
+        }),
+        ..Tenant::default()
+    }
+}
+
+/// Nodes that tell each other their counts, some of which are lost.
+struct Fleet {
+    nodes: Vec<TenantQuotas>,
+    boots: Vec<u64>,
+    now: MonotonicTime,
+    admitted: Vec<(MonotonicTime, u64)>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        Self {
+            nodes: (0..count).map(|_| TenantQuotas::default()).collect(),
+            boots: vec![1; count],
+            now: MonotonicTime::from_millis(1000),
+            admitted: Vec::new(),
+        }
+    }
+
+    fn ask(&mut self, node: usize, tokens: u64) -> bool {
+        let admitted = self.nodes[node].admit(self.now, &tenant(), tokens).is_ok();
+        if admitted {
+            self.admitted.push((self.now, tokens));
+        }
+        admitted
+    }
+
+    /// Every node tells every other one, but for those that `lost` names.
+    fn exchange(&mut self, lost: impl Fn(usize, usize) -> bool) {
+        let quota = tenant().token_quota.unwrap();
+        for from in 0..self.nodes.len() {
+            let levels = self.nodes[from].levels(self.now);
+            for to in (0..self.nodes.len()).filter(|to| *to != from && !lost(from, *to)) {
+                for level in &levels {
+                    let count = PeerCount {
+                        member: &format!("node-{from}"),
+                        boot_id: self.boots[from],
+                        tenant: &level.tenant,
+                        used_tokens: level.used_tokens,
+                        level_tokens: level.level_tokens,
+                    };
+                    self.nodes[to].peer_count(self.now, &quota, count);
+                }
+            }
+        }
+        for node in &self.nodes {
+            node.tick(self.now);
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    fn restart(&mut self, node: usize) {
+        self.nodes[node] = TenantQuotas::default();
+        self.boots[node] += 1;
+    }
+
+    /// The most that was admitted within any eight seconds.
+    fn most_in_window(&self) -> u64 {
+        let window = Duration::from_secs(8);
+        let starts = self.admitted.iter().map(|(at, _)| *at);
+        let sums = starts.map(|start| {
+            let within = |at: MonotonicTime| at >= start && at.since(start) < window;
+            let sum = self.admitted.iter().filter(|(at, _)| within(*at));
+            sum.map(|(_, tokens)| *tokens).sum()
+        });
+        sums.max().unwrap_or(0)
+    }
+}
+
+/// What may run within eight seconds, with `late` tokens admitted before peers hear of each other.
+fn bound(late: u64) -> u64 {
+    ((RATE * 8 + BURST) as f64 * HEADROOM) as u64 + late
+}
+
+#[test]
+fn a_tenant_that_presses_on_gets_its_rate_over_all_nodes() {
+    let mut fleet = Fleet::new(8);
+    for round in 0..4000_usize {
+        for node in 0..8 {
+            // Six times the rate; each admission is told within ten milliseconds.
+            if round % 2 == 0 {
+                fleet.ask(node, 15);
+            }
+        }
+        fleet.exchange(|_, _| false);
+        fleet.pass(10);
+    }
+    let total: u64 = fleet.admitted.iter().map(|(_, tokens)| tokens).sum();
+    let expected = RATE * 40 + BURST;
+    assert!(
+        total as f64 > expected as f64 * 0.95,
+        "{total} of {expected}"
+    );
+    assert!(
+        fleet.most_in_window() <= bound(8 * 15),
+        "{}",
+        fleet.most_in_window()
+    );
+}
+
+#[test]
+fn a_tenant_under_its_quota_is_never_refused() {
+    let mut fleet = Fleet::new(8);
+    for round in 0..2000_usize {
+        // Nine tenths of the rate, all of it at one node.
+        assert!(fleet.ask(round % 3, 9), "refused at {:?}", fleet.now);
+        fleet.exchange(|from, to| (from + to + round) % 3 == 0);
+        fleet.pass(10);
+    }
+}
+
+#[test]
+fn large_requests_are_admitted_as_often_as_small_ones() {
+    let mut fleet = Fleet::new(2);
+    let (mut small, mut large) = (0, 0);
+    for round in 0..8000_usize {
+        small += u64::from(fleet.ask(round % 2, 10));
+        fleet.pass(1);
+        large += u64::from(fleet.ask((round + 1) % 2, 500));
+        fleet.exchange(|_, _| false);
+        fleet.pass(4);
+    }
+    assert!(large * 3 > small, "{large} large, {small} small");
+}
+
+#[test]
+fn a_node_that_is_cut_off_does_not_double_the_quota() {
+    let mut fleet = Fleet::new(4);
+    let mut step = |fleet: &mut Fleet, rounds: usize, cut: bool| {
+        for _ in 0..rounds {
+            for node in 0..4 {
+                fleet.ask(node, 15);
+            }
+            fleet.exchange(|from, to| cut && (from == 3 || to == 3));
+            fleet.pass(10);
+        }
+    };
+    step(&mut fleet, 1000, false);
+    step(&mut fleet, 400, true);
+    step(&mut fleet, 1000, false);
+    // Each side assumes that the other goes on as before; the assumption fades in seconds.
+    assert!(
+        fleet.most_in_window() <= bound(RATE * 2),
+        "{}",
+        fleet.most_in_window()
+    );
+}
+
+#[test]
+fn a_restarted_node_takes_over_what_its_peers_believe() {
+    let mut fleet = Fleet::new(4);
+    for round in 0..2000_usize {
+        for node in 0..4 {
+            fleet.ask(node, 15);
+        }
+        fleet.exchange(|_, _| false);
+        if round % 250 == 249 {
+            fleet.restart(round / 250 % 4);
+            fleet.exchange(|_, _| false);
+        }
+        fleet.pass(10);
+    }
+    assert!(
+        fleet.most_in_window() <= bound(BURST),
+        "{}",
+        fleet.most_in_window()
+    );
+}
+
+#[test]
+fn any_losses_of_news_leave_the_quota_bounded() {
+    fn holds(losses: Vec<u8>, offered: Vec<u8>) -> TestResult {
+        if losses.is_empty() || offered.is_empty() {
+            return TestResult::discard();
+        }
+        let mut fleet = Fleet::new(4);
+        for round in 0..1500_usize {
+            let tokens = u64::from(offered[round % offered.len()]) % 40;
+            for node in 0..4 {
+                if tokens > 0 {
+                    fleet.ask(node, tokens);
+                }
+            }
+            // Up to half of the datagrams are lost.
+            let loss = losses[round % losses.len()];
+            fleet
+                .exchange(|from, to| loss % 2 == 0 && (from * 4 + to + usize::from(loss)) % 2 == 0);
+            fleet.pass(20);
+        }
+        TestResult::from_bool(fleet.most_in_window() <= bound(RATE))
+    }
+    QuickCheck::new()
+        .tests(20)
+        .quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> TestResult);
+}
--- /dev/null
+++ b/crates/forward/tests/streams.rs
@@ -0,0 +1,131 @@
+//! Event streams: passed on as they come, continued elsewhere at exactly the next event.
+
+mod support;
+
+use support::backend::{LAST_CHUNK, Step, StubBackend, chunk, event, stream_start};
+use support::caller::{call, request};
+use support::node::{Setup, TestNode};
+
+fn resumable() -> Setup {
+    Setup::with(|route| {
+        route.stream = true;
+        route.resumable = true;
+        route.max_attempts = 2;
+    })
+}
+
+fn events(ids: std::ops::Range<u64>) -> String {
+    ids.map(event).collect()
+}
+
+#[tokio::test]
+async fn a_whole_stream_goes_through() {
+    let text = format!("{}{LAST_CHUNK}", stream_start(1..6));
+    let backend = StubBackend::start(vec![Step::Answer(text)]).await;
+    for setup in [resumable(), Setup::with(|route| route.stream = true)] {
+        let node = TestNode::start(&setup, &[&backend]).await;
+        let reply = call(node.callers, &request("/work/", "", "")).await;
+        assert!(reply.whole);
+        assert_eq!(reply.body, events(1..6));
+    }
+}
+
+#[tokio::test]
+async fn another_backend_goes_on_after_the_last_whole_event() {
+    // The first breaks off in the middle of event 4.
+    let half = chunk(&event(4)[..7]);
+    let broken = format!("{}{half}", stream_start(1..4));
+    let rest = format!("{}{LAST_CHUNK}", stream_start(4..8));
+    let first = StubBackend::start(vec![
+        Step::AnswerThenReset(broken.clone()),
+        Step::Answer(rest.clone()),
+    ])
+    .await;
+    let second = StubBackend::start(vec![Step::AnswerThenReset(broken), Step::Answer(rest)]).await;
+    // Whichever comes first breaks off; the other is made to go on.
+    let node = TestNode::start(&resumable(), &[&first, &second]).await;
+    let mut whole = 0;
+    for _ in 0..4 {
+        let reply = call(node.callers, &request("/work/", "", "")).await;
+        if reply.whole {
+            whole += 1;
+            let text = reply.body.clone();
+            assert!(text == events(1..8) || text == events(4..8), "{text}");
+        } else {
+            assert_eq!(reply.body, events(1..4), "only whole events");
+        }
+    }
+    assert!(whole >= 2);
+    let mut resumed = first.received();
+    resumed.extend(second.received());
+    assert!(
+        resumed
+            .iter()
+            .any(|received| received.header("last-event-id").as_deref() == Some("3"))
+    );
+}
+
+#[tokio::test]
+async fn events_that_come_again_are_left_out_and_a_gap_ends_the_stream() {
+    for (continued, expected, whole) in [(2..6, events(1..6), true), (5..8, events(1..4), false)] {
+        let broken = stream_start(1..4);
+        let rest = format!("{}{LAST_CHUNK}", stream_start(continued));
+        let backends = [
+            StubBackend::start(vec![
+                Step::AnswerThenReset(broken.clone()),
+                Step::Answer(rest.clone()),
+            ])
+            .await,
+            StubBackend::start(vec![Step::Answer(rest)]).await,
+        ];
+        // Only the first is offered the request; the second takes over.
+        let node = TestNode::start(&resumable(), &[&backends[0], &backends[1]]).await;
+        let reply = loop {
+            let reply = call(node.callers, &request("/work/", "", "")).await;
+            if reply.body.starts_with(&event(1)) {
+                break reply;
+            }
+        };
+        assert_eq!((reply.body, reply.whole), (expected, whole));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_ends_broken_off() {
+    let broken = stream_start(1..4);
+    let first = StubBackend::start(vec![Step::AnswerThenReset(broken.clone())]).await;
+    let second = StubBackend::start(vec![Step::AnswerThenReset(broken)]).await;
+    let setup = Setup::with(|route| route.stream = true);
+    let node = TestNode::start(&setup, &[&first, &second]).await;
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert!(!reply.whole);
+    assert_eq!(first.received().len() + second.received().len(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_may_take_a_stream_up_itself() {
+    let rest = format!("{}{LAST_CHUNK}", stream_start(4..6));
+    let backend = StubBackend::start(vec![Step::Answer(rest)]).await;
+    let node = TestNode::start(&resumable(), &[&backend]).await;
+    let reply = call(node.callers, &request("/work/", "Last-Event-Id: 3\r\n", "")).await;
+    assert_eq!(reply.body, events(4..6));
+    assert_eq!(
+        backend.received()[0].header("last-event-id").as_deref(),
+        Some("3")
+    );
+}
+
+#[tokio::test]
+async fn a_stream_ends_when_the_route_allows_no_more_time() {
+    // Three events, and then nothing more.
+    let text = stream_start(1..4);
+    let backend = StubBackend::start(vec![Step::Answer(text), Step::Hang]).await;
+    let setup = Setup::with(|route| {
+        route.stream = true;
+        route.timeout_ms = 300;
+    });
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let reply = call(node.callers, &request("/work/", "", "")).await;
+    assert_eq!(reply.body, events(1..4));
+    assert!(!reply.whole);
+}
--- /dev/null
+++ b/crates/forward/tests/support/node.rs
@@ -0,0 +1,139 @@
+//! A forwarding node over real sockets, with a table that tests write.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use millford_api::config::{
+    ForwardRoute, HttpLimits, Pool, Selector, Tenant, TokenQuota, WeightedPool,
+};
+use millford_api::state::state_value::Kind;
+use millford_api::state::{Backend, ConfigHead, StateValue};
+use millford_core::hash_tenant_key;
+use millford_forward::daemon::callers::{CallerConnections, serve_callers};
+use millford_forward::{ForwardNode, ForwardSettings, MillfordProtocol};
+use millford_proxy::limits::RequestLimits;
+use millford_proxy::proxy_state::ProxyState;
+use millford_routing::RoutingTable;
+use tokio::net::TcpListener;
+
+use super::backend::StubBackend;
+
+/// Key of the tenant that tests call with.
+pub const KEY: &str = "key-of-the-tenant";
+/// Host of every route.
+pub const HOST: &str = "api.example";
+
+/// What a test's table says.
+pub struct Setup {
+    pub routes: Vec<ForwardRoute>,
+    pub quota: Option<TokenQuota>,
+    pub limits: Option<HttpLimits>,
+}
+
+impl Setup {
+    /// One route below `/work/`, and no quota.
+    pub fn with(change: impl FnOnce(&mut ForwardRoute)) -> Self {
+        let mut route = ForwardRoute {
+            name: "work".to_owned(),
+            host: HOST.to_owned(),
+            path_prefix: "/work/".to_owned(),
+            pools: vec![WeightedPool {
+                pool: "pool".to_owned(),
+                weight: 1,
+            }],
+            timeout_ms: 2000,
+            max_attempts: 1,
+            ..ForwardRoute::default()
+        };
+        change(&mut route);
+        Self {
+            routes: vec![route],
+            quota: None,
+            limits: None,
+        }
+    }
+}
+
+/// A node with its callers' address.
+pub struct TestNode {
+    pub node: Arc<ForwardNode<MillfordProtocol>>,
+    pub callers: SocketAddr,
+    pub connections: CallerConnections,
+}
+
+impl TestNode {
+    /// Starts a node in front of these backends.
+    pub async fn start(setup: &Setup, backends: &[&StubBackend]) -> Self {
+        let settings = ForwardSettings {
+            name: "node-1".to_owned(),
+            zone: "a".to_owned(),
+            ..ForwardSettings::default()
+        };
+        let state = Arc::new(ProxyState::new(RequestLimits::default()));
+        state.set_table(table(setup, backends));
+        state.set_ready();
+        // Enough for the second sends of one test.
+        for _ in 0..100 {
+            state.budget.earn();
+        }
+        let node = Arc::new(ForwardNode::new(&settings, state, MillfordProtocol));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let callers = listener.local_addr().expect("an address");
+        let connections = CallerConnections::default();
+        tokio::spawn(serve_callers(
+            listener,
+            Arc::clone(&node),
+            connections.clone(),
+        ));
+        Self {
+            node,
+            callers,
+            connections,
+        }
+    }
+}
+
+/// The table of a setup.
+pub fn table(setup: &Setup, backends: &[&StubBackend]) -> RoutingTable {
+    let mut items: Vec<(String, Kind)> = Vec::new();
+    let head = ConfigHead {
+        revision: 1,
+        digest: Vec::new(),
+    };
+    items.push(("config/head".to_owned(), Kind::ConfigHead(head)));
+    for route in &setup.routes {
+        let key = format!("config/forward/{}", route.name);
+        items.push((key, Kind::ForwardRoute(route.clone())));
+    }
+    if let Some(limits) = setup.limits {
+        items.push(("config/limits".to_owned(), Kind::HttpLimits(limits)));
+    }
+    let tenant = Tenant {
+        name: "tenant".to_owned(),
+        key_hashes: vec![hash_tenant_key(KEY)],
+        token_quota: setup.quota,
+        ..Tenant::default()
+    };
+    items.push(("config/tenant/tenant".to_owned(), Kind::Tenant(tenant)));
+    let pool = Pool {
+        name: "pool".to_owned(),
+        selector: Some(Selector::default()),
+        ..Pool::default()
+    };
+    items.push(("config/pool/pool".to_owned(), Kind::Pool(pool)));
+    for (number, stub) in backends.iter().enumerate() {
+        let backend = Backend {
+            id: format!("backend-{number}"),
+            address: stub.address.to_string(),
+            zone: "a".to_owned(),
+            ..Backend::default()
+        };
+        let key = format!("backend/pool/{}", backend.id);
+        items.push((key, Kind::Backend(backend)));
+    }
+    let items: Vec<(String, StateValue)> = items
+        .into_iter()
+        .map(|(key, kind)| (key, StateValue { kind: Some(kind) }))
+        .collect();
+    RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
+}
--- a/crates/simulation/src/world/agent_link_driver.rs
+++ b/crates/simulation/src/world/agent_link_driver.rs
@@ -76,8 +76,8 @@
         let Some(proxy) = self.proxies.get_mut(&number) else {
             return;
         };
-        if proxy.first_frame.is_none() && is_configuration(&frame) {
-            proxy.first_frame = Some(frame.clone());
+        if is_configuration(&frame) && !proxy.first_frames.iter().any(names_revision) {
+            proxy.first_frames.push(frame.clone());
         }
         let Some(core) = proxy.core.as_mut() else {
             return;
@@ -131,11 +131,23 @@
     }
 }
 
+/// Whether the frame carries items of the configuration.
 fn is_configuration(frame: &LocalFrame) -> bool {
     match &frame.body {
         Some(local_frame::Body::Snapshot(snapshot)) => {
             snapshot.shard == 0 && !snapshot.items.is_empty()
         }
+        Some(local_frame::Body::Change(change)) => change.shard == 0,
         _ => false,
     }
 }
+
+/// Whether the frame tells the number of a configuration.
+fn names_revision(frame: &LocalFrame) -> bool {
+    let items = match &frame.body {
+        Some(local_frame::Body::Snapshot(snapshot)) => &snapshot.items,
+        Some(local_frame::Body::Change(change)) => &change.items,
+        _ => return false,
+    };
+    items.iter().any(|item| item.key == keys::CONFIG_HEAD)
+}
--- a/crates/simulation/src/world/proxy/proxy_process.rs
+++ b/crates/simulation/src/world/proxy/proxy_process.rs
@@ -71,7 +71,7 @@
     /// Ticks since the start.
     pub ticks: u64,
     /// First state of the configuration, for a planted defect.
-    pub first_frame: Option<LocalFrame>,
+    pub first_frames: Vec<LocalFrame>,
 }
 
 impl ProxyProcess {
@@ -88,7 +88,7 @@
             sent: BTreeSet::new(),
             shown: 0,
             ticks: 0,
-            first_frame: None,
+            first_frames: Vec::new(),
         }
     }
 
