--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -6,13 +6,16 @@
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
+use http::response::Parts;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use millford_api::internal::CostSample;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
+use millford_routing::LoadTicket;
 use tokio::time::Sleep;
 
+use crate::backend::Lease;
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 use crate::request::answer_body::{AnswerBody, BrokenOff};
@@ -36,7 +39,7 @@
     trail: Trail,
     opened: Opened,
 ) -> Response<AnswerBody> {
-    let (mut head, body) = opened.response.into_parts();
+    let (mut head, source) = Source::of(opened);
     let is_events = plan.is_resumable() && head.status.is_success();
     if is_events {
         // Another backend's part of the stream may have another length.
@@ -46,23 +49,10 @@
         plan.body = Bytes::new();
     }
     let left = plan.deadline.since(monotonic_now());
-    let is_empty = body.is_end_stream();
+    let is_empty = source.body.is_end_stream();
     let mut relay = Relay {
         time_limit: Box::pin(tokio::time::sleep(left)),
-        source: Source {
-            backend_id: opened.target.key.backend_id.clone(),
-            body,
-            opened: OpenedParts {
-                lease: Some(opened.lease),
-                keep_alive: opened.facts.keep_alive,
-                ticket: opened.ticket,
-                sent: opened.sent,
-                queued_tokens: opened.queued_tokens,
-                streams: opened.streams,
-            },
-            first_chunk: None,
-            chunks: 0,
-        },
+        source,
         splitter: is_events.then(EventSplitter::default),
         last_event: plan.facts.resume_after,
         resumed: false,
@@ -87,9 +77,9 @@
 
 /// What is held while a backend's part of the answer is read.
 struct OpenedParts {
-    lease: Option<crate::backend::Lease>,
+    lease: Option<Lease>,
     keep_alive: Option<Duration>,
-    ticket: millford_routing::LoadTicket,
+    ticket: LoadTicket,
     sent: MonotonicTime,
     queued_tokens: u64,
     streams: u32,
@@ -104,6 +94,28 @@
     chunks: u32,
 }
 
+impl Source {
+    /// Takes an answer apart: its head, and what is read from now on.
+    fn of(opened: Opened) -> (Parts, Self) {
+        let (head, body) = opened.response.into_parts();
+        let source = Self {
+            backend_id: opened.target.key.backend_id,
+            body,
+            opened: OpenedParts {
+                lease: Some(opened.lease),
+                keep_alive: opened.facts.keep_alive,
+                ticket: opened.ticket,
+                sent: opened.sent,
+                queued_tokens: opened.queued_tokens,
+                streams: opened.streams,
+            },
+            first_chunk: None,
+            chunks: 0,
+        };
+        (head, source)
+    }
+}
+
 struct Relay<P> {
     node: Arc<ForwardNode<P>>,
     plan: Plan,
@@ -295,20 +307,7 @@
 
     fn take_over(&mut self, opened: Opened) {
         self.resumed = true;
-        self.source = Source {
-            backend_id: opened.target.key.backend_id.clone(),
-            body: opened.response.into_body(),
-            opened: OpenedParts {
-                lease: Some(opened.lease),
-                keep_alive: opened.facts.keep_alive,
-                ticket: opened.ticket,
-                sent: opened.sent,
-                queued_tokens: opened.queued_tokens,
-                streams: opened.streams,
-            },
-            first_chunk: None,
-            chunks: 0,
-        };
+        (_, self.source) = Source::of(opened);
     }
 }
 
--- a/crates/forward/tests/support/caller.rs
+++ b/crates/forward/tests/support/caller.rs
@@ -29,7 +29,7 @@
     }
 }
 
-/// A request below `/work/` with the tenant's key.
+/// A request below `/jobs/` with the tenant's key.
 pub fn request(path: &str, headers: &str, body: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n\
