Ledger: do not process requests that their node gave up

Found by printing every ask of the tenant at its leader.

Ruled out: a stale leader's answer (the shard's leader had not changed); the end of an outage's credit (none stood).

Change: ids rise within a session, answers are kept for a lease and its margin, nodes give up after a lease. So what is not above an id whose answer is kept no longer was given up: it gets 5003 and changes nothing. This also closes a second way to count returned tokens twice, a request resent after its answer was forgotten.

--- a/crates/control-state/src/quota/ledger.rs
+++ b/crates/control-state/src/quota/ledger.rs
@@ -135,6 +135,13 @@
         if let Some(known) = leadership.replies.find(&request.member, request.request_id) {
             return vec![output(request, known.clone())];
         }
+        if leadership
+            .replies
+            .is_outdated(&request.member, request.request_id)
+        {
+            let reply = empty_reply(request, ResultCode::ControlTimeout, leadership.term);
+            return vec![output(request, reply)];
+        }
         let mut reply = empty_reply(request, ResultCode::Ok, leadership.term);
         let mut outputs = Vec::new();
         for ask in &request.asks {
--- a/crates/control-state/src/quota/replies.rs
+++ b/crates/control-state/src/quota/replies.rs
@@ -2,6 +2,13 @@
 //!
 //! Without that, a lost answer would lose its tokens, and tokens returned by a resent request would
 //! be counted twice.
+//!
+//! # Why an outdated request changes nothing
+//! Request ids rise with each request of a session, and a node gives a request up after one lease.
+//! A request whose id is not above one that was answered longer ago than that was therefore given
+//! up by its node: a relay held it back. Its node has asked again since, so processing it would
+//! count the same waiting calls twice; and if it was answered before, what it returns would come
+//! back twice.
 
 use std::collections::BTreeMap;
 
@@ -23,6 +30,21 @@
     epoch: u64,
     last_heard: MonotonicTime,
     answers: BTreeMap<u64, Answered>,
+    /// Newest request whose answer is kept no longer: requests up to it were given up.
+    outdated_to: u64,
+}
+
+impl MemberAnswers {
+    fn forget_before(&mut self, now: MonotonicTime, kept_for: Duration) {
+        let outdated_to = &mut self.outdated_to;
+        self.answers.retain(|request_id, answered| {
+            let kept = now.since(answered.at) < kept_for;
+            if !kept {
+                *outdated_to = (*outdated_to).max(*request_id);
+            }
+            kept
+        });
+    }
 }
 
 /// How a request's epoch stands to the newest one of its member.
@@ -49,6 +71,7 @@
             epoch,
             last_heard: now,
             answers: BTreeMap::new(),
+            outdated_to: 0,
         };
         let known = self
             .members
@@ -71,6 +94,12 @@
         Some(&answered.reply)
     }
 
+    /// Whether the node has certainly given the request up.
+    pub(super) fn is_outdated(&self, member: &str, request_id: u64) -> bool {
+        let known = self.members.get(member);
+        known.is_some_and(|known| request_id <= known.outdated_to)
+    }
+
     /// Keeps an answer.
     pub(super) fn keep(&mut self, now: MonotonicTime, member: &str, reply: QuotaReply) {
         let Some(known) = self.members.get_mut(member) else {
@@ -85,12 +114,11 @@
         }
     }
 
-    /// Forgets answers older than `kept_for`, and nodes silent for `silent_for`.
+    /// Forgets answers older than `kept_for`, and nodes silent for `silent_for`. `kept_for` is no
+    /// shorter than the time after which a node gives a request up.
     pub(super) fn sweep(&mut self, now: MonotonicTime, kept_for: Duration, silent_for: Duration) {
         for known in self.members.values_mut() {
-            known
-                .answers
-                .retain(|_, answered| now.since(answered.at) < kept_for);
+            known.forget_before(now, kept_for);
         }
         self.members
             .retain(|_, known| now.since(known.last_heard) < silent_for);
--- a/crates/control-state/tests/quota_outage.rs
+++ b/crates/control-state/tests/quota_outage.rs
@@ -1,9 +1,9 @@
 //! What waited while there was no leader is not held against its tenant.
 
 use millford_api::config::Quota;
-use millford_api::internal::{QuotaAsk, QuotaGrant, QuotaRequest};
+use millford_api::internal::{QuotaAsk, QuotaGrant, QuotaReply, QuotaRequest};
 use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
-use millford_core::{MonotonicTime, ShardId};
+use millford_core::{MonotonicTime, ResultCode, ShardId};
 
 const RATE: u32 = 10;
 const BURST: u32 = 10;
@@ -41,6 +41,18 @@
     request_id: u64,
     ask: QuotaAsk,
 ) -> QuotaGrant {
+    reply_to(ledger, now, member, request_id, ask)
+        .grants
+        .remove(0)
+}
+
+fn reply_to(
+    ledger: &mut QuotaLedger,
+    now: MonotonicTime,
+    member: &str,
+    request_id: u64,
+    ask: QuotaAsk,
+) -> QuotaReply {
     let request = QuotaRequest {
         shard: 1,
         request_id,
@@ -56,7 +68,7 @@
         QuotaOutput::Reply { reply, .. } => Some(reply),
         QuotaOutput::Recall { .. } => None,
     });
-    replies.expect("a reply").grants.remove(0)
+    replies.expect("a reply")
 }
 
 /// A ledger that leads from this moment and knows the tenant's quota.
@@ -116,3 +128,59 @@
     let last = ask(130_200, 100, 30, 30);
     assert_eq!(last.refused_tokens, 0, "they waited within their quota");
 }
+
+/// A relay that stood still passes on, seconds later, asks that their node gave up long ago.
+#[test]
+fn an_ask_that_was_given_up_is_not_counted_again() {
+    let mut ledger = led_ledger(MonotonicTime::ZERO);
+    let start_ms = 120_000;
+    let steady = |ledger: &mut QuotaLedger, step: u64| {
+        let now = MonotonicTime::from_millis(start_ms + step * 100);
+        ledger.tick(now);
+        let ask = QuotaAsk {
+            tokens: 1,
+            waiting: 1,
+            ..QuotaAsk::default()
+        };
+        answer_to(ledger, now, "front-1", 10 + step, ask)
+    };
+    for step in 0..40 {
+        assert_eq!(steady(&mut ledger, step).refused_tokens, 0, "step {step}");
+    }
+    // Sent before the first of them, passed on by the relay only now.
+    let now = MonotonicTime::from_millis(start_ms + 4_000);
+    let crowd = QuotaAsk {
+        tokens: BURST * 3,
+        waiting: BURST * 3,
+        oldest_wait_ms: OUTAGE_MS,
+        ..QuotaAsk::default()
+    };
+    let late = reply_to(&mut ledger, now, "front-1", 5, crowd);
+    assert_eq!(late.code, ResultCode::ControlTimeout.number());
+    assert!(late.grants.is_empty(), "nothing is lent or refused");
+    for step in 40..80 {
+        let grant = steady(&mut ledger, step);
+        let given = (grant.tokens >= 1, grant.refused_tokens);
+        assert_eq!(given, (true, 0), "step {step}");
+    }
+}
+
+/// An answer that was forgotten must not make its request a new one: what it returns counts once.
+#[test]
+fn a_request_answered_long_ago_is_not_processed_twice() {
+    let mut ledger = led_ledger(MonotonicTime::ZERO);
+    let ask = QuotaAsk {
+        tokens: 1,
+        waiting: 1,
+        ..QuotaAsk::default()
+    };
+    let first = MonotonicTime::from_millis(120_000);
+    assert_eq!(
+        reply_to(&mut ledger, first, "front-1", 1, ask.clone()).code,
+        0
+    );
+    let later = MonotonicTime::from_millis(122_000);
+    ledger.tick(later);
+    let again = reply_to(&mut ledger, later, "front-1", 1, ask);
+    assert_eq!(again.code, ResultCode::ControlTimeout.number());
+}
