Control: keep agents' first heartbeats until a starting node has a quorum

Cause: after all processes were killed (closing, kill_all) every control node is without a quorum for the length of an election, 0.21 s.

Change: a node that starts keeps the newest heartbeat of each link until it is in touch, at most 0.6 s from its start (an agent leaves a node that is silent for 0.75 s). After that it answers at once for as long as it runs.

--- /dev/null
+++ b/crates/control/src/gateway/early_heartbeats.rs
@@ -0,0 +1,59 @@
+//! Heartbeats that came before a starting node knew whether it has a quorum.
+
+use std::collections::BTreeMap;
+
+use millford_api::internal::Heartbeat;
+use millford_core::MonotonicTime;
+
+use crate::link::LinkId;
+use crate::timing::EARLY_HEARTBEAT_HOLD;
+
+/// Heartbeats of agents that wait for this node's first quorum.
+///
+/// When all nodes start at once, each is without a quorum for the length of an election. An agent
+/// that is told so tries the others in vain and then pauses, often for longer than the election.
+/// A node therefore keeps the first heartbeats for a moment; once it has been in touch, or the
+/// moment is over, it answers at once for as long as it runs.
+#[derive(Debug)]
+pub struct EarlyHeartbeats {
+    until: MonotonicTime,
+    over: bool,
+    waiting: BTreeMap<LinkId, Heartbeat>,
+}
+
+impl EarlyHeartbeats {
+    /// For a process that starts now.
+    #[must_use]
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            until: now + EARLY_HEARTBEAT_HOLD,
+            over: false,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Whether answers still wait for the first quorum.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.over
+    }
+
+    /// Keeps the newest heartbeat of a link.
+    pub fn keep(&mut self, link: LinkId, heartbeat: &Heartbeat) {
+        self.waiting.insert(link, heartbeat.clone());
+    }
+
+    /// A link was closed.
+    pub fn forget_link(&mut self, link: LinkId) {
+        self.waiting.remove(&link);
+    }
+
+    /// The heartbeats to answer now, once the node is in touch or the time is over.
+    pub fn release(&mut self, now: MonotonicTime, in_touch: bool) -> BTreeMap<LinkId, Heartbeat> {
+        self.over |= in_touch || now >= self.until;
+        match self.over {
+            true => std::mem::take(&mut self.waiting),
+            false => BTreeMap::new(),
+        }
+    }
+}
--- a/crates/control/src/gateway/feeds.rs
+++ b/crates/control/src/gateway/feeds.rs
@@ -113,5 +113,6 @@
         if former.in_touch && !standing.in_touch {
             self.note(NodeNote::OutOfTouch(shard));
         }
+        self.answer_early_heartbeats(now);
     }
 }
--- a/crates/control/src/gateway/mod.rs
+++ b/crates/control/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod cluster;
 pub mod dialer;
+pub mod early_heartbeats;
 pub mod feeds;
 pub mod frames;
 pub mod greetings;
@@ -43,6 +44,7 @@
 use balance::Balance;
 use cluster::Leaving;
 use dialer::Dialer;
+use early_heartbeats::EarlyHeartbeats;
 use links::LinkTable;
 use member_list::MemberList;
 use node_file::NodeFile;
@@ -71,6 +73,7 @@
     pending: PendingRequests,
     quota: QuotaRelay,
     agents: AgentTable,
+    early_heartbeats: EarlyHeartbeats,
     own_session: OwnSession,
     desk: OperatorDesk,
     view: MemberView,
@@ -113,6 +116,7 @@
             pending: PendingRequests::default(),
             quota: QuotaRelay::default(),
             agents: AgentTable::default(),
+            early_heartbeats: EarlyHeartbeats::new(now),
             own_session,
             desk: OperatorDesk::default(),
             view: MemberView::default(),
@@ -193,6 +197,7 @@
         self.tick_formation(now);
         self.tick_member_list(now);
         self.tick_leaving(now);
+        self.answer_early_heartbeats(now);
         self.tick_sessions(now);
         self.push_member_view(now);
         self.tick_balance(now);
@@ -213,6 +218,7 @@
         self.pending.forget_link(link);
         self.quota.forget_link(link);
         self.agents.forget_link(link);
+        self.early_heartbeats.forget_link(link);
         self.unsubscribe_everywhere(link);
         let address = self.dialer.closed(now, link);
         if let (Some(formation), Some(address)) = (&mut self.formation, address) {
--- a/crates/control/src/gateway/sessions.rs
+++ b/crates/control/src/gateway/sessions.rs
@@ -42,6 +42,25 @@
         heartbeat: &Heartbeat,
     ) {
         self.links.set_agent(link);
+        if self.early_heartbeats.is_open() && !self.is_in_touch() {
+            self.early_heartbeats.keep(link, heartbeat);
+            return;
+        }
+        self.answer_heartbeat(now, link, heartbeat);
+    }
+
+    /// Answers heartbeats that waited for this node's first quorum.
+    pub(super) fn answer_early_heartbeats(&mut self, now: MonotonicTime) {
+        if !self.early_heartbeats.is_open() {
+            return;
+        }
+        let in_touch = self.is_in_touch();
+        for (link, heartbeat) in self.early_heartbeats.release(now, in_touch) {
+            self.answer_heartbeat(now, link, &heartbeat);
+        }
+    }
+
+    fn answer_heartbeat(&mut self, now: MonotonicTime, link: LinkId, heartbeat: &Heartbeat) {
         let session_alive = self.agents.heartbeat(Some(link), heartbeat);
         let reply = HeartbeatReply {
             sequence: heartbeat.sequence,
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -8,6 +8,10 @@
 /// Without contact with a shard's leader for this long, a replica stops feeding agents.
 pub const OUT_OF_TOUCH: Duration = Duration::from_millis(1000);
 
+/// A node that starts keeps heartbeats of agents for up to this long until it has a quorum: an
+/// election after a common start takes less. Shorter than an agent bears a silent node.
+pub const EARLY_HEARTBEAT_HOLD: Duration = Duration::from_millis(600);
+
 /// Period of greetings to every known control node.
 pub const HELLO_PERIOD: Duration = Duration::from_millis(400);
 
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -197,3 +197,56 @@
     agent.open_session(&mut cluster, 2);
     assert!(agent.epoch > first);
 }
+
+/// Answers to heartbeats are never waited for longer than this after a start: an agent leaves a
+/// node that is silent for 750 ms.
+const LONGEST_HOLD: Duration = Duration::from_millis(640);
+
+#[test]
+fn an_agent_of_a_fleet_that_starts_again_is_not_sent_away() {
+    for seed in 0..20 {
+        let mut cluster = led(3, seed);
+        cluster.run(Duration::from_secs(1));
+        for node in ["node-1", "node-2", "node-3"] {
+            cluster.kill(node);
+        }
+        cluster.run(Duration::from_millis(500));
+        for node in ["node-1", "node-2", "node-3"] {
+            cluster.boot(node);
+        }
+        let mut agents = agents_everywhere(&mut cluster);
+        for agent in &mut agents {
+            agent.heartbeat(&mut cluster);
+        }
+        follow(&mut cluster, &mut agents, LONGEST_HOLD);
+        for agent in &agents {
+            let reply = agent.last_heartbeat.as_ref();
+            let in_touch = reply.map(|reply| reply.in_touch);
+            assert_eq!(in_touch, Some(true), "seed {seed}, {}", agent.name);
+        }
+    }
+}
+
+#[test]
+fn a_node_that_starts_alone_says_soon_that_it_is_out_of_touch() {
+    let mut cluster = led(3, 1);
+    for node in ["node-1", "node-2", "node-3"] {
+        cluster.kill(node);
+    }
+    cluster.run(Duration::from_millis(500));
+    cluster.boot("node-2");
+    let mut agent = TestAgent::connect(&mut cluster, "agent", "node-2", ShardId(0));
+    agent.heartbeat(&mut cluster);
+    follow(&mut cluster, std::slice::from_mut(&mut agent), LONGEST_HOLD);
+    let reply = agent.last_heartbeat.clone().expect("an answer");
+    assert!(!reply.in_touch);
+    // Later heartbeats are answered at once.
+    agent.last_heartbeat = None;
+    agent.heartbeat(&mut cluster);
+    follow(
+        &mut cluster,
+        std::slice::from_mut(&mut agent),
+        Duration::from_millis(40),
+    );
+    assert!(agent.last_heartbeat.is_some_and(|reply| !reply.in_touch));
+}
