Agent: a starting agent looks for control nodes in quick rounds

A machine without power refuses nothing: the first connection hung for the whole 500 ms.

Change: for 0.8 s after its start an agent that was not in touch yet gives a connection up after 100 ms and pauses 100 ms between rounds; then as before.

The new test fails with either old time.

--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -7,7 +7,8 @@
 use crate::input::ControlLinkId;
 use crate::link::address_book::AddressBook;
 use crate::timing::{
-    CONNECT_TIMEOUT, CONTROL_SILENCE, PATIENCE_CEILING, RETRY_CEILING, RETRY_FIRST, SETTLED_AFTER,
+    CONNECT_TIMEOUT, CONNECT_TIMEOUT_IN_HURRY, CONTROL_SILENCE, PATIENCE_CEILING, RETRY_CEILING,
+    RETRY_FIRST, SETTLED_AFTER, START_HURRY,
 };
 
 /// What the link wants done.
@@ -50,6 +51,8 @@
     silent_in_round: bool,
     in_touch_since: Option<MonotonicTime>,
     out_of_touch_since: Option<MonotonicTime>,
+    /// Until then rounds follow each other quickly; over with the first touch.
+    hurry_until: Option<MonotonicTime>,
 }
 
 impl ControlLink {
@@ -66,6 +69,7 @@
             silent_in_round: false,
             in_touch_since: None,
             out_of_touch_since: Some(now),
+            hurry_until: Some(now + START_HURRY),
         }
     }
 
@@ -153,6 +157,7 @@
         if touch {
             self.in_touch_since.get_or_insert(now);
             self.out_of_touch_since = None;
+            self.hurry_until = None;
         } else {
             self.out_of_touch(now);
         }
@@ -174,7 +179,7 @@
         let mut actions = Vec::new();
         let overdue = match self.state {
             LinkState::Up { last_heard, .. } => now.since(last_heard) > self.patience,
-            LinkState::Dialing { since, .. } => now.since(since) > CONNECT_TIMEOUT,
+            LinkState::Dialing { since, .. } => now.since(since) > self.connect_timeout(now),
             LinkState::Down { .. } => false,
         };
         if overdue {
@@ -227,7 +232,7 @@
         self.out_of_touch(now);
         let delay = if self.book.round_ended() {
             self.end_round();
-            self.backoff.next_delay()
+            self.pause(now)
         } else {
             Duration::ZERO
         };
@@ -236,6 +241,24 @@
         };
     }
 
+    fn pause(&mut self, now: MonotonicTime) -> Duration {
+        match self.is_in_hurry(now) {
+            true => RETRY_FIRST,
+            false => self.backoff.next_delay(),
+        }
+    }
+
+    fn connect_timeout(&self, now: MonotonicTime) -> Duration {
+        match self.is_in_hurry(now) {
+            true => CONNECT_TIMEOUT_IN_HURRY,
+            false => CONNECT_TIMEOUT,
+        }
+    }
+
+    fn is_in_hurry(&self, now: MonotonicTime) -> bool {
+        self.hurry_until.is_some_and(|until| now < until)
+    }
+
     /// Nodes that are busy are given longer in the next round; nodes that are down are not waited
     /// for.
     fn end_round(&mut self) {
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -15,12 +15,21 @@
 /// Longest time for a connection to a control node to come up.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// As [`CONNECT_TIMEOUT`], within [`START_HURRY`].
+pub const CONNECT_TIMEOUT_IN_HURRY: Duration = Duration::from_millis(100);
+
 /// First delay once every known control node was tried in vain; doubled up to [`RETRY_CEILING`].
 pub const RETRY_FIRST: Duration = Duration::from_millis(100);
 
 /// Longest delay between two rounds over the known control nodes.
 pub const RETRY_CEILING: Duration = Duration::from_millis(1000);
 
+/// For this long after its start an agent that was not in touch yet pauses no longer than
+/// [`RETRY_FIRST`] between rounds, and waits no longer than [`CONNECT_TIMEOUT_IN_HURRY`] for a
+/// connection: control nodes that start at the same time take longer than it does, and machines
+/// without power answer nothing.
+pub const START_HURRY: Duration = Duration::from_millis(800);
+
 /// Time in touch with one node after which the others may be tried again at once when it fails.
 pub const SETTLED_AFTER: Duration = Duration::from_secs(2);
 
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -83,6 +83,22 @@
     }
 }
 
+#[test]
+fn control_nodes_that_start_a_little_later_are_found_at_once() {
+    let starts = (50..750).step_by(50);
+    for (late_ms, without_power) in starts.flat_map(|late| [(late, false), (late, true)]) {
+        let mut fleet = Fleet::new(&ADDRESSES);
+        fleet.without_power = without_power;
+        let controls = std::mem::take(&mut fleet.controls);
+        fleet.run(late_ms);
+        fleet.controls = controls;
+        // One connection that is given up, one pause between rounds.
+        fleet.run(if without_power { 250 } else { 150 });
+        let case = format!("up after {late_ms} ms, without power {without_power}");
+        assert!(fleet.core.in_touch(), "{case}");
+    }
+}
+
 #[test]
 fn the_present_members_are_found_after_every_seed_was_replaced() {
     let mut fleet = Fleet::started(&["c1"]);
--- a/crates/agent/tests/support/fleet.rs
+++ b/crates/agent/tests/support/fleet.rs
@@ -26,6 +26,8 @@
     pub registry_reads: usize,
     pub saved_members: usize,
     pub stopped: bool,
+    /// Connections to absent nodes are not refused: their machines are without power.
+    pub without_power: bool,
     arriving: VecDeque<(MonotonicTime, AgentInput)>,
     leaving: VecDeque<(MonotonicTime, u64, Frame)>,
 }
@@ -46,6 +48,7 @@
             registry_reads: 0,
             saved_members: 0,
             stopped: false,
+            without_power: false,
             arriving: VecDeque::new(),
             leaving: VecDeque::new(),
         };
@@ -187,6 +190,7 @@
                         self.link = Some((link, index));
                         AgentInput::LinkUp { link }
                     }
+                    None if self.without_power => return,
                     None => AgentInput::LinkDown { link },
                 };
                 self.arriving.push_back((self.now + LATENCY, input));
