Forward: a token bucket holds a little more than the burst

All were of one tenant at 45,000 tokens a second of its 55,161 (burst 68,873): its requests came close together, and the bucket was short of 1,000 to 14,000 tokens.

Change: the bucket holds a quarter of a second of the rate beyond its burst; the headroom of the rate goes from 2 to 1 in 100, so that the most within eight seconds grows by 0.17 s of the rate only.

The new test is refused at its first peak without the change.

--- a/crates/forward/src/quota/cluster_bucket.rs
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -10,10 +10,15 @@
 
 /// What a node counts is a little more than what runs: requests that end before they run, and counts
 /// that cross on their way. A tenant under its quota must not be refused for it.
-const RATE_HEADROOM: f64 = 1.02;
+const RATE_HEADROOM: f64 = 1.01;
 /// As [`RATE_HEADROOM`], for the burst.
 const BURST_HEADROOM: f64 = 1.1;
 
+/// What the bucket holds beyond the burst, as seconds of the rate. A quota is meant over several
+/// seconds; a bucket of the bare burst refuses a tenant that is well under it whenever its requests
+/// come a little closer together.
+const PEAK_S: f64 = 0.25;
+
 /// Part of the difference to a peer's belief by which this node's moves with each of its news.
 const AGREEMENT_SHARE: f64 = 1.0 / 64.0;
 
@@ -123,5 +128,5 @@
     } else {
         quota.burst as f64
     };
-    (rate * RATE_HEADROOM, burst * BURST_HEADROOM)
+    (rate * RATE_HEADROOM, burst * BURST_HEADROOM + rate * PEAK_S)
 }
--- a/crates/forward/tests/quota.rs
+++ b/crates/forward/tests/quota.rs
@@ -137,6 +137,18 @@
     }
 }
 
+#[test]
+fn requests_that_come_close_together_are_admitted_while_the_tenant_is_under_its_rate() {
+    let mut fleet = Fleet::new(1);
+    for peak in 0..20 {
+        // Seven eighths of the rate, in peaks of 1.4 bursts.
+        for _ in 0..7 {
+            assert!(fleet.ask(0, 200), "peak {peak}");
+        }
+        fleet.pass(1600);
+    }
+}
+
 #[test]
 fn large_requests_are_admitted_as_often_as_small_ones() {
     let mut fleet = Fleet::new(2);
