Forward: a refusal for the quota closes its connection

Refused callers come back on a new connection and leave the old one idle; each keeps its read buffer.

Change: 429 for a quota carries Connection: close.

--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -82,8 +82,7 @@
     let tokens = plan.quota_tokens();
     if let Some(tenant) = &plan.tenant {
         let admitted = node.quotas.admit(monotonic_now(), tenant, tokens);
-        admitted
-            .map_err(|delay| Refusal::new(ResultCode::QuotaExceeded).with_retry_after(delay))?;
+        admitted.map_err(over_quota)?;
     }
     let mut trail = Trail::default();
     match first_answer(node, &plan, &mut trail).await {
@@ -97,6 +96,13 @@
     }
 }
 
+/// The caller comes back on a new connection, if at all: the present one would stay open for nothing,
+/// and a tenant that presses on leaves hundreds of them.
+fn over_quota(delay: Duration) -> Refusal {
+    let refusal = Refusal::new(ResultCode::QuotaExceeded);
+    refusal.with_retry_after(delay).closing()
+}
+
 fn check_headers(headers: &HeaderMap, limits: &HttpLimits) -> Result<(), Refusal> {
     let most = match limits.max_header_bytes {
         0 => USUAL_MAX_HEADER_BYTES,
--- a/crates/forward/tests/forwarding.rs
+++ b/crates/forward/tests/forwarding.rs
@@ -260,6 +260,8 @@
     assert_eq!(refused.status, 429);
     let seconds: f64 = refused.header("retry-after").unwrap().parse().unwrap();
     assert!((15.0..=30.0).contains(&seconds), "{seconds}");
+    // It comes back on a new connection: this one need not stay open meanwhile.
+    assert_eq!(refused.header("connection").as_deref(), Some("close"));
     assert_eq!(backend.received().len(), 1);
 }
 
