--- a/crates/lab/src/fleet/stand.rs
+++ b/crates/lab/src/fleet/stand.rs
@@ -93,10 +93,20 @@
             control_names: 0,
             backend_names: 0,
         };
-        fleet.start_backends().await?;
-        fleet.start_controls(places).await?;
-        fleet.start_fronts().await?;
-        Ok(fleet)
+        match fleet.start_machines(places).await {
+            Ok(()) => Ok(fleet),
+            Err(error) => {
+                // The error names a log in it.
+                fleet.keep_folder();
+                Err(error)
+            }
+        }
+    }
+
+    async fn start_machines(&mut self, places: Vec<ControlPlace>) -> Result<(), FleetError> {
+        self.start_backends().await?;
+        self.start_controls(places).await?;
+        self.start_fronts().await
     }
 
     /// Folder of settings, logs and data.
