Simulator: what waits for a control node's disk is taken with one flush

Two of three disks are faulty (one stalled, one 238 ms a sync). The simulated control node took each waiting message with a flush of its own, 238 ms each, fell seconds behind, and took old heartbeats of the leader for new ones. The daemon does not: the thread of a shard takes up to 1,024 waiting inputs and flushes once.

Ruled out: the heartbeats that a starting node keeps (no node starts there); the agent's quick rounds (none starts).

Change: `ControlNode::handle_batch`, used by the simulator only, takes all that waited and flushes each shard once. The checkers are unchanged.

The scenarios, planted defects, determinism and all tests of control pass.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,6 @@
 //! A whole control node as one synchronous machine.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use millford_core::{MonotonicTime, NodeId, ShardId, ShardLayout};
@@ -33,6 +33,8 @@
     folders: FolderOpener,
     gateway: Gateway,
     cores: BTreeMap<ShardId, ShardCore>,
+    /// Shards that were told something, while a batch is taken.
+    batched: Option<BTreeSet<ShardId>>,
     queue: VecDeque<GatewayOutput>,
     outputs: Vec<NodeOutput>,
 }
@@ -51,6 +53,7 @@
             folders,
             gateway,
             cores: BTreeMap::new(),
+            batched: None,
             queue: first.into(),
             outputs: Vec::new(),
         };
@@ -68,6 +71,24 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Takes inputs that waited while the disk was busy, all with one flush of each shard, as the
+    /// shards' threads of the daemon do.
+    pub fn handle_batch(&mut self, now: MonotonicTime, inputs: Vec<NodeInput>) -> Vec<NodeOutput> {
+        self.batched = Some(BTreeSet::new());
+        for input in inputs {
+            if matches!(input, NodeInput::Tick) {
+                self.tick_cores(now);
+            }
+            self.tell_gateway(now, GatewayInput::Node(input));
+            self.run_queue(now);
+        }
+        for shard in self.batched.take().unwrap_or_default() {
+            self.flush_core(now, shard);
+        }
+        self.run_queue(now);
+        std::mem::take(&mut self.outputs)
+    }
+
     /// Identity of the node.
     #[must_use]
     pub fn identity(&self) -> NodeId {
@@ -122,7 +143,17 @@
             return;
         };
         core.handle(now, input);
-        for output in core.flush(now) {
+        match &mut self.batched {
+            Some(touched) => {
+                touched.insert(shard);
+            }
+            None => self.flush_core(now, shard),
+        }
+    }
+
+    fn flush_core(&mut self, now: MonotonicTime, shard: ShardId) {
+        let outputs = self.cores.get_mut(&shard).map(|core| core.flush(now));
+        for output in outputs.into_iter().flatten() {
             self.take_from_core(now, shard, output);
         }
     }
--- a/crates/simulation/src/world/control_driver.rs
+++ b/crates/simulation/src/world/control_driver.rs
@@ -154,9 +154,23 @@
                 return;
             }
         }
-        let Some(input) = self.control_node_input(number, input) else {
-            return;
-        };
+        if let Some(input) = self.control_node_input(number, input) {
+            self.give_control(number, vec![input]);
+        }
+    }
+
+    /// Hands everything that waited while the disk was busy to a control node, for one flush.
+    pub fn control_batch(&mut self, number: u16, inputs: Vec<ProcessInput>) {
+        let inputs = inputs.into_iter();
+        let inputs: Vec<_> = inputs
+            .filter_map(|input| self.control_node_input(number, input))
+            .collect();
+        self.give_control(number, inputs);
+    }
+
+    fn give_control(&mut self, number: u16, inputs: Vec<NodeInput>) {
+        let process = ProcessId::Control(number);
+        let boot = self.boot_of(process);
         let local = self.local_time(process);
         let Some(control) = self.controls.get_mut(&number) else {
             return;
@@ -164,7 +178,7 @@
         let Some(node) = control.node.as_mut() else {
             return;
         };
-        let outputs = node.handle(local, input);
+        let outputs = node.handle_batch(local, inputs);
         let (busy, stalled) = {
             let mut disk = control.disk();
             (disk.take_busy_micros(), disk.take_stalled())
--- a/crates/simulation/src/world/site.rs
+++ b/crates/simulation/src/world/site.rs
@@ -289,7 +289,12 @@
             let Some(state) = self.process_mut(process) else {
                 return;
             };
-            if state.boot != boot || !state.is_free(now) {
+            if state.boot != boot || !state.is_free(now) || state.inbox.is_empty() {
+                return;
+            }
+            if let ProcessId::Control(number) = process {
+                let inputs = std::mem::take(&mut state.inbox);
+                self.control_batch(number, inputs.into());
                 return;
             }
             let Some(input) = state.inbox.pop_front() else {
