Tests: bad inputs and histories in files of their own

Change: the tables of bad inputs and the histories that the checkers judge moved beside their tests; nothing else.

--- /dev/null
+++ b/crates/proxy/tests/bad_inputs/main.rs
@@ -0,0 +1,154 @@
+//! Bad inputs get their documented code and leave the process serving.
+
+mod cases;
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cases::{body_cases, header_cases, headers, path_cases};
+use futures::future::pending;
+use millford_api::command::{Claim, SettleClaim};
+use millford_core::time::monotonic_now;
+use millford_core::{Duration, MonotonicTime};
+use millford_proxy::daemon::server::{HttpLimits, service};
+use millford_proxy::proxy_state::ProxyState;
+use millford_proxy::request::environment::RequestEnvironment;
+use millford_proxy::request::message::{
+    BackendRequest, ClaimAnswer, DispatchError, QuotaAnswer, QuotaAsk, QuotaRelease,
+    WithdrawAnswer, WithdrawRequest,
+};
+use support::environment::ScriptedAnswer;
+use support::fixture::{Fixture, KEY};
+use support::raw_backend::{exchange, get};
+use tokio::net::TcpListener;
+
+const MAX_BODY_BYTES: u64 = 4 * 1024;
+const MAX_HEADER_BYTES: u64 = 2 * 1024;
+
+/// An environment whose backends never connect.
+struct Unreachable {
+    state: ProxyState,
+}
+
+impl RequestEnvironment for Unreachable {
+    type Answer = ScriptedAnswer;
+
+    fn state(&self) -> &ProxyState {
+        &self.state
+    }
+
+    fn now(&self) -> MonotonicTime {
+        monotonic_now()
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        tokio::time::sleep(duration)
+    }
+
+    fn random(&self) -> u64 {
+        4
+    }
+
+    async fn ask_quota(&self, _ask: QuotaAsk) -> QuotaAnswer {
+        QuotaAnswer::Granted
+    }
+
+    fn release_quota(&self, _release: QuotaRelease) {}
+
+    async fn claim(&self, _claim: Claim, _timeout: Duration) -> ClaimAnswer {
+        ClaimAnswer::Granted
+    }
+
+    fn settle(&self, _settle: SettleClaim) {}
+
+    async fn dispatch(&self, request: BackendRequest) -> Result<ScriptedAnswer, DispatchError> {
+        if request.path.contains("never") {
+            pending::<()>().await;
+        }
+        Err(DispatchError::NotConnected)
+    }
+
+    async fn withdraw(&self, _request: WithdrawRequest) -> WithdrawAnswer {
+        WithdrawAnswer::Unknown
+    }
+
+    fn withdraw_later(&self, _request: WithdrawRequest) {}
+}
+
+async fn start() -> SocketAddr {
+    let environment = Unreachable {
+        state: Fixture::default().state(),
+    };
+    let limits = HttpLimits {
+        max_body_bytes: MAX_BODY_BYTES,
+        max_header_bytes: MAX_HEADER_BYTES,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let filter = service(Arc::new(environment), limits);
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    address
+}
+
+#[tokio::test]
+async fn every_bad_input_gets_its_code_and_the_process_serves_on() {
+    let address = start().await;
+    let mut cases = header_cases();
+    cases.extend(body_cases());
+    cases.extend(path_cases());
+    assert!(cases.len() >= 25);
+    for case in cases {
+        let answer = exchange(address, &case.request).await;
+        let status = format!("HTTP/1.1 {}", case.status);
+        assert!(answer.starts_with(&status), "{}: {answer}", case.name);
+        let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+        let body: serde_json::Value = serde_json::from_str(body).expect("a JSON body");
+        let error = &body["error"];
+        assert_eq!(error["code"], case.code.number(), "{}: {answer}", case.name);
+        assert_eq!(error["name"], case.code.name(), "{}", case.name);
+        assert_eq!(error["run"], "not_run", "{}", case.name);
+        assert!(
+            !answer.contains(KEY),
+            "{}: the key is never repeated",
+            case.name
+        );
+        let healthy = exchange(address, &get("/healthz", "")).await;
+        assert!(healthy.starts_with("HTTP/1.1 200"), "after {}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn bytes_that_are_not_http_leave_the_process_serving() {
+    let address = start().await;
+    for garbage in [
+        &b"\x00\xff\x13nonsense\r\n\r\n"[..],
+        b"GET\r\n\r\n",
+        b"\r\n\r\n\r\n",
+    ] {
+        exchange(address, &[garbage, &get("/unknown", "")].concat()).await;
+        let healthy = exchange(address, &get("/healthz", "")).await;
+        assert!(healthy.starts_with("HTTP/1.1 200"), "{healthy}");
+    }
+}
+
+#[tokio::test]
+async fn metrics_are_in_the_text_form() {
+    let address = start().await;
+    exchange(address, &get("/stations/1", &headers(""))).await;
+    let text = exchange(address, &get("/metrics", "")).await;
+    let expected = "millford_proxy_requests_total{code=\"3002\",route=\"sheets\"} 1";
+    assert!(text.contains(expected), "{text}");
+    for name in [
+        "first_sends_total",
+        "open_requests",
+        "ejections_total",
+        "shown_revision",
+    ] {
+        assert!(
+            text.contains(&format!("millford_proxy_{name}")),
+            "{name} in {text}"
+        );
+    }
+}
