--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -250,3 +250,23 @@
     );
     assert!(agent.last_heartbeat.is_some_and(|reply| !reply.in_touch));
 }
+
+/// The cut lies between two nodes: both are in touch with the third.
+#[test]
+fn a_replica_that_does_not_hear_its_leader_opens_no_feed() {
+    let mut cluster = led(3, 3);
+    cluster.run(Duration::from_secs(1));
+    let leader = cluster.leader(ShardId(0)).expect("a leader");
+    let others = ["node-1", "node-2", "node-3"];
+    let deaf = others
+        .into_iter()
+        .find(|node| *node != leader)
+        .expect("a follower");
+    cluster.cut_pairs.insert((leader.clone(), deaf.to_owned()));
+    cluster.cut_pairs.insert((deaf.to_owned(), leader));
+    cluster.run(Duration::from_secs(5));
+    let mut agent = TestAgent::connect(&mut cluster, "agent", deaf, ShardId(0));
+    let limit = Duration::from_millis(1500);
+    follow(&mut cluster, std::slice::from_mut(&mut agent), limit);
+    assert!(agent.stale, "it is told to go elsewhere");
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -46,6 +46,8 @@
     pub inbox: BTreeMap<End, VecDeque<Frame>>,
     /// Addresses whose frames are lost, in both directions.
     pub cut: BTreeSet<String>,
+    /// Pairs of nodes: what the first sends to the second is lost.
+    pub cut_pairs: BTreeSet<(String, String)>,
     seeds: Vec<String>,
     seed: u64,
     boots: u64,
@@ -78,6 +80,7 @@
             replies: BTreeMap::new(),
             inbox: BTreeMap::new(),
             cut: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             seeds,
             seed,
             boots: 0,
@@ -365,7 +368,8 @@
         let Some(to) = self.others.get(from).cloned() else {
             return;
         };
-        if !self.cut.contains(&from.address) {
+        let pair = (from.address.clone(), to.address.clone());
+        if !self.cut.contains(&from.address) && !self.cut_pairs.contains(&pair) {
             self.schedule(Event::Frame(to, Box::new(frame)));
         }
     }
