Tests: one numbered machine and one post for the quota rigs

Cause: four tests of control-state each had the same machine that counts the commands' indexes; the two rigs of many quota desks each had the same messages under way and the same delivery; tests of feeds named the three nodes each time.

Change: support::Machine (control-state), support/quota_post.rs (agent), NODES (control, feed). Tests, their numbers and their assertions are the same; random draws come in the same order.

Ruled out: one rig for both quota tests, whose networks, calls and checks differ.

--- a/crates/agent/tests/quota_hot_tenant.rs
+++ b/crates/agent/tests/quota_hot_tenant.rs
@@ -1,12 +1,15 @@
 //! A tenant presses far over its quota on many nodes: whoever is not served is refused soon, and
 //! nobody waits its whole time away while others are served or refused.
 
+#[path = "support/quota_post.rs"]
+mod quota_post;
+
 use millford_agent::quota::QuotaDesk;
 use millford_api::config::Quota;
-use millford_api::internal::{QuotaRecall, QuotaReply, QuotaRequest};
 use millford_api::local::{LocalQuotaAsk, LocalQuotaReply};
-use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
+use millford_control_state::quota::{QuotaLedger, QuotaOptions};
 use millford_core::{Duration, MonotonicTime, ResultCode, ShardId, ShardLayout};
+use quota_post::{Parcel, Post, name_of};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -25,12 +28,6 @@
 /// Calling idle slices back takes two rounds, and nodes ask again once a token is due.
 const LONGEST_DECISION: Duration = Duration::from_millis(400);
 
-enum Parcel {
-    Request(QuotaRequest),
-    Reply(usize, QuotaReply),
-    Recall(usize, QuotaRecall),
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Decision {
     code: u32,
@@ -44,7 +41,7 @@
     ledger: QuotaLedger,
     desks: Vec<QuotaDesk>,
     ids: Vec<u64>,
-    travelling: Vec<(MonotonicTime, Parcel)>,
+    post: Post,
     asked: Vec<MonotonicTime>,
     decisions: Vec<Decision>,
 }
@@ -67,7 +64,7 @@
             ledger,
             desks: vec![QuotaDesk::default(); NODES],
             ids: vec![0; NODES],
-            travelling: Vec::new(),
+            post: Post::default(),
             asked: Vec::new(),
             decisions: Vec::new(),
         }
@@ -121,11 +118,11 @@
         for node in 0..NODES {
             let replies = self.desks[node].tick(self.now);
             self.take(replies);
-            let name = format!("node-{node}");
+            let name = name_of(node);
             let id = &mut self.ids[node];
             let layout = ShardLayout::new(1);
             for request in self.desks[node].requests(self.now, layout, &name, 1, id) {
-                self.post(Parcel::Request(request));
+                self.send(Parcel::Request(request));
             }
         }
     }
@@ -141,23 +138,19 @@
         }
     }
 
-    fn post(&mut self, parcel: Parcel) {
+    fn send(&mut self, parcel: Parcel) {
         let delay = self.random.random_range(0..=LONGEST_DELAY_MS);
         let at = self.now + Duration::from_millis(delay);
-        self.travelling.push((at, parcel));
+        self.post.send(at, parcel);
     }
 
     fn deliver(&mut self) {
         let now = self.now;
-        let parcels = std::mem::take(&mut self.travelling);
-        let (arrived, still): (Vec<_>, Vec<_>) =
-            parcels.into_iter().partition(|(at, _)| *at <= now);
-        self.travelling = still;
-        for (_, parcel) in arrived {
+        for parcel in self.post.take_arrived(now) {
             match parcel {
                 Parcel::Request(request) => {
                     for output in self.ledger.handle(now, &request) {
-                        self.post(parcel_of(output));
+                        self.send(output.into());
                     }
                 }
                 Parcel::Reply(node, reply) => {
@@ -180,18 +173,6 @@
     }
 }
 
-fn node_of(member: &str) -> usize {
-    let number = member.trim_start_matches("node-");
-    number.parse().expect("a node's name")
-}
-
-fn parcel_of(output: QuotaOutput) -> Parcel {
-    match output {
-        QuotaOutput::Reply { member, reply } => Parcel::Reply(node_of(&member), reply),
-        QuotaOutput::Recall { member, recall, .. } => Parcel::Recall(node_of(&member), recall),
-    }
-}
-
 #[test]
 fn a_hot_tenant_is_served_or_refused_soon() {
     for seed in 0..20 {
--- a/crates/agent/tests/quota_over_nodes.rs
+++ b/crates/agent/tests/quota_over_nodes.rs
@@ -1,13 +1,16 @@
 //! Several nodes' desks and one leader's ledger over a network that delays and loses messages:
 //! neither the rate nor the streams of a tenant exceed its quota over all nodes together.
 
+#[path = "support/quota_post.rs"]
+mod quota_post;
+
 use millford_agent::quota::QuotaDesk;
 use millford_api::config::Quota;
-use millford_api::internal::{QuotaRecall, QuotaReply, QuotaRequest};
 use millford_api::local::{LocalQuotaAsk, LocalQuotaRelease, LocalQuotaReply};
-use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
+use millford_control_state::quota::{QuotaLedger, QuotaOptions};
 use millford_core::{Duration, MonotonicTime, ShardId, ShardLayout};
 use quickcheck::{QuickCheck, TestResult};
+use quota_post::{Parcel, Post, name_of};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -29,12 +32,6 @@
     changes_leader: bool,
 }
 
-enum Parcel {
-    Request(QuotaRequest),
-    Reply(usize, QuotaReply),
-    Recall(usize, QuotaRecall),
-}
-
 struct Rig {
     now: MonotonicTime,
     random: SmallRng,
@@ -42,7 +39,7 @@
     ledger: QuotaLedger,
     desks: Vec<QuotaDesk>,
     ids: Vec<u64>,
-    travelling: Vec<(MonotonicTime, Parcel)>,
+    post: Post,
     granted: Vec<MonotonicTime>,
     open: Vec<(MonotonicTime, usize)>,
     asked: u64,
@@ -68,7 +65,7 @@
             ledger,
             desks: vec![QuotaDesk::default(); NODES],
             ids: vec![0; NODES],
-            travelling: Vec::new(),
+            post: Post::default(),
             granted: Vec::new(),
             open: Vec::new(),
             asked: 0,
@@ -134,10 +131,10 @@
         let replies = self.desks[node].tick(now);
         self.take(node, replies);
         let layout = ShardLayout::new(1);
-        let name = format!("node-{node}");
+        let name = name_of(node);
         let id = &mut self.ids[node];
         for request in self.desks[node].requests(now, layout, &name, 1 + node as u64, id) {
-            self.post(Parcel::Request(request));
+            self.send(Parcel::Request(request));
         }
     }
 
@@ -152,26 +149,22 @@
         }
     }
 
-    fn post(&mut self, parcel: Parcel) {
+    fn send(&mut self, parcel: Parcel) {
         if self.random.random_ratio(self.weather.loss_percent, 100) {
             return;
         }
         let delay = self.random.random_range(0..=self.weather.longest_delay_ms);
         let at = self.now + Duration::from_millis(delay);
-        self.travelling.push((at, parcel));
+        self.post.send(at, parcel);
     }
 
     fn deliver(&mut self) {
         let now = self.now;
-        let parcels = std::mem::take(&mut self.travelling);
-        let (arrived, still): (Vec<_>, Vec<_>) =
-            parcels.into_iter().partition(|(at, _)| *at <= now);
-        self.travelling = still;
-        for (_, parcel) in arrived {
+        for parcel in self.post.take_arrived(now) {
             match parcel {
                 Parcel::Request(request) => {
                     for output in self.ledger.handle(now, &request) {
-                        self.post(parcel_of(output));
+                        self.send(output.into());
                     }
                 }
                 Parcel::Reply(node, reply) => {
@@ -203,18 +196,6 @@
     }
 }
 
-fn node_of(member: &str) -> usize {
-    let number = member.trim_start_matches("node-");
-    number.parse().expect("a node's name")
-}
-
-fn parcel_of(output: QuotaOutput) -> Parcel {
-    match output {
-        QuotaOutput::Reply { member, reply } => Parcel::Reply(node_of(&member), reply),
-        QuotaOutput::Recall { member, recall, .. } => Parcel::Recall(node_of(&member), recall),
-    }
-}
-
 fn holds(seed: u64, weather: Weather) -> TestResult {
     let mut rig = Rig::new(seed, weather);
     if let Err(fault) = rig.run() {
--- a/crates/control-state/tests/chosen_revisions.rs
+++ b/crates/control-state/tests/chosen_revisions.rs
@@ -3,26 +3,13 @@
 mod support;
 
 use millford_api::command::{PutConfig, PutConfigResult, command::Kind, command_result};
-use millford_control_state::{Applied, ShardMachine, document};
+use millford_control_state::document;
 use millford_core::{ResultCode, ShardId};
 use quickcheck::QuickCheck;
-use support::{command, sound_document, tenant};
-
-struct Machine {
-    machine: ShardMachine,
-    index: u64,
-}
+use support::{Machine, sound_document, tenant};
 
 impl Machine {
-    fn new() -> Self {
-        Self {
-            machine: ShardMachine::new(ShardId::CONFIGURATION),
-            index: 0,
-        }
-    }
-
     fn put(&mut self, base: u64, revision: u64, text: &str) -> (ResultCode, PutConfigResult) {
-        self.index += 1;
         let mut wanted = sound_document();
         wanted.tenants.push(tenant(&format!("tenant-{text}")));
         let order = PutConfig {
@@ -33,9 +20,7 @@
             revision,
             source: text.as_bytes().to_vec(),
         };
-        let applied: Applied = self
-            .machine
-            .apply(self.index, 1, &command(Kind::PutConfig(order)));
+        let applied = self.apply_kind(Kind::PutConfig(order));
         let code = ResultCode::from_number(applied.result.code).expect("a known code");
         match applied.result.kind {
             Some(command_result::Kind::PutConfig(result)) => (code, result),
@@ -46,7 +31,7 @@
 
 #[test]
 fn numbers_rise_in_uneven_steps() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     assert_eq!(machine.put(0, 7, "a").1.revision, 7);
     assert_eq!(machine.put(7, 8, "b").1.revision, 8);
     assert_eq!(machine.put(8, 1000, "c").1.revision, 1000);
@@ -56,7 +41,7 @@
 
 #[test]
 fn a_number_that_is_not_above_the_present_one_is_refused() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, 7, "a");
     for revision in [1, 6, 7] {
         let (code, result) = machine.put(7, revision, "b");
@@ -68,7 +53,7 @@
 
 #[test]
 fn of_two_orders_under_one_number_one_wins_and_resent_ones_are_acknowledged() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     assert_eq!(machine.put(0, 5, "a").0, ResultCode::Ok);
     assert_eq!(machine.put(0, 5, "b").0, ResultCode::RevisionConflict);
     let (code, again) = machine.put(0, 5, "a");
@@ -79,7 +64,7 @@
     machine.put(5, 6, "c");
     // Also after later changes, and after a restart from a snapshot.
     let snapshot = machine.machine.snapshot();
-    let mut restored = Machine::new();
+    let mut restored = Machine::new(ShardId::CONFIGURATION);
     restored.machine.restore(&snapshot).expect("a snapshot");
     restored.index = machine.index;
     assert_eq!(restored.put(0, 5, "a").0, ResultCode::Ok);
@@ -94,7 +79,7 @@
 #[test]
 fn numbers_never_fall_whatever_is_ordered() {
     fn holds(orders: Vec<(u8, u8, u8)>) -> bool {
-        let mut machine = Machine::new();
+        let mut machine = Machine::new(ShardId::CONFIGURATION);
         let mut last = 0;
         for (base, revision, text) in orders {
             let base = if base % 2 == 0 {
--- a/crates/control-state/tests/claims.rs
+++ b/crates/control-state/tests/claims.rs
@@ -5,32 +5,15 @@
 use millford_api::command::{
     AdvanceClock, Claim, ClaimResult, RunOutcome, SettleClaim, command::Kind, command_result,
 };
+use millford_control_state::ShardMachine;
 use millford_control_state::machine::CLAIM_RETENTION_MS;
-use millford_control_state::{Applied, ShardMachine};
 use millford_core::{ResultCode, ShardId};
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use support::command;
-
-struct Machine {
-    machine: ShardMachine,
-    index: u64,
-}
+use support::Machine;
 
 impl Machine {
-    fn new() -> Self {
-        Self {
-            machine: ShardMachine::new(ShardId(1)),
-            index: 0,
-        }
-    }
-
-    fn apply(&mut self, kind: Kind) -> Applied {
-        self.index += 1;
-        self.machine.apply(self.index, 1, &command(kind))
-    }
-
     fn claim(&mut self, attempt: &str) -> ClaimResult {
-        let applied = self.apply(Kind::Claim(claim(attempt, 1)));
+        let applied = self.apply_kind(Kind::Claim(claim(attempt, 1)));
         match applied.result.kind {
             Some(command_result::Kind::Claim(result)) => result,
             _ => panic!("no answer to a claim: {applied:?}"),
@@ -38,12 +21,12 @@
     }
 
     fn settle(&mut self, attempt: &str, outcome: RunOutcome) {
-        let applied = self.apply(Kind::SettleClaim(settle(attempt, outcome)));
+        let applied = self.apply_kind(Kind::SettleClaim(settle(attempt, outcome)));
         assert_eq!(applied.result.code, 0);
     }
 
     fn advance(&mut self, elapsed_ms: u64) {
-        self.apply(Kind::AdvanceClock(AdvanceClock { elapsed_ms }));
+        self.apply_kind(Kind::AdvanceClock(AdvanceClock { elapsed_ms }));
     }
 }
 
@@ -67,7 +50,7 @@
 
 #[test]
 fn a_resent_claim_of_the_same_attempt_is_granted_again() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     assert!(machine.claim("a").granted);
     assert!(machine.claim("a").granted);
     let other = machine.claim("b");
@@ -78,7 +61,7 @@
 #[test]
 fn a_settled_claim_tells_its_outcome_and_grants_nobody() {
     for outcome in [RunOutcome::RunCompleted, RunOutcome::RunFailed] {
-        let mut machine = Machine::new();
+        let mut machine = Machine::new(ShardId(1));
         machine.claim("a");
         machine.settle("a", outcome);
         for attempt in ["a", "b"] {
@@ -91,7 +74,7 @@
 
 #[test]
 fn the_first_settlement_stands_and_only_by_the_granted_attempt() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     machine.claim("a");
     machine.settle("b", RunOutcome::RunNotRun);
     assert!(!machine.claim("c").granted, "b was never granted");
@@ -102,7 +85,7 @@
 
 #[test]
 fn what_did_not_run_may_be_claimed_by_another_attempt_only() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     machine.claim("a");
     machine.settle("a", RunOutcome::RunNotRun);
     assert!(!machine.claim("a").granted, "a late copy of a's claim");
@@ -111,7 +94,7 @@
 
 #[test]
 fn a_claim_that_arrives_after_its_attempt_gave_up_is_not_granted() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     machine.settle("a", RunOutcome::RunNotRun);
     assert!(!machine.claim("a").granted);
     assert!(machine.claim("b").granted);
@@ -119,16 +102,16 @@
 
 #[test]
 fn a_key_that_is_used_for_another_body_is_refused() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     machine.claim("a");
-    let applied = machine.apply(Kind::Claim(claim("b", 2)));
+    let applied = machine.apply_kind(Kind::Claim(claim("b", 2)));
     let expected = ResultCode::IdempotencyKeyReused.number();
     assert_eq!(applied.result.code, expected);
 }
 
 #[test]
 fn claims_are_kept_for_a_day_of_shard_time() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(1));
     machine.claim("a");
     machine.advance(CLAIM_RETENTION_MS);
     assert_eq!(machine.machine.claim_count(), 1);
@@ -161,7 +144,7 @@
 quickcheck! {
     /// While one attempt may have run, no other is granted, whatever is resent or comes late.
     fn at_most_one_attempt_may_run(steps: Vec<Step>) -> bool {
-        let mut machine = Machine::new();
+        let mut machine = Machine::new(ShardId(1));
         let mut running: Option<u8> = None;
         for step in steps {
             match step {
--- a/crates/control-state/tests/machine.rs
+++ b/crates/control-state/tests/machine.rs
@@ -12,28 +12,11 @@
 use millford_control_state::{Applied, ShardMachine, keys};
 use millford_core::{ResultCode, ShardId};
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use support::{backend, command, order, sound_document};
-
-struct Machine {
-    machine: ShardMachine,
-    index: u64,
-}
+use support::{Machine, backend, order, sound_document};
 
 impl Machine {
-    fn new() -> Self {
-        Self {
-            machine: ShardMachine::new(ShardId(2)),
-            index: 0,
-        }
-    }
-
-    fn apply(&mut self, kind: Kind) -> Applied {
-        self.index += 1;
-        self.machine.apply(self.index, 1, &command(kind))
-    }
-
     fn open(&mut self, member: &str, boot_id: u64) -> u64 {
-        let applied = self.apply(Kind::OpenSession(open(member, boot_id)));
+        let applied = self.apply_kind(Kind::OpenSession(open(member, boot_id)));
         match applied.result.kind {
             Some(command_result::Kind::OpenSession(result)) => result.epoch,
             _ => panic!("no answer to an opened session: {applied:?}"),
@@ -46,11 +29,11 @@
             epoch,
             expired: true,
         };
-        self.apply(Kind::CloseSession(close)).result.code
+        self.apply_kind(Kind::CloseSession(close)).result.code
     }
 
     fn update(&mut self, upserts: Vec<Backend>, removals: Vec<String>) -> Applied {
-        self.apply(Kind::UpdateBackends(UpdateBackends {
+        self.apply_kind(Kind::UpdateBackends(UpdateBackends {
             service: "pool-saga".to_owned(),
             upserts,
             removals,
@@ -58,7 +41,7 @@
     }
 
     fn drain(&mut self, backend_id: &str, drain: bool) -> Applied {
-        self.apply(Kind::DrainBackend(DrainBackend {
+        self.apply_kind(Kind::DrainBackend(DrainBackend {
             service: "pool-saga".to_owned(),
             backend_id: backend_id.to_owned(),
             drain,
@@ -71,7 +54,7 @@
             epoch,
             replicas: Vec::new(),
         };
-        self.apply(Kind::SetPlacement(SetPlacement {
+        self.apply_kind(Kind::SetPlacement(SetPlacement {
             placement: Some(placement),
         }))
     }
@@ -105,7 +88,7 @@
 
 #[test]
 fn epochs_grow_and_a_resent_opening_keeps_its_epoch() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     let first = machine.open("agent-1", 7);
     assert_eq!(machine.open("agent-1", 7), first);
     let other = machine.open("agent-2", 7);
@@ -117,7 +100,7 @@
 
 #[test]
 fn only_the_named_epoch_is_closed() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     let old = machine.open("agent-1", 7);
     let new = machine.open("agent-1", 8);
     let fenced = ResultCode::EpochFenced.number();
@@ -132,7 +115,7 @@
 
 #[test]
 fn a_placement_with_an_older_epoch_is_fenced() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     assert_eq!(machine.place(4).result.code, 0);
     let late = machine.place(3);
     assert_eq!(late.result.code, ResultCode::EpochFenced.number());
@@ -142,7 +125,7 @@
 
 #[test]
 fn a_drain_order_outlives_the_registry_and_ends_when_lifted() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     machine.update(vec![backend("b1", "saga")], Vec::new());
     assert_eq!(machine.drain("b1", true).changes.len(), 1);
     machine.update(vec![backend("b1", "saga")], Vec::new());
@@ -156,14 +139,14 @@
 
 #[test]
 fn an_unknown_backend_cannot_be_drained() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     let code = machine.drain("b1", true).result.code;
     assert_eq!(code, ResultCode::BackendUnknown.number());
 }
 
 #[test]
 fn the_difference_to_the_registry_is_what_differs_and_knows_no_drains() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     let seen = vec![backend("b1", "saga"), backend("b2", "saga")];
     machine.update(seen.clone(), Vec::new());
     machine.drain("b1", true);
@@ -181,7 +164,7 @@
         .expect("a difference");
     assert_eq!(difference.upserts, next);
     assert_eq!(difference.removals, ["b2"]);
-    let applied = machine.apply(Kind::UpdateBackends(difference));
+    let applied = machine.apply_kind(Kind::UpdateBackends(difference));
     assert_eq!(applied.changes.len(), 2, "b1 drains already");
     assert_eq!(
         machine.machine.catalogue_difference("pool-saga", &next),
@@ -191,7 +174,7 @@
 
 #[test]
 fn an_unchanged_catalogue_sends_nothing() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     machine.update(vec![backend("b1", "saga")], Vec::new());
     let again = machine.update(vec![backend("b1", "saga")], vec!["b9".to_owned()]);
     assert!(again.changes.is_empty());
@@ -199,7 +182,7 @@
 
 #[test]
 fn control_members_come_and_go() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     let member = ControlMember {
         node_id: 0xab,
         internal_address: "127.0.0.1:1".to_owned(),
@@ -208,12 +191,12 @@
     let register = RegisterControlMember {
         member: Some(member),
     };
-    let applied = machine.apply(Kind::RegisterControlMember(register));
+    let applied = machine.apply_kind(Kind::RegisterControlMember(register));
     assert_eq!(applied.changes[0].key, "control/00000000000000ab");
     let remove = RemoveControlMember { node_id: 0xab };
-    let removed = machine.apply(Kind::RemoveControlMember(remove));
+    let removed = machine.apply_kind(Kind::RemoveControlMember(remove));
     assert!(removed.changes[0].value.is_none());
-    let again = machine.apply(Kind::RemoveControlMember(remove));
+    let again = machine.apply_kind(Kind::RemoveControlMember(remove));
     assert_eq!((again.result.code, again.changes.len()), (0, 0));
 }
 
@@ -228,7 +211,7 @@
 
 #[test]
 fn a_broken_snapshot_changes_nothing() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId(2));
     machine.open("agent-1", 7);
     let before = machine.machine.snapshot();
     assert!(machine.machine.restore(&[0xff, 0x01, 0x02]).is_err());
@@ -277,25 +260,25 @@
     /// A replica that was restored in the middle ends in the same state, byte for byte, as one that
     /// applied everything, and gives the same results.
     fn a_restored_replica_goes_on_the_same(before: Vec<AnyCommand>, after: Vec<AnyCommand>) -> bool {
-        let mut whole = Machine::new();
+        let mut whole = Machine::new(ShardId(2));
         for any in before {
-            whole.apply(any.0);
+            whole.apply_kind(any.0);
         }
-        let mut restored = Machine::new();
+        let mut restored = Machine::new(ShardId(2));
         restored.index = whole.index;
         restored.machine.restore(&whole.machine.snapshot()).expect("a snapshot");
         let same = after.into_iter().all(|any| {
-            whole.apply(any.0.clone()) == restored.apply(any.0)
+            whole.apply_kind(any.0.clone()) == restored.apply_kind(any.0)
         });
         same && whole.machine.snapshot() == restored.machine.snapshot()
     }
 
     /// The changes of each command, put together, give the public state.
     fn changes_add_up_to_the_public_state(commands: Vec<AnyCommand>) -> bool {
-        let mut machine = Machine::new();
+        let mut machine = Machine::new(ShardId(2));
         let mut followed = std::collections::BTreeMap::new();
         for any in commands {
-            for item in machine.apply(any.0).changes {
+            for item in machine.apply_kind(any.0).changes {
                 match item.value {
                     Some(value) => followed.insert(item.key, value),
                     None => followed.remove(&item.key),
--- a/crates/control-state/tests/orders.rs
+++ b/crates/control-state/tests/orders.rs
@@ -7,25 +7,11 @@
 use millford_control_state::machine::ORDER_RECORD_LIMIT;
 use millford_control_state::{Applied, ShardMachine, document};
 use millford_core::{ResultCode, ShardId};
-use support::{order, sound_document, tenant};
-
-/// A machine with the commands' indexes counted.
-struct Machine {
-    machine: ShardMachine,
-    index: u64,
-}
+use support::{Machine, order, sound_document, tenant};
 
 impl Machine {
-    fn new() -> Self {
-        Self {
-            machine: ShardMachine::new(ShardId::CONFIGURATION),
-            index: 0,
-        }
-    }
-
     fn put(&mut self, base: u64, id: &str, wanted: &Document) -> Applied {
-        self.index += 1;
-        self.machine.apply(self.index, 1, &order(base, id, wanted))
+        self.apply(&order(base, id, wanted))
     }
 }
 
@@ -48,7 +34,7 @@
 
 #[test]
 fn of_two_orders_on_one_base_exactly_one_wins() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     let first = machine.put(0, "a", &with_tenant("one"));
     let second = machine.put(0, "b", &with_tenant("two"));
     assert_eq!(code(&first), ResultCode::Ok);
@@ -60,7 +46,7 @@
 
 #[test]
 fn an_order_ahead_of_the_present_revision_conflicts() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     let ahead = machine.put(5, "a", &sound_document());
     assert_eq!(code(&ahead), ResultCode::RevisionConflict);
     assert_eq!(result(&ahead).revision, 0);
@@ -68,7 +54,7 @@
 
 #[test]
 fn a_resent_order_is_acknowledged_after_hundreds_of_changes_and_a_snapshot() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, "first", &sound_document());
     for change in 1..700 {
         let applied = machine.put(change, &format!("order-{change}"), &sound_document());
@@ -88,7 +74,7 @@
 
 #[test]
 fn without_an_id_the_same_document_on_the_same_base_is_the_same_order() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, "", &with_tenant("one"));
     machine.put(1, "", &with_tenant("two"));
     let again = machine.put(0, "", &with_tenant("one"));
@@ -101,7 +87,7 @@
 
 #[test]
 fn an_order_id_belongs_to_one_order() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, "a", &with_tenant("one"));
     let other_document = machine.put(1, "a", &with_tenant("two"));
     let other_base = machine.put(1, "a", &with_tenant("one"));
@@ -112,7 +98,7 @@
 
 #[test]
 fn a_new_order_id_on_a_used_base_conflicts_even_with_the_same_document() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, "a", &sound_document());
     let other = machine.put(0, "b", &sound_document());
     assert_eq!(code(&other), ResultCode::RevisionConflict);
@@ -120,7 +106,7 @@
 
 #[test]
 fn the_record_is_bounded_and_a_forgotten_order_is_never_accepted_twice() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     let limit = ORDER_RECORD_LIMIT as u64;
     let empty = Document::default();
     for base in 0..=limit {
@@ -135,7 +121,7 @@
 
 #[test]
 fn an_accepted_order_changes_only_what_differs() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     machine.put(0, "a", &sound_document());
     let mut wanted = sound_document();
     wanted.tenants.remove(1);
@@ -159,7 +145,7 @@
 
 #[test]
 fn the_public_state_gives_the_document_back() {
-    let mut machine = Machine::new();
+    let mut machine = Machine::new(ShardId::CONFIGURATION);
     let mut wanted = sound_document();
     wanted.routes.reverse();
     machine.put(0, "a", &wanted);
--- a/crates/control-state/tests/support/mod.rs
+++ b/crates/control-state/tests/support/mod.rs
@@ -4,8 +4,33 @@
 use millford_api::command::{Command, PutConfig, command::Kind};
 use millford_api::config::{Document, Pool, Quota, Route, RouteMatch, Selector, Tenant};
 use millford_api::state::{Backend, Declaration};
-use millford_control_state::document;
-use millford_core::hash_tenant_key;
+use millford_control_state::{Applied, ShardMachine, document};
+use millford_core::{ShardId, hash_tenant_key};
+
+/// A shard's machine with the commands' indexes counted.
+pub struct Machine {
+    pub machine: ShardMachine,
+    pub index: u64,
+}
+
+impl Machine {
+    pub fn new(shard: ShardId) -> Self {
+        Self {
+            machine: ShardMachine::new(shard),
+            index: 0,
+        }
+    }
+
+    /// Applies the command at the next index.
+    pub fn apply(&mut self, command: &Command) -> Applied {
+        self.index += 1;
+        self.machine.apply(self.index, 1, command)
+    }
+
+    pub fn apply_kind(&mut self, kind: Kind) -> Applied {
+        self.apply(&command(kind))
+    }
+}
 
 /// A command of this kind.
 pub fn command(kind: Kind) -> Command {
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -9,6 +9,8 @@
 use support::orders::{accept, document, led};
 use support::{Cluster, TestAgent};
 
+const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
+
 fn tenants(agent: &TestAgent) -> Vec<String> {
     let keys = agent.view.items().keys();
     keys.filter_map(|key| key.strip_prefix("config/tenant/").map(str::to_owned))
@@ -34,7 +36,7 @@
 }
 
 fn agents_everywhere(cluster: &mut Cluster) -> Vec<TestAgent> {
-    let nodes = ["node-1", "node-2", "node-3"].into_iter();
+    let nodes = NODES.into_iter();
     nodes
         .map(|node| TestAgent::connect(cluster, &format!("agent-{node}"), node, ShardId(0)))
         .collect()
@@ -207,11 +209,11 @@
     for seed in 0..20 {
         let mut cluster = led(3, seed);
         cluster.run(Duration::from_secs(1));
-        for node in ["node-1", "node-2", "node-3"] {
+        for node in NODES {
             cluster.kill(node);
         }
         cluster.run(Duration::from_millis(500));
-        for node in ["node-1", "node-2", "node-3"] {
+        for node in NODES {
             cluster.boot(node);
         }
         let mut agents = agents_everywhere(&mut cluster);
@@ -230,7 +232,7 @@
 #[test]
 fn a_node_that_starts_alone_says_soon_that_it_is_out_of_touch() {
     let mut cluster = led(3, 1);
-    for node in ["node-1", "node-2", "node-3"] {
+    for node in NODES {
         cluster.kill(node);
     }
     cluster.run(Duration::from_millis(500));
@@ -257,8 +259,7 @@
     let mut cluster = led(3, 3);
     cluster.run(Duration::from_secs(1));
     let leader = cluster.leader(ShardId(0)).expect("a leader");
-    let others = ["node-1", "node-2", "node-3"];
-    let deaf = others
+    let deaf = NODES
         .into_iter()
         .find(|node| *node != leader)
         .expect("a follower");
