Control node of the simulator: one way to take an input

Cause: `handle_batch` repeated what `handle` does with an input.

Change: both call `take_input`. The daemon uses neither; behaviour as before.

Ruled out: `handle` by way of `handle_batch`, which would flush at other moments.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -63,11 +63,7 @@
 
     /// Takes one input and gives what is to be done.
     pub fn handle(&mut self, now: MonotonicTime, input: NodeInput) -> Vec<NodeOutput> {
-        if matches!(input, NodeInput::Tick) {
-            self.tick_cores(now);
-        }
-        self.tell_gateway(now, GatewayInput::Node(input));
-        self.run_queue(now);
+        self.take_input(now, input);
         std::mem::take(&mut self.outputs)
     }
 
@@ -76,11 +72,7 @@
     pub fn handle_batch(&mut self, now: MonotonicTime, inputs: Vec<NodeInput>) -> Vec<NodeOutput> {
         self.batched = Some(BTreeSet::new());
         for input in inputs {
-            if matches!(input, NodeInput::Tick) {
-                self.tick_cores(now);
-            }
-            self.tell_gateway(now, GatewayInput::Node(input));
-            self.run_queue(now);
+            self.take_input(now, input);
         }
         for shard in self.batched.take().unwrap_or_default() {
             self.flush_core(now, shard);
@@ -107,6 +99,14 @@
         self.cores.get(&shard)
     }
 
+    fn take_input(&mut self, now: MonotonicTime, input: NodeInput) {
+        if matches!(input, NodeInput::Tick) {
+            self.tick_cores(now);
+        }
+        self.tell_gateway(now, GatewayInput::Node(input));
+        self.run_queue(now);
+    }
+
     fn tick_cores(&mut self, now: MonotonicTime) {
         let shards: Vec<ShardId> = self.cores.keys().copied().collect();
         for shard in shards {
