Subscriptions: an agent that asks again keeps the time since it asked first

Cause: each Subscribe of an agent replaced its waiting entry, which began the wait of a second anew.

Ruled out: the replica's own view of being in touch (it knows after 1 s; only the waiting time was lost).

Change: Subscriptions::insert keeps the time of a waiting subscription; subscribing again closes the feed and its reads, but leaves the entry.

--- a/crates/control/src/shard/feeding.rs
+++ b/crates/control/src/shard/feeding.rs
@@ -23,16 +23,20 @@
         subscriber: LinkId,
         subscribe: Subscribe,
     ) {
-        self.unsubscribe(subscriber);
+        self.close_feed(subscriber);
         self.subscriptions.insert(now, subscriber, subscribe);
         self.confirm_subscription(now, subscriber);
     }
 
     /// An agent is gone.
     pub(super) fn unsubscribe(&mut self, subscriber: LinkId) {
+        self.close_feed(subscriber);
+        self.subscriptions.remove(subscriber);
+    }
+
+    fn close_feed(&mut self, subscriber: LinkId) {
         self.reads.forget_subscriber(subscriber);
         self.publisher.unsubscribe(subscriber.0);
-        self.subscriptions.remove(subscriber);
     }
 
     /// The leader answered a read of this replica.
--- a/crates/control/src/shard/subscriptions.rs
+++ b/crates/control/src/shard/subscriptions.rs
@@ -34,11 +34,16 @@
 }
 
 impl Subscriptions {
-    /// An agent asks, and its read is asked for now.
+    /// An agent asks, and its read is asked for now. An agent that asks again has been waiting since it
+    /// asked first: else one that asks every second would never be told to go elsewhere.
     pub fn insert(&mut self, now: MonotonicTime, subscriber: LinkId, subscribe: Subscribe) {
+        let since = self
+            .waiting
+            .get(&subscriber)
+            .map_or(now, |waiting| waiting.since);
         let waiting = Waiting {
             subscribe,
-            since: now,
+            since,
             retry_at: now + READ_PATIENCE,
         };
         self.waiting.insert(subscriber, waiting);
