Forward: the counts of each backend have owners, and are asked for before each choice

Cause: each node told its whole work to every peer, each max(100 ms, 8 ms x peers): 0.69 s old at 86 nodes, in which a backend reads three long prompts. Many nodes with the same old picture sent to the same backends.

Change: two owners among the proxies for each backend, by rendezvous hashing, of two zones where there are two. A node tells them whenever its own work there changes (absolute counts, repeated each second), and asks one of them before it chooses among holders of the prompt's special part, its home, and four backends at random. A silent owner is passed over for its stand-in; a backend whose counts are not to be had is passed over. Work is no longer in the news to all peers.

--- a/crates/forward/src/exchange/exchange_task.rs
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -1,5 +1,6 @@
 //! Carries news over UDP.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,6 +14,7 @@
 
 use crate::exchange::news::{NewsWriter, take_news};
 use crate::exchange::peer_table::PeerTable;
+use crate::load::work_ledger::REPEAT_PERIOD;
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 
@@ -27,16 +29,23 @@
 /// Everything is told again after this long, for peers that missed it.
 const WHOLE_PERIOD: Duration = Duration::from_millis(1000);
 
+/// Datagrams taken in one go before other tasks get their turn.
+const MOST_IN_ONE_GO: usize = 64;
+
 /// Largest datagram that is read, in bytes.
 const MOST_BYTES: usize = 65_536;
 
 /// Exchanges news for as long as the process lives.
 pub async fn run<P: ForwardProtocol>(node: Arc<ForwardNode<P>>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    node.load.connect(Arc::clone(&socket));
     let mut exchange = Exchange {
         writer: NewsWriter::new(rand::random()),
         peers: PeerTable::default(),
         next_whole: monotonic_now(),
         next_send: monotonic_now(),
+        next_repeat: monotonic_now(),
+        told_lately: BTreeSet::new(),
     };
     let mut ticks = tokio::time::interval(SHORTEST_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -45,8 +54,12 @@
         tokio::select! {
             _ = ticks.tick() => exchange.tick(&node, &socket).await,
             () = node.quotas.until_urgent() => exchange.send_usage(&node, &socket).await,
+            () = node.state.board.until_changed() => exchange.tell_work(&node),
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => exchange.receive(&node, &buffer[..length]),
+                Ok((length, from)) => {
+                    exchange.receive(&node, from, &buffer[..length]);
+                    exchange.receive_waiting(&node, &socket, &mut buffer);
+                }
                 Err(error) => LOG.debug(format_args!("A datagram could not be read: {error}.")),
             },
         }
@@ -58,13 +71,16 @@
     peers: PeerTable,
     next_whole: MonotonicTime,
     next_send: MonotonicTime,
+    next_repeat: MonotonicTime,
+    /// Backends whose owners were told of work since the last repetition.
+    told_lately: BTreeSet<String>,
 }
 
 impl Exchange {
     async fn tick<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, socket: &UdpSocket) {
         let now = monotonic_now();
-        node.state.board.set_others(&self.peers.work(now));
         node.quotas.tick(now);
+        self.repeat_work(node, now);
         if now < self.next_send {
             return;
         }
@@ -90,13 +106,57 @@
         }
     }
 
-    fn receive<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, bytes: &[u8]) {
+    /// Tells the owners of the counts what changed on their backends.
+    fn tell_work<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>) {
+        let changed = node.state.board.take_changed();
+        let (ring, _) = node.load.ring(&node.state.table());
+        node.load.tell(&node.state.board, &ring, &changed);
+        self.told_lately.extend(changed);
+    }
+
+    /// Tells unchanged work again: what was lost is made good, and new owners learn what there is.
+    fn repeat_work<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, now: MonotonicTime) {
+        let (ring, changed) = node.load.ring(&node.state.table());
+        if now < self.next_repeat && !changed {
+            return;
+        }
+        self.next_repeat = now + REPEAT_PERIOD;
+        node.load.expire(now);
+        let mut backends = node.state.board.busy_backends();
+        backends.append(&mut self.told_lately);
+        node.load.tell(&node.state.board, &ring, &backends);
+    }
+
+    /// Takes what else has arrived: one wake-up serves all of it.
+    fn receive_waiting<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        socket: &UdpSocket,
+        buffer: &mut [u8],
+    ) {
+        for _ in 0..MOST_IN_ONE_GO {
+            let Ok((length, from)) = socket.try_recv_from(buffer) else {
+                return;
+            };
+            self.receive(node, from, &buffer[..length]);
+        }
+    }
+
+    fn receive<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
         let Ok(news) = ProxyNews::decode(bytes) else {
             LOG.debug("A datagram is no news of a proxy.");
             return;
         };
         let now = monotonic_now();
-        if news.member == node.name || !self.peers.take(now, &news) {
+        if news.member == node.name || node.load.receive(&node.state.board, from, &news) {
+            return;
+        }
+        if !self.peers.take(&news) {
             return;
         }
         take_news(node, now, &news);
--- a/crates/forward/src/exchange/mod.rs
+++ b/crates/forward/src/exchange/mod.rs
@@ -1,5 +1,5 @@
-//! What the proxies tell each other directly, in datagrams: tokens admitted, work in flight, where
-//! prompt parts were read.
+//! What the proxies tell each other directly, in datagrams: tokens admitted, where prompt parts were
+//! read, and what [`crate::load`] tells and asks.
 //!
 //! Counts are absolute, so that a lost datagram is made good by the next one. Who the peers are
 //! comes with the feed.
--- a/crates/forward/src/exchange/news.rs
+++ b/crates/forward/src/exchange/news.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use millford_api::config::{Tenant, TokenQuota};
-use millford_api::exchange::{PromptPlace, ProxyNews, ReplicaWork, TenantUsage};
+use millford_api::exchange::{PromptPlace, ProxyNews, TenantUsage};
 use millford_core::MonotonicTime;
 use millford_routing::{PartPlace, RoutingTable};
 
@@ -20,7 +20,6 @@
     boot_id: u64,
     sequence: u64,
     told: BTreeMap<String, u64>,
-    told_work: Vec<ReplicaWork>,
 }
 
 impl NewsWriter {
@@ -31,7 +30,6 @@
             boot_id,
             sequence: 0,
             told: BTreeMap::new(),
-            told_work: Vec::new(),
         }
     }
 
@@ -43,22 +41,18 @@
         whole: bool,
     ) -> Option<ProxyNews> {
         let usage = self.usage(node, now, whole);
-        let work = work_of(node);
         let places = places_of(node);
-        let unchanged = usage.is_empty() && places.is_empty() && work == self.told_work;
-        if unchanged && !whole {
+        if usage.is_empty() && places.is_empty() {
             return None;
         }
-        self.told_work.clone_from(&work);
         self.sequence += 1;
         Some(ProxyNews {
             member: node.name.clone(),
             boot_id: self.boot_id,
             sequence: self.sequence,
             usage,
-            work,
-            work_complete: true,
             places,
+            ..ProxyNews::default()
         })
     }
 
@@ -104,7 +98,7 @@
     }
 }
 
-/// Takes in a peer's counts and places; its work goes through the table of peers.
+/// Takes in a peer's counts and places.
 pub fn take_news<P: ForwardProtocol>(node: &ForwardNode<P>, now: MonotonicTime, news: &ProxyNews) {
     let table = node.state.table();
     for usage in &news.usage {
@@ -137,20 +131,6 @@
     crate::quota::tenant_quotas::limiting(tenant).copied()
 }
 
-fn work_of<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<ReplicaWork> {
-    let work = node.state.board.own_work().into_iter();
-    work.map(|(key, counts)| ReplicaWork {
-        backend_id: key.backend_id,
-        pool: key.pool,
-        model: key.model,
-        version: key.version,
-        prefill_tokens: counts.prefill_tokens,
-        decode_streams: counts.decode_streams,
-        held_requests: counts.held_requests,
-    })
-    .collect()
-}
-
 fn places_of<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<PromptPlace> {
     let places = node.directory.take_news().into_iter();
     places
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod daemon;
 pub mod exchange;
+pub mod load;
 pub mod node;
 pub mod own_protocol;
 pub mod protocol;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::backend::ConnectionPools;
+use crate::load::SharedLoad;
 use crate::protocol::ForwardProtocol;
 use crate::quota::TenantQuotas;
 use crate::settings::ForwardSettings;
@@ -24,6 +25,8 @@
     pub state: Arc<ProxyState>,
     /// Where prompt parts were read.
     pub directory: PromptDirectory,
+    /// Counts of all nodes' work on each backend.
+    pub load: SharedLoad,
     /// Token quotas.
     pub quotas: TenantQuotas,
     /// Connections to backends.
@@ -43,6 +46,7 @@
             zone: settings.zone.clone(),
             state,
             directory: PromptDirectory::default(),
+            load: SharedLoad::new(&settings.name),
             quotas: TenantQuotas::default(),
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
             ejections,
--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -1,11 +1,14 @@
 //! Which backend gets a request.
 
+use std::sync::Arc;
+
 use millford_core::MonotonicTime;
 use millford_core::time::monotonic_now;
 use millford_routing::{
-    ModelRequest, PromptPart, ReplicaKey, ServingPool, ServingReplica, rendezvous,
+    ModelRequest, PromptPart, ReplicaKey, RoutingTable, ServingPool, ServingReplica, rendezvous,
 };
 use rand::Rng;
+use rand::seq::SliceRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::node::ForwardNode;
@@ -30,6 +33,16 @@
 /// Candidates whose costs differ by less than this share are equal.
 const JITTER: f64 = 0.04;
 
+/// Pools of at most this many backends are looked at whole.
+const LOOK_AT_ALL: usize = 8;
+
+/// Most backends looked at because they save reading.
+const MOST_SAVING: usize = 4;
+
+/// Backends looked at beside these. With counts of the moment the longest queue shrinks steeply with the
+/// second draw and slowly after; more draws find idle backends for prompts whose home is busy.
+const DRAWN_AT_RANDOM: usize = 4;
+
 /// The backend that a request goes to.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -43,12 +56,13 @@
     pub max_connections: u32,
 }
 
-/// The cheapest backend that was not tried yet; nothing when there is none.
+/// The cheapest of a few backends that were not tried yet; nothing when there is none.
 ///
-/// The cost is the estimated work in flight on the backend, of every model at that model's own cost,
+/// Looked at are the backends that keep the prompt's most special shared part, or its home while
+/// nobody keeps it, and some others drawn at random; their counts are asked for first. The cost is the estimated work in flight on the backend, of every model at that model's own cost,
 /// plus the request's own: what of its prompt the backend has not read lately. Placement's weights
 /// bound the use of the backends' memory bandwidth.
-pub fn choose<P: ForwardProtocol>(
+pub async fn choose<P: ForwardProtocol>(
     node: &ForwardNode<P>,
     plan: &Plan,
     tried: &[String],
@@ -58,11 +72,14 @@
     let pool = table.pool(&plan.pool)?;
     let candidates = usable(node, pool, plan, tried);
     let savings = savings(node, now, plan, &candidates);
+    let shortlist = shortlist(&candidates, &savings, &mut rand::rng());
+    let shortlist = with_fresh_counts(node, &table, &candidates, shortlist).await;
     let costs = &node.state.costs;
     let prompt = plan.prompt_tokens();
     let mut random = rand::rng();
     let mut best: Option<(f64, &ServingReplica, u64)> = None;
-    for (replica, saving) in candidates.iter().zip(savings) {
+    for index in shortlist {
+        let (replica, saving) = (candidates[index], savings[index]);
         let own_tokens = own_tokens(plan, prompt, saving.cached);
         let load = node.state.board.backend_load(&replica.backend.id, 1, costs);
         let own = costs.work_ms(&plan.facts.model, own_tokens, 0);
@@ -117,6 +134,48 @@
     candidates
 }
 
+/// Candidates to look at, by their place: those that save most of the prompt, then others at random.
+fn shortlist(
+    candidates: &[&ServingReplica],
+    savings: &[Saving],
+    random: &mut impl Rng,
+) -> Vec<usize> {
+    if candidates.len() <= LOOK_AT_ALL {
+        return (0..candidates.len()).collect();
+    }
+    let least_again = savings.iter().map(|saving| saving.again).min();
+    let most_again = savings.iter().map(|saving| saving.again).max();
+    let (mut saving, mut others): (Vec<usize>, Vec<usize>) = (0..candidates.len())
+        .partition(|index| least_again != most_again && Some(savings[*index].again) == least_again);
+    saving.partial_shuffle(random, MOST_SAVING);
+    saving.truncate(MOST_SAVING);
+    let (drawn, _) = others.partial_shuffle(random, DRAWN_AT_RANDOM);
+    saving.extend_from_slice(drawn);
+    saving
+}
+
+/// Asks for the counts of the candidates on the list. Those whose counts are not to be had are passed
+/// over, unless that leaves nobody.
+async fn with_fresh_counts<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    table: &Arc<RoutingTable>,
+    candidates: &[&ServingReplica],
+    shortlist: Vec<usize>,
+) -> Vec<usize> {
+    let ids = shortlist.iter();
+    let ids: Vec<&str> = ids
+        .map(|index| candidates[*index].backend.id.as_str())
+        .collect();
+    let fresh = node.load.ask(&node.state.board, table, &ids).await;
+    if !fresh.contains(&true) {
+        return shortlist;
+    }
+    let counted = shortlist.into_iter().zip(fresh);
+    counted
+        .filter_map(|(index, is_fresh)| is_fresh.then_some(index))
+        .collect()
+}
+
 /// What one candidate saves of a prompt, in tokens.
 #[derive(Clone, Copy, Debug, Default)]
 struct Saving {
--- a/crates/forward/src/request/first_answer.rs
+++ b/crates/forward/src/request/first_answer.rs
@@ -45,7 +45,7 @@
         if plan.deadline <= monotonic_now() {
             return Err(out_of_time(trail));
         }
-        let Some(target) = choose(node, plan, &trail.tried) else {
+        let Some(target) = choose(node, plan, &trail.tried).await else {
             return Err(last);
         };
         // Every send after the first comes out of the fleet's budget, wherever it goes.
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -287,7 +287,7 @@
             if self.trail.runs >= self.plan.most_runs() || !self.node.state.budget.try_spend() {
                 return Err(BrokenOff::BackendLost);
             }
-            let target = choose(&self.node, &self.plan, &self.trail.tried);
+            let target = choose(&self.node, &self.plan, &self.trail.tried).await;
             let target = target.ok_or(BrokenOff::BackendLost)?;
             self.trail.tried.push(target.key.backend_id.clone());
             match attempt(&self.node, &self.plan, target, self.last_event).await {
--- /dev/null
+++ b/crates/forward/tests/load_counts.rs
@@ -0,0 +1,235 @@
+//! Counts of backends at their owners: newest first, restarts, silence, owners that come and go.
+
+use std::collections::BTreeMap;
+
+use millford_api::exchange::{BackendWork, ReplicaWork, WorkUpdate};
+use millford_api::state::ProxyMember;
+use millford_core::{Duration, MonotonicTime};
+use millford_forward::load::{LoadQuestions, OwnerRing, RoundTrip, WorkLedger};
+use quickcheck::quickcheck;
+
+fn update(sequence: u64, work: &[(&str, u64)]) -> WorkUpdate {
+    let backends = work.iter().map(|(backend, tokens)| BackendWork {
+        backend_id: (*backend).to_owned(),
+        replicas: match tokens {
+            0 => Vec::new(),
+            _ => vec![ReplicaWork {
+                model: "m".to_owned(),
+                prefill_tokens: *tokens,
+                decode_streams: 1,
+                ..ReplicaWork::default()
+            }],
+        },
+    });
+    WorkUpdate {
+        sequence,
+        backends: backends.collect(),
+    }
+}
+
+fn tokens(ledger: &WorkLedger, now: MonotonicTime, backend: &str, except: &str) -> u64 {
+    let work = ledger.others(now, backend, except);
+    let replicas = work.replicas.iter();
+    replicas.map(|replica| replica.prefill_tokens).sum()
+}
+
+#[test]
+fn the_newest_counts_of_each_node_stand() {
+    let mut ledger = WorkLedger::default();
+    let now = MonotonicTime::from_millis(1000);
+    ledger.take(now, "node-1", 1, &update(5, &[("a", 10), ("b", 20)]));
+    ledger.take(now, "node-2", 7, &update(1, &[("a", 3)]));
+    ledger.take(now, "node-1", 1, &update(4, &[("a", 99)]));
+    ledger.take(now, "node-1", 1, &update(5, &[("a", 99)]));
+    assert_eq!(tokens(&ledger, now, "a", ""), 13, "older and repeated ones");
+    assert_eq!(tokens(&ledger, now, "a", "node-1"), 3, "all but the asking");
+    ledger.take(now, "node-1", 1, &update(6, &[("b", 5)]));
+    assert_eq!(
+        tokens(&ledger, now, "a", ""),
+        13,
+        "a backend that it names not"
+    );
+    assert_eq!(tokens(&ledger, now, "b", ""), 5);
+    ledger.take(now, "node-1", 1, &update(7, &[("a", 0)]));
+    assert_eq!(tokens(&ledger, now, "a", ""), 3, "idle now");
+    ledger.take(now, "node-1", 1, &update(6, &[("a", 50)]));
+    assert_eq!(tokens(&ledger, now, "a", ""), 3, "overtaken by its own end");
+    ledger.take(now, "node-1", 2, &update(1, &[("a", 1)]));
+    assert_eq!(tokens(&ledger, now, "a", ""), 4, "restarted");
+}
+
+#[test]
+fn sums_are_kept_apart_by_model() {
+    let mut ledger = WorkLedger::default();
+    let now = MonotonicTime::from_millis(1000);
+    let of = |model: &str, prefill_tokens| ReplicaWork {
+        model: model.to_owned(),
+        prefill_tokens,
+        ..ReplicaWork::default()
+    };
+    for (member, replicas) in [
+        ("node-1", vec![of("m", 1), of("n", 10)]),
+        ("node-2", vec![of("n", 20)]),
+    ] {
+        let backends = vec![BackendWork {
+            backend_id: "a".to_owned(),
+            replicas,
+        }];
+        let update = WorkUpdate {
+            sequence: 1,
+            backends,
+        };
+        ledger.take(now, member, 1, &update);
+    }
+    let work = ledger.others(now, "a", "").replicas;
+    let sums: Vec<(&str, u64)> = work
+        .iter()
+        .map(|replica| (replica.model.as_str(), replica.prefill_tokens))
+        .collect();
+    assert_eq!(sums, [("m", 1), ("n", 30)]);
+}
+
+#[test]
+fn a_silent_node_counts_no_more() {
+    let mut ledger = WorkLedger::default();
+    ledger.take(
+        MonotonicTime::from_millis(0),
+        "node-1",
+        1,
+        &update(1, &[("a", 10)]),
+    );
+    assert_eq!(
+        tokens(&ledger, MonotonicTime::from_millis(2900), "a", ""),
+        10
+    );
+    assert_eq!(
+        tokens(&ledger, MonotonicTime::from_millis(3100), "a", ""),
+        0
+    );
+    ledger.expire(MonotonicTime::from_millis(3100));
+    assert_eq!(tokens(&ledger, MonotonicTime::from_millis(1), "a", ""), 0);
+}
+
+quickcheck! {
+    /// Updates that are lost, repeated and overtaken leave what was said last, once that arrives.
+    fn any_order_of_updates_ends_at_the_newest(order: Vec<u8>) -> bool {
+        let mut ledger = WorkLedger::default();
+        let now = MonotonicTime::from_millis(1);
+        let newest = 1000;
+        ledger.take(now, "node-1", 1, &update(newest, &[("a", newest)]));
+        for sequence in order {
+            let sequence = u64::from(sequence) + 1;
+            ledger.take(now, "node-1", 1, &update(sequence, &[("a", sequence)]));
+        }
+        tokens(&ledger, now, "a", "") == newest
+    }
+}
+
+fn member(number: usize) -> ProxyMember {
+    ProxyMember {
+        name: format!("node-{number}"),
+        exchange_address: format!("127.0.0.1:{}", 10_000 + number),
+        zone: format!("zone-{}", number % 3),
+    }
+}
+
+fn owners(ring: &OwnerRing, key: &str) -> Vec<String> {
+    let owners = ring.owners(key).into_iter();
+    owners.map(|owner| owner.name.clone()).collect()
+}
+
+#[test]
+fn owners_are_spread_evenly_and_over_two_zones() {
+    let members: Vec<ProxyMember> = (0..30).map(member).collect();
+    let ring = OwnerRing::of(&members);
+    let mut owned: BTreeMap<String, u32> = BTreeMap::new();
+    for key in 0..3000 {
+        let key = format!("backend-{key}");
+        let found = ring.owners(&key);
+        assert_eq!(found.len(), 2);
+        assert_ne!(found[0].zone, found[1].zone);
+        for owner in found {
+            *owned.entry(owner.name.clone()).or_default() += 1;
+        }
+    }
+    assert_eq!(owned.len(), 30, "each owns some");
+    let (least, most) = (owned.values().min(), owned.values().max());
+    assert!(least >= Some(&140) && most <= Some(&260), "{owned:?}");
+}
+
+#[test]
+fn a_node_that_goes_moves_only_what_it_owned() {
+    let members: Vec<ProxyMember> = (0..30).map(member).collect();
+    let before = OwnerRing::of(&members);
+    let after = OwnerRing::of(&members[1..]);
+    for key in 0..500 {
+        let key = format!("backend-{key}");
+        let (was, is) = (owners(&before, &key), owners(&after, &key));
+        if !was.contains(&"node-0".to_owned()) {
+            assert_eq!(was, is);
+        } else {
+            assert!(!is.contains(&"node-0".to_owned()));
+        }
+    }
+}
+
+#[test]
+fn small_fleets_have_fewer_owners() {
+    let ring = OwnerRing::of(&[]);
+    assert!(owners(&ring, "a").is_empty());
+    let ring = OwnerRing::of(&[member(1)]);
+    assert_eq!(owners(&ring, "a"), ["node-1"]);
+    let ring = OwnerRing::of(&[member(1), member(4)]);
+    assert_eq!(owners(&ring, "a").len(), 2, "of one zone: the other node");
+}
+
+#[test]
+fn an_owner_that_leaves_questions_unanswered_is_passed_over_for_a_while() {
+    let mut questions = LoadQuestions::default();
+    let at = MonotonicTime::from_millis;
+    let (first, _answer) = questions.begin(at(0), "node-1");
+    questions.give_up(at(20), first);
+    assert!(!questions.is_suspect(at(20), "node-1"), "one may be lost");
+    let (second, _answer) = questions.begin(at(30), "node-1");
+    questions.give_up(at(50), second);
+    assert!(questions.is_suspect(at(50), "node-1"));
+    assert!(!questions.is_suspect(at(50), "node-2"));
+    assert!(!questions.is_suspect(at(1100), "node-1"), "asked again");
+    let (third, answer) = questions.begin(at(1100), "node-1");
+    assert!(questions.answered(at(1102), third));
+    assert!(answer.blocking_recv().is_ok());
+    let (fourth, _answer) = questions.begin(at(1200), "node-1");
+    questions.give_up(at(1220), fourth);
+    assert!(!questions.is_suspect(at(1220), "node-1"), "it was heard");
+    assert!(!questions.answered(at(1300), fourth), "too late");
+}
+
+#[test]
+fn questions_whose_requests_went_away_are_forgotten() {
+    let mut questions = LoadQuestions::default();
+    let (id, _answer) = questions.begin(MonotonicTime::from_millis(0), "node-1");
+    questions.expire(MonotonicTime::from_millis(5000));
+    assert!(!questions.answered(MonotonicTime::from_millis(5001), id));
+}
+
+#[test]
+fn the_wait_for_an_answer_follows_the_answers() {
+    let mut round_trip = RoundTrip::default();
+    let before = round_trip.timeout();
+    for _ in 0..50 {
+        round_trip.add(Duration::from_millis(10));
+    }
+    let steady = round_trip.timeout();
+    assert!(
+        steady < before && steady >= Duration::from_millis(10),
+        "{steady:?}"
+    );
+    for millis in [2, 18].into_iter().cycle().take(50) {
+        round_trip.add(Duration::from_millis(millis));
+    }
+    assert!(round_trip.timeout() > steady, "uneven answers");
+    for _ in 0..50 {
+        round_trip.add(Duration::from_secs(3));
+    }
+    assert_eq!(round_trip.timeout(), Duration::from_millis(40), "bounded");
+}
--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -1,10 +1,11 @@
 //! Work in flight per replica, in shards that each have their own lock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use millford_api::internal::{CostSample, LoadPicture, LoadReport, ReplicaLoad};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cost_book::CostBook;
@@ -50,6 +51,9 @@
     shards: Vec<Mutex<BoardShard>>,
     /// Whether the other nodes themselves tell what they have in flight.
     follows_peers: AtomicBool,
+    /// Backends on which this node's own work changed since peers were told.
+    changed: Mutex<BTreeSet<String>>,
+    change: Notify,
 }
 
 impl Default for LoadBoard {
@@ -58,6 +62,8 @@
         Self {
             shards: shards.collect(),
             follows_peers: AtomicBool::new(false),
+            changed: Mutex::default(),
+            change: Notify::new(),
         }
     }
 }
@@ -66,7 +72,7 @@
     /// Counts a request with this many uncached prompt tokens until the ticket is dropped.
     #[must_use]
     pub fn start(self: &Arc<Self>, key: ReplicaKey, uncached_tokens: u64) -> LoadTicket {
-        self.change(&key, |entry| entry.own.prefill_tokens += uncached_tokens);
+        self.change_own(&key, |own| own.prefill_tokens += uncached_tokens);
         LoadTicket::new(Arc::clone(self), key, uncached_tokens)
     }
 
@@ -83,12 +89,8 @@
     #[must_use]
     pub fn backend_load(&self, backend_id: &str, cores: u32, costs: &CostBook) -> f64 {
         let shard = self.lock(backend_id);
-        let first = ReplicaKey {
-            backend_id: backend_id.to_owned(),
-            ..ReplicaKey::default()
-        };
         let of_backend = shard
-            .range(first..)
+            .range(first_key(backend_id)..)
             .take_while(|(key, _)| key.backend_id == backend_id);
         let work: f64 = of_backend
             .map(|(key, entry)| {
@@ -140,31 +142,55 @@
         self.follows_peers.store(true, Ordering::Relaxed);
     }
 
-    /// Sets what the other nodes have in flight; a replica that is not named is idle there.
-    pub fn set_others(&self, others: &BTreeMap<ReplicaKey, ReplicaCounts>) {
-        for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-            for (key, entry) in shard.iter_mut() {
-                entry.others = others.get(key).copied().unwrap_or_default();
-            }
+    /// Sets what the other nodes have in flight on a backend; a replica that is not named is idle there.
+    pub fn set_others(&self, backend_id: &str, others: &BTreeMap<ReplicaKey, ReplicaCounts>) {
+        let mut shard = self.lock(backend_id);
+        let known = shard
+            .range_mut(first_key(backend_id)..)
+            .take_while(|(key, _)| key.backend_id == backend_id);
+        for (key, entry) in known {
+            entry.others = others.get(key).copied().unwrap_or_default();
         }
         for (key, counts) in others {
-            self.change(key, |entry| entry.others = *counts);
+            shard.entry(key.clone()).or_default().others = *counts;
         }
     }
 
-    /// This node's own work in flight, idle replicas left out.
+    /// This node's own work in flight on a backend, idle replicas left out.
+    #[must_use]
+    pub fn own_work_on(&self, backend_id: &str) -> Vec<(ReplicaKey, ReplicaCounts)> {
+        let shard = self.lock(backend_id);
+        let of_backend = shard
+            .range(first_key(backend_id)..)
+            .take_while(|(key, _)| key.backend_id == backend_id);
+        let busy = of_backend.filter(|(_, entry)| entry.own != ReplicaCounts::default());
+        busy.map(|(key, entry)| (key.clone(), entry.own)).collect()
+    }
+
+    /// Backends on which this node has work in flight.
     #[must_use]
-    pub fn own_work(&self) -> BTreeMap<ReplicaKey, ReplicaCounts> {
-        let mut work = BTreeMap::new();
+    pub fn busy_backends(&self) -> BTreeSet<String> {
+        let mut ids = BTreeSet::new();
         for shard in &self.shards {
             let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
             let busy = shard
                 .iter()
                 .filter(|(_, entry)| entry.own != ReplicaCounts::default());
-            work.extend(busy.map(|(key, entry)| (key.clone(), entry.own)));
+            ids.extend(busy.map(|(key, _)| key.backend_id.clone()));
         }
-        work
+        ids
+    }
+
+    /// Backends on which this node's own work changed since the last call.
+    #[must_use]
+    pub fn take_changed(&self) -> BTreeSet<String> {
+        let mut changed = self.changed.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *changed)
+    }
+
+    /// Resolves once this node's own work changed.
+    pub async fn until_changed(&self) {
+        self.change.notified().await;
     }
 
     /// Takes in what all nodes together have in flight; this node's last report is part of it.
@@ -188,6 +214,12 @@
     /// Changes this node's own counts of one replica.
     pub(crate) fn change_own(&self, key: &ReplicaKey, change: impl FnOnce(&mut ReplicaCounts)) {
         self.change(key, |entry| change(&mut entry.own));
+        if !self.follows_peers.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut changed = self.changed.lock().unwrap_or_else(PoisonError::into_inner);
+        changed.insert(key.backend_id.clone());
+        self.change.notify_one();
     }
 
     fn change(&self, key: &ReplicaKey, change: impl FnOnce(&mut ReplicaEntry)) {
@@ -202,6 +234,14 @@
     }
 }
 
+/// Sorts before every replica of the backend.
+fn first_key(backend_id: &str) -> ReplicaKey {
+    ReplicaKey {
+        backend_id: backend_id.to_owned(),
+        ..ReplicaKey::default()
+    }
+}
+
 fn all_nodes(entry: &ReplicaEntry) -> ReplicaCounts {
     ReplicaCounts {
         prefill_tokens: entry.own.prefill_tokens + entry.others.prefill_tokens,
--- a/crates/routing/tests/forward_table.rs
+++ b/crates/routing/tests/forward_table.rs
@@ -1,6 +1,6 @@
 //! Forwarding routes, what prompts are known to be kept where, and counts told by peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millford_api::config::ForwardRoute;
 use millford_api::state::state_value::Kind;
@@ -131,14 +131,23 @@
         decode_streams: 2,
         held_requests: 0,
     };
-    board.set_others(&BTreeMap::from([(key.clone(), theirs)]));
+    assert_eq!(board.take_changed(), BTreeSet::from(["b-1".to_owned()]));
+    board.set_others("b-1", &BTreeMap::from([(key.clone(), theirs)]));
     board.merge_picture(&millford_api::internal::LoadPicture::default());
     assert_eq!(board.counts(&key).prefill_tokens, 150);
-    assert_eq!(board.own_work()[&key].prefill_tokens, 100);
-    board.set_others(&BTreeMap::new());
+    let own = board.own_work_on("b-1");
+    assert_eq!(own.len(), 1);
+    assert_eq!((&own[0].0, own[0].1.prefill_tokens), (&key, 100));
+    assert_eq!(board.busy_backends().len(), 1);
+    board.set_others("b-2", &BTreeMap::new());
+    assert_eq!(board.counts(&key).decode_streams, 2, "of another backend");
+    board.set_others("b-1", &BTreeMap::new());
     assert_eq!(board.counts(&key).decode_streams, 0);
+    assert!(board.take_changed().is_empty(), "others are no own change");
     drop(ticket);
-    assert!(board.own_work().is_empty());
+    assert_eq!(board.take_changed(), BTreeSet::from(["b-1".to_owned()]));
+    assert!(board.own_work_on("b-1").is_empty());
+    assert!(board.busy_backends().is_empty());
 }
 
 #[test]
