Decision records: what was believed and what came, and the account of the worth that was lost

Change: crates/decisions holds the record of a request (every attempt with the backend, what was believed of it and its outcome; first bytes, longest pause, ending), the verdict on it, and the account that groups the lost worth by route and reason, second, zone, tenant and backend, each grouping adding up. The forwarding proxy samples requests by decision_log_per_mille (0, off) into its log and a counter by verdict; millford-lab explain reads logs, prints the tables and draws a plot.

Ruled out: records of every request in memory, fetched by metrics (memory is priced on every node, all the time).

Tests: verdicts, log lines of text and JSON, groupings that add up (quickcheck), the request path by its counters. Not measured yet: what it costs when on.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -31,6 +31,8 @@
     pub quotas: TenantQuotas,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
+    /// Requests whose decisions are logged, in thousandths.
+    pub decision_log_per_mille: u32,
     ejections: watch::Sender<u64>,
 }
 
@@ -49,6 +51,7 @@
             load: SharedLoad::new(&settings.name),
             quotas: TenantQuotas::default(),
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
+            decision_log_per_mille: settings.decision_log_per_mille,
             ejections,
         }
     }
--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -71,8 +71,9 @@
     resume_after: Option<u64>,
 ) -> Result<Opened, AttemptFailure> {
     let id = target.key.backend_id.clone();
-    let counts = node.state.board.counts(&target.key);
     let tokens = target.uncached_tokens;
+    let queued_tokens = target.belief.queued_tokens + tokens;
+    let streams = target.belief.streams;
     let ticket = node.state.board.start(target.key.clone(), tokens);
     node.directory.sent(
         monotonic_now(),
@@ -117,8 +118,8 @@
             facts,
             response,
             sent: now,
-            queued_tokens: counts.prefill_tokens + tokens,
-            streams: counts.decode_streams,
+            queued_tokens,
+            streams,
         };
         return judge(node, plan, opened);
     }
--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -54,6 +54,25 @@
     pub uncached_tokens: u64,
     /// Connections that the backend takes from all nodes together.
     pub max_connections: u32,
+    /// What was believed when it was chosen.
+    pub belief: Belief,
+}
+
+/// Why a backend was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// Candidates that were looked at.
+    pub candidates: u32,
+    /// Whether the backend is in this node's zone.
+    pub same_zone: bool,
+    /// Estimated processor time of the work in flight there, in milliseconds.
+    pub work_ms: f64,
+    /// What the choice went by, in milliseconds.
+    pub cost_ms: f64,
+    /// Prompt tokens of other requests under way there.
+    pub queued_tokens: u64,
+    /// Streams there.
+    pub streams: u32,
 }
 
 /// The cheapest of a few backends that were not tried yet; nothing when there is none.
@@ -77,7 +96,8 @@
     let costs = &node.state.costs;
     let prompt = plan.prompt_tokens();
     let mut random = rand::rng();
-    let mut best: Option<(f64, &ServingReplica, u64)> = None;
+    let looked_at = u32::try_from(shortlist.len()).unwrap_or(u32::MAX);
+    let mut best: Option<Estimate<'_>> = None;
     for index in shortlist {
         let (replica, saving) = (candidates[index], savings[index]);
         let own_tokens = own_tokens(plan, prompt, saving.cached);
@@ -85,31 +105,54 @@
         let own = costs.work_ms(&plan.facts.model, own_tokens, 0);
         let again = costs.work_ms(&plan.facts.model, saving.again, 0);
         let weight = f64::from(replica.weight_milli.max(1)) / 1000.0;
-        let zone = if replica.backend.zone == node.zone {
-            0.0
-        } else {
-            OTHER_ZONE_MS
-        };
+        let same_zone = replica.backend.zone == node.zone;
+        let zone = if same_zone { 0.0 } else { OTHER_ZONE_MS };
         let jitter = 1.0 + JITTER * random.random::<f64>();
         let cost = ((load + own + REREAD_PENALTY * again) / weight + zone) * jitter;
-        if best.is_none_or(|(least, _, _)| cost < least) {
-            best = Some((cost, replica, own_tokens));
+        if best.as_ref().is_none_or(|best| cost < best.cost) {
+            best = Some(Estimate {
+                cost,
+                replica,
+                load,
+                own_tokens,
+                same_zone,
+            });
         }
     }
-    let (_, replica, uncached_tokens) = best?;
+    let best = best?;
+    let replica = best.replica;
+    let key = ReplicaKey {
+        backend_id: replica.backend.id.clone(),
+        pool: plan.pool.clone(),
+        model: plan.facts.model.clone(),
+        version: replica.version.clone(),
+    };
+    let counts = node.state.board.counts(&key);
     Some(Target {
-        key: ReplicaKey {
-            backend_id: replica.backend.id.clone(),
-            pool: plan.pool.clone(),
-            model: plan.facts.model.clone(),
-            version: replica.version.clone(),
-        },
+        key,
         address: replica.backend.address.clone(),
-        uncached_tokens,
+        uncached_tokens: best.own_tokens,
         max_connections: pool.max_connections,
+        belief: Belief {
+            candidates: looked_at,
+            same_zone: best.same_zone,
+            work_ms: best.load,
+            cost_ms: best.cost,
+            queued_tokens: counts.prefill_tokens,
+            streams: counts.decode_streams,
+        },
     })
 }
 
+/// One candidate's estimate.
+struct Estimate<'a> {
+    cost: f64,
+    replica: &'a ServingReplica,
+    load: f64,
+    own_tokens: u64,
+    same_zone: bool,
+}
+
 /// Backends that take new work and were not tried; ejected ones only when there are no others.
 fn usable<'a, P: ForwardProtocol>(
     node: &ForwardNode<P>,
--- a/crates/forward/src/request/first_answer.rs
+++ b/crates/forward/src/request/first_answer.rs
@@ -2,6 +2,7 @@
 
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
+use millford_decisions::AttemptOutcome;
 
 use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
 use crate::protocol::ForwardProtocol;
@@ -9,6 +10,7 @@
 use crate::request::choose::choose;
 use crate::request::plan::Plan;
 use crate::request::refusal::Refusal;
+use crate::request::trace::Trace;
 
 /// Backends that one request may be offered to, those that it never left for included.
 const MOST_OFFERS: usize = 6;
@@ -17,7 +19,7 @@
 const MOST_REFUSALS: u32 = 3;
 
 /// What the attempts at one request have used up.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Trail {
     /// Backends that were tried.
     pub tried: Vec<String>,
@@ -27,6 +29,8 @@
     pub runs: u32,
     /// Sends that the backend refused.
     pub refusals: u32,
+    /// What the decision record will say.
+    pub trace: Trace,
 }
 
 /// The first answer that may go to the caller.
@@ -53,7 +57,10 @@
             return Err(last);
         }
         trail.tried.push(target.key.backend_id.clone());
-        match attempt(node, plan, target, None).await {
+        trail.trace.chosen(&target);
+        let tried = attempt(node, plan, target, None).await;
+        trail.trace.outcome(outcome_of(&tried));
+        match tried {
             Ok(opened) => {
                 trail.sends += 1;
                 trail.runs += 1;
@@ -90,6 +97,18 @@
     Err(last)
 }
 
+/// What the decision record says of an attempt.
+#[must_use]
+pub fn outcome_of(tried: &Result<Opened, AttemptFailure>) -> AttemptOutcome {
+    match tried {
+        Ok(_) => AttemptOutcome::Answered,
+        Err(AttemptFailure::NotSent) => AttemptOutcome::NotSent,
+        Err(AttemptFailure::NotRun { .. }) => AttemptOutcome::Refused,
+        Err(AttemptFailure::Lost(_)) => AttemptOutcome::Lost,
+        Err(AttemptFailure::TimedOut) => AttemptOutcome::TimedOut,
+    }
+}
+
 fn busy(retry_after: Option<Duration>) -> Refusal {
     let delay = retry_after.unwrap_or(USUAL_RETRY_AFTER);
     Refusal::new(ResultCode::BackendRefused).with_retry_after(delay)
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -14,5 +14,6 @@
 pub mod refusal;
 pub mod relay;
 pub mod serve;
+pub mod trace;
 
 pub use serve::serve;
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -12,6 +12,7 @@
 use millford_api::internal::CostSample;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
+use millford_decisions::Ending;
 use millford_routing::LoadTicket;
 use tokio::time::Sleep;
 
@@ -22,7 +23,7 @@
 use crate::request::attempt::{AttemptFailure, Opened, attempt};
 use crate::request::choose::choose;
 use crate::request::event_splitter::EventSplitter;
-use crate::request::first_answer::Trail;
+use crate::request::first_answer::{Trail, outcome_of};
 use crate::request::headers::remove_length;
 use crate::request::plan::Plan;
 
@@ -50,7 +51,13 @@
     }
     let left = plan.deadline.since(monotonic_now());
     let is_empty = source.body.is_end_stream();
+    let ending = if head.status.is_success() {
+        Ending::Complete
+    } else {
+        Ending::BackendFailure
+    };
     let mut relay = Relay {
+        ending,
         time_limit: Box::pin(tokio::time::sleep(left)),
         source,
         splitter: is_events.then(EventSplitter::default),
@@ -67,9 +74,15 @@
     let chunks = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Ok(Some(bytes)) => {
+                relay.trail.trace.bytes();
+                Some((Ok(Frame::data(bytes)), Some(relay)))
+            }
             Ok(None) => None,
-            Err(broken) => Some((Err(broken), None)),
+            Err(broken) => {
+                relay.trail.trace.end(Ending::BrokenOff);
+                Some((Err(broken), None))
+            }
         }
     });
     Response::from_parts(head, BodyExt::boxed_unsync(StreamBody::new(chunks)))
@@ -128,6 +141,16 @@
     last_event: Option<u64>,
     resumed: bool,
     ended: bool,
+    /// What the decision record says once the answer is whole.
+    ending: Ending,
+}
+
+impl<P> Drop for Relay<P> {
+    fn drop(&mut self) {
+        if self.ended {
+            self.trail.trace.end(self.ending);
+        }
+    }
 }
 
 /// What came from the backend.
@@ -290,7 +313,10 @@
             let target = choose(&self.node, &self.plan, &self.trail.tried).await;
             let target = target.ok_or(BrokenOff::BackendLost)?;
             self.trail.tried.push(target.key.backend_id.clone());
-            match attempt(&self.node, &self.plan, target, self.last_event).await {
+            self.trail.trace.chosen(&target);
+            let tried = attempt(&self.node, &self.plan, target, self.last_event).await;
+            self.trail.trace.outcome(outcome_of(&tried));
+            match tried {
                 Ok(opened) if opened.response.status().is_success() => {
                     self.trail.runs += 1;
                     self.take_over(opened);
--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -8,6 +8,7 @@
 use millford_api::config::{ForwardRoute, HttpLimits};
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
+use millford_decisions::Ending;
 use rand::Rng;
 
 use crate::node::ForwardNode;
@@ -20,6 +21,7 @@
 use crate::request::read_body::read_body;
 use crate::request::refusal::Refusal;
 use crate::request::relay::relay;
+use crate::request::trace::Trace;
 
 /// Largest body where the configuration sets no limit, in bytes.
 const USUAL_MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
@@ -80,22 +82,37 @@
         arrived,
     };
     let tokens = plan.quota_tokens();
-    if let Some(tenant) = &plan.tenant {
-        let admitted = node.quotas.admit(monotonic_now(), tenant, tokens);
-        admitted.map_err(over_quota)?;
+    let mut trail = Trail {
+        trace: Trace::begin(node, &plan),
+        ..Trail::default()
+    };
+    if let Some(tenant) = &plan.tenant
+        && let Err(delay) = node.quotas.admit(monotonic_now(), tenant, tokens)
+    {
+        trail.trace.end(Ending::OverQuota);
+        return Err(over_quota(delay));
     }
-    let mut trail = Trail::default();
     match first_answer(node, &plan, &mut trail).await {
         Ok(opened) => Ok(relay(Arc::clone(node), plan, trail, opened)),
         Err(refusal) => {
             if let (Some(tenant), 0) = (&plan.tenant, trail.runs) {
                 node.quotas.give_back(monotonic_now(), tenant, tokens);
             }
+            trail.trace.end(ending_of(&refusal, &trail));
             Err(refusal)
         }
     }
 }
 
+/// What the decision record says of a request that brought no answer.
+fn ending_of(refusal: &Refusal, trail: &Trail) -> Ending {
+    match refusal.code {
+        ResultCode::DeadlineAfterSend => Ending::TimedOut,
+        _ if trail.runs == 0 => Ending::Refused,
+        _ => Ending::Failed,
+    }
+}
+
 /// The caller comes back on a new connection, if at all: the present one would stay open for nothing,
 /// and a tenant that presses on leaves hundreds of them.
 fn over_quota(delay: Duration) -> Refusal {
--- /dev/null
+++ b/crates/forward/src/request/trace.rs
@@ -0,0 +1,140 @@
+//! Follows a sampled request and writes its decision record when it ends.
+
+use millford_core::MonotonicTime;
+use millford_core::time::monotonic_now;
+use millford_decisions::{
+    AttemptOutcome, AttemptRecord, DecisionRecord, Ending, LOG_MARK, Verdict,
+};
+use millford_settings::PartLog;
+use prometheus::IntCounterVec;
+use rand::Rng;
+
+use crate::node::ForwardNode;
+use crate::request::choose::Target;
+use crate::request::plan::Plan;
+
+const LOG: PartLog = PartLog::new("FORWARD");
+
+/// A rate in thousandths that means every request.
+const EVERY_REQUEST: u32 = 1000;
+
+#[derive(Debug)]
+struct Followed {
+    verdicts: IntCounterVec,
+    arrived: MonotonicTime,
+    last_bytes: Option<MonotonicTime>,
+    record: DecisionRecord,
+}
+
+/// The trace of one request; nothing for one that is not sampled. A trace that is dropped unended is
+/// that of a caller who left.
+#[derive(Debug, Default)]
+pub struct Trace(Option<Box<Followed>>);
+
+impl Trace {
+    /// Begins the trace of a request, if it is drawn.
+    #[must_use]
+    pub fn begin<P>(node: &ForwardNode<P>, plan: &Plan) -> Self {
+        let per_mille = node.decision_log_per_mille;
+        if per_mille == 0 || rand::rng().random_range(0..EVERY_REQUEST) >= per_mille {
+            return Self(None);
+        }
+        let tenant = plan.tenant.as_ref().map(|tenant| tenant.name.clone());
+        let record = DecisionRecord {
+            at_ms: plan.arrived.as_millis(),
+            node: node.name.clone(),
+            zone: node.zone.clone(),
+            route: plan.route.name.clone(),
+            tenant: tenant.unwrap_or_default(),
+            prompt_tokens: plan.prompt_tokens(),
+            output_tokens: plan.facts.output_tokens.unwrap_or_default(),
+            target_ms: plan.route.target_ms,
+            gap_target_ms: plan.route.gap_target_ms,
+            attempts: Vec::new(),
+            first_bytes_ms: None,
+            longest_gap_ms: 0,
+            resumed: false,
+            ended_ms: 0,
+            ending: Ending::CallerLeft,
+        };
+        Self(Some(Box::new(Followed {
+            verdicts: node.state.metrics.verdicts.clone(),
+            arrived: plan.arrived,
+            last_bytes: None,
+            record,
+        })))
+    }
+
+    /// A backend was chosen.
+    pub fn chosen(&mut self, target: &Target) {
+        let Some(followed) = &mut self.0 else {
+            return;
+        };
+        let chosen_ms = millis_since(followed.arrived);
+        let belief = &target.belief;
+        followed.record.resumed |= followed.record.first_bytes_ms.is_some();
+        followed.record.attempts.push(AttemptRecord {
+            backend: target.key.backend_id.clone(),
+            same_zone: belief.same_zone,
+            chosen_ms,
+            candidates: belief.candidates,
+            believed_work_ms: belief.work_ms,
+            believed_cost_ms: belief.cost_ms,
+            uncached_tokens: target.uncached_tokens,
+            queued_tokens: belief.queued_tokens,
+            streams: belief.streams,
+            outcome: AttemptOutcome::Open,
+        });
+    }
+
+    /// What came of the last attempt.
+    pub fn outcome(&mut self, outcome: AttemptOutcome) {
+        let attempts = self.0.iter_mut();
+        let last = attempts.flat_map(|followed| followed.record.attempts.last_mut());
+        last.for_each(|attempt| attempt.outcome = outcome);
+    }
+
+    /// Bytes of the body go on to the caller.
+    pub fn bytes(&mut self) {
+        let Some(followed) = &mut self.0 else {
+            return;
+        };
+        let now = monotonic_now();
+        let since_arrival = millis(now, followed.arrived);
+        let record = &mut followed.record;
+        record.first_bytes_ms.get_or_insert(since_arrival);
+        if let Some(last) = followed.last_bytes.replace(now) {
+            record.longest_gap_ms = record.longest_gap_ms.max(millis(now, last));
+        }
+    }
+
+    /// The request ended like this; the record is written.
+    pub fn end(&mut self, ending: Ending) {
+        let Some(followed) = self.0.take() else {
+            return;
+        };
+        let mut record = followed.record;
+        record.ended_ms = millis_since(followed.arrived);
+        record.ending = ending;
+        let verdict = Verdict::of(&record).to_string();
+        let labels = [record.route.as_str(), verdict.as_str()];
+        followed.verdicts.with_label_values(&labels).inc();
+        if let Ok(text) = serde_json::to_string(&record) {
+            LOG.info(format_args!("{LOG_MARK}{text}"));
+        }
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.end(Ending::CallerLeft);
+    }
+}
+
+fn millis_since(earlier: MonotonicTime) -> u32 {
+    millis(monotonic_now(), earlier)
+}
+
+fn millis(now: MonotonicTime, earlier: MonotonicTime) -> u32 {
+    u32::try_from(now.since(earlier).as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -30,6 +30,8 @@
     pub leave_timeout_ms: u64,
     /// Longest time to open a connection to a backend, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// Requests whose decisions are logged, in thousandths.
+    pub decision_log_per_mille: u32,
 }
 
 impl Default for ForwardSettings {
@@ -45,6 +47,7 @@
             log_format: LogFormat::default(),
             leave_timeout_ms: 7500,
             connect_timeout_ms: 400,
+            decision_log_per_mille: 0,
         }
     }
 }
@@ -78,6 +81,10 @@
         SettingsKey::text("log_format", "text or json"),
         SettingsKey::number("leave_timeout_ms", "longest time to leave"),
         SettingsKey::number("connect_timeout_ms", "longest time to reach a backend"),
+        SettingsKey::number(
+            "decision_log_per_mille",
+            "requests in thousand whose decisions are logged",
+        ),
     ];
 
     fn faults(&self) -> Vec<SettingsFault> {
@@ -95,6 +102,10 @@
         if parse_level(&self.log_level).is_none() {
             faults.push(SettingsFault::new("log_level", "This is not a log level."));
         }
+        if self.decision_log_per_mille > 1000 {
+            let too_many = "The value must be at most 1000.";
+            faults.push(SettingsFault::new("decision_log_per_mille", too_many));
+        }
         let positive = [
             ("leave_timeout_ms", self.leave_timeout_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -67,6 +67,7 @@
         let settings = ForwardSettings {
             name: "node-1".to_owned(),
             zone: "a".to_owned(),
+            decision_log_per_mille: 1000,
             ..ForwardSettings::default()
         };
         let state = Arc::new(ProxyState::new(RequestLimits::default()));
@@ -93,6 +94,22 @@
     }
 }
 
+/// Polls of a condition before a test gives up.
+const MOST_POLLS: u32 = 100_000;
+
+impl TestNode {
+    /// Lets the node's tasks run until the condition holds.
+    pub async fn until(&self, holds: impl Fn() -> bool) {
+        for _ in 0..MOST_POLLS {
+            if holds() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+        panic!("the condition never held");
+    }
+}
+
 /// The table of a setup.
 pub fn table(setup: &Setup, backends: &[&StubBackend]) -> RoutingTable {
     let mut items: Vec<(String, Kind)> = Vec::new();
--- /dev/null
+++ b/crates/lab/src/commands/explain.rs
@@ -0,0 +1,93 @@
+//! `millford-lab explain`: where worth was lost, from the decision records in logs.
+
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::PathBuf;
+
+use getopts::Options;
+use millford_decisions::{Account, DecisionRecord, DecisionsError, plot, read_records};
+
+/// Share of its worth that a late answer earns, where the command line does not say.
+const USUAL_LATE_SHARE: f64 = 0.3;
+
+const USAGE: &str = "Usage: millford-lab explain [options] FILE...
+
+Joins the decision records in the logs of forwarding proxies (setting decision_log_per_mille) and says
+how much worth was lost, by route and reason, second, zone, tenant and backend. FILE - is standard input.";
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExplainOptions {
+    /// Logs; `-` is standard input.
+    pub files: Vec<PathBuf>,
+    /// Share of its worth that a late answer earns.
+    pub late_share: f64,
+    /// Where the picture goes.
+    pub plot: Option<PathBuf>,
+    /// Requests that arrived before this second of the node's clock are left out.
+    pub from_second: u64,
+}
+
+/// Reads the command line. `None`: help was asked for and printed.
+///
+/// # Errors
+/// What is wrong with the command line.
+pub fn parse(arguments: &[String]) -> Result<Option<ExplainOptions>, String> {
+    let mut options = Options::new();
+    options.optflag("h", "help", "show this help");
+    options.optopt(
+        "",
+        "late-share",
+        "worth of a late answer, 0 to 1 (0.3)",
+        "SHARE",
+    );
+    options.optopt("", "plot", "draw the losses over time as SVG", "FILE");
+    options.optopt("", "from", "leave out what arrived earlier", "SECOND");
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| error.to_string())?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Ok(None);
+    }
+    if matches.free.is_empty() {
+        return Err("name at least one log file".to_owned());
+    }
+    let late_share = matches.opt_get_default("late-share", USUAL_LATE_SHARE);
+    let late_share = late_share.map_err(|_| "--late-share is no number".to_owned())?;
+    if !(0.0..=1.0).contains(&late_share) {
+        return Err("--late-share must be between 0 and 1".to_owned());
+    }
+    let from_second = matches.opt_get_default("from", 0);
+    Ok(Some(ExplainOptions {
+        files: matches.free.iter().map(PathBuf::from).collect(),
+        late_share,
+        plot: matches.opt_str("plot").map(PathBuf::from),
+        from_second: from_second.map_err(|_| "--from is no whole number".to_owned())?,
+    }))
+}
+
+/// Reads the logs, prints the account and draws the picture.
+///
+/// # Errors
+/// Fails when a file cannot be read or written, or holds a record that cannot be read.
+pub fn run(options: &ExplainOptions) -> Result<(), DecisionsError> {
+    let mut records = Vec::new();
+    for file in &options.files {
+        records.extend(read_file(file)?);
+    }
+    records.retain(|record| record.at_ms / 1000 >= options.from_second);
+    let account = Account::of(&records, options.late_share);
+    print!("{account}");
+    if let Some(path) = &options.plot {
+        std::fs::write(path, plot::draw_losses(&account)?)?;
+    }
+    Ok(())
+}
+
+fn read_file(file: &PathBuf) -> Result<Vec<DecisionRecord>, DecisionsError> {
+    if file.as_os_str() == "-" {
+        return read_records(io::stdin().lock());
+    }
+    read_records(BufReader::new(File::open(file)?))
+}
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,4 +1,5 @@
 //! The subcommands of `millford-lab`.
 
 pub mod backend;
+pub mod explain;
 pub mod registry;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,7 @@
   bench        measurements: bench overhead
   scenarios    the whole fleet under simulated time, over many seeds
   experiment   routing and placement against what they replace
+  explain      where worth was lost, from the decision records in logs
   scale        what a fleet of a given size costs, by hollow nodes
 
 Each command has --help.";
@@ -58,11 +59,30 @@
         "scenarios" => Some(millford_simulation::run(rest)),
         "experiment" => Some(millford_experiments::run(rest)),
         // The scale rig brings runtimes of its own, whose threads it tells apart.
+        "explain" => Some(explain(rest)),
         "scale" => Some(millford_scale::run(rest)),
         _ => None,
     }
 }
 
+fn explain(rest: &[String]) -> ExitCode {
+    let options = match commands::explain::parse(rest) {
+        Ok(Some(options)) => options,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("millford-lab explain: {fault}");
+            return ExitCode::from(USAGE_STATUS);
+        }
+    };
+    match commands::explain::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("millford-lab explain: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn dispatch(command: &str, rest: &[String]) -> Result<ExitCode, FleetError> {
     match command {
         "backend" => commands::backend::run(rest)
--- a/crates/proxy/src/proxy_metrics.rs
+++ b/crates/proxy/src/proxy_metrics.rs
@@ -44,6 +44,8 @@
     pub agent_in_touch: IntGauge,
     /// Dropped answers by cause.
     pub dropped_answers: IntCounterVec,
+    /// Requests whose decisions are logged, by route and verdict.
+    pub verdicts: IntCounterVec,
 }
 
 impl Default for ProxyMetrics {
@@ -100,6 +102,12 @@
                 "Answers or bytes that were dropped.",
                 &["cause"],
             ),
+            verdicts: counters(
+                &registry,
+                "sampled_verdicts_total",
+                "Requests whose decisions are logged, by what they earned or lost.",
+                &["route", "verdict"],
+            ),
             registry,
         }
     }
