Forward: prompt parts have owners too; the rest of the news goes out in turns

Cause: places of prompt parts and quota counts still went to every peer, as one burst of 85 (294) datagrams each max(100 ms, 8 ms x peers). A part that a node met first was unknown elsewhere for up to 0.69 s at 86 nodes; and a burst of 294 datagrams of about 1 KB fills a link of 10 Mbit/s for a quarter of a second, before events of streams.

Change: a part's two owners are told where it was sent, and are asked before each choice: the most special part first, then with the counts which of the shortlist keep the general ones. Quota counts go to twelve peers each 100 ms, as they are then. crates/forward/src/owners holds what counts and parts have in common. An answer is waited for at least 15 ms.

Quota counts are what still grows with the square of the nodes.

--- a/crates/forward/src/exchange/exchange_task.rs
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -14,17 +14,16 @@
 
 use crate::exchange::news::{NewsWriter, take_news};
 use crate::exchange::peer_table::PeerTable;
+use crate::exchange::rotation::Rotation;
 use crate::load::work_ledger::REPEAT_PERIOD;
 use crate::node::ForwardNode;
+use crate::parts::shared_parts;
 use crate::protocol::ForwardProtocol;
 
 const LOG: PartLog = PartLog::new("PEERS");
 
-/// Shortest time between two datagrams to the same peer.
-const SHORTEST_PERIOD: Duration = Duration::from_millis(100);
-
-/// What each peer adds to the period: a node's datagrams a second stay bounded.
-const PERIOD_FOR_EACH_PEER: Duration = Duration::from_millis(8);
+/// Time between two turns of news; each peer hears at most one in it.
+const TURN_PERIOD: Duration = Duration::from_millis(100);
 
 /// Everything is told again after this long, for peers that missed it.
 const WHOLE_PERIOD: Duration = Duration::from_millis(1000);
@@ -38,16 +37,18 @@
 /// Exchanges news for as long as the process lives.
 pub async fn run<P: ForwardProtocol>(node: Arc<ForwardNode<P>>, socket: UdpSocket) {
     let socket = Arc::new(socket);
-    node.load.connect(Arc::clone(&socket));
+    // Before the first event of the socket nothing would leave.
+    let _ = socket.writable().await;
+    node.peers.connect(Arc::clone(&socket));
     let mut exchange = Exchange {
         writer: NewsWriter::new(rand::random()),
         peers: PeerTable::default(),
         next_whole: monotonic_now(),
-        next_send: monotonic_now(),
+        rotation: Rotation::default(),
         next_repeat: monotonic_now(),
         told_lately: BTreeSet::new(),
     };
-    let mut ticks = tokio::time::interval(SHORTEST_PERIOD);
+    let mut ticks = tokio::time::interval(TURN_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MOST_BYTES];
     loop {
@@ -55,6 +56,7 @@
             _ = ticks.tick() => exchange.tick(&node, &socket).await,
             () = node.quotas.until_urgent() => exchange.send_usage(&node, &socket).await,
             () = node.state.board.until_changed() => exchange.tell_work(&node),
+            () = node.directory.until_news() => tell_places(&node),
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     exchange.receive(&node, from, &buffer[..length]);
@@ -70,7 +72,7 @@
     writer: NewsWriter,
     peers: PeerTable,
     next_whole: MonotonicTime,
-    next_send: MonotonicTime,
+    rotation: Rotation,
     next_repeat: MonotonicTime,
     /// Backends whose owners were told of work since the last repetition.
     told_lately: BTreeSet<String>,
@@ -81,27 +83,26 @@
         let now = monotonic_now();
         node.quotas.tick(now);
         self.repeat_work(node, now);
-        if now < self.next_send {
-            return;
-        }
         let addresses = addresses_of_peers(node);
         node.quotas.set_peers(addresses.len());
-        let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
-        self.next_send = now + SHORTEST_PERIOD.max(PERIOD_FOR_EACH_PEER * count);
         let whole = now >= self.next_whole;
         if whole {
             self.next_whole = now + WHOLE_PERIOD;
             node.directory.expire(now);
         }
+        let turn = self.rotation.next(addresses.len());
+        // A peer that gets its turn after others must hear what they were told.
+        let whole = whole || turn.len() < addresses.len();
         let Some(news) = self.writer.write(node, now, whole) else {
             return;
         };
+        let addresses: Vec<SocketAddr> = turn.map(|index| addresses[index]).collect();
         send_to_all(socket, &news, &addresses).await;
     }
 
     /// Tells what was admitted, between two rounds of news.
     async fn send_usage<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, socket: &UdpSocket) {
-        if let Some(news) = self.writer.write_usage(node, monotonic_now()) {
+        if let Some(news) = self.writer.write(node, monotonic_now(), false) {
             send_to_all(socket, &news, &addresses_of_peers(node)).await;
         }
     }
@@ -109,22 +110,25 @@
     /// Tells the owners of the counts what changed on their backends.
     fn tell_work<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>) {
         let changed = node.state.board.take_changed();
-        let (ring, _) = node.load.ring(&node.state.table());
-        node.load.tell(&node.state.board, &ring, &changed);
+        let (ring, _) = node.peers.ring(&node.state.table());
+        let board = &node.state.board;
+        node.load.tell(&node.peers, &ring, board, &changed);
         self.told_lately.extend(changed);
     }
 
     /// Tells unchanged work again: what was lost is made good, and new owners learn what there is.
     fn repeat_work<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, now: MonotonicTime) {
-        let (ring, changed) = node.load.ring(&node.state.table());
+        let (ring, changed) = node.peers.ring(&node.state.table());
         if now < self.next_repeat && !changed {
             return;
         }
         self.next_repeat = now + REPEAT_PERIOD;
         node.load.expire(now);
+        node.peers.expire(now);
         let mut backends = node.state.board.busy_backends();
         backends.append(&mut self.told_lately);
-        node.load.tell(&node.state.board, &ring, &backends);
+        let board = &node.state.board;
+        node.load.tell(&node.peers, &ring, board, &backends);
     }
 
     /// Takes what else has arrived: one wake-up serves all of it.
@@ -153,7 +157,11 @@
             return;
         };
         let now = monotonic_now();
-        if news.member == node.name || node.load.receive(&node.state.board, from, &news) {
+        let board = &node.state.board;
+        if news.member == node.name
+            || node.load.receive(&node.peers, board, from, &news)
+            || shared_parts::receive(&node.peers, &node.directory, from, &news)
+        {
             return;
         }
         if !self.peers.take(&news) {
@@ -163,6 +171,12 @@
     }
 }
 
+/// Tells the owners of parts where they were read.
+fn tell_places<P: ForwardProtocol>(node: &ForwardNode<P>) {
+    let (ring, _) = node.peers.ring(&node.state.table());
+    shared_parts::tell(&node.peers, &ring, node.directory.take_news());
+}
+
 fn addresses_of_peers<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<SocketAddr> {
     let table = node.state.table();
     let peers = table.forward().peers().iter();
--- a/crates/forward/src/exchange/news.rs
+++ b/crates/forward/src/exchange/news.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use millford_api::config::{Tenant, TokenQuota};
-use millford_api::exchange::{PromptPlace, ProxyNews, TenantUsage};
+use millford_api::exchange::{ProxyNews, TenantUsage};
 use millford_core::MonotonicTime;
-use millford_routing::{PartPlace, RoutingTable};
+use millford_routing::RoutingTable;
 
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
@@ -33,7 +33,7 @@
         }
     }
 
-    /// The news since the last call, or everything when `whole`; nothing when there are none.
+    /// What was admitted since the last news, or everything when `whole`; nothing when nothing was.
     pub fn write<P: ForwardProtocol>(
         &mut self,
         node: &ForwardNode<P>,
@@ -41,28 +41,6 @@
         whole: bool,
     ) -> Option<ProxyNews> {
         let usage = self.usage(node, now, whole);
-        let places = places_of(node);
-        if usage.is_empty() && places.is_empty() {
-            return None;
-        }
-        self.sequence += 1;
-        Some(ProxyNews {
-            member: node.name.clone(),
-            boot_id: self.boot_id,
-            sequence: self.sequence,
-            usage,
-            places,
-            ..ProxyNews::default()
-        })
-    }
-
-    /// Only what was admitted since the last news; nothing when nothing was.
-    pub fn write_usage<P: ForwardProtocol>(
-        &mut self,
-        node: &ForwardNode<P>,
-        now: MonotonicTime,
-    ) -> Option<ProxyNews> {
-        let usage = self.usage(node, now, false);
         if usage.is_empty() {
             return None;
         }
@@ -98,7 +76,7 @@
     }
 }
 
-/// Takes in a peer's counts and places.
+/// Takes in a peer's counts.
 pub fn take_news<P: ForwardProtocol>(node: &ForwardNode<P>, now: MonotonicTime, news: &ProxyNews) {
     let table = node.state.table();
     for usage in &news.usage {
@@ -114,14 +92,6 @@
         };
         node.quotas.peer_count(now, &quota, count);
     }
-    for place in &news.places {
-        let place = PartPlace {
-            part: place.part,
-            backend_id: place.backend_id.clone(),
-            tokens: place.tokens,
-        };
-        node.directory.told(now, &place);
-    }
 }
 
 fn quota_of(table: &RoutingTable, name: &str) -> Option<TokenQuota> {
@@ -130,14 +100,3 @@
     let tenant: &Tenant = tenant;
     crate::quota::tenant_quotas::limiting(tenant).copied()
 }
-
-fn places_of<P: ForwardProtocol>(node: &ForwardNode<P>) -> Vec<PromptPlace> {
-    let places = node.directory.take_news().into_iter();
-    places
-        .map(|place| PromptPlace {
-            part: place.part,
-            backend_id: place.backend_id,
-            tokens: place.tokens,
-        })
-        .collect()
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod load;
 pub mod node;
 pub mod own_protocol;
+pub mod owners;
+pub mod parts;
 pub mod protocol;
 pub mod quota;
 pub mod request;
--- a/crates/forward/src/load/work_ledger.rs
+++ b/crates/forward/src/load/work_ledger.rs
@@ -63,9 +63,9 @@
             );
             match sums.get_mut(&key) {
                 Some(sum) => {
-                    sum.prefill_tokens += replica.prefill_tokens;
-                    sum.decode_streams += replica.decode_streams;
-                    sum.held_requests += replica.held_requests;
+                    sum.prefill_tokens = sum.prefill_tokens.saturating_add(replica.prefill_tokens);
+                    sum.decode_streams = sum.decode_streams.saturating_add(replica.decode_streams);
+                    sum.held_requests = sum.held_requests.saturating_add(replica.held_requests);
                 }
                 None => {
                     sums.insert(key, replica.clone());
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::ConnectionPools;
 use crate::load::SharedLoad;
+use crate::owners::PeerLink;
 use crate::protocol::ForwardProtocol;
 use crate::quota::TenantQuotas;
 use crate::settings::ForwardSettings;
@@ -25,6 +26,8 @@
     pub state: Arc<ProxyState>,
     /// Where prompt parts were read.
     pub directory: PromptDirectory,
+    /// The way to the nodes that own keys.
+    pub peers: PeerLink,
     /// Counts of all nodes' work on each backend.
     pub load: SharedLoad,
     /// Token quotas.
@@ -48,7 +51,8 @@
             zone: settings.zone.clone(),
             state,
             directory: PromptDirectory::default(),
-            load: SharedLoad::new(&settings.name),
+            peers: PeerLink::new(&settings.name),
+            load: SharedLoad::default(),
             quotas: TenantQuotas::default(),
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
             decision_log_per_mille: settings.decision_log_per_mille,
--- a/crates/forward/src/load/owner_ring.rs
+++ b/crates/forward/src/owners/owner_ring.rs
@@ -1,11 +1,11 @@
-//! Which proxies own the counts of a backend.
+//! Which proxies own a key.
 
 use std::net::SocketAddr;
 
 use millford_api::state::ProxyMember;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// A proxy that may own counts.
+/// A proxy that may own keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Owner {
     /// Name of the proxy's node.
@@ -17,7 +17,7 @@
     hash: u64,
 }
 
-/// The proxies among which counts are divided, this node included.
+/// The proxies among which keys are divided, this node included.
 ///
 /// A proxy that comes or goes moves only the keys that it owns. While nodes disagree on who the
 /// proxies are, they may ask another owner than others tell; the repeated updates heal this.
@@ -43,11 +43,21 @@
         }
     }
 
+    /// The owners of a backend's counts.
+    #[must_use]
+    pub fn owners_of_backend(&self, backend_id: &str) -> Vec<&Owner> {
+        self.owners(xxh3_64(backend_id.as_bytes()))
+    }
+
+    /// The owners of a prompt part's places.
+    #[must_use]
+    pub fn owners_of_part(&self, part: u64) -> Vec<&Owner> {
+        self.owners(xxh3_64(&part.to_le_bytes()))
+    }
+
     /// The owners of a key, the first one before its stand-in. The stand-in is of another zone where there
     /// is one, so that both are not lost together.
-    #[must_use]
-    pub fn owners(&self, key: &str) -> Vec<&Owner> {
-        let key = xxh3_64(key.as_bytes());
+    fn owners(&self, key: u64) -> Vec<&Owner> {
         let best = |zone_to_avoid: Option<&str>, taken: Option<&str>| {
             self.members
                 .iter()
--- a/crates/forward/src/load/load_questions.rs
+++ b/crates/forward/src/owners/questions.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use millford_api::exchange::PartHolders;
 use millford_core::{Duration, MonotonicTime};
 use tokio::sync::oneshot;
 
-use crate::load::round_trip::RoundTrip;
+use crate::owners::round_trip::RoundTrip;
 
 /// Questions in a row without an answer after which an owner's stand-in is asked. One alone may be a
 /// lost datagram.
@@ -15,11 +16,20 @@
 /// costs one choice its fresh counts.
 const SUSPECT_FOR: Duration = Duration::from_secs(1);
 
+/// What an owner answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Counts of backends, which are on the board already.
+    Counts,
+    /// The backends that keep some parts.
+    Holders(Vec<PartHolders>),
+}
+
 #[derive(Debug)]
 struct Question {
     owner: String,
     asked: MonotonicTime,
-    done: oneshot::Sender<()>,
+    done: oneshot::Sender<Answer>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -30,16 +40,16 @@
 
 /// Questions by number, and which owners leave them unanswered.
 #[derive(Debug, Default)]
-pub struct LoadQuestions {
+pub struct Questions {
     last_id: u64,
     waiting: HashMap<u64, Question>,
     silences: BTreeMap<String, OwnerSilence>,
     round_trip: RoundTrip,
 }
 
-impl LoadQuestions {
+impl Questions {
     /// Begins a question. The receiver resolves once it is answered.
-    pub fn begin(&mut self, now: MonotonicTime, owner: &str) -> (u64, oneshot::Receiver<()>) {
+    pub fn begin(&mut self, now: MonotonicTime, owner: &str) -> (u64, oneshot::Receiver<Answer>) {
         let (done, answered) = oneshot::channel();
         self.last_id += 1;
         let question = Question {
@@ -52,13 +62,13 @@
     }
 
     /// An answer came. False: nobody asked, or nobody waits any longer and the owner is only heard.
-    pub fn answered(&mut self, now: MonotonicTime, id: u64) -> bool {
+    pub fn answered(&mut self, now: MonotonicTime, id: u64, answer: Answer) -> bool {
         let Some(question) = self.waiting.remove(&id) else {
             return false;
         };
         self.round_trip.add(now.since(question.asked));
         self.silences.remove(&question.owner);
-        question.done.send(()).is_ok()
+        question.done.send(answer).is_ok()
     }
 
     /// The wait for an answer is over.
--- a/crates/forward/src/load/round_trip.rs
+++ b/crates/forward/src/owners/round_trip.rs
@@ -4,8 +4,9 @@
 
 /// Before any answer was seen.
 const INITIAL_TIMEOUT: Duration = Duration::from_millis(20);
-/// Below this a timeout would count answers as lost that a busy node sends after its present task.
-const SHORTEST_TIMEOUT: Duration = Duration::from_millis(6);
+/// Below this a timeout would count answers as lost that a busy node sends after its present task. A choice
+/// without them costs far more: a prompt of some thousand tokens that is read again.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(15);
 /// A choice does not wait longer, whatever answers took before.
 const LONGEST_TIMEOUT: Duration = Duration::from_millis(40);
 /// Share of the newest sample in the mean, from RFC 6298.
--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -72,7 +72,7 @@
 ) -> Result<Opened, AttemptFailure> {
     let id = target.key.backend_id.clone();
     let tokens = target.uncached_tokens;
-    let queued_tokens = target.belief.queued_tokens + tokens;
+    let queued_tokens = target.belief.queued_tokens.saturating_add(tokens);
     let streams = target.belief.streams;
     let ticket = node.state.board.start(target.key.clone(), tokens);
     node.directory.sent(
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -5,6 +5,7 @@
 pub mod answer_body;
 pub mod attempt;
 pub mod authorize;
+pub mod candidates;
 pub mod choose;
 pub mod event_splitter;
 pub mod first_answer;
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -286,7 +286,7 @@
         let model = &self.plan.facts.model;
         if sample.output_tokens > 1 {
             let between = f64::from(sample.decode_ms) / f64::from(sample.output_tokens - 1);
-            let streams = sample.streams_at_start + 1;
+            let streams = sample.streams_at_start.saturating_add(1);
             self.node
                 .state
                 .costs
--- /dev/null
+++ b/crates/forward/tests/owners.rs
@@ -0,0 +1,163 @@
+//! Nodes that share what they know through owners, over real datagrams.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use millford_core::time::monotonic_now;
+use millford_forward::parts::shared_parts;
+use millford_forward::{ForwardNode, MillfordProtocol};
+use millford_routing::{LoadTicket, PromptPart, ReplicaKey};
+use support::backend::{Step, StubBackend, signed};
+use support::caller::{call, request};
+use support::node::{Setup, TestNode};
+
+/// Backends that no one answers at: nothing is sent to them here.
+const BACKENDS: [&str; 3] = ["backend-0", "backend-1", "backend-2"];
+
+/// Questions until an answer must have come: a datagram may be lost on a busy machine, and a question to
+/// an owner that is gone takes its time.
+const MOST_QUESTIONS: u32 = 2000;
+
+fn start_work(node: &TestNode, backend: &str, tokens: u64) -> LoadTicket {
+    node.node.state.board.start(key(backend), tokens)
+}
+
+fn key(backend: &str) -> ReplicaKey {
+    ReplicaKey {
+        backend_id: backend.to_owned(),
+        pool: "pool".to_owned(),
+        model: "m".to_owned(),
+        version: String::new(),
+    }
+}
+
+/// Prompt tokens on a backend as a node sees them when it asks now.
+async fn asked(node: &ForwardNode<MillfordProtocol>, backend: &str) -> u64 {
+    let (ring, _) = node.peers.ring(&node.state.table());
+    let board = &node.state.board;
+    let pending = node.load.ask(&node.peers, &ring, board, &[backend]);
+    node.peers.wait(pending).await;
+    board.counts(&key(backend)).prefill_tokens
+}
+
+/// Lets the exchange of every node run, as often as it can have something to do.
+async fn answers_may_arrive() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn until_asked(node: &TestNode, backend: &str, tokens: u64) {
+    for _ in 0..MOST_QUESTIONS {
+        if asked(&node.node, backend).await == tokens {
+            return;
+        }
+        // A node that owns the counts itself asks nobody: the others get their turn here.
+        answers_may_arrive().await;
+    }
+    panic!("{backend} never showed {tokens} tokens");
+}
+
+#[tokio::test]
+async fn every_node_sees_the_work_of_all() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    let nodes = TestNode::start_fleet(6, &Setup::with(|_| {}), &[&backend]).await;
+    let mut tickets = Vec::new();
+    for node in &nodes {
+        tickets.extend(BACKENDS.map(|backend| start_work(node, backend, 100)));
+    }
+    for node in &nodes {
+        for backend in BACKENDS {
+            until_asked(node, backend, 600).await;
+        }
+    }
+    tickets.truncate(3);
+    for node in &nodes {
+        until_asked(node, BACKENDS[0], 100).await;
+    }
+}
+
+#[tokio::test]
+async fn the_stand_in_answers_for_an_owner_that_is_gone() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    for backend_id in BACKENDS {
+        let nodes = TestNode::start_fleet(6, &Setup::with(|_| {}), &[&backend]).await;
+        let (ring, _) = nodes[0].node.peers.ring(&nodes[0].node.state.table());
+        let owner = ring.owners_of_backend(backend_id)[0].name.clone();
+        let others: Vec<&TestNode> = nodes
+            .iter()
+            .filter(|node| node.node.name != owner)
+            .collect();
+        let worker = others.first().expect("another node");
+        let asker = others.last().expect("another node");
+        let _ticket = start_work(worker, backend_id, 70);
+        until_asked(asker, backend_id, 70).await;
+        let gone = nodes.iter().find(|node| node.node.name == owner);
+        gone.expect("the owner").go_silent();
+        let _more = start_work(worker, backend_id, 30);
+        until_asked(asker, backend_id, 100).await;
+    }
+}
+
+#[tokio::test]
+async fn a_part_that_one_node_sent_is_known_to_all() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    let nodes = TestNode::start_fleet(6, &Setup::with(|_| {}), &[&backend]).await;
+    let parts: Vec<PromptPart> = (1..20).map(|id| PromptPart { id, tokens: 100 }).collect();
+    let sender = &nodes[0].node;
+    sender
+        .directory
+        .sent(monotonic_now(), "backend-1", &parts, parts.len());
+    for node in &nodes {
+        let node = &node.node;
+        let (ring, _) = node.peers.ring(&node.state.table());
+        let mut known = BTreeMap::new();
+        for _ in 0..MOST_QUESTIONS {
+            let directory = &node.directory;
+            let pending = shared_parts::ask(&node.peers, &ring, directory, &parts, &[], &mut known);
+            shared_parts::take_answers(&mut known, node.peers.wait(pending).await);
+            if known.values().all(|holders| holders == &["backend-1"]) {
+                break;
+            }
+            answers_may_arrive().await;
+        }
+        assert!(
+            known.values().all(|holders| holders == &["backend-1"]),
+            "{known:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_busy_backend_is_left_to_the_node_that_made_it_busy() {
+    let backends = [
+        StubBackend::start(vec![Step::Answer(signed("done"))]).await,
+        StubBackend::start(vec![Step::Answer(signed("done"))]).await,
+    ];
+    let backends: Vec<&StubBackend> = backends.iter().collect();
+    let nodes = TestNode::start_fleet(4, &Setup::with(|_| {}), &backends).await;
+    let _ticket = start_work(&nodes[0], "backend-0", 50_000);
+    until_asked(&nodes[3], "backend-0", 50_000).await;
+    for node in &nodes {
+        for _ in 0..5 {
+            let reply = call(node.callers, &request("/jobs/", "", "")).await;
+            assert_eq!(reply.status, 200);
+        }
+    }
+    assert_eq!(backends[0].received().len(), 0);
+    assert_eq!(backends[1].received().len(), 20);
+}
+
+#[tokio::test]
+async fn requests_are_served_while_no_peer_answers() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let nodes = TestNode::start_fleet(4, &Setup::with(|_| {}), &[&backend]).await;
+    for silent in &nodes[1..] {
+        silent.go_silent();
+    }
+    for _ in 0..20 {
+        let reply = call(nodes[0].callers, &request("/jobs/", "", "")).await;
+        assert_eq!(reply.status, 200);
+    }
+}
--- a/crates/routing/src/load_board.rs
+++ b/crates/routing/src/load_board.rs
@@ -95,7 +95,7 @@
         let work: f64 = of_backend
             .map(|(key, entry)| {
                 let counts = all_nodes(entry);
-                let streams = counts.decode_streams + counts.held_requests;
+                let streams = counts.decode_streams.saturating_add(counts.held_requests);
                 costs.work_ms(&key.model, counts.prefill_tokens, streams)
             })
             .sum();
@@ -243,10 +243,12 @@
 }
 
 fn all_nodes(entry: &ReplicaEntry) -> ReplicaCounts {
+    let ReplicaEntry { own, others, .. } = entry;
     ReplicaCounts {
-        prefill_tokens: entry.own.prefill_tokens + entry.others.prefill_tokens,
-        decode_streams: entry.own.decode_streams + entry.others.decode_streams,
-        held_requests: entry.own.held_requests + entry.others.held_requests,
+        // Others' counts come from the network and may be anything.
+        prefill_tokens: own.prefill_tokens.saturating_add(others.prefill_tokens),
+        decode_streams: own.decode_streams.saturating_add(others.decode_streams),
+        held_requests: own.held_requests.saturating_add(others.held_requests),
     }
 }
 
--- a/crates/routing/src/prompt_directory.rs
+++ b/crates/routing/src/prompt_directory.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use millford_core::{Duration, MonotonicTime};
+use tokio::sync::Notify;
 
 /// Number of shards; a power of two.
 const DIRECTORY_SHARDS: usize = 16;
@@ -14,9 +15,6 @@
 /// A part that is used again is told to the other nodes at most this often.
 const TOLD_AGAIN_AFTER: Duration = Duration::from_secs(2);
 
-/// Most places told in one go.
-const MOST_NEWS: usize = 128;
-
 /// One part of a prompt: its identity includes its place, so that equal ids are equal parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -54,6 +52,7 @@
 pub struct PromptDirectory {
     shards: Vec<Mutex<HashMap<u64, Readings>>>,
     news: Mutex<Vec<PartPlace>>,
+    has_news: Notify,
 }
 
 impl Default for PromptDirectory {
@@ -62,6 +61,7 @@
         Self {
             shards: shards.collect(),
             news: Mutex::default(),
+            has_news: Notify::new(),
         }
     }
 }
@@ -87,27 +87,38 @@
         reading.last_used = now;
     }
 
-    /// The backends that keep each part, as far as is known, in the order of the parts.
+    /// The backends that used a part last, the newest first: at most `most`, and only of those in
+    /// `among` unless that is empty.
     #[must_use]
-    pub fn holders(&self, now: MonotonicTime, parts: &[PromptPart]) -> Vec<Vec<String>> {
-        let holders = parts.iter().map(|part| {
-            let shard = self.lock(part.id);
-            let readings = shard.get(&part.id);
-            let live = readings
-                .into_iter()
-                .flatten()
-                .filter(|(_, reading)| now.since(reading.last_used) < REMEMBERED_FOR);
-            live.map(|(backend, _)| backend.clone()).collect()
-        });
-        holders.collect()
+    pub fn newest_holders(
+        &self,
+        now: MonotonicTime,
+        part: u64,
+        among: &[&str],
+        most: usize,
+    ) -> Vec<String> {
+        let shard = self.lock(part);
+        let readings = shard.get(&part).into_iter().flatten();
+        let mut holders: Vec<(MonotonicTime, &String)> = readings
+            .filter(|(_, reading)| now.since(reading.last_used) < REMEMBERED_FOR)
+            .filter(|(id, _)| among.is_empty() || among.contains(&id.as_str()))
+            .map(|(id, reading)| (reading.last_used, id))
+            .collect();
+        holders.sort_by(|left, right| right.cmp(left));
+        holders.truncate(most);
+        holders.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
     /// Places to tell the other nodes, once each.
     #[must_use]
     pub fn take_news(&self) -> Vec<PartPlace> {
         let mut news = self.news.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = news.len().min(MOST_NEWS);
-        news.drain(..count).collect()
+        std::mem::take(&mut *news)
+    }
+
+    /// Resolves once there are places to tell.
+    pub async fn until_news(&self) {
+        self.has_news.notified().await;
     }
 
     /// Forgets what was not used for long.
@@ -143,6 +154,7 @@
                 backend_id: backend_id.to_owned(),
                 tokens,
             });
+            self.has_news.notify_one();
         }
     }
 
