Forward: checked setting that leaves mechanisms out, to measure what each is worth

Cause: nothing could be switched off alone, so no mechanism's worth was known.

Change: leave_out names mechanisms (affinity, shared_load, shared_parts, learned_cost, bandwidth_weight, ejection, retries, resumption, urgency, zone_preference, connection_reuse); an unknown name is a fault of the settings.

Tests: names, faults, and that retries, resumption, reuse of connections and all at once can be left out.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod load;
+pub mod mechanism;
 pub mod node;
 pub mod own_protocol;
 pub mod owners;
@@ -14,6 +15,7 @@
 pub mod settings;
 
 pub use daemon::run;
+pub use mechanism::{Mechanism, Mechanisms};
 pub use node::ForwardNode;
 pub use own_protocol::MillfordProtocol;
 pub use protocol::{AnswerFacts, Dispatch, ForwardProtocol, RequestFacts};
--- a/crates/forward/src/load/shared_load.rs
+++ b/crates/forward/src/load/shared_load.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Goes by this node's own work on these backends, as if no other node had any.
+    pub fn assume_idle(&self, now: MonotonicTime, backend_ids: &[&str]) {
+        let mut refreshed = lock(&self.refreshed);
+        refreshed.extend(backend_ids.iter().map(|id| ((*id).to_owned(), now)));
+    }
+
     /// Asks the owners for the counts of these backends. They are on the board once the questions are
     /// answered.
     pub fn ask(
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::ConnectionPools;
 use crate::load::SharedLoad;
+use crate::mechanism::{Mechanism, Mechanisms};
 use crate::owners::PeerLink;
 use crate::protocol::ForwardProtocol;
 use crate::quota::TenantQuotas;
@@ -34,6 +35,8 @@
     pub quotas: TenantQuotas,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
+    /// What takes part in decisions.
+    pub mechanisms: Mechanisms,
     /// Requests whose decisions are logged, in thousandths.
     pub decision_log_per_mille: u32,
     ejections: watch::Sender<u64>,
@@ -55,6 +58,8 @@
             load: SharedLoad::default(),
             quotas: TenantQuotas::default(),
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
+            // Settings with a wrong name are refused before a node is made of them.
+            mechanisms: Mechanisms::all_but(&settings.leave_out).unwrap_or_default(),
             decision_log_per_mille: settings.decision_log_per_mille,
             ejections,
         }
@@ -62,7 +67,8 @@
 
     /// Takes a backend out of use; requests that wait for it and may go elsewhere hear of it.
     pub fn eject(&self, backend_id: &str, reason: EjectionReason) {
-        if self.state.health.ejection(backend_id).is_some() {
+        let ejected = self.state.health.ejection(backend_id).is_some();
+        if ejected || !self.mechanisms.has(Mechanism::Ejection) {
             return;
         }
         self.state.eject(backend_id, reason);
--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -13,6 +13,7 @@
 use crate::backend::connection::SendError;
 use crate::backend::connection_pools::{AcquireError, Lease};
 use crate::backend::health_watch::ejection_reason;
+use crate::mechanism::Mechanism;
 use crate::node::ForwardNode;
 use crate::own_protocol::number;
 use crate::protocol::{AnswerFacts, Dispatch, ForwardProtocol};
@@ -20,6 +21,9 @@
 use crate::request::headers::{remove_hop_by_hop, remove_length};
 use crate::request::plan::Plan;
 
+/// Rank of all requests where none is more urgent than another.
+const EQUAL_URGENCY: u32 = 5;
+
 /// Connections that had ended before anything left that one attempt may meet.
 const MOST_STALE_CONNECTIONS: u32 = 3;
 
@@ -139,7 +143,10 @@
         backend_id,
         time_left,
         tenant: plan.tenant.as_ref().map(|tenant| tenant.name.as_str()),
-        urgency: plan.urgency(),
+        urgency: match node.mechanisms.has(Mechanism::Urgency) {
+            true => plan.urgency(),
+            false => EQUAL_URGENCY,
+        },
         resume_after: resume_after.or(plan.facts.resume_after),
     };
     node.protocol.write_dispatch(&mut headers, &dispatch);
--- a/crates/forward/src/request/choose.rs
+++ b/crates/forward/src/request/choose.rs
@@ -4,7 +4,9 @@
 use millford_routing::{PromptPart, ReplicaKey, ServingPool, ServingReplica};
 use rand::Rng;
 
+use crate::mechanism::Mechanism;
 use crate::node::ForwardNode;
+use crate::owners::{OwnerRing, Pending};
 use crate::parts::HoldersByPart;
 use crate::parts::shared_parts as parts;
 use crate::protocol::ForwardProtocol;
@@ -71,10 +73,17 @@
 ) -> Option<Target> {
     let table = node.state.table();
     let (ring, _) = node.peers.ring(&table);
+    let asks_parts = node.mechanisms.has(Mechanism::SharedParts);
+    let ring_of_parts = if asks_parts {
+        &*ring
+    } else {
+        &OwnerRing::default()
+    };
     let pool = table.pool(&plan.pool)?;
     let candidates = usable(node, pool, plan, tried);
+    let follows_parts = plan.route.sticky && node.mechanisms.has(Mechanism::Affinity);
     let (special, general) = match shared_parts(plan).split_last() {
-        Some((special, general)) if plan.route.sticky => (Some(special), general),
+        Some((special, general)) if follows_parts => (Some(special), general),
         _ => (None, [].as_slice()),
     };
     let mut holders = HoldersByPart::new();
@@ -82,7 +91,7 @@
         let special = std::slice::from_ref(special);
         let pending = parts::ask(
             &node.peers,
-            &ring,
+            ring_of_parts,
             &node.directory,
             special,
             &[],
@@ -96,10 +105,16 @@
         .iter()
         .map(|index| candidates[*index].backend.id.as_str())
         .collect();
-    let counts = node.load.ask(&node.peers, &ring, &node.state.board, &ids);
+    let counts = match node.mechanisms.has(Mechanism::SharedLoad) {
+        true => node.load.ask(&node.peers, &ring, &node.state.board, &ids),
+        false => {
+            node.load.assume_idle(monotonic_now(), &ids);
+            Pending::default()
+        }
+    };
     let places = parts::ask(
         &node.peers,
-        &ring,
+        ring_of_parts,
         &node.directory,
         general,
         &ids,
@@ -146,9 +161,17 @@
         let load = node.state.board.backend_load(id, 1, costs);
         let own = costs.work_ms(&plan.facts.model, own_tokens, 0);
         let again = costs.work_ms(&plan.facts.model, again[*index], 0);
-        let weight = f64::from(replica.weight_milli.max(1)) / 1000.0;
+        let weight = match node.mechanisms.has(Mechanism::BandwidthWeight) {
+            true => f64::from(replica.weight_milli.max(1)) / 1000.0,
+            false => 1.0,
+        };
         let same_zone = replica.backend.zone == node.zone;
-        let zone = if same_zone { 0.0 } else { OTHER_ZONE_MS };
+        let prefers_zone = node.mechanisms.has(Mechanism::ZonePreference);
+        let zone = if prefers_zone && !same_zone {
+            OTHER_ZONE_MS
+        } else {
+            0.0
+        };
         let jitter = 1.0 + JITTER * random.random::<f64>();
         Estimate {
             cost: ((load + own + REREAD_PENALTY * again) / weight + zone) * jitter,
--- a/crates/forward/src/request/first_answer.rs
+++ b/crates/forward/src/request/first_answer.rs
@@ -4,6 +4,7 @@
 use millford_core::{Duration, ResultCode};
 use millford_decisions::AttemptOutcome;
 
+use crate::mechanism::Mechanism;
 use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
 use crate::protocol::ForwardProtocol;
 use crate::request::attempt::{AttemptFailure, Opened, attempt};
@@ -53,7 +54,8 @@
             return Err(last);
         };
         // Every send after the first comes out of the fleet's budget, wherever it goes.
-        if trail.sends > 0 && !node.state.budget.try_spend() {
+        let may_retry = node.mechanisms.has(Mechanism::Retries);
+        if trail.sends > 0 && !(may_retry && node.state.budget.try_spend()) {
             return Err(last);
         }
         trail.tried.push(target.key.backend_id.clone());
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -17,6 +17,7 @@
 use tokio::time::Sleep;
 
 use crate::backend::Lease;
+use crate::mechanism::Mechanism;
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 use crate::request::answer_body::{AnswerBody, BrokenOff};
@@ -242,7 +243,7 @@
         self.source.first_chunk = Some(now);
         self.source.opened.ticket.first_piece();
         let model = &self.plan.facts.model;
-        if !model.is_empty() {
+        if !model.is_empty() && self.node.mechanisms.has(Mechanism::LearnedCost) {
             let waited = now.since(self.source.opened.sent).as_secs_f64() * 1000.0;
             let queued = self.source.opened.queued_tokens;
             self.node.state.costs.add_first_token(model, queued, waited);
@@ -263,7 +264,10 @@
     fn finish(&mut self) {
         self.ended = true;
         self.learn();
-        if let Some(lease) = self.source.opened.lease.take() {
+        let reuses = self.node.mechanisms.has(Mechanism::ConnectionReuse);
+        if let Some(lease) = self.source.opened.lease.take()
+            && reuses
+        {
             lease.give_back(self.source.opened.keep_alive);
         }
     }
@@ -284,7 +288,8 @@
             streams_at_start: source.opened.streams,
         };
         let model = &self.plan.facts.model;
-        if sample.output_tokens > 1 {
+        let learns = self.node.mechanisms.has(Mechanism::LearnedCost);
+        if learns && sample.output_tokens > 1 {
             let between = f64::from(sample.decode_ms) / f64::from(sample.output_tokens - 1);
             let streams = sample.streams_at_start.saturating_add(1);
             self.node
@@ -306,6 +311,9 @@
             return Err(BrokenOff::BackendLost);
         };
         splitter.reset();
+        if !self.node.mechanisms.has(Mechanism::Resumption) {
+            return Err(BrokenOff::BackendLost);
+        }
         for _ in 0..MOST_RESUME_OFFERS {
             if self.trail.runs >= self.plan.most_runs() || !self.node.state.budget.try_spend() {
                 return Err(BrokenOff::BackendLost);
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -6,6 +6,8 @@
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
+use crate::mechanism::Mechanisms;
+
 /// Settings file of `millford-forward`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -32,6 +34,8 @@
     pub connect_timeout_ms: u64,
     /// Requests whose decisions are logged, in thousandths.
     pub decision_log_per_mille: u32,
+    /// Names of mechanisms that are left out, with commas between them, to measure what they are worth.
+    pub leave_out: String,
 }
 
 impl Default for ForwardSettings {
@@ -48,6 +52,7 @@
             leave_timeout_ms: 7500,
             connect_timeout_ms: 400,
             decision_log_per_mille: 0,
+            leave_out: String::new(),
         }
     }
 }
@@ -85,6 +90,7 @@
             "decision_log_per_mille",
             "requests in thousand whose decisions are logged",
         ),
+        SettingsKey::text("leave_out", "mechanisms to leave out, for measurements"),
     ];
 
     fn faults(&self) -> Vec<SettingsFault> {
@@ -106,6 +112,10 @@
             let too_many = "The value must be at most 1000.";
             faults.push(SettingsFault::new("decision_log_per_mille", too_many));
         }
+        if let Err(name) = Mechanisms::all_but(&self.leave_out) {
+            let unknown = format!("There is no mechanism \"{name}\".");
+            faults.push(SettingsFault::new("leave_out", unknown));
+        }
         let positive = [
             ("leave_timeout_ms", self.leave_timeout_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
--- /dev/null
+++ b/crates/forward/tests/mechanisms.rs
@@ -0,0 +1,89 @@
+//! Mechanisms that are left out: checked names, and that each takes no part in what it is about.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use millford_forward::{ForwardSettings, Mechanism, Mechanisms};
+use millford_settings::Settings;
+use support::backend::{LAST_CHUNK, Step, StubBackend, not_run, signed, stream_start};
+use support::caller::{call, request};
+use support::node::{Setup, TestNode};
+
+#[test]
+fn names_are_unique_and_read_back() {
+    let names: BTreeSet<&str> = Mechanism::ALL.iter().map(|one| one.name()).collect();
+    assert_eq!(names.len(), Mechanism::ALL.len());
+    for mechanism in Mechanism::ALL {
+        assert_eq!(Mechanism::from_name(mechanism.name()), Some(mechanism));
+        let others = Mechanisms::all_but(mechanism.name()).unwrap();
+        let in_use = Mechanism::ALL.into_iter().filter(|one| others.has(*one));
+        assert_eq!(in_use.count(), Mechanism::ALL.len() - 1);
+        assert!(!others.has(mechanism));
+    }
+    let two = Mechanisms::all_but("affinity, retries,").unwrap();
+    assert!(!two.has(Mechanism::Affinity) && !two.has(Mechanism::Retries));
+}
+
+#[test]
+fn unknown_names_are_a_fault_of_the_settings() {
+    let mut settings = ForwardSettings {
+        leave_out: "affinity,luck".to_owned(),
+        ..ForwardSettings::default()
+    };
+    let keys = |settings: &ForwardSettings| -> Vec<&str> {
+        settings.faults().iter().map(|fault| fault.key).collect()
+    };
+    assert!(keys(&settings).contains(&"leave_out"));
+    settings.leave_out = "affinity".to_owned();
+    assert!(!keys(&settings).contains(&"leave_out"));
+    settings.decision_log_per_mille = 1001;
+    assert!(keys(&settings).contains(&"decision_log_per_mille"));
+}
+
+#[tokio::test]
+async fn without_retries_the_first_refusal_is_final() {
+    let full = StubBackend::start(vec![Step::Answer(not_run(503))]).await;
+    let other = StubBackend::start(vec![Step::Answer(not_run(503))]).await;
+    let setup = Setup::with(|_| {});
+    let node = TestNode::start_without("retries", &setup, &[&full, &other]).await;
+    let reply = call(node.callers, &request("/jobs/", "", "")).await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(full.received().len() + other.received().len(), 1);
+}
+
+#[tokio::test]
+async fn without_resumption_a_broken_stream_ends_broken_off() {
+    let broken = vec![Step::AnswerThenReset(stream_start(1..3))];
+    let first = StubBackend::start(broken.clone()).await;
+    let second = StubBackend::start(broken).await;
+    let setup = Setup::with(|route| {
+        route.stream = true;
+        route.resumable = true;
+        route.max_attempts = 2;
+    });
+    let node = TestNode::start_without("resumption", &setup, &[&first, &second]).await;
+    assert!(!call(node.callers, &request("/jobs/", "", "")).await.whole);
+    assert_eq!(first.received().len() + second.received().len(), 1);
+}
+
+#[tokio::test]
+async fn without_connection_reuse_each_request_opens_one() {
+    let backend = StubBackend::start(vec![Step::Answer(signed("done"))]).await;
+    let setup = Setup::with(|_| {});
+    let node = TestNode::start_without("connection_reuse", &setup, &[&backend]).await;
+    for _ in 0..3 {
+        call(node.callers, &request("/jobs/", "", "")).await;
+    }
+    assert_eq!(backend.connections(), 3);
+}
+
+#[tokio::test]
+async fn streams_are_served_with_everything_left_out() {
+    let text = format!("{}{LAST_CHUNK}", stream_start(1..6));
+    let backend = StubBackend::start(vec![Step::Answer(text)]).await;
+    let names: Vec<&str> = Mechanism::ALL.iter().map(|one| one.name()).collect();
+    let setup = Setup::with(|route| route.stream = true);
+    let node = TestNode::start_without(&names.join(","), &setup, &[&backend]).await;
+    assert!(call(node.callers, &request("/jobs/", "", "")).await.whole);
+}
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -69,6 +69,15 @@
         Self::start_named("node-1", setup, backends).await
     }
 
+    /// Starts a node without some mechanisms.
+    pub async fn start_without(leave_out: &str, setup: &Setup, backends: &[&StubBackend]) -> Self {
+        let settings = ForwardSettings {
+            leave_out: leave_out.to_owned(),
+            ..settings_of("node-1")
+        };
+        Self::start_with(&settings, setup, backends).await
+    }
+
     /// Starts nodes that know each other and talk over UDP.
     pub async fn start_fleet(count: usize, setup: &Setup, backends: &[&StubBackend]) -> Vec<Self> {
         let mut nodes = Vec::new();
@@ -94,12 +103,14 @@
     }
 
     async fn start_named(name: &str, setup: &Setup, backends: &[&StubBackend]) -> Self {
-        let settings = ForwardSettings {
-            name: name.to_owned(),
-            zone: "a".to_owned(),
-            decision_log_per_mille: 1000,
-            ..ForwardSettings::default()
-        };
+        Self::start_with(&settings_of(name), setup, backends).await
+    }
+
+    async fn start_with(
+        settings: &ForwardSettings,
+        setup: &Setup,
+        backends: &[&StubBackend],
+    ) -> Self {
         let state = Arc::new(ProxyState::new(RequestLimits::default()));
         state.set_table(table(setup, backends, &[]));
         state.set_ready();
@@ -107,7 +118,7 @@
         for _ in 0..100 {
             state.budget.earn();
         }
-        let node = Arc::new(ForwardNode::new(&settings, state, MillfordProtocol));
+        let node = Arc::new(ForwardNode::new(settings, state, MillfordProtocol));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let callers = listener.local_addr().expect("an address");
         let connections = CallerConnections::default();
@@ -130,6 +141,15 @@
     }
 }
 
+fn settings_of(name: &str) -> ForwardSettings {
+    ForwardSettings {
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        decision_log_per_mille: 1000,
+        ..ForwardSettings::default()
+    }
+}
+
 /// Polls of a condition before a test gives up.
 const MOST_POLLS: u32 = 100_000;
 
