--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -9,7 +9,7 @@
 use crate::mechanism::Mechanisms;
 
 /// Settings file of `millford-forward`.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ForwardSettings {
     /// Name of the node; the agent's session has the same.
