--- a/crates/forward/tests/owners.rs
+++ b/crates/forward/tests/owners.rs
@@ -100,6 +100,38 @@
     }
 }
 
+#[tokio::test]
+async fn new_owners_learn_what_is_in_flight() {
+    let backend = StubBackend::start(vec![Step::Hang]).await;
+    let setup = Setup::with(|_| {});
+    let nodes = TestNode::start_fleet(6, &setup, &[&backend]).await;
+    let _tickets: Vec<LoadTicket> = nodes
+        .iter()
+        .map(|node| start_work(node, BACKENDS[0], 10))
+        .collect();
+    let (ring, _) = nodes[0].node.peers.ring(&nodes[0].node.state.table());
+    let owners: Vec<String> = ring
+        .owners_of_backend(BACKENDS[0])
+        .iter()
+        .map(|owner| owner.name.clone())
+        .collect();
+    let mut left = nodes[0].members();
+    left.retain(|member| !owners.contains(&member.name));
+    assert_eq!(left.len(), 4, "both owners go at once");
+    for node in &nodes {
+        if owners.contains(&node.node.name) {
+            node.go_silent();
+        }
+        node.know_members(&setup, &[&backend], &left);
+    }
+    for node in &nodes {
+        if !owners.contains(&node.node.name) {
+            // What the owners themselves had in flight went with them.
+            until_asked(node, BACKENDS[0], 40).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_part_that_one_node_sent_is_known_to_all() {
     let backend = StubBackend::start(vec![Step::Hang]).await;
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -95,7 +95,7 @@
             nodes.push(Self::start_named(&name, setup, backends).await);
         }
         for (node, socket) in nodes.iter_mut().zip(sockets) {
-            node.node.state.set_table(table(setup, backends, &members));
+            node.know_members(setup, backends, &members);
             let exchanging = millford_forward::exchange::run(Arc::clone(&node.node), socket);
             node.exchange = Some(tokio::spawn(exchanging));
         }
@@ -135,6 +135,17 @@
         }
     }
 
+    /// The feed shows these proxies from now on.
+    pub fn know_members(&self, setup: &Setup, backends: &[&StubBackend], members: &[ProxyMember]) {
+        let table = table(setup, backends, members);
+        self.node.state.set_table(table);
+    }
+
+    /// The proxies that the feed shows.
+    pub fn members(&self) -> Vec<ProxyMember> {
+        self.node.state.table().forward().peers().to_vec()
+    }
+
     /// The node hears and tells its peers nothing from now on.
     pub fn go_silent(&self) {
         self.exchange.iter().for_each(|task| task.abort());
