One way to start the control thread of both proxies

Cause: forward and chat proxy each held the same thread start. Change: proxy::daemon::control_thread serves both.

--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -7,8 +7,8 @@
 use millford_api::local::ProxyHello;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
-use millford_proxy::daemon::agent_link::{AgentLink, agent_link};
-use millford_proxy::daemon::agent_link_task::AgentLinkTask;
+use millford_proxy::daemon::agent_link::agent_link;
+use millford_proxy::daemon::control_thread::spawn_control_thread;
 use millford_proxy::daemon::reporter;
 use millford_proxy::limits::RequestLimits;
 use millford_proxy::proxy_state::ProxyState;
@@ -47,7 +47,9 @@
         caller_address: settings.caller_address.clone(),
     };
     let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
-    start_control_thread(state, agent, task)?;
+    spawn_control_thread(async move {
+        tokio::join!(task.run(), reporter::run(state, agent));
+    })?;
     let traffic = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -55,26 +57,6 @@
     traffic.block_on(serve(settings, node))
 }
 
-/// The feed shares no queue and no thread with the traffic: a drain is seen in time at any load.
-fn start_control_thread(
-    state: Arc<ProxyState>,
-    agent: AgentLink,
-    task: AgentLinkTask,
-) -> miette::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .into_diagnostic()?;
-    let work = async move {
-        tokio::join!(task.run(), reporter::run(state, agent));
-    };
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(work))
-        .into_diagnostic()?;
-    Ok(())
-}
-
 async fn serve<P: ForwardProtocol>(
     settings: &ForwardSettings,
     node: Arc<ForwardNode<P>>,
--- a/crates/proxy/src/daemon/mod.rs
+++ b/crates/proxy/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller_channel;
 pub mod caller_headers;
 pub mod connections;
+pub mod control_thread;
 pub mod environment;
 pub mod held_streams;
 pub mod models;
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -12,9 +12,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::daemon::agent_link::{AgentLink, agent_link};
-use crate::daemon::agent_link_task::AgentLinkTask;
 use crate::daemon::backend_client::BackendClient;
 use crate::daemon::connections::serve_connections;
+use crate::daemon::control_thread::spawn_control_thread;
 use crate::daemon::environment::DaemonEnvironment;
 use crate::daemon::server::{HttpLimits, service};
 use crate::daemon::settings::ProxySettings;
@@ -42,7 +42,11 @@
         caller_address: settings.caller_address.clone(),
     };
     let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
-    start_control_thread(Arc::clone(&state), backends, agent.clone(), task)?;
+    let (shared, reports) = (Arc::clone(&state), agent.clone());
+    spawn_control_thread(async move {
+        let probes = prober::run(Arc::clone(&shared), backends);
+        tokio::join!(task.run(), probes, reporter::run(shared, reports));
+    })?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
@@ -56,32 +60,6 @@
     traffic.block_on(serve(settings, environment))
 }
 
-/// The feed, the probes and the reports share no queue and no thread with the traffic: a drain is
-/// seen in time at any load.
-fn start_control_thread(
-    state: Arc<ProxyState>,
-    backends: BackendClient,
-    agent: AgentLink,
-    task: AgentLinkTask,
-) -> miette::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .into_diagnostic()?;
-    let work = async move {
-        tokio::join!(
-            task.run(),
-            prober::run(Arc::clone(&state), backends),
-            reporter::run(state, agent),
-        );
-    };
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(work))
-        .into_diagnostic()?;
-    Ok(())
-}
-
 async fn serve(settings: &ProxySettings, environment: DaemonEnvironment) -> miette::Result<()> {
     let address: SocketAddr = settings.caller_address.parse().into_diagnostic()?;
     let listener = TcpListener::bind(address).await;
