Experiment load-age: what the age of shared counts costs, at 10, 86 and 300 nodes

Change: a small model of a fleet (backends that read prompts in order; counts told to everybody each period, asked of owners, all true, or none) as an experiment with tables, and tests: told to everybody gets worse with the fleet, owners serve any fleet alike.

--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod command;
 pub mod fleet;
+pub mod load_age;
 pub mod report;
 pub mod suite;
 
--- /dev/null
+++ b/crates/experiments/src/load_age/simulation.rs
@@ -0,0 +1,198 @@
+//! Plays a fleet.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand::seq::index::sample;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::load_age::backends::Backends;
+use crate::load_age::options::{LoadAgeOptions, Sharing};
+use crate::load_age::outcome::LoadAgeOutcome;
+
+/// Time to read a long prompt of which nothing is kept, in milliseconds.
+const LONG_PROMPT_MS: f64 = 150.0;
+/// Time to read a short one.
+const SHORT_PROMPT_MS: f64 = 20.0;
+/// Share of the long ones.
+const LONG_SHARE: f64 = 0.375;
+/// Microseconds in a millisecond: events are ordered by whole microseconds.
+const MICROS: f64 = 1000.0;
+
+/// What happens, in the order of equal times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A node tells what it has in flight.
+    Tell { node: usize },
+    /// A request arrives at a node.
+    Arrive { node: usize, long: bool },
+    /// A request leaves for the backend that was chosen.
+    Dispatch {
+        node: usize,
+        long: bool,
+        backend: usize,
+        arrived_us: u64,
+    },
+}
+
+struct Simulation {
+    options: LoadAgeOptions,
+    random: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    backends: Backends,
+    /// What each node told last, and the sums over all nodes.
+    told: Vec<Vec<f64>>,
+    told_sum: Vec<f64>,
+    outcome: LoadAgeOutcome,
+}
+
+/// Plays a fleet. The same options give the same outcome.
+#[must_use]
+pub fn simulate(options: &LoadAgeOptions) -> LoadAgeOutcome {
+    let mut simulation = Simulation {
+        options: *options,
+        random: ChaCha8Rng::seed_from_u64(options.seed),
+        events: BinaryHeap::new(),
+        backends: Backends::new(options.nodes, options.backends),
+        told: vec![vec![0.0; options.backends]; options.nodes],
+        told_sum: vec![0.0; options.backends],
+        outcome: LoadAgeOutcome::default(),
+    };
+    simulation.plan_arrivals();
+    simulation.plan_first_tells();
+    while let Some(Reverse((at, event))) = simulation.events.pop() {
+        simulation.take(at, event);
+    }
+    simulation.outcome
+}
+
+fn work_ms(long: bool) -> f64 {
+    if long {
+        LONG_PROMPT_MS
+    } else {
+        SHORT_PROMPT_MS
+    }
+}
+
+impl Simulation {
+    fn plan_arrivals(&mut self) {
+        let mean_work = LONG_SHARE * LONG_PROMPT_MS + (1.0 - LONG_SHARE) * SHORT_PROMPT_MS;
+        let gap_ms = mean_work / (self.options.utilization * self.options.backends as f64);
+        let end_ms = self.options.length.as_secs_f64() * 1000.0;
+        let mut at_ms = 0.0;
+        loop {
+            // Arrivals that know nothing of each other: exponential gaps.
+            at_ms -= gap_ms * (1.0 - self.random.random::<f64>()).ln();
+            if at_ms >= end_ms {
+                return;
+            }
+            let node = self.random.random_range(0..self.options.nodes);
+            let long = self.random.random_bool(LONG_SHARE);
+            self.plan(at_ms, Event::Arrive { node, long });
+        }
+    }
+
+    fn plan_first_tells(&mut self) {
+        let Sharing::Everybody { period } = self.options.sharing else {
+            return;
+        };
+        for node in 0..self.options.nodes {
+            let phase = self.random.random::<f64>() * period.as_secs_f64() * 1000.0;
+            self.plan(phase, Event::Tell { node });
+        }
+    }
+
+    fn plan(&mut self, at_ms: f64, event: Event) {
+        let at = (at_ms * MICROS) as u64;
+        self.events.push(Reverse((at, event)));
+    }
+
+    fn take(&mut self, at: u64, event: Event) {
+        let now_ms = at as f64 / MICROS;
+        self.backends.advance(now_ms);
+        match event {
+            Event::Tell { node } => self.tell(now_ms, node),
+            Event::Arrive { node, long } => {
+                let backend = self.choose(node);
+                let delay_ms = match self.options.sharing {
+                    Sharing::Owners { round_trip, .. } => round_trip.as_secs_f64() * 1000.0,
+                    _ => 0.0,
+                };
+                let dispatch = Event::Dispatch {
+                    node,
+                    long,
+                    backend,
+                    arrived_us: at,
+                };
+                self.plan(now_ms + delay_ms, dispatch);
+            }
+            Event::Dispatch {
+                node,
+                long,
+                backend,
+                arrived_us,
+            } => self.dispatch(now_ms, node, long, backend, arrived_us),
+        }
+    }
+
+    fn tell(&mut self, now_ms: f64, node: usize) {
+        let own = self.backends.of_node(node);
+        for (backend, work) in own.iter().enumerate() {
+            self.told_sum[backend] += work - self.told[node][backend];
+            self.told[node][backend] = *work;
+        }
+        let Sharing::Everybody { period } = self.options.sharing else {
+            return;
+        };
+        let next_ms = now_ms + period.as_secs_f64() * 1000.0;
+        if next_ms < self.options.length.as_secs_f64() * 1000.0 {
+            self.plan(next_ms, Event::Tell { node });
+        }
+    }
+
+    fn choose(&mut self, node: usize) -> usize {
+        let count = self.options.backends;
+        match self.options.sharing {
+            Sharing::Nothing => self.random.random_range(0..count),
+            Sharing::Omniscient => self.least(0..count, |this, one| this.backends.in_flight()[one]),
+            Sharing::Owners { drawn, .. } => {
+                let drawn = sample(&mut self.random, count, drawn.min(count));
+                self.least(drawn.into_iter(), |this, one| {
+                    this.backends.in_flight()[one]
+                })
+            }
+            Sharing::Everybody { .. } => self.least(0..count, |this, one| {
+                let others = this.told_sum[one] - this.told[node][one];
+                others + this.backends.of_node(node)[one]
+            }),
+        }
+    }
+
+    /// The one with the least believed work; equals are drawn.
+    fn least(
+        &mut self,
+        among: impl Iterator<Item = usize>,
+        believed: impl Fn(&Self, usize) -> f64,
+    ) -> usize {
+        let mut best = (f64::INFINITY, 0.0, 0);
+        for backend in among {
+            let draw = self.random.random::<f64>();
+            let work = believed(self, backend).max(0.0);
+            if (work, draw) < (best.0, best.1) {
+                best = (work, draw, backend);
+            }
+        }
+        best.2
+    }
+
+    fn dispatch(&mut self, now_ms: f64, node: usize, long: bool, backend: usize, arrived_us: u64) {
+        let in_flight = self.backends.in_flight();
+        let least = in_flight.iter().copied().fold(f64::INFINITY, f64::min);
+        let regret = in_flight[backend] - least;
+        let read_at = self.backends.send(now_ms, node, backend, work_ms(long));
+        self.outcome.regret_ms.push(regret);
+        let first_token = read_at - arrived_us as f64 / MICROS;
+        self.outcome.first_token_ms.push(first_token);
+    }
+}
--- a/crates/experiments/src/suite/mod.rs
+++ b/crates/experiments/src/suite/mod.rs
@@ -3,6 +3,7 @@
 pub mod affinity;
 pub mod balance;
 pub mod bandwidth;
+pub mod load_age;
 pub mod parallel;
 pub mod retry_storm;
 pub mod site;
