--- a/crates/forward/src/exchange/exchange_task.rs
+++ b/crates/forward/src/exchange/exchange_task.rs
@@ -91,9 +91,11 @@
             node.directory.expire(now);
         }
         let turn = self.rotation.next(addresses.len());
-        // A peer that gets its turn after others must hear what they were told.
-        let whole = whole || turn.len() < addresses.len();
-        let Some(news) = self.writer.write(node, now, whole) else {
+        let news = match turn.len() < addresses.len() {
+            true => self.writer.write_turn(node, now),
+            false => self.writer.write(node, now, whole),
+        };
+        let Some(news) = news else {
             return;
         };
         let addresses: Vec<SocketAddr> = turn.map(|index| addresses[index]).collect();
--- a/crates/forward/src/exchange/news.rs
+++ b/crates/forward/src/exchange/news.rs
@@ -9,7 +9,7 @@
 
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
-use crate::quota::PeerCount;
+use crate::quota::{PeerCount, TenantLevel};
 
 /// Most tenants in one datagram.
 const MOST_TENANTS: usize = 256;
@@ -33,47 +33,59 @@
         }
     }
 
-    /// What was admitted since the last news, or everything when `whole`; nothing when nothing was.
+    /// For all peers: what was admitted since they were told last, or everything when `whole`; nothing when
+    /// nothing was.
     pub fn write<P: ForwardProtocol>(
         &mut self,
         node: &ForwardNode<P>,
         now: MonotonicTime,
         whole: bool,
     ) -> Option<ProxyNews> {
-        let usage = self.usage(node, now, whole);
-        if usage.is_empty() {
+        let mut levels = node.quotas.levels(now);
+        levels.retain(|level| {
+            let changed = self.told.get(&level.tenant) != Some(&level.used_tokens);
+            whole || changed
+        });
+        levels.truncate(MOST_TENANTS);
+        for level in &levels {
+            self.told.insert(level.tenant.clone(), level.used_tokens);
+        }
+        self.news(node, levels)
+    }
+
+    /// For a few peers: everything. The others are still to be told, so nothing counts as told by it.
+    pub fn write_turn<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        now: MonotonicTime,
+    ) -> Option<ProxyNews> {
+        let mut levels = node.quotas.levels(now);
+        levels.truncate(MOST_TENANTS);
+        self.news(node, levels)
+    }
+
+    fn news<P: ForwardProtocol>(
+        &mut self,
+        node: &ForwardNode<P>,
+        levels: Vec<TenantLevel>,
+    ) -> Option<ProxyNews> {
+        if levels.is_empty() {
             return None;
         }
+        let usage = levels.into_iter().map(|level| TenantUsage {
+            tenant: level.tenant,
+            used_tokens: level.used_tokens,
+            level_tokens: level.level_tokens,
+        });
         self.sequence += 1;
         Some(ProxyNews {
             member: node.name.clone(),
             boot_id: self.boot_id,
             sequence: self.sequence,
-            usage,
+            usage: usage.collect(),
             ..ProxyNews::default()
         })
     }
-
-    fn usage<P: ForwardProtocol>(
-        &mut self,
-        node: &ForwardNode<P>,
-        now: MonotonicTime,
-        whole: bool,
-    ) -> Vec<TenantUsage> {
-        let mut usage = Vec::new();
-        for level in node.quotas.levels(now) {
-            let changed = self.told.get(&level.tenant) != Some(&level.used_tokens);
-            if usage.len() < MOST_TENANTS && (whole || changed) {
-                self.told.insert(level.tenant.clone(), level.used_tokens);
-                usage.push(TenantUsage {
-                    tenant: level.tenant,
-                    used_tokens: level.used_tokens,
-                    level_tokens: level.level_tokens,
-                });
-            }
-        }
-        usage
-    }
 }
 
 /// Takes in a peer's counts.
