Forward: a leaving proxy no longer takes requests that its end would break off

Ruled out: the change of counts (the path of a leaving proxy is older); a connection kept too long (new connections).

Callers then try another proxy.

--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -113,7 +113,7 @@
 ) {
     LOG.info("Leaving: no longer ready.");
     let begun = monotonic_now();
-    node.state.set_draining();
+    node.leave(begun, longest);
     tokio::time::sleep(CLOSE_IDLE_AFTER.min(longest)).await;
     connections.close_when_idle();
     loop {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod daemon;
 pub mod exchange;
+pub mod leaving;
 pub mod load;
 pub mod mechanism;
 pub mod node;
@@ -15,6 +16,7 @@
 pub mod settings;
 
 pub use daemon::run;
+pub use leaving::Leaving;
 pub use mechanism::{Mechanism, Mechanisms};
 pub use node::ForwardNode;
 pub use own_protocol::MillfordProtocol;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -1,6 +1,6 @@
 //! State that all requests of one forwarding proxy share.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use millford_core::{Duration, MonotonicTime};
 use millford_proxy::proxy_state::ProxyState;
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::backend::ConnectionPools;
+use crate::leaving::Leaving;
 use crate::load::SharedLoad;
 use crate::mechanism::{Mechanism, Mechanisms};
 use crate::owners::PeerLink;
@@ -39,6 +40,7 @@
     pub mechanisms: Mechanisms,
     /// Requests whose decisions are logged, in thousandths.
     pub decision_log_per_mille: u32,
+    leaving: OnceLock<Leaving>,
     ejections: watch::Sender<u64>,
 }
 
@@ -61,10 +63,24 @@
             // Settings with a wrong name are refused before a node is made of them.
             mechanisms: Mechanisms::all_but(&settings.leave_out).unwrap_or_default(),
             decision_log_per_mille: settings.decision_log_per_mille,
+            leaving: OnceLock::new(),
             ejections,
         }
     }
 
+    /// The node leaves, and its process ends within `longest`.
+    pub fn leave(&self, now: MonotonicTime, longest: Duration) {
+        self.state.set_draining();
+        let _ = self.leaving.set(Leaving::begin(now, longest));
+    }
+
+    /// Whether a request that has to be answered by `deadline` is taken now.
+    #[must_use]
+    pub fn takes(&self, now: MonotonicTime, deadline: MonotonicTime) -> bool {
+        let leaving = self.leaving.get();
+        leaving.is_none_or(|leaving| leaving.takes(now, deadline))
+    }
+
     /// Takes a backend out of use; requests that wait for it and may go elsewhere hear of it.
     pub fn eject(&self, backend_id: &str, reason: EjectionReason) {
         let ejected = self.state.health.ejection(backend_id).is_some();
--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -11,7 +11,7 @@
 use millford_decisions::Ending;
 use rand::Rng;
 
-use crate::node::ForwardNode;
+use crate::node::{ForwardNode, USUAL_RETRY_AFTER};
 use crate::protocol::ForwardProtocol;
 use crate::request::answer_body::AnswerBody;
 use crate::request::authorize::authorize;
@@ -81,6 +81,10 @@
         body,
         arrived,
     };
+    if !node.takes(arrived, plan.deadline) {
+        let leaving = Refusal::new(ResultCode::NotReady).with_retry_after(USUAL_RETRY_AFTER);
+        return Err(leaving.closing());
+    }
     let tokens = plan.quota_tokens();
     let mut trail = Trail {
         trace: Trace::begin(node, &plan),
