Agent: slots in use are reported also while an ask is told to wait

The new leader's answer told it to come back at 2550 ms, when slots may be lent again. `due` gave this time and left out the report of slots in use, due at 2444 ms. So the new leader lent the slot a second time.

Change: the earlier of the two times counts. And where an answer grants fewer slots than are in use the leader does not know of a stream: it is reported at once, which leaves time for a lost report to be sent again.

Ruled out: stale resent asks (the ledger takes them as older), loss alone (the report was never sent).

--- a/crates/agent/src/quota/slot_hold.rs
+++ b/crates/agent/src/quota/slot_hold.rs
@@ -83,12 +83,24 @@
         self.renew_at = at;
     }
 
-    /// The leader answered the ask of request `request_id`.
-    pub fn granted(&mut self, slots: u32, until: MonotonicTime, request_id: u64) {
+    /// The leader answered the ask of request `request_id`; the answer came at `now`.
+    pub fn granted(
+        &mut self,
+        now: MonotonicTime,
+        slots: u32,
+        until: MonotonicTime,
+        request_id: u64,
+    ) {
         // Safety: a later ask may have given up what this answer still grants.
-        if request_id == self.last_request {
-            self.lent = slots;
-            self.until = until;
+        if request_id != self.last_request {
+            return;
+        }
+        self.lent = slots;
+        self.until = until;
+        // Safety: a leader grants at least what the ask reported. Streams beyond that began while
+        // the ask was under way, under a lease this leader may not know of.
+        if slots < self.in_use {
+            self.renew_at = now;
         }
     }
 }
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -178,10 +178,11 @@
         if self.recalled || self.to_return > 0 {
             return Some(now);
         }
-        if self.tokens_missing(now) > 0 || self.slots_missing(now) {
-            return Some(self.ask_after);
-        }
-        self.slots.renewal()
+        let missing = self.tokens_missing(now) > 0 || self.slots_missing(now);
+        let ask = missing.then_some(self.ask_after);
+        // Safety: a pause before asking again must not hold back the report of slots in use, from
+        // which a new leader learns of the streams that began under its predecessor.
+        [ask, self.slots.renewal()].into_iter().flatten().min()
     }
 
     /// Whether the slots in use are to be reported by `limit`.
@@ -270,7 +271,7 @@
             let tokens = grant.tokens;
             self.leases.push(TokenLease { tokens, until });
         }
-        self.slots.granted(grant.slots, until, sent.request_id);
+        self.slots.granted(now, grant.slots, until, sent.request_id);
         let pause = Duration::from_millis(u64::from(grant.retry_after_ms));
         self.ask_after = now + pause.max(QUOTA_RECALL_PAUSE);
         let mut answers = self.serve(now);
--- a/crates/control-state/tests/quota_desks.rs
+++ b/crates/control-state/tests/quota_desks.rs
@@ -148,3 +148,23 @@
         judge(held, &setting, &world)
     }
 }
+
+/// A call takes a slot of the former leader's lease while the node's first ask of the new leader is
+/// under way; the answer tells it to ask again only once slots may be lent, and until then the new
+/// leader has to learn of that stream.
+#[test]
+fn a_slot_taken_while_the_new_leader_is_asked_is_reported() {
+    let setting = Setting {
+        seed: 10_700_725_685_278_463_493,
+        quota: Quota {
+            requests_per_second: 28,
+            burst: 14,
+            concurrent_streams: 2,
+        },
+        desks: 4,
+        elections: vec![1_000, 3_500],
+        loss_percent: 2,
+    };
+    let world = setting.run_heavy(true);
+    assert!(world.outcome.most_streams <= setting.quota.concurrent_streams);
+}
