Forward: absurd counts and token numbers shut no tenant out for good

A request's tokens are what its caller says. One with 2^64 - 1 left a debt that no rate ever pays back; counts of a peer near that number overflowed the sum (a panic in test builds), and its assumed rate stayed absurd for minutes after it fell silent.

Change: a request's own debt is at most what the rate gives in a minute; what peers tell lowers a bucket to four bursts of debt at most, as before, also by way of beliefs; a silent peer is assumed to admit no more than the quota's rate; sums saturate.

--- a/crates/forward/src/quota/cluster_bucket.rs
+++ b/crates/forward/src/quota/cluster_bucket.rs
@@ -8,6 +8,10 @@
 /// presses on would exceed its quota by it again and again.
 const MOST_DEBT_BURSTS: f64 = 4.0;
 
+/// Debt from a request itself never exceeds what the rate gives in this time: its size is what the caller
+/// says, and an absurd one must not shut a tenant out for good.
+const MOST_OWN_DEBT_S: f64 = 60.0;
+
 /// What a node counts is a little more than what runs: requests that end before they run, and counts
 /// that cross on their way. A tenant under its quota must not be refused for it.
 const RATE_HEADROOM: f64 = 1.01;
@@ -62,7 +66,8 @@
     pub fn admit(&mut self, now: MonotonicTime, tokens: u64) -> Result<(), Duration> {
         self.refill(now);
         if self.level > 0.0 {
-            self.level -= tokens as f64;
+            let floor = -(self.figures.rate * MOST_OWN_DEBT_S).max(self.most_told_debt());
+            self.level = (self.level - tokens as f64).max(floor);
             return Ok(());
         }
         Err(self.figures.wait(self.level))
@@ -77,14 +82,14 @@
     /// Takes out what peers admitted, or puts back what was wrongly assumed of them.
     pub fn charge(&mut self, now: MonotonicTime, tokens: f64) {
         self.refill(now);
-        let floor = -self.figures.burst * MOST_DEBT_BURSTS;
+        let floor = self.level.min(-self.most_told_debt());
         self.level = (self.level - tokens).clamp(floor, self.figures.burst);
     }
 
     /// Believes a peer that knows of less: for a node that has just started.
     pub fn lower_to(&mut self, now: MonotonicTime, level: f64) {
         self.refill(now);
-        self.level = self.level.min(level);
+        self.level = self.level.min(level.max(-self.most_told_debt()));
     }
 
     /// Moves a little towards what a peer believes to be left.
@@ -100,6 +105,12 @@
         }
     }
 
+    /// Most tokens that a peer can be assumed to admit in a second.
+    #[must_use]
+    pub fn most_rate(&self) -> f64 {
+        self.figures.rate
+    }
+
     /// What is left now.
     pub fn level(&mut self, now: MonotonicTime) -> f64 {
         self.refill(now);
@@ -111,6 +122,10 @@
         self.level(now) < self.figures.burst * share
     }
 
+    fn most_told_debt(&self) -> f64 {
+        self.figures.burst * MOST_DEBT_BURSTS
+    }
+
     fn refill(&mut self, now: MonotonicTime) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = now;
--- a/crates/forward/src/quota/peer_usage.rs
+++ b/crates/forward/src/quota/peer_usage.rs
@@ -101,15 +101,16 @@
         self.heard.since(self.steady_since) >= SETTLED_AFTER
     }
 
-    /// The tokens to charge for a peer that is silent: it may be cut off and admit as before.
-    pub fn assume(&mut self, now: MonotonicTime) -> f64 {
+    /// The tokens to charge for a peer that is silent: it may be cut off and admit as before, but not more
+    /// than `most_rate` a second.
+    pub fn assume(&mut self, now: MonotonicTime, most_rate: f64) -> f64 {
         if !self.is_silent(now) {
             return 0.0;
         }
         let silence = now.since(self.heard);
         let span = now.since(self.assumed_until).as_secs_f64();
         let fading = (-silence.as_secs_f64() / FADE_S).exp();
-        let tokens = self.rate * fading * span;
+        let tokens = self.rate.min(most_rate) * fading * span;
         self.assumed_until = now;
         self.assumed += tokens;
         tokens
--- a/crates/forward/src/quota/tenant_quotas.rs
+++ b/crates/forward/src/quota/tenant_quotas.rs
@@ -101,8 +101,8 @@
     }
 
     fn count_own(&mut self, now: MonotonicTime, tokens: u64) {
-        self.used += tokens;
-        self.untold += tokens;
+        self.used = self.used.saturating_add(tokens);
+        self.untold = self.untold.saturating_add(tokens);
         self.meter.add(now, tokens as f64);
     }
 
@@ -151,6 +151,7 @@
             .filter(|peer| !peer.usage.is_silent(now));
         let mut heard: BTreeSet<String> = heard.filter_map(|peer| peer.owner_in.clone()).collect();
         heard.insert(own_zone.to_owned());
+        let most_rate = self.bucket.most_rate();
         let mut assumed = 0.0;
         for peer in self.peers.values_mut() {
             let zone = peer.owner_in.as_ref();
@@ -158,7 +159,7 @@
             if replaced && peer.usage.is_silent(now) {
                 assumed -= peer.usage.forget_assumed(now);
             } else {
-                assumed += peer.usage.assume(now);
+                assumed += peer.usage.assume(now, most_rate);
             }
         }
         if assumed != 0.0 {
