--- a/crates/experiments/src/command.rs
+++ b/crates/experiments/src/command.rs
@@ -6,7 +6,7 @@
 use getopts::Options;
 
 use crate::report::Report;
-use crate::suite::{affinity, balance, bandwidth, load_age, retry_storm, transition};
+use crate::suite::{affinity, balance, bandwidth, load_age, quota_age, retry_storm, transition};
 
 /// Seeds when the command names none.
 const DEFAULT_SEEDS: u64 = 3;
@@ -38,6 +38,10 @@
         name: "load-age",
         run: load_age::run,
     },
+    Experiment {
+        name: "quota-age",
+        run: quota_age::run,
+    },
     Experiment {
         name: "retry-storm",
         run: retry_storm::run,
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -3,6 +3,7 @@
 mod command;
 pub mod fleet;
 pub mod load_age;
+pub mod quota_age;
 pub mod report;
 pub mod suite;
 
--- /dev/null
+++ b/crates/experiments/src/quota_age/owner_fleet.rs
@@ -0,0 +1,193 @@
+//! Nodes of some zones, in each of which the tenant has two owners.
+
+use std::collections::BTreeMap;
+
+use millford_core::{Duration, MonotonicTime};
+use millford_forward::quota::{KnownLevel, PeerCount, TenantQuotas};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::admissions::Admissions;
+use super::fleet_quota::{Pressure, REQUEST, STEP_MS, quota, tenant};
+
+/// Owners tell each other at once no more often, in steps.
+pub const PAUSE_STEPS: usize = 4;
+/// Owners tell each other everything, in steps.
+const WHOLE_STEPS: usize = 200;
+
+/// An owner: its place in the fleet is its zone and whether it is the stand-in.
+#[derive(Debug)]
+pub struct Owner {
+    quotas: TenantQuotas,
+    boot: u64,
+    told: u64,
+    /// Whether it answers.
+    pub is_up: bool,
+}
+
+impl Owner {
+    fn new() -> Self {
+        Self {
+            quotas: TenantQuotas::default(),
+            boot: 1,
+            told: 0,
+            is_up: true,
+        }
+    }
+}
+
+/// Nodes of some zones that ask the owners of their zone; owners that tell each other.
+#[derive(Debug)]
+pub struct OwnerFleet {
+    /// Two in each zone.
+    pub owners: Vec<[Owner; 2]>,
+    /// What each node of each zone was told last, and what it admitted alone.
+    nodes: Vec<Vec<(KnownLevel, i64)>>,
+    now: MonotonicTime,
+    step: usize,
+    random: ChaCha8Rng,
+    /// Datagrams that are lost.
+    pub loss_percent: u32,
+    /// A zone that no other one reaches.
+    pub cut_off: Option<usize>,
+    /// What was admitted.
+    pub admissions: Admissions,
+    /// Tokens that were admitted in each zone.
+    pub by_zone: BTreeMap<usize, u64>,
+}
+
+impl OwnerFleet {
+    /// A fleet whose bucket is full.
+    #[must_use]
+    pub fn new(zones: usize, nodes_in_zone: usize, seed: u64) -> Self {
+        let now = MonotonicTime::from_millis(1000);
+        let known = KnownLevel::unknown(&quota(), zones * nodes_in_zone, now);
+        Self {
+            owners: (0..zones).map(|_| [Owner::new(), Owner::new()]).collect(),
+            nodes: vec![vec![(known, 0); nodes_in_zone]; zones],
+            now,
+            step: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            loss_percent: 0,
+            cut_off: None,
+            admissions: Admissions::default(),
+            by_zone: BTreeMap::new(),
+        }
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.random.random_range(0..100) < self.loss_percent
+    }
+
+    fn ask(&mut self, zone: usize, node: usize) {
+        let is_admitted = self.decide(zone, node).is_ok();
+        self.admissions.note(self.now, is_admitted);
+        if is_admitted {
+            *self.by_zone.entry(zone).or_default() += REQUEST;
+        }
+    }
+
+    /// As `SharedQuotas` decides on a request.
+    fn decide(&mut self, zone: usize, node: usize) -> Result<(), Duration> {
+        let (now, quota) = (self.now, quota());
+        if let Some(wait) = self.nodes[zone][node].0.certain_wait(now) {
+            return Err(wait);
+        }
+        let (question_lost, answer_lost) = (self.is_lost(), self.is_lost());
+        self.admissions.datagrams += 2;
+        let owner = self.owners[zone].iter().find(|owner| owner.is_up);
+        let (known, uncharged) = &mut self.nodes[zone][node];
+        if let Some(owner) = owner.filter(|_| !question_lost) {
+            let grant = owner.quotas.grant(now, &tenant(), REQUEST, *uncharged);
+            let grant = grant.expect("the tenant has a quota");
+            if !answer_lost {
+                *uncharged = 0;
+                known.take(now, &quota, &grant);
+                return grant.decision;
+            }
+        }
+        known.admit_alone(now, REQUEST)?;
+        *uncharged += i64::try_from(REQUEST).expect("small");
+        Ok(())
+    }
+
+    /// Owners tell each other what they granted; then a step passes.
+    fn pass(&mut self) {
+        let whole = self.step.is_multiple_of(WHOLE_STEPS);
+        if whole || self.step.is_multiple_of(PAUSE_STEPS) {
+            // Owners' rounds are not in step: who tells later knows more.
+            let first = self.random.random_range(0..self.owners.len());
+            for turn in 0..self.owners.len() {
+                let zone = (first + turn) % self.owners.len();
+                for place in 0..2 {
+                    self.tell(zone, place, whole);
+                }
+            }
+        }
+        for (zone, owners) in self.owners.iter().enumerate() {
+            for owner in owners.iter().filter(|owner| owner.is_up) {
+                owner.quotas.tick(self.now, &zone.to_string());
+            }
+        }
+        self.step += 1;
+        self.now = self.now + Duration::from_millis(STEP_MS);
+    }
+
+    fn tell(&mut self, zone: usize, place: usize, whole: bool) {
+        let owner = &mut self.owners[zone][place];
+        let levels = owner.quotas.levels(self.now);
+        let Some(level) = levels.first().filter(|_| owner.is_up) else {
+            return;
+        };
+        if !whole && level.used_tokens == owner.told {
+            return;
+        }
+        owner.told = level.used_tokens;
+        let boot_id = owner.boot;
+        for other in 0..self.owners.len() {
+            for other_place in 0..2 {
+                let is_itself = (other, other_place) == (zone, place);
+                let is_cut =
+                    other != zone && self.cut_off.is_some_and(|cut| cut == zone || cut == other);
+                self.admissions.datagrams += u64::from(!is_itself);
+                if is_itself || is_cut || self.is_lost() || !self.owners[other][other_place].is_up {
+                    continue;
+                }
+                let count = PeerCount {
+                    member: &format!("owner-{zone}-{place}"),
+                    boot_id,
+                    tenant: &level.tenant,
+                    used_tokens: level.used_tokens,
+                    level_tokens: level.level_tokens,
+                    counted_for: Some(level.counted_for),
+                    owner_in: Some(&zone.to_string()),
+                };
+                let quotas = &self.owners[other][other_place].quotas;
+                quotas.peer_count(self.now, &quota(), count);
+            }
+        }
+    }
+
+    /// Another process, or another node, takes the owner's place.
+    pub fn replace(&mut self, zone: usize, place: usize) {
+        let owner = &mut self.owners[zone][place];
+        let boot = owner.boot + 1;
+        *owner = Owner {
+            boot,
+            ..Owner::new()
+        };
+    }
+
+    /// Requests at random nodes of all zones, at so many times the quota's rate.
+    pub fn press(&mut self, seconds: u64, times: f64) {
+        let mut pressure = Pressure::of(times);
+        for _ in 0..seconds * 1000 / STEP_MS {
+            for _ in 0..pressure.due_now() {
+                let zone = self.random.random_range(0..self.nodes.len());
+                let node = self.random.random_range(0..self.nodes[zone].len());
+                self.ask(zone, node);
+            }
+            self.pass();
+        }
+    }
+}
--- a/crates/experiments/src/suite/mod.rs
+++ b/crates/experiments/src/suite/mod.rs
@@ -5,6 +5,7 @@
 pub mod bandwidth;
 pub mod load_age;
 pub mod parallel;
+pub mod quota_age;
 pub mod retry_storm;
 pub mod site;
 pub mod summary;
--- /dev/null
+++ b/crates/experiments/tests/quota_age.rs
@@ -0,0 +1,192 @@
+//! A tenant's quota over fleets whose counts are of some age, in simulated time.
+
+use millford_core::{Duration, MonotonicTime};
+use millford_experiments::quota_age::OwnerFleet;
+use millford_experiments::quota_age::fleet_quota::{
+    BURST, RATE, REQUEST, STEP_MS, allowed, quota, tenant,
+};
+use millford_experiments::quota_age::owner_fleet::PAUSE_STEPS;
+use millford_experiments::suite::quota_age::{FLEETS, Way, play};
+use millford_forward::quota::{PeerCount, TenantQuotas};
+use quickcheck::{QuickCheck, TestResult};
+
+/// Rate and burst that a node keeps beyond the tenant's, and what one window may exceed them by.
+const HEADROOM: f64 = 1.15;
+const NODES_IN_ZONE: usize = 20;
+
+fn fleet(zones: usize) -> OwnerFleet {
+    OwnerFleet::new(zones, NODES_IN_ZONE, 11)
+}
+
+fn bound(late: u64) -> u64 {
+    (allowed() as f64 * HEADROOM) as u64 + late
+}
+
+fn assert_bounded(fleet: &OwnerFleet, late: u64) {
+    let (most, bound) = (fleet.admissions.most_in_window(), bound(late));
+    assert!(most <= bound, "{most} of {bound}");
+}
+
+/// What owners of this many zones may grant before they hear of each other.
+fn untold(zones: u64) -> u64 {
+    let pause_ms = PAUSE_STEPS as u64 * STEP_MS;
+    zones * (BURST / 32 + REQUEST) + RATE * pause_ms / 1000
+}
+
+#[test]
+fn a_tenant_that_presses_on_gets_its_rate_over_all_zones() {
+    for zones in [1, 3, 7] {
+        let mut fleet = fleet(zones);
+        fleet.press(40, 6.0);
+        let total = fleet.admissions.total();
+        let expected = RATE * 40 + BURST;
+        assert!(
+            total as f64 > expected as f64 * 0.95,
+            "{total} of {expected}"
+        );
+        assert_bounded(&fleet, untold(zones as u64));
+        fleet.by_zone.clear();
+        fleet.press(30, 6.0);
+        let shares: Vec<u64> = fleet.by_zone.values().copied().collect();
+        let (least, most) = (shares.iter().min().unwrap(), shares.iter().max().unwrap());
+        assert!(*most < least * 3 / 2, "{shares:?}");
+    }
+}
+
+#[test]
+fn a_tenant_under_its_quota_is_not_refused_while_datagrams_are_lost() {
+    for loss_percent in [0, 5, 20] {
+        let mut fleet = fleet(3);
+        fleet.loss_percent = loss_percent;
+        fleet.press(30, 0.8);
+        assert_eq!(fleet.admissions.refused, 0, "{loss_percent}% lost");
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_does_not_double_the_quota() {
+    let mut fleet = fleet(3);
+    fleet.press(10, 6.0);
+    fleet.cut_off = Some(1);
+    fleet.press(4, 6.0);
+    fleet.cut_off = None;
+    fleet.press(10, 6.0);
+    // Each side assumes that the other goes on as before; the assumption fades in seconds.
+    assert_bounded(&fleet, RATE * 2);
+}
+
+#[test]
+fn a_tenant_is_served_again_at_once_after_a_long_cut() {
+    let mut fleet = fleet(3);
+    fleet.press(5, 0.8);
+    fleet.cut_off = Some(1);
+    fleet.press(30, 0.8);
+    fleet.cut_off = None;
+    fleet.press(10, 0.8);
+    assert_eq!(fleet.admissions.refused, 0);
+}
+
+#[test]
+fn the_stand_in_of_an_owner_that_is_gone_charges_nothing_twice() {
+    for times in [0.8, 6.0] {
+        let mut fleet = fleet(3);
+        fleet.press(10, times);
+        fleet.owners[1][0].is_up = false;
+        fleet.press(10, times);
+        fleet.replace(1, 0);
+        fleet.press(10, times);
+        assert_bounded(&fleet, untold(3) + BURST / 2);
+        if times < 1.0 {
+            assert_eq!(fleet.admissions.refused, 0);
+        }
+    }
+}
+
+#[test]
+fn nodes_whose_owners_are_all_gone_go_by_what_they_were_told() {
+    let mut fleet = fleet(3);
+    fleet.press(10, 6.0);
+    fleet.owners[1]
+        .iter_mut()
+        .for_each(|owner| owner.is_up = false);
+    fleet.press(2, 6.0);
+    fleet.replace(1, 0);
+    fleet.replace(1, 1);
+    fleet.press(10, 6.0);
+    // Each node alone keeps the rate that all had; the share of one zone may come on top.
+    assert_bounded(&fleet, RATE * 4);
+}
+
+#[test]
+fn new_owners_take_over_what_the_others_believe() {
+    let mut fleet = fleet(3);
+    for change in 0..8 {
+        fleet.press(3, 6.0);
+        fleet.replace(change % 3, change % 2);
+    }
+    fleet.press(3, 6.0);
+    assert_bounded(&fleet, BURST + untold(3));
+}
+
+#[test]
+fn an_owner_that_hears_of_another_for_the_first_time_does_not_charge_what_is_past() {
+    let quotas = TenantQuotas::default();
+    let now = MonotonicTime::from_millis(100_000);
+    let first = quotas.grant(now, &tenant(), REQUEST, 0).expect("a quota");
+    let later = now + Duration::from_secs(60);
+    let count = PeerCount {
+        member: "owner",
+        boot_id: 1,
+        tenant: "tenant",
+        used_tokens: 1_000_000,
+        level_tokens: 9_000,
+        counted_for: Some(Duration::from_secs(60)),
+        owner_in: Some("elsewhere"),
+    };
+    quotas.peer_count(later, &quota(), count);
+    let level = quotas
+        .grant(later, &tenant(), REQUEST, 0)
+        .expect("a quota")
+        .level_tokens;
+    assert!(first.level_tokens > 9_000);
+    assert_eq!(level, 9_000 - REQUEST as i64);
+}
+
+#[test]
+fn any_losses_of_datagrams_leave_the_quota_bounded() {
+    /// `loss_percent`: of the datagrams, by second; at most half.
+    fn holds(seed: u64, loss_percent: Vec<u8>, times: Vec<u8>, zones: u8) -> TestResult {
+        if loss_percent.is_empty() || times.is_empty() {
+            return TestResult::discard();
+        }
+        let mut fleet = OwnerFleet::new(usize::from(zones % 4) + 1, NODES_IN_ZONE, seed);
+        for second in 0..20 {
+            fleet.loss_percent = u32::from(loss_percent[second % loss_percent.len()] % 51);
+            let times = f64::from(times[second % times.len()] % 70) / 10.0;
+            fleet.press(1, times);
+        }
+        TestResult::from_bool(fleet.admissions.most_in_window() <= bound(RATE * 3))
+    }
+    QuickCheck::new()
+        .tests(30)
+        .quickcheck(holds as fn(u64, Vec<u8>, Vec<u8>, u8) -> TestResult);
+}
+
+#[test]
+fn owners_hold_the_quota_alike_at_any_size_and_their_datagrams_do_not_grow() {
+    let outcomes = FLEETS.map(|size| play(1, size, Way::Owners));
+    for (outcome, (nodes, zones)) in outcomes.iter().zip(FLEETS) {
+        let most = outcome.hot.most_in_window();
+        assert!(most <= bound(untold(zones as u64)), "{most} at {nodes}");
+        assert_eq!(outcome.under.refused, 0, "{nodes}");
+    }
+    let [_, _, large, largest] = outcomes.map(|outcome| outcome.hot.datagrams);
+    assert!(largest <= large * 2, "{large} at 300, {largest} at 1,000");
+}
+
+#[test]
+fn counts_told_in_turns_let_a_hot_tenant_exceed_its_quota_in_a_large_fleet() {
+    let most = play(1, FLEETS[2], Way::Turns).hot.most_in_window();
+    let owners = play(1, FLEETS[2], Way::Owners).hot.most_in_window();
+    assert!(most > bound(untold(7)) && most > owners, "{most}, {owners}");
+}
