--- /dev/null
+++ b/crates/scale/src/exchange/proxy_fleet.rs
@@ -0,0 +1,191 @@
+//! Hollow proxies that know the same routes, backends and peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use millford_api::config::{ForwardRoute, Pool, Selector, Tenant, TokenQuota, WeightedPool};
+use millford_api::state::state_value::Kind;
+use millford_api::state::{Backend, ConfigHead, ProxyMember, StateValue};
+use millford_core::hash_tenant_key;
+use millford_forward::{ForwardNode, ForwardSettings, MillfordProtocol};
+use millford_proxy::limits::RequestLimits;
+use millford_proxy::proxy_state::ProxyState;
+use millford_routing::RoutingTable;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+use super::switchboard::{NodeCounts, Switchboard};
+use crate::error::ScaleError;
+
+/// Name of the one route and its pool.
+pub const POOL: &str = "pool";
+/// The model of all backends.
+pub const MODEL: &str = "model";
+/// Zones of the fleet.
+const ZONES: usize = 3;
+/// Tenants with a quota.
+pub const TENANTS: usize = 40;
+/// Backends beside each hundred proxies, as in the deployments that are known.
+const BACKENDS_PER_HUNDRED: usize = 85;
+/// Quota of each tenant: never used up here.
+const QUOTA: TokenQuota = TokenQuota {
+    tokens_per_second: 1_000_000,
+    burst: 1_000_000,
+    default_tokens: 100,
+};
+
+/// A hollow proxy.
+pub type HollowForward = Arc<ForwardNode<MillfordProtocol>>;
+
+/// Proxies that exchange news through a switchboard.
+pub struct ProxyFleet {
+    /// The proxies.
+    pub nodes: Vec<HollowForward>,
+    switchboard: Switchboard,
+    exchanges: Vec<JoinHandle<()>>,
+}
+
+impl Drop for ProxyFleet {
+    fn drop(&mut self) {
+        self.exchanges.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl ProxyFleet {
+    /// Starts this many proxies.
+    ///
+    /// # Errors
+    /// A socket cannot be opened.
+    pub async fn start(count: usize) -> Result<Self, ScaleError> {
+        let opened = ScaleError::system("open a socket of a hollow proxy");
+        Self::open(count).await.map_err(opened)
+    }
+
+    async fn open(count: usize) -> std::io::Result<Self> {
+        let mut sockets = Vec::new();
+        let mut proxies = Vec::new();
+        for number in 0..count {
+            let socket = UdpSocket::bind("127.0.0.1:0").await?;
+            proxies.push((zone_of(number), socket.local_addr()?));
+            sockets.push(socket);
+        }
+        let switchboard = Switchboard::open(proxies).await?;
+        let table = Arc::new(table(&switchboard.doors()?));
+        let nodes: Vec<HollowForward> = (0..count).map(|number| node(number, &table)).collect();
+        let exchanges = nodes.iter().zip(sockets).map(|(node, socket)| {
+            let exchange = millford_forward::exchange::run(Arc::clone(node), socket);
+            tokio::spawn(exchange)
+        });
+        Ok(Self {
+            exchanges: exchanges.collect(),
+            nodes,
+            switchboard,
+        })
+    }
+
+    /// What each proxy sent and received so far.
+    #[must_use]
+    pub fn counts(&self) -> Vec<NodeCounts> {
+        self.switchboard.counts()
+    }
+
+    /// Admissions that proxies decided on without an owner's answer so far.
+    #[must_use]
+    pub fn decided_alone(&self) -> u64 {
+        let nodes = self.nodes.iter();
+        nodes.map(|node| node.shared_quotas.decided_alone()).sum()
+    }
+}
+
+fn zone_of(number: usize) -> String {
+    format!("zone-{}", number % ZONES)
+}
+
+/// Name of a tenant.
+#[must_use]
+pub fn tenant_name(number: usize) -> String {
+    format!("tenant-{number}")
+}
+
+fn node(number: usize, table: &RoutingTable) -> HollowForward {
+    let settings = ForwardSettings {
+        name: node_name(number),
+        zone: zone_of(number),
+        ..ForwardSettings::default()
+    };
+    let state = Arc::new(ProxyState::new(RequestLimits::default()));
+    state.set_table(table.clone());
+    Arc::new(ForwardNode::new(&settings, state, MillfordProtocol))
+}
+
+fn node_name(number: usize) -> String {
+    format!("proxy-{number}")
+}
+
+fn table(doors: &[SocketAddr]) -> RoutingTable {
+    let mut items = vec![
+        item("config/head", Kind::ConfigHead(ConfigHead::default())),
+        item("config/forward/route", Kind::ForwardRoute(route())),
+        item("config/pool/pool", Kind::Pool(pool())),
+    ];
+    for number in 0..TENANTS {
+        let tenant = Tenant {
+            name: tenant_name(number),
+            key_hashes: vec![hash_tenant_key(&tenant_name(number))],
+            token_quota: Some(QUOTA),
+            ..Tenant::default()
+        };
+        let key = format!("config/tenant/{}", tenant.name);
+        items.push(item(&key, Kind::Tenant(tenant)));
+    }
+    for number in 0..(doors.len() * BACKENDS_PER_HUNDRED).div_ceil(100) {
+        let backend = Backend {
+            id: format!("backend-{number}"),
+            zone: zone_of(number),
+            ..Backend::default()
+        };
+        let key = format!("backend/{POOL}/{}", backend.id);
+        items.push(item(&key, Kind::Backend(backend)));
+    }
+    for (number, door) in doors.iter().enumerate() {
+        let member = ProxyMember {
+            name: node_name(number),
+            zone: zone_of(number),
+            exchange_address: door.to_string(),
+        };
+        let key = format!("proxy/{}", member.name);
+        items.push(item(&key, Kind::ProxyMember(member)));
+    }
+    RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
+}
+
+fn item(key: &str, kind: Kind) -> (String, StateValue) {
+    (key.to_owned(), StateValue { kind: Some(kind) })
+}
+
+/// The one route; its requests share parts of their prompts.
+#[must_use]
+pub fn route() -> ForwardRoute {
+    ForwardRoute {
+        name: "route".to_owned(),
+        host: "api.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        pools: vec![WeightedPool {
+            pool: POOL.to_owned(),
+            weight: 1,
+        }],
+        stream: true,
+        sticky: true,
+        timeout_ms: 10_000,
+        max_attempts: 2,
+        ..ForwardRoute::default()
+    }
+}
+
+fn pool() -> Pool {
+    Pool {
+        name: POOL.to_owned(),
+        selector: Some(Selector::default()),
+        ..Pool::default()
+    }
+}
--- /dev/null
+++ b/crates/scale/src/exchange/run.rs
@@ -0,0 +1,129 @@
+//! Plays the sizes one after the other.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::exchange_figures::ExchangeFigures;
+use super::growth::Growth;
+use super::proxy_fleet::ProxyFleet;
+use super::traffic::send_requests;
+use crate::error::ScaleError;
+
+/// Proxies of the sizes that are played.
+pub const SIZES: [usize; 4] = [10, 30, 100, 300];
+
+/// Threads of the rig.
+const THREADS: usize = 4;
+
+/// Time in which questions, parts and streams settle before the measurement.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// A figure that is fitted, with its name.
+type Figure = (&'static str, fn(&ExchangeFigures) -> f64);
+
+/// The figures that are fitted.
+const FITTED: [Figure; 3] = [
+    ("datagrams of a proxy", |figures| figures.datagrams),
+    ("bytes of a proxy", |figures| figures.bytes),
+    ("bytes to other zones", |figures| figures.bytes_elsewhere),
+];
+
+/// Plays all sizes, prints and writes the report into `output`.
+///
+/// # Errors
+/// A socket cannot be opened, or the report not be written.
+pub fn run(requests_per_node: f64, steady: Duration, output: &Path) -> Result<(), ScaleError> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build()
+        .map_err(ScaleError::system("start the runtime"))?;
+    let mut all = Vec::new();
+    for nodes in SIZES {
+        let figures = runtime.block_on(measure(nodes, requests_per_node, steady))?;
+        println!("{}", line(&figures));
+        all.push(figures);
+    }
+    let summary = summary(&all);
+    print!("{summary}");
+    write_report(output, &all, &summary)
+}
+
+async fn measure(
+    nodes: usize,
+    requests_per_node: f64,
+    steady: Duration,
+) -> Result<ExchangeFigures, ScaleError> {
+    let fleet = ProxyFleet::start(nodes).await?;
+    let mut traffic = JoinSet::new();
+    for node in &fleet.nodes {
+        traffic.spawn(send_requests(node.clone(), requests_per_node));
+    }
+    tokio::time::sleep(WARM_UP).await;
+    let (before, alone_before, began) = (fleet.counts(), fleet.decided_alone(), Instant::now());
+    tokio::time::sleep(steady).await;
+    let seconds = began.elapsed().as_secs_f64();
+    let after = fleet.counts();
+    let alone = fleet.decided_alone() - alone_before;
+    let admissions = requests_per_node * seconds * nodes as f64;
+    Ok(ExchangeFigures {
+        alone_share: alone as f64 / admissions,
+        ..ExchangeFigures::between(&before, &after, seconds)
+    })
+}
+
+/// One line for one size.
+#[must_use]
+pub fn line(figures: &ExchangeFigures) -> String {
+    format!(
+        "{:4} proxies: {:6.1} datagrams/s sent, {:8.0} bytes/s, {:8.0} to other zones; busiest {:6.1} \
+         datagrams/s both ways; {:.2}% admitted without an answer",
+        figures.nodes,
+        figures.datagrams,
+        figures.bytes,
+        figures.bytes_elsewhere,
+        figures.busiest_datagrams,
+        figures.alone_share * 100.0,
+    )
+}
+
+/// How the figures grow.
+#[must_use]
+pub fn summary(all: &[ExchangeFigures]) -> String {
+    let mut text = String::new();
+    for (name, figure) in FITTED {
+        let points: Vec<(usize, f64)> = all
+            .iter()
+            .map(|figures| (figures.nodes, figure(figures)))
+            .collect();
+        // Writing to a string cannot fail.
+        let _ = match Growth::of(&points) {
+            Some(growth) => writeln!(
+                text,
+                "{name}: grow with nodes^({:.2} +- {:.2})",
+                growth.exponent, growth.spread
+            ),
+            None => writeln!(text, "{name}: too few sizes to tell how they grow"),
+        };
+    }
+    text
+}
+
+fn write_report(output: &Path, all: &[ExchangeFigures], summary: &str) -> Result<(), ScaleError> {
+    let write = |name: &str, text: &str| {
+        let failed = ScaleError::system(format!("write {name}"));
+        std::fs::write(output.join(name), text).map_err(failed)
+    };
+    let made = ScaleError::system("make the output folder");
+    std::fs::create_dir_all(output).map_err(made)?;
+    let json = serde_json::to_string_pretty(all);
+    let json = json.map_err(|error| ScaleError::Report(error.to_string()))?;
+    let lines: Vec<String> = all.iter().map(line).collect();
+    write("exchange.json", &json)?;
+    write("exchange.txt", &format!("{}\n{summary}", lines.join("\n")))
+}
--- /dev/null
+++ b/crates/scale/src/exchange/traffic.rs
@@ -0,0 +1,114 @@
+//! Requests at one hollow proxy: admitted, a backend chosen, counted as in flight, and never sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use millford_core::time::monotonic_now;
+use millford_forward::RequestFacts;
+use millford_forward::request::choose::{choose, shared_parts};
+use millford_forward::request::plan::Plan;
+use millford_routing::PromptPart;
+use rand::Rng;
+
+use super::proxy_fleet::{HollowForward, MODEL, POOL, TENANTS, route, tenant_name};
+
+/// Tokens of each part of a prompt.
+const PART_TOKENS: u32 = 500;
+/// Beginnings that many prompts share.
+const GENERAL_PARTS: u64 = 8;
+/// Parts that few prompts share.
+const SPECIAL_PARTS: u64 = 1000;
+/// Time from the choice to the first event.
+const FIRST_EVENT_AFTER: Duration = Duration::from_millis(100);
+/// Time from the first event to the end.
+const STREAM_LASTS: Duration = Duration::from_millis(1500);
+/// Time that a request may take.
+const DEADLINE: millford_core::Duration = millford_core::Duration::from_secs(10);
+
+/// Sends requests, so many a second on average, for as long as the task lives.
+pub async fn send_requests(node: HollowForward, per_second: f64) {
+    loop {
+        tokio::time::sleep(gap(per_second)).await;
+        tokio::spawn(request(Arc::clone(&node)));
+    }
+}
+
+/// An exponential gap: arrivals know nothing of each other.
+fn gap(per_second: f64) -> Duration {
+    let uniform: f64 = rand::rng().random();
+    Duration::from_secs_f64(-(1.0 - uniform).ln() / per_second)
+}
+
+async fn request(node: HollowForward) {
+    let Some(plan) = plan(&node) else {
+        return;
+    };
+    if !is_admitted(&node, &plan).await {
+        return;
+    }
+    let Some(target) = choose(&*node, &plan, &[]).await else {
+        return;
+    };
+    let id = target.key.backend_id.clone();
+    let mut ticket = node.state.board.start(target.key, target.uncached_tokens);
+    let shared = shared_parts(&plan).len();
+    node.directory
+        .sent(monotonic_now(), &id, &plan.facts.parts, shared);
+    tokio::time::sleep(FIRST_EVENT_AFTER).await;
+    ticket.first_piece();
+    tokio::time::sleep(STREAM_LASTS).await;
+}
+
+async fn is_admitted(node: &HollowForward, plan: &Plan) -> bool {
+    let Some(tenant) = &plan.tenant else {
+        return true;
+    };
+    let tokens = plan.quota_tokens();
+    let (ring, _) = node.peers.ring(&node.state.table());
+    if !ring.has_tenant_owners() {
+        return node.quotas.admit(monotonic_now(), tenant, tokens).is_ok();
+    }
+    let shared = &node.shared_quotas;
+    let admission = shared.admit(&node.peers, &ring, &node.zone, &node.quotas, tenant, tokens);
+    admission.await.is_ok()
+}
+
+fn plan(node: &HollowForward) -> Option<Plan> {
+    let arrived = monotonic_now();
+    let table = node.state.table();
+    let tenant = tenant_name(rand::rng().random_range(0..TENANTS));
+    Some(Plan {
+        route: Arc::new(route()),
+        pool: POOL.to_owned(),
+        tenant: Some(Arc::clone(table.tenant_named(&tenant)?)),
+        facts: RequestFacts {
+            model: MODEL.to_owned(),
+            parts: parts(),
+            ..RequestFacts::default()
+        },
+        method: Method::POST,
+        uri: Uri::from_static("/"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        arrived,
+        deadline: arrived + DEADLINE,
+    })
+}
+
+/// A beginning that many prompts share, a part that few share, and the request's own.
+fn parts() -> Vec<PromptPart> {
+    let mut random = rand::rng();
+    let special = random.random_range(0..SPECIAL_PARTS);
+    let ids = [
+        special % GENERAL_PARTS,
+        GENERAL_PARTS + special,
+        random.random(),
+    ];
+    let part = |id| PromptPart {
+        id,
+        tokens: PART_TOKENS,
+    };
+    ids.map(part).to_vec()
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scale runs: hollow nodes beside real control nodes, and the slopes they give.
 
 pub mod error;
+pub mod exchange;
 pub mod fit;
 pub mod hollow;
 mod mark;
@@ -34,7 +35,15 @@
             return ExitCode::from(2);
         }
     };
-    match sweep::run(&options) {
+    let outcome = match options.exchange {
+        true => exchange::run::run(
+            options.requests_per_node,
+            std::time::Duration::from_secs(options.steady_seconds),
+            &options.output,
+        ),
+        false => sweep::run(&options),
+    };
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("millford-lab scale: {error}");
--- a/crates/scale/src/options.rs
+++ b/crates/scale/src/options.rs
@@ -15,6 +15,8 @@
 pub struct ScaleOptions {
     /// Sizes, in order.
     pub sizes: Vec<FleetSize>,
+    /// Whether the exchange between proxies is measured, and nothing else.
+    pub exchange: bool,
     /// Time of steady measurement, in seconds.
     pub steady_seconds: u64,
     /// Configuration changes that are timed.
@@ -73,6 +75,7 @@
         let output = matches.opt_str("output");
         Ok(Self {
             sizes: if sweep { SWEEP.to_vec() } else { vec![single] },
+            exchange: matches.opt_present("exchange"),
             steady_seconds: number(matches, "steady", 10)?,
             changes: number(matches, "changes", 8)?,
             requests_per_node: number(matches, "requests", REQUESTS_PER_NODE)?,
@@ -93,6 +96,11 @@
     options.optopt("", "tenants", "tenants in the configuration (16000)", "N");
     options.optopt("", "backends", "backends in the registry (1200)", "N");
     options.optflag("", "sweep", "run the set of sizes and fit slopes");
+    options.optflag(
+        "",
+        "exchange",
+        "measure what 10 to 300 proxies tell each other, and nothing else",
+    );
     options.optopt("", "steady", "seconds of steady measurement (10)", "N");
     options.optopt("", "changes", "configuration changes to time (8)", "N");
     options.optopt("", "requests", "requests a second and node (3.64)", "RATE");
--- /dev/null
+++ b/crates/scale/tests/exchange.rs
@@ -0,0 +1,102 @@
+//! The rig for the exchange between proxies: what it counts, and how it tells growth.
+
+use std::net::SocketAddr;
+
+use millford_scale::exchange::run::{line, summary};
+use millford_scale::exchange::switchboard::HEADER_BYTES;
+use millford_scale::exchange::{ExchangeFigures, Growth, NodeCounts, ProxyFleet, Switchboard};
+use quickcheck::quickcheck;
+use tokio::net::UdpSocket;
+
+async fn socket() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("an address");
+    (socket, address)
+}
+
+#[tokio::test]
+async fn an_answer_comes_back_through_the_doors_and_both_ways_are_counted() {
+    let (asking, asking_address) = socket().await;
+    let (owner, owner_address) = socket().await;
+    let proxies = vec![
+        ("a".to_owned(), asking_address),
+        ("b".to_owned(), owner_address),
+    ];
+    let switchboard = Switchboard::open(proxies).await.expect("doors");
+    let doors = switchboard.doors().expect("addresses");
+    let mut buffer = [0; 64];
+    asking.send_to(b"question", doors[1]).await.expect("sent");
+    let (length, from) = owner.recv_from(&mut buffer).await.expect("received");
+    assert_eq!(&buffer[..length], b"question");
+    assert_eq!(from, doors[0], "the asking proxy as the others know it");
+    owner.send_to(b"answer", from).await.expect("sent");
+    let (length, from) = asking.recv_from(&mut buffer).await.expect("received");
+    assert_eq!((&buffer[..length], from), (b"answer".as_slice(), doors[1]));
+    let counts = switchboard.counts();
+    assert_eq!(counts[0].sent_bytes, 8 + HEADER_BYTES);
+    assert_eq!(counts[1].sent_bytes_elsewhere, 6 + HEADER_BYTES);
+    assert_eq!((counts[0].sent, counts[0].received), (1, 1));
+}
+
+#[tokio::test]
+async fn datagrams_of_strangers_are_not_handed_on() {
+    let (stranger, _) = socket().await;
+    let (one, one_address) = socket().await;
+    let (other, other_address) = socket().await;
+    let proxies = vec![
+        ("a".to_owned(), one_address),
+        ("a".to_owned(), other_address),
+    ];
+    let switchboard = Switchboard::open(proxies).await.expect("doors");
+    let doors = switchboard.doors().expect("addresses");
+    stranger.send_to(b"stray", doors[0]).await.expect("sent");
+    other.send_to(b"known", doors[0]).await.expect("sent");
+    let mut buffer = [0; 64];
+    let (length, _) = one.recv_from(&mut buffer).await.expect("received");
+    assert_eq!(&buffer[..length], b"known");
+    let counts = switchboard.counts();
+    assert_eq!((counts[0].received, counts[1].sent_bytes_elsewhere), (1, 0));
+}
+
+#[tokio::test]
+async fn proxies_of_a_fleet_know_each_other_and_have_tenants_owners_where_they_are_many() {
+    for (count, has_owners) in [(6, false), (24, true)] {
+        let fleet = ProxyFleet::start(count).await.expect("sockets");
+        let node = &fleet.nodes[0];
+        let (ring, _) = node.peers.ring(&node.state.table());
+        assert_eq!(ring.member_count(), count);
+        assert_eq!(ring.has_tenant_owners(), has_owners);
+        assert_eq!(fleet.counts().len(), count);
+    }
+}
+
+#[test]
+fn figures_are_those_of_the_time_between_two_counts() {
+    let count = |sent, received| NodeCounts {
+        sent,
+        received,
+        sent_bytes: sent * 100,
+        sent_bytes_elsewhere: sent * 50,
+    };
+    let before = [count(10, 0), count(20, 10)];
+    let after = [count(30, 20), count(80, 30)];
+    let figures = ExchangeFigures::between(&before, &after, 2.0);
+    assert_eq!((figures.nodes, figures.datagrams), (2, 20.0));
+    assert_eq!(figures.busiest_datagrams, 40.0);
+    assert_eq!((figures.bytes, figures.bytes_elsewhere), (2000.0, 1000.0));
+    assert!(line(&figures).contains("20.0 datagrams/s"));
+    assert!(summary(&[figures]).contains("too few sizes"));
+}
+
+quickcheck! {
+    /// What follows a power of the nodes is told by its exponent.
+    fn an_exact_power_is_found(exponent: i8, factor: u8) -> bool {
+        let exponent = f64::from(exponent % 4) / 2.0;
+        let factor = f64::from(factor) + 1.0;
+        let points = [10_usize, 30, 100, 300].map(|nodes| {
+            (nodes, factor * (nodes as f64).powf(exponent))
+        });
+        let growth = Growth::of(&points).expect("four sizes");
+        (growth.exponent - exponent).abs() < 1e-6 && growth.spread < 1e-6
+    }
+}
