--- a/crates/simulation/tests/scenarios.rs
+++ b/crates/simulation/tests/scenarios.rs
@@ -95,3 +95,20 @@
     let broken = beside_quotas(mix());
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Too long for a test run: the command plays them. What they say is checked here.
+#[test]
+fn scenarios_of_large_fleets_give_every_front_machine_calls() {
+    let files = load_scenarios(&folder().join("large")).expect("the scenario files are right");
+    let fronts: Vec<u16> = files
+        .iter()
+        .map(|file| file.scenario.site(0).fronts)
+        .collect();
+    assert_eq!(fronts, [90, 300]);
+    for file in &files {
+        let calls = file.scenario.workload.calls_per_second;
+        let fronts = u32::from(file.scenario.site(0).fronts);
+        // A front machine without a call in 12 s would count as one that does not serve.
+        assert!(calls > fronts, "{}", file.scenario.name);
+    }
+}
