Experiment quota-age: the shortest time between tellings at half and at twice

Hypothesis: the pause of 20 ms between two tellings of an owner decides how far a hot tenant exceeds its quota.

--- a/crates/experiments/src/quota_age/owner_fleet.rs
+++ b/crates/experiments/src/quota_age/owner_fleet.rs
@@ -10,7 +10,7 @@
 use super::admissions::Admissions;
 use super::fleet_quota::{Pressure, REQUEST, STEP_MS, quota, tenant};
 
-/// Owners tell each other at once no more often, in steps.
+/// Usual shortest time between two tellings of an owner, in steps.
 pub const PAUSE_STEPS: usize = 4;
 /// Owners tell each other everything, in steps.
 const WHOLE_STEPS: usize = 200;
@@ -46,6 +46,8 @@
     now: MonotonicTime,
     step: usize,
     random: ChaCha8Rng,
+    /// Shortest time between two tellings of an owner, in steps.
+    pub pause_steps: usize,
     /// Datagrams that are lost.
     pub loss_percent: u32,
     /// A zone that no other one reaches.
@@ -68,6 +70,7 @@
             now,
             step: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
+            pause_steps: PAUSE_STEPS,
             loss_percent: 0,
             cut_off: None,
             admissions: Admissions::default(),
@@ -114,7 +117,7 @@
     /// Owners tell each other what they granted; then a step passes.
     fn pass(&mut self) {
         let whole = self.step.is_multiple_of(WHOLE_STEPS);
-        if whole || self.step.is_multiple_of(PAUSE_STEPS) {
+        if whole || self.step.is_multiple_of(self.pause_steps) {
             // Owners' rounds are not in step: who tells later knows more.
             let first = self.random.random_range(0..self.owners.len());
             for turn in 0..self.owners.len() {
--- a/crates/experiments/src/suite/quota_age.rs
+++ b/crates/experiments/src/suite/quota_age.rs
@@ -1,6 +1,7 @@
 //! Experiment `quota-age`: how exactly a quota is held, and what that costs, at four sizes of fleet.
 
 use crate::quota_age::fleet_quota::allowed;
+use crate::quota_age::owner_fleet::PAUSE_STEPS;
 use crate::quota_age::{Admissions, OwnerFleet, PeerFleet};
 use crate::report::{Report, Table, number, percent};
 
@@ -27,6 +28,8 @@
     Turns,
     /// Nodes ask owners in their zone; owners tell each other.
     Owners,
+    /// The same, with another shortest time between two tellings, in steps of 5 ms.
+    OwnersEach(usize),
 }
 
 /// What came of a hot tenant, and of one under its quota.
@@ -49,11 +52,8 @@
 
 fn admissions(seed: u64, nodes: usize, zones: usize, way: Way, times: f64) -> Admissions {
     let told_in_round = match way {
-        Way::Owners => {
-            let mut fleet = OwnerFleet::new(zones, nodes / zones, seed);
-            fleet.press(SECONDS, times);
-            return fleet.admissions;
-        }
+        Way::Owners => return owners(seed, nodes, zones, PAUSE_STEPS, times),
+        Way::OwnersEach(steps) => return owners(seed, nodes, zones, steps, times),
         Way::Everybody => nodes,
         Way::Turns => TURN,
     };
@@ -62,6 +62,13 @@
     fleet.admissions
 }
 
+fn owners(seed: u64, nodes: usize, zones: usize, pause_steps: usize, times: f64) -> Admissions {
+    let mut fleet = OwnerFleet::new(zones, nodes / zones, seed);
+    fleet.pause_steps = pause_steps;
+    fleet.press(SECONDS, times);
+    fleet.admissions
+}
+
 /// Runs the experiment.
 #[must_use]
 pub fn run(seeds: u64) -> Report {
@@ -90,7 +97,10 @@
         ways.push(("told to everybody, each 100 ms", Way::Everybody));
     }
     ways.push(("told in turns of 24, each 100 ms", Way::Turns));
-    ways.push(("two owners in each zone", Way::Owners));
+    ways.push(("two owners in each zone, told each 20 ms", Way::Owners));
+    ways.push(("the same, each 10 ms", Way::OwnersEach(PAUSE_STEPS / 2)));
+    ways.push(("the same, each 40 ms", Way::OwnersEach(PAUSE_STEPS * 2)));
+    ways.push(("the same, each 200 ms", Way::OwnersEach(PAUSE_STEPS * 10)));
     ways
 }
 
