Read once more: one admission, one way with a parameter, one report writer

Change: `serve::admit` is public and the rig calls it; `Way::Owners` has the pause as a field; `report::write_files` serves both runs. No behaviour changes; of deployed code only one function became public. Tests keep their assertions.

Left: the rig's exponential gaps beside `hollow_proxy.rs::exponential`, which cuts its tail at 5: another contract.

--- a/crates/experiments/src/suite/quota_age.rs
+++ b/crates/experiments/src/suite/quota_age.rs
@@ -27,11 +27,17 @@
     /// Every node tells the next 24 peers each 100 ms.
     Turns,
     /// Nodes ask owners in their zone; owners tell each other.
-    Owners,
-    /// The same, with another shortest time between two tellings, in steps of 5 ms.
-    OwnersEach(usize),
+    Owners {
+        /// Shortest time between two tellings of an owner, in steps.
+        pause_steps: usize,
+    },
 }
 
+/// The owners' way as the product has it.
+pub const OWNERS: Way = Way::Owners {
+    pause_steps: PAUSE_STEPS,
+};
+
 /// What came of a hot tenant, and of one under its quota.
 #[derive(Clone, Debug)]
 pub struct QuotaAgeOutcome {
@@ -52,8 +58,12 @@
 
 fn admissions(seed: u64, nodes: usize, zones: usize, way: Way, times: f64) -> Admissions {
     let told_in_round = match way {
-        Way::Owners => return owners(seed, nodes, zones, PAUSE_STEPS, times),
-        Way::OwnersEach(steps) => return owners(seed, nodes, zones, steps, times),
+        Way::Owners { pause_steps } => {
+            let mut fleet = OwnerFleet::new(zones, nodes / zones, seed);
+            fleet.pause_steps = pause_steps;
+            fleet.press(SECONDS, times);
+            return fleet.admissions;
+        }
         Way::Everybody => nodes,
         Way::Turns => TURN,
     };
@@ -62,13 +72,6 @@
     fleet.admissions
 }
 
-fn owners(seed: u64, nodes: usize, zones: usize, pause_steps: usize, times: f64) -> Admissions {
-    let mut fleet = OwnerFleet::new(zones, nodes / zones, seed);
-    fleet.pause_steps = pause_steps;
-    fleet.press(SECONDS, times);
-    fleet.admissions
-}
-
 /// Runs the experiment.
 #[must_use]
 pub fn run(seeds: u64) -> Report {
@@ -97,10 +100,11 @@
         ways.push(("told to everybody, each 100 ms", Way::Everybody));
     }
     ways.push(("told in turns of 24, each 100 ms", Way::Turns));
-    ways.push(("two owners in each zone, told each 20 ms", Way::Owners));
-    ways.push(("the same, each 10 ms", Way::OwnersEach(PAUSE_STEPS / 2)));
-    ways.push(("the same, each 40 ms", Way::OwnersEach(PAUSE_STEPS * 2)));
-    ways.push(("the same, each 200 ms", Way::OwnersEach(PAUSE_STEPS * 10)));
+    let owners = |pause_steps| Way::Owners { pause_steps };
+    ways.push(("two owners in each zone, told each 20 ms", OWNERS));
+    ways.push(("the same, each 10 ms", owners(PAUSE_STEPS / 2)));
+    ways.push(("the same, each 40 ms", owners(PAUSE_STEPS * 2)));
+    ways.push(("the same, each 200 ms", owners(PAUSE_STEPS * 10)));
     ways
 }
 
--- a/crates/experiments/tests/quota_age.rs
+++ b/crates/experiments/tests/quota_age.rs
@@ -6,7 +6,7 @@
     BURST, RATE, REQUEST, STEP_MS, allowed, quota, tenant,
 };
 use millford_experiments::quota_age::owner_fleet::PAUSE_STEPS;
-use millford_experiments::suite::quota_age::{FLEETS, Way, play};
+use millford_experiments::suite::quota_age::{FLEETS, OWNERS, Way, play};
 use millford_forward::quota::{PeerCount, TenantQuotas};
 use quickcheck::{QuickCheck, TestResult};
 
@@ -174,7 +174,7 @@
 
 #[test]
 fn owners_hold_the_quota_alike_at_any_size_and_their_datagrams_do_not_grow() {
-    let outcomes = FLEETS.map(|size| play(1, size, Way::Owners));
+    let outcomes = FLEETS.map(|size| play(1, size, OWNERS));
     for (outcome, (nodes, zones)) in outcomes.iter().zip(FLEETS) {
         let most = outcome.hot.most_in_window();
         assert!(most <= bound(untold(zones as u64)), "{most} at {nodes}");
@@ -187,6 +187,6 @@
 #[test]
 fn counts_told_in_turns_let_a_hot_tenant_exceed_its_quota_in_a_large_fleet() {
     let most = play(1, FLEETS[2], Way::Turns).hot.most_in_window();
-    let owners = play(1, FLEETS[2], Way::Owners).hot.most_in_window();
+    let owners = play(1, FLEETS[2], OWNERS).hot.most_in_window();
     assert!(most > bound(untold(7)) && most > owners, "{most}, {owners}");
 }
--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -109,7 +109,10 @@
 }
 
 /// Charges the tenant's quota, or says when to come back.
-async fn admit<P: ForwardProtocol>(
+///
+/// # Errors
+/// The time until the tenant's bucket holds anything.
+pub async fn admit<P: ForwardProtocol>(
     node: &ForwardNode<P>,
     tenant: &Tenant,
     tokens: u64,
--- a/crates/scale/src/exchange/run.rs
+++ b/crates/scale/src/exchange/run.rs
@@ -13,6 +13,7 @@
 use super::proxy_fleet::ProxyFleet;
 use super::traffic::send_requests;
 use crate::error::ScaleError;
+use crate::report::write_files;
 
 /// Proxies of the sizes that are played.
 pub const SIZES: [usize; 4] = [10, 30, 100, 300];
@@ -51,7 +52,11 @@
     }
     let summary = summary(&all);
     print!("{summary}");
-    write_report(output, &all, &summary)
+    let made = ScaleError::system("make the output folder");
+    std::fs::create_dir_all(output).map_err(made)?;
+    let lines: Vec<String> = all.iter().map(line).collect();
+    let text = format!("{}\n{summary}", lines.join("\n"));
+    write_files(output, "exchange", &text, &all)
 }
 
 async fn measure(
@@ -113,17 +118,3 @@
     }
     text
 }
-
-fn write_report(output: &Path, all: &[ExchangeFigures], summary: &str) -> Result<(), ScaleError> {
-    let write = |name: &str, text: &str| {
-        let failed = ScaleError::system(format!("write {name}"));
-        std::fs::write(output.join(name), text).map_err(failed)
-    };
-    let made = ScaleError::system("make the output folder");
-    std::fs::create_dir_all(output).map_err(made)?;
-    let json = serde_json::to_string_pretty(all);
-    let json = json.map_err(|error| ScaleError::Report(error.to_string()))?;
-    let lines: Vec<String> = all.iter().map(line).collect();
-    write("exchange.json", &json)?;
-    write("exchange.txt", &format!("{}\n{summary}", lines.join("\n")))
-}
--- a/crates/scale/src/exchange/traffic.rs
+++ b/crates/scale/src/exchange/traffic.rs
@@ -9,6 +9,7 @@
 use millford_forward::RequestFacts;
 use millford_forward::request::choose::{choose, shared_parts};
 use millford_forward::request::plan::Plan;
+use millford_forward::request::serve::admit;
 use millford_routing::PromptPart;
 use rand::Rng;
 
@@ -45,7 +46,9 @@
     let Some(plan) = plan(&node) else {
         return;
     };
-    if !is_admitted(&node, &plan).await {
+    if let Some(tenant) = &plan.tenant
+        && admit(&*node, tenant, plan.quota_tokens()).await.is_err()
+    {
         return;
     }
     let Some(target) = choose(&*node, &plan, &[]).await else {
@@ -61,20 +64,6 @@
     tokio::time::sleep(STREAM_LASTS).await;
 }
 
-async fn is_admitted(node: &HollowForward, plan: &Plan) -> bool {
-    let Some(tenant) = &plan.tenant else {
-        return true;
-    };
-    let tokens = plan.quota_tokens();
-    let (ring, _) = node.peers.ring(&node.state.table());
-    if !ring.has_tenant_owners() {
-        return node.quotas.admit(monotonic_now(), tenant, tokens).is_ok();
-    }
-    let shared = &node.shared_quotas;
-    let admission = shared.admit(&node.peers, &ring, &node.zone, &node.quotas, tenant, tokens);
-    admission.await.is_ok()
-}
-
 fn plan(node: &HollowForward) -> Option<Plan> {
     let arrived = monotonic_now();
     let table = node.state.table();
--- a/crates/scale/src/report/mod.rs
+++ b/crates/scale/src/report/mod.rs
@@ -4,8 +4,11 @@
 pub mod plot;
 pub mod text;
 
+use std::path::Path;
+
 use serde::Serialize;
 
+use crate::error::ScaleError;
 use crate::fit::Fit;
 use crate::size::PLANNED;
 use crate::size_result::SizeResult;
@@ -53,3 +56,23 @@
             .collect();
     }
 }
+
+/// Writes `NAME.txt` for people and `NAME.json` for programs into a folder.
+///
+/// # Errors
+/// A file cannot be written, or the results not be put into JSON.
+pub fn write_files(
+    folder: &Path,
+    name: &str,
+    text: &str,
+    results: &impl Serialize,
+) -> Result<(), ScaleError> {
+    let json = serde_json::to_vec_pretty(results);
+    let json = json.map_err(|error| ScaleError::Report(error.to_string()))?;
+    for (ending, content) in [("txt", text.as_bytes()), ("json", &json)] {
+        let file = format!("{name}.{ending}");
+        let failed = ScaleError::system(format!("write {file}"));
+        std::fs::write(folder.join(file), content).map_err(failed)?;
+    }
+    Ok(())
+}
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -8,7 +8,7 @@
 use crate::error::ScaleError;
 use crate::hollow::hollow_node::RigRuntimes;
 use crate::options::ScaleOptions;
-use crate::report::{Report, plot, text};
+use crate::report::{Report, plot, text, write_files};
 use crate::run_size::{self, AGENT_THREADS};
 use crate::size::FleetSize;
 use crate::size_result::SizeResult;
@@ -120,13 +120,9 @@
 }
 
 fn write_report(options: &ScaleOptions, report: &Report, summary: &str) -> Result<(), ScaleError> {
-    let file = |name: &str| options.output.join(name);
-    std::fs::write(file("scale.txt"), summary).map_err(ScaleError::system("write scale.txt"))?;
-    let json = serde_json::to_vec_pretty(report);
-    let json = json.map_err(|error| ScaleError::Report(error.to_string()))?;
-    std::fs::write(file("scale.json"), json).map_err(ScaleError::system("write scale.json"))?;
+    write_files(&options.output, "scale", summary, report)?;
     if report.sizes.len() > 1 {
-        plot::write(&file("scale.svg"), report)?;
+        plot::write(&options.output.join("scale.svg"), report)?;
     }
     Ok(())
 }
