Replication: a stopped leader's election timer is not put off by its stop

Cause: a control node that was stopped for 20 s takes waiting messages before its first tick. A leader steps down on the first of them and sets its election timer from now; the tick then forgives the stall and puts that timer off by the 20 s again. Ruled out: voters lost or changed (the group was whole from 39.7 s on), patience of contested rounds (2 to 4 s at most), links (shards 4 and 6, whose logs were equal, elected at once). Change: a stall puts the timer off by no more than one whole time-out from now.

--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -27,11 +27,18 @@
         }
     }
 
-    /// The owner did not run for this long: what the leader sent meanwhile may still wait, so the
-    /// time is not the leader's silence. Only the wish to campaign is put off; what this replica
+    /// The owner did not run for this long until now: what the leader sent meanwhile may still wait, so
+    /// the time is not the leader's silence. Only the wish to campaign is put off; what this replica
     /// tells of its leader, and a leader's check of its quorum, go by real time.
-    pub fn forgive_stall(&mut self, lost: Duration) {
-        self.election_at = self.election_at + lost;
+    ///
+    /// Never by more than a whole time-out from now: a leader that was stopped steps down on the first
+    /// message that it takes, and a timer that is set then is not part of the stall.
+    pub fn forgive_stall(&mut self, now: MonotonicTime, lost: Duration) {
+        self.advance_clock(now);
+        let whole = self
+            .patience
+            .stretch(self.options.timing.election_timeout_max);
+        self.election_at = (self.election_at + lost).min(self.now + whole);
     }
 
     fn may_campaign(&self) -> bool {
--- a/crates/replication/tests/group/machine.rs
+++ b/crates/replication/tests/group/machine.rs
@@ -8,7 +8,7 @@
 use super::history::{Digest, History, extend};
 use super::support::crash_disk::CrashDisk;
 
-const SHARD: ShardId = ShardId(3);
+pub const SHARD: ShardId = ShardId(3);
 /// Small, so that segments, chunks and windows end often.
 const STORAGE: StorageOptions = StorageOptions {
     segment_bytes: 600,
--- a/crates/replication/tests/slow_elections.rs
+++ b/crates/replication/tests/slow_elections.rs
@@ -2,8 +2,10 @@
 
 mod group;
 
+use group::machine::SHARD;
 use group::network::Weather;
 use group::simulation::{Defect, Simulation};
+use millford_api::replication::{AppendReply, ReplicationMessage, replication_message::Body};
 use millford_core::Duration;
 use millford_replication::Role;
 
@@ -11,6 +13,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 /// How long the thread of a replica did not run.
 const LATE: Duration = Duration::from_secs(2);
+/// A process that was stopped, as long as the users' pages speak of.
+const STOPPED: Duration = Duration::from_secs(20);
 /// The users' bound for the return of service.
 const RETURN: Duration = Duration::from_secs(12);
 /// A busy machine: a message and the sync before it take this long at most.
@@ -60,7 +64,7 @@
         let follower = nodes.find(|node| *node != leader).expect("three");
         let late = simulation.now + LATE;
         let replica = simulation.replica(follower).expect("runs");
-        replica.forgive_stall(LATE);
+        replica.forgive_stall(late, LATE);
         replica.tick(late);
         assert_eq!(replica.status().leader, leader, "seed {seed}");
         // A leader that stays silent is missed all the same.
@@ -68,3 +72,31 @@
         assert_eq!(replica.status().role, Role::PreCandidate, "seed {seed}");
     }
 }
+
+/// The first thing that a stopped leader takes may be a message: it steps down and sets its timer anew, at a
+/// time that is no part of the stall.
+#[test]
+fn a_leader_that_was_stopped_and_steps_down_on_a_message_campaigns_in_time() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, 3, Weather::CALM, Defect::None);
+        simulation.run_for(SECOND * 3);
+        let leader = simulation.leaders()[0];
+        let mut nodes = simulation.machines.keys().copied();
+        let follower = nodes.find(|node| *node != leader).expect("three");
+        let late = simulation.now + STOPPED;
+        let replica = simulation.replica(leader).expect("runs");
+        let waiting = ReplicationMessage {
+            shard: SHARD.0,
+            from: follower.0,
+            to: leader.0,
+            term: replica.status().term,
+            body: Some(Body::AppendReply(AppendReply::default())),
+        };
+        replica.step(late, waiting);
+        assert_eq!(replica.status().role, Role::Follower, "seed {seed}");
+        replica.forgive_stall(late, STOPPED);
+        replica.tick(late);
+        replica.tick(late + SECOND * 2);
+        assert_eq!(replica.status().role, Role::PreCandidate, "seed {seed}");
+    }
+}
