Quotas: a zone that lost both owners of a tenant asks another zone's, and alone takes its part only

Cause: nodes whose two owners of a tenant are gone decided alone, and each took the whole of what was left and of what the others' assumed use gave free as it faded. With half of 295 proxies without power a quarter of the zones have no owner until the feed names others (3 s, longer while the core has no quorum). Change: an unanswered question goes on to the zone's second owner and then to one owner of each other zone, which knows what all zones granted (three at most, each the usual time for an answer). Only a node that none of them answers decides alone, assumes that the fleet goes on as before, and counts its own admissions for its whole zone.

--- a/crates/experiments/src/quota_age/owner_fleet.rs
+++ b/crates/experiments/src/quota_age/owner_fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use millford_core::{Duration, MonotonicTime};
-use millford_forward::quota::{KnownLevel, PeerCount, TenantQuotas};
+use millford_forward::quota::{Alone, FleetSize, KnownLevel, PeerCount, TenantQuotas};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -12,6 +12,12 @@
 
 /// Usual shortest time between two tellings of an owner, in steps.
 pub const PAUSE_STEPS: usize = 4;
+/// As `SharedQuotas`: owners that are asked about one request.
+const MOST_ASKED: usize = 3;
+/// As `Questions`: unanswered questions in a row after which an owner is passed over, and for how long.
+const UNANSWERED_TO_SUSPECT: u32 = 2;
+/// See [`UNANSWERED_TO_SUSPECT`].
+const SUSPECT_STEPS: usize = 200;
 /// Owners tell each other everything, in steps.
 const WHOLE_STEPS: usize = 200;
 
@@ -36,13 +42,41 @@
     }
 }
 
+/// An owner: its zone, and 0 or 1 for the stand-in.
+type Place = (usize, usize);
+
+/// What a node knows.
+#[derive(Clone, Debug)]
+struct Node {
+    known: KnownLevel,
+    uncharged: i64,
+    /// Unanswered questions in a row, and until which step the owner is passed over.
+    silences: BTreeMap<Place, (u32, usize)>,
+}
+
+impl Node {
+    fn suspects(&self, step: usize, place: Place) -> bool {
+        let silence = self.silences.get(&place);
+        silence.is_some_and(|(_, until)| step < *until)
+    }
+
+    fn unanswered(&mut self, step: usize, place: Place) {
+        let (unanswered, until) = self.silences.entry(place).or_default();
+        *unanswered += 1;
+        if *unanswered >= UNANSWERED_TO_SUSPECT {
+            *until = step + SUSPECT_STEPS;
+        }
+    }
+}
+
 /// Nodes of some zones that ask the owners of their zone; owners that tell each other.
 #[derive(Debug)]
 pub struct OwnerFleet {
     /// Two in each zone.
     pub owners: Vec<[Owner; 2]>,
-    /// What each node of each zone was told last, and what it admitted alone.
-    nodes: Vec<Vec<(KnownLevel, i64)>>,
+    /// Nodes of each zone.
+    nodes: Vec<Vec<Node>>,
+    fleet: FleetSize,
     now: MonotonicTime,
     step: usize,
     random: ChaCha8Rng,
@@ -63,10 +97,19 @@
     #[must_use]
     pub fn new(zones: usize, nodes_in_zone: usize, seed: u64) -> Self {
         let now = MonotonicTime::from_millis(1000);
-        let known = KnownLevel::unknown(&quota(), zones * nodes_in_zone, now);
+        let fleet = FleetSize {
+            nodes: zones * nodes_in_zone,
+            in_zone: nodes_in_zone,
+        };
+        let node = Node {
+            known: KnownLevel::unknown(&quota(), fleet, now),
+            uncharged: 0,
+            silences: BTreeMap::new(),
+        };
         Self {
             owners: (0..zones).map(|_| [Owner::new(), Owner::new()]).collect(),
-            nodes: vec![vec![(known, 0); nodes_in_zone]; zones],
+            nodes: vec![vec![node; nodes_in_zone]; zones],
+            fleet,
             now,
             step: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -92,28 +135,64 @@
 
     /// As `SharedQuotas` decides on a request.
     fn decide(&mut self, zone: usize, node: usize) -> Result<(), Duration> {
-        let (now, quota) = (self.now, quota());
-        if let Some(wait) = self.nodes[zone][node].0.certain_wait(now) {
-            return Err(wait);
-        }
-        let (question_lost, answer_lost) = (self.is_lost(), self.is_lost());
-        self.admissions.datagrams += 2;
-        let owner = self.owners[zone].iter().find(|owner| owner.is_up);
-        let (known, uncharged) = &mut self.nodes[zone][node];
-        if let Some(owner) = owner.filter(|_| !question_lost) {
-            let grant = owner.quotas.grant(now, &tenant(), REQUEST, *uncharged);
-            let grant = grant.expect("the tenant has a quota");
-            if !answer_lost {
-                *uncharged = 0;
-                known.take(now, &quota, &grant);
-                return grant.decision;
+        let mut asked_before = Vec::with_capacity(MOST_ASKED);
+        for _ in 0..MOST_ASKED {
+            let Some(place) = self.owner_to_ask(zone, node, &asked_before) else {
+                break;
+            };
+            if let Some(wait) = self.nodes[zone][node].known.certain_wait(self.now) {
+                return Err(wait);
+            }
+            if let Some(decision) = self.question(zone, node, place) {
+                return decision;
             }
+            asked_before.push(place);
         }
-        known.admit_alone(now, REQUEST)?;
-        *uncharged += i64::try_from(REQUEST).expect("small");
+        let why = match self.owner_to_ask(zone, node, &[]) {
+            Some(_) => Alone::AnswerLost,
+            None => Alone::OwnersGone,
+        };
+        let node = &mut self.nodes[zone][node];
+        node.known.admit_alone(self.now, why, REQUEST)?;
+        node.uncharged += i64::try_from(REQUEST).expect("small");
         Ok(())
     }
 
+    /// The first owner that the node believes to answer, of its own zone before the others.
+    fn owner_to_ask(&self, zone: usize, node: usize, asked_before: &[Place]) -> Option<Place> {
+        let own = [(zone, 0), (zone, 1)];
+        let others = (0..self.owners.len()).filter(|other| *other != zone);
+        let mut places = own.into_iter().chain(others.map(|other| (other, 0)));
+        let node = &self.nodes[zone][node];
+        places.find(|place| {
+            !asked_before.contains(place)
+                && !node.suspects(self.step, *place)
+                && (place.0 == zone || self.cut_off.is_none_or(|cut| cut != zone && cut != place.0))
+        })
+    }
+
+    /// Asks an owner. Nothing: no answer came in time.
+    fn question(&mut self, zone: usize, node: usize, place: Place) -> Option<Result<(), Duration>> {
+        let (question_lost, answer_lost) = (self.is_lost(), self.is_lost());
+        self.admissions.datagrams += 2;
+        let owner = &self.owners[place.0][place.1];
+        let node = &mut self.nodes[zone][node];
+        let grant = (owner.is_up && !question_lost).then(|| {
+            let grant = owner
+                .quotas
+                .grant(self.now, &tenant(), REQUEST, node.uncharged);
+            grant.expect("the tenant has a quota")
+        });
+        let Some(grant) = grant.filter(|_| !answer_lost) else {
+            node.unanswered(self.step, place);
+            return None;
+        };
+        node.silences.remove(&place);
+        node.uncharged = 0;
+        node.known.take(self.now, &quota(), self.fleet, &grant);
+        Some(grant.decision)
+    }
+
     /// Owners tell each other what they granted; then a step passes.
     fn pass(&mut self) {
         let whole = self.step.is_multiple_of(WHOLE_STEPS);
--- a/crates/experiments/tests/quota_age.rs
+++ b/crates/experiments/tests/quota_age.rs
@@ -190,3 +190,47 @@
     let owners = play(1, FLEETS[2], OWNERS).hot.most_in_window();
     assert!(most > bound(untold(7)) && most > owners, "{most}, {owners}");
 }
+
+/// As the users judge a quota: what one window may hold.
+const JUDGED: f64 = 1.1;
+
+/// A tenant that asks for `before` times its rate when half of a large fleet loses power, so that some zones
+/// lose both of their owners until the feed names others, and for `after` times from then on.
+fn half_lost(seed: u64, before: f64, after: f64) -> OwnerFleet {
+    let mut fleet = OwnerFleet::new(7, 42, seed);
+    fleet.press(4, before);
+    let lost = [(0, 0), (0, 1), (1, 0), (1, 1), (2, 0), (3, 1), (4, 0)];
+    for (zone, place) in lost {
+        fleet.owners[zone][place].is_up = false;
+    }
+    fleet.press(3, after);
+    for (zone, place) in lost {
+        fleet.replace(zone, place);
+    }
+    fleet.press(6, after);
+    fleet
+}
+
+#[test]
+fn a_fleet_that_loses_half_of_its_owners_holds_the_quota() {
+    for seed in 1..=10 {
+        for before in [0.5, 0.9, 1.2, 6.0] {
+            let fleet = half_lost(seed, before, 6.0);
+            let most = fleet.admissions.most_in_window() as f64 / allowed() as f64;
+            assert!(
+                most <= JUDGED,
+                "{most:.3} of what is allowed, seed {seed}, {before} before"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_tenant_under_its_quota_is_not_refused_while_half_of_the_owners_are_gone() {
+    for seed in 1..=10 {
+        for times in [0.3, 0.6, 0.8] {
+            let refused = half_lost(seed, times, times).admissions.refused;
+            assert_eq!(refused, 0, "seed {seed}, {times} times its rate");
+        }
+    }
+}
--- a/crates/forward/src/owners/owner_ring.rs
+++ b/crates/forward/src/owners/owner_ring.rs
@@ -6,6 +6,8 @@
 use millford_api::state::ProxyMember;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::quota::FleetSize;
+
 /// In a fleet of up to this many proxies tenants have no owners: each node counts for itself and tells all
 /// others, which costs fewer datagrams than a question before each admission, and no wait.
 const MOST_WITHOUT_TENANT_OWNERS: usize = 17;
@@ -22,6 +24,13 @@
     hash: u64,
 }
 
+impl Owner {
+    /// Rank for a key: the highest owns it.
+    fn rank(&self, key: u64) -> u64 {
+        xxh3_64_with_seed(&self.hash.to_le_bytes(), key)
+    }
+}
+
 /// The proxies among which keys are divided, this node included.
 ///
 /// A proxy that comes or goes moves only the keys that it owns. While nodes disagree on who the
@@ -73,6 +82,25 @@
         }
     }
 
+    /// The owners of a tenant's bucket whom nodes of a zone ask while none of their own zone answers, the
+    /// same order for all: one of each other zone, which knows what all zones granted.
+    #[must_use]
+    pub fn owners_of_tenant_outside(&self, zone: &str, tenant: &str) -> Vec<&Owner> {
+        let key = xxh3_64(tenant.as_bytes());
+        let outside = self.members.iter().filter(|owner| owner.zone != zone);
+        let mut best: BTreeMap<&str, (u64, &Owner)> = BTreeMap::new();
+        for owner in outside {
+            let hash = owner.rank(key);
+            let known = best.entry(&owner.zone).or_insert((hash, owner));
+            if hash > known.0 {
+                *known = (hash, owner);
+            }
+        }
+        let mut best: Vec<(u64, &Owner)> = best.into_values().collect();
+        best.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
+        best.into_iter().map(|(_, owner)| owner).collect()
+    }
+
     /// All owners of a tenant's bucket, two in each zone.
     #[must_use]
     pub fn owners_of_tenant(&self, tenant: &str) -> Vec<&Owner> {
@@ -91,6 +119,18 @@
         self.members.len()
     }
 
+    /// Proxies of the fleet and of a zone, for a node of that zone: it counts also where the ring does not
+    /// show it yet.
+    #[must_use]
+    pub fn size_for(&self, zone: &str) -> FleetSize {
+        let in_zone = self.members.iter().filter(|member| member.zone == zone);
+        let in_zone = in_zone.count().max(1);
+        FleetSize {
+            nodes: self.members.len().max(in_zone),
+            in_zone,
+        }
+    }
+
     /// Whether owners grant admissions, and not each node for itself.
     #[must_use]
     pub fn has_tenant_owners(&self) -> bool {
@@ -120,7 +160,7 @@
                 .iter()
                 .filter(|owner| Some(owner.zone.as_str()) != zone_to_avoid)
                 .filter(|owner| Some(owner.name.as_str()) != taken)
-                .max_by_key(|owner| xxh3_64_with_seed(&owner.hash.to_le_bytes(), key))
+                .max_by_key(|owner| owner.rank(key))
         };
         let Some(first) = best(None, None) else {
             return Vec::new();
@@ -135,7 +175,7 @@
 fn best_two<'a>(owners: impl IntoIterator<Item = &'a Owner>, key: u64) -> Vec<&'a Owner> {
     let mut best: Vec<(u64, &Owner)> = Vec::with_capacity(3);
     for owner in owners {
-        let hash = xxh3_64_with_seed(&owner.hash.to_le_bytes(), key);
+        let hash = owner.rank(key);
         let place = best.partition_point(|(better, _)| *better >= hash);
         best.insert(place, (hash, owner));
         best.truncate(2);
--- a/crates/forward/src/owners/peer_link.rs
+++ b/crates/forward/src/owners/peer_link.rs
@@ -110,15 +110,26 @@
 
     /// The owner to ask about a key: the first one that answers lately.
     pub fn asked<'a>(&self, now: MonotonicTime, owners: &[&'a Owner]) -> Asked<'a> {
+        let sound = self.sound(now, owners);
+        match sound.or_else(|| owners.first().copied()) {
+            None => Asked::Nobody,
+            Some(owner) => self.way_to(owner),
+        }
+    }
+
+    /// The first of these owners that is believed to answer.
+    pub fn sound<'a>(&self, now: MonotonicTime, owners: &[&'a Owner]) -> Option<&'a Owner> {
         let questions = lock(&self.questions);
         let mut owners = owners.iter().copied();
-        let sound = owners
-            .clone()
-            .find(|owner| !questions.is_suspect(now, &owner.name));
-        match sound.or_else(|| owners.next()) {
-            None => Asked::Nobody,
-            Some(owner) if owner.name == self.member => Asked::Itself,
-            Some(owner) => Asked::Peer(owner),
+        owners.find(|owner| !questions.is_suspect(now, &owner.name))
+    }
+
+    /// How this owner is asked.
+    #[must_use]
+    pub fn way_to<'a>(&self, owner: &'a Owner) -> Asked<'a> {
+        match owner.name == self.member {
+            true => Asked::Itself,
+            false => Asked::Peer(owner),
         }
     }
 
--- a/crates/forward/src/quota/mod.rs
+++ b/crates/forward/src/quota/mod.rs
@@ -15,7 +15,7 @@
 
 pub use cluster_bucket::{BucketFigures, ClusterBucket};
 pub use grant::Grant;
-pub use known_level::KnownLevel;
+pub use known_level::{Alone, FleetSize, KnownLevel};
 pub use peer_usage::PeerUsage;
 pub use shared_quotas::SharedQuotas;
 pub use tenant_quotas::{PeerCount, TenantLevel, TenantQuotas};
--- a/crates/forward/src/quota/shared_quotas.rs
+++ b/crates/forward/src/quota/shared_quotas.rs
@@ -13,7 +13,7 @@
 use millford_routing::RoutingTable;
 
 use super::grant::Grant;
-use super::known_level::KnownLevel;
+use super::known_level::{Alone, FleetSize, KnownLevel};
 use super::tenant_quotas::{TenantQuotas, limiting};
 use crate::owners::peer_link::{Asked, lock};
 use crate::owners::{Answer, ByOwner, Owner, OwnerRing, PeerLink, Pending};
@@ -21,6 +21,9 @@
 /// Answers that come later than this after their time are not waited for: the owner is gone.
 const ANSWERED_WITHIN: Duration = Duration::from_secs(2);
 
+/// Owners that are asked about one request, one after the other: each costs the usual time for an answer.
+const MOST_ASKED: usize = 3;
+
 /// What this node knows of one tenant that it does not own.
 #[derive(Clone, Copy, Debug)]
 struct Asking {
@@ -46,8 +49,8 @@
     tenant: &'a str,
     quota: &'a TokenQuota,
     tokens: u64,
-    /// Proxies in the fleet.
-    nodes: usize,
+    /// Proxies that hold the quota.
+    fleet: FleetSize,
 }
 
 /// Tenants that this node asks owners about.
@@ -59,8 +62,8 @@
 }
 
 impl SharedQuotas {
-    /// Admits a request of a tenant by an owner of its bucket in `zone`, or says when to come back.
-    /// Without an answer the node decides by what it was told last.
+    /// Admits a request of a tenant by an owner of its bucket, of `zone` where one answers, or says when to
+    /// come back. Without any answer the node decides by what it was told last.
     ///
     /// # Errors
     /// The time until the tenant's bucket holds anything.
@@ -80,37 +83,59 @@
             tenant: &tenant.name,
             quota,
             tokens,
-            nodes: ring.member_count(),
+            fleet: ring.size_for(zone),
         };
-        let now = monotonic_now();
-        let owners = ring.owners_of_tenant_in(zone, &tenant.name);
-        let owner = match link.asked(now, &owners) {
-            Asked::Itself => {
+        let mut asked_before = Vec::with_capacity(MOST_ASKED);
+        for _ in 0..MOST_ASKED {
+            let now = monotonic_now();
+            let owner = owner_to_ask(now, link, ring, zone, &tenant.name, &asked_before);
+            let Some(owner) = owner else {
+                break;
+            };
+            if link.way_to(owner) == Asked::Itself {
                 let grant = quotas.grant(now, tenant, tokens, 0);
                 return grant.map_or(Ok(()), |grant| grant.decision);
             }
-            Asked::Nobody => return self.admit_alone(now, wanted),
-            Asked::Peer(owner) => owner,
+            let carried = self.begin(now, wanted)?;
+            if let Some(grant) = self.ask(link, owner, wanted, carried).await {
+                return self.take(monotonic_now(), wanted, grant);
+            }
+            asked_before.push(owner.name.as_str());
+        }
+        let now = monotonic_now();
+        let why = match owner_to_ask(now, link, ring, zone, &tenant.name, &[]) {
+            Some(_) => Alone::AnswerLost,
+            None => Alone::OwnersGone,
         };
-        let carried = self.begin(now, wanted)?;
-        let pending = ask(link, owner, wanted, carried);
+        self.admit_alone(now, wanted, why)
+    }
+
+    /// Asks an owner. Nothing: its answer did not come in time.
+    async fn ask(
+        &self,
+        link: &PeerLink,
+        owner: &Owner,
+        wanted: Wanted<'_>,
+        carried: i64,
+    ) -> Option<Option<Grant>> {
+        let pending = question_to(link, owner, wanted, carried);
         let id = pending.first_id().unwrap_or_default();
         let answer = link.wait(pending).await.pop();
-        let now = monotonic_now();
         if let Some(Answer::Quota(grant)) = answer {
-            return self.take(now, wanted, grant);
+            return Some(grant);
         }
+        let now = monotonic_now();
         let unanswered = Unanswered {
-            tenant: tenant.name.clone(),
+            tenant: wanted.tenant.to_owned(),
             given_up: now,
-            tokens,
+            tokens: wanted.tokens,
             carried,
         };
         lock(&self.unanswered).insert(id, unanswered);
         self.change(now, wanted, |asking| {
             asking.uncharged = asking.uncharged.saturating_add(carried);
         });
-        self.admit_alone(now, wanted)
+        None
     }
 
     /// Requests that this node decided on without an answer so far.
@@ -184,18 +209,23 @@
     ) -> Result<(), Duration> {
         let Some(grant) = grant else {
             // The owner has not heard of the quota yet.
-            return self.admit_alone(now, wanted);
+            return self.admit_alone(now, wanted, Alone::AnswerLost);
         };
         self.change(now, wanted, |asking| {
-            asking.known.take(now, wanted.quota, &grant);
+            asking.known.take(now, wanted.quota, wanted.fleet, &grant);
         });
         grant.decision
     }
 
-    fn admit_alone(&self, now: MonotonicTime, wanted: Wanted<'_>) -> Result<(), Duration> {
+    fn admit_alone(
+        &self,
+        now: MonotonicTime,
+        wanted: Wanted<'_>,
+        why: Alone,
+    ) -> Result<(), Duration> {
         self.decided_alone.fetch_add(1, Ordering::Relaxed);
         self.change(now, wanted, |asking| {
-            asking.known.admit_alone(now, wanted.tokens)?;
+            asking.known.admit_alone(now, why, wanted.tokens)?;
             asking.uncharged = asking.uncharged.saturating_add(tokens_of(wanted.tokens));
             Ok(())
         })
@@ -211,14 +241,37 @@
         let asking = all
             .entry(wanted.tenant.to_owned())
             .or_insert_with(|| Asking {
-                known: KnownLevel::unknown(wanted.quota, wanted.nodes, now),
+                known: KnownLevel::unknown(wanted.quota, wanted.fleet, now),
                 uncharged: 0,
             });
         change(asking)
     }
 }
 
-fn ask(link: &PeerLink, owner: &Owner, wanted: Wanted<'_>, uncharged_tokens: i64) -> Pending {
+/// The first owner that is believed to answer, of this zone before the others, passing over those that were
+/// asked in vain for this very request.
+fn owner_to_ask<'a>(
+    now: MonotonicTime,
+    link: &PeerLink,
+    ring: &'a OwnerRing,
+    zone: &str,
+    tenant: &str,
+    asked_before: &[&str],
+) -> Option<&'a Owner> {
+    let first_sound = |mut owners: Vec<&'a Owner>| {
+        owners.retain(|owner| !asked_before.contains(&owner.name.as_str()));
+        link.sound(now, &owners)
+    };
+    first_sound(ring.owners_of_tenant_in(zone, tenant))
+        .or_else(|| first_sound(ring.owners_of_tenant_outside(zone, tenant)))
+}
+
+fn question_to(
+    link: &PeerLink,
+    owner: &Owner,
+    wanted: Wanted<'_>,
+    uncharged_tokens: i64,
+) -> Pending {
     let mut questions = ByOwner::default();
     questions.add(owner, wanted.tenant.to_owned());
     link.send_questions(questions, |id, tenants, datagram| {
