Decisions: the picture of lost worth belongs to the laboratory; the data plane links no plotting library

Cause: the forwarding proxy writes decision records and linked the library that draws them. The picture and its test move to the laboratory; the test's assertions are the same. No decision of a deployed program changes.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod attempt_record;
 pub mod decision_record;
 pub mod error;
-pub mod plot;
 pub mod reader;
 pub mod verdict;
 
--- a/crates/decisions/tests/account.rs
+++ b/crates/decisions/tests/account.rs
@@ -1,7 +1,7 @@
 //! Verdicts on records, and accounts that add up.
 
 use millford_decisions::{
-    Account, AttemptOutcome, AttemptRecord, DecisionRecord, DecisionsError, Ending, Verdict, plot,
+    Account, AttemptOutcome, AttemptRecord, DecisionRecord, DecisionsError, Ending, Verdict,
     read_records,
 };
 use quickcheck::quickcheck;
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn the_table_and_the_picture_show_every_group() {
+fn the_table_shows_every_group() {
     let mut late = record();
     late.first_bytes_ms = Some(700);
     late.at_ms = 3000;
@@ -107,9 +107,6 @@
     assert!((account.total.lost - 0.75).abs() < 1e-9);
     let text = account.to_string();
     assert!(text.contains("ask: late, unforeseen"), "{text}");
-    assert!(plot::draw_losses(&account).unwrap().contains("<svg"));
-    let empty = Account::default();
-    assert!(plot::draw_losses(&empty).is_ok());
 }
 
 quickcheck! {
--- a/crates/lab/src/commands/explain.rs
+++ b/crates/lab/src/commands/explain.rs
@@ -5,7 +5,9 @@
 use std::path::PathBuf;
 
 use getopts::Options;
-use millford_decisions::{Account, DecisionRecord, DecisionsError, plot, read_records};
+use millford_decisions::{Account, DecisionRecord, DecisionsError, read_records};
+
+use super::loss_chart;
 
 /// Share of its worth that a late answer earns, where the command line does not say.
 const USUAL_LATE_SHARE: f64 = 0.3;
@@ -80,7 +82,7 @@
     let account = Account::of(&records, options.late_share);
     print!("{account}");
     if let Some(path) = &options.plot {
-        std::fs::write(path, plot::draw_losses(&account)?)?;
+        std::fs::write(path, loss_chart::draw_losses(&account)?)?;
     }
     Ok(())
 }
--- a/crates/decisions/src/plot.rs
+++ b/crates/lab/src/commands/loss_chart.rs
@@ -1,10 +1,8 @@
 //! A picture of the lost worth over time.
 
+use millford_decisions::{Account, DecisionsError};
 use plotters::prelude::*;
 
-use crate::account::Account;
-use crate::error::DecisionsError;
-
 /// Size of the picture, in pixels.
 const SIZE: (u32, u32) = (900, 420);
 
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod backend;
 pub mod explain;
+pub mod loss_chart;
 pub mod registry;
--- /dev/null
+++ b/crates/lab/tests/loss_chart.rs
@@ -0,0 +1,32 @@
+//! The picture of the lost worth over time.
+
+use millford_decisions::{Account, DecisionRecord, Ending};
+use millford_lab::commands::loss_chart::draw_losses;
+
+fn late_at(at_ms: u64) -> DecisionRecord {
+    DecisionRecord {
+        at_ms,
+        node: "node".to_owned(),
+        zone: "zone".to_owned(),
+        route: "ask".to_owned(),
+        tenant: String::new(),
+        prompt_tokens: 100,
+        output_tokens: 10,
+        target_ms: 500,
+        gap_target_ms: 0,
+        attempts: Vec::new(),
+        first_bytes_ms: Some(700),
+        longest_gap_ms: 0,
+        resumed: false,
+        ended_ms: 900,
+        ending: Ending::Complete,
+    }
+}
+
+#[test]
+fn the_picture_shows_what_was_lost_and_an_empty_account_too() {
+    let account = Account::of(&[late_at(3000), late_at(5000)], 0.25);
+    assert!(draw_losses(&account).unwrap().contains("<svg"));
+    let empty = Account::default();
+    assert!(draw_losses(&empty).is_ok());
+}
