Agents: a registry that refuses is asked ever more seldom; control polls a paged list less often

Each of 295 agents that is out of touch reads six pages twice a second, whether or not the registry, which takes 44 calls a second from all, refuses; so nobody reads a whole list. Each leader of a service reads the six pages twice a second. Change: the pause doubles with each failed reading, to 30 s at most, is drawn apart by name, and halves with each that succeeds; an agent without backends in its state does not read; control's period is 150 ms a call, from 0.5 to 1 s. Tests: two of the agent, one of control's period.

--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -18,7 +18,7 @@
 use crate::output::AgentOutput;
 use crate::proxy_link::ProxyLink;
 use crate::quota::QuotaDesk;
-use crate::registry::RegistryOverlay;
+use crate::registry::{RegistryOverlay, RegistryPace};
 use crate::session::Session;
 
 /// Key of the configuration's number in the public state of the configuration shard.
@@ -41,7 +41,7 @@
     heartbeat_sequence: u64,
     /// First heartbeat that named the open session: answers to earlier ones say nothing about it.
     session_sequence: u64,
-    registry_at: MonotonicTime,
+    registry_pace: RegistryPace,
     stopping: Option<Stopping>,
 }
 
@@ -71,7 +71,7 @@
             heartbeat_at: now,
             heartbeat_sequence: 0,
             session_sequence: 0,
-            registry_at: now,
+            registry_pace: RegistryPace::new(&options.name, now),
             stopping: None,
         }
     }
@@ -99,6 +99,7 @@
             }
             AgentInput::ProxyFrame(frame) => self.proxy_frame(now, *frame, &mut out),
             AgentInput::Registry(view) => self.registry_view(now, &view, &mut out),
+            AgentInput::RegistryFailed => self.registry_pace.failed(now),
             AgentInput::Tick => {}
             AgentInput::Stop => self.stop(now, &mut out),
         }
--- a/crates/agent/src/agent_core/proxy.rs
+++ b/crates/agent/src/agent_core/proxy.rs
@@ -120,7 +120,7 @@
         if self.link.out_of_touch_since().is_none() {
             return;
         }
-        self.registry_at = now + crate::timing::REGISTRY_PERIOD;
+        self.registry_pace.succeeded(now);
         self.counters.registry_views += 1;
         let changed = self.overlay.update(self.feeds.items(), view);
         self.amend(&changed, out);
--- a/crates/agent/src/agent_core/tick.rs
+++ b/crates/agent/src/agent_core/tick.rs
@@ -8,9 +8,7 @@
 use super::{AgentCore, Stopping, send_proxy};
 use crate::link::LinkAction;
 use crate::output::AgentOutput;
-use crate::timing::{
-    HEARTBEAT_PERIOD, REGISTRY_AFTER, REGISTRY_KEPT, REGISTRY_PERIOD, STOP_TIMEOUT, TICK,
-};
+use crate::timing::{HEARTBEAT_PERIOD, REGISTRY_AFTER, REGISTRY_KEPT, STOP_TIMEOUT, TICK};
 
 impl AgentCore {
     /// When the next `Tick` is wanted, at the latest.
@@ -116,8 +114,10 @@
     /// has had time to read it again, what the agent read is dropped.
     fn advance_registry(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
         if let Some(since) = self.link.out_of_touch_since() {
-            if now.since(since) >= REGISTRY_AFTER && now >= self.registry_at {
-                self.registry_at = now + REGISTRY_PERIOD;
+            // Without backends in its state an agent has nothing that a list could retire.
+            let lasting = now.since(since) >= REGISTRY_AFTER;
+            if lasting && self.registry_pace.is_due(now) && self.feeds.knows_backends() {
+                self.registry_pace.begin(now);
                 out.push(AgentOutput::ReadRegistry);
             }
             return;
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -153,7 +153,10 @@
                     let view = RegistryView::from(&list);
                     queues.state(AgentInput::Registry(view)).await;
                 }
-                Err(error) => LOG.debug(format_args!("{error}.")),
+                Err(error) => {
+                    LOG.debug(format_args!("{error}."));
+                    queues.state(AgentInput::RegistryFailed).await;
+                }
             }
         }));
     }
--- a/crates/agent/src/feeds.rs
+++ b/crates/agent/src/feeds.rs
@@ -7,6 +7,7 @@
 use millford_core::{MonotonicTime, ShardId, ShardLayout};
 use millford_feed::{FeedOutcome, FeedView};
 
+use crate::registry::overlay::BACKEND_PREFIX;
 use crate::timing::{SHARD_MOVE_PERIOD, SHARD_SILENCE, SUBSCRIBE_AGAIN};
 
 #[derive(Clone, Debug)]
@@ -176,6 +177,13 @@
         self.shards.get(&shard).map(|feed| &feed.view)
     }
 
+    /// Whether any backend was ever told of.
+    #[must_use]
+    pub fn knows_backends(&self) -> bool {
+        let mut items = self.items();
+        items.any(|(key, _)| key.starts_with(BACKEND_PREFIX))
+    }
+
     /// Every item of every shard.
     pub fn items(&self) -> impl Iterator<Item = (&String, &StateValue)> {
         self.shards.values().flat_map(|feed| feed.view.items())
--- a/crates/agent/src/input.rs
+++ b/crates/agent/src/input.rs
@@ -41,6 +41,8 @@
     ProxyFrame(Box<LocalFrame>),
     /// The registry's list, as asked for by `ReadRegistry`.
     Registry(RegistryView),
+    /// The registry refused to give its list, or did not answer.
+    RegistryFailed,
     /// Time passes. To be given at the time that [`crate::AgentCore::next_tick`] names, or sooner.
     Tick,
     /// The process is to stop: close the session.
--- a/crates/agent/src/registry/overlay.rs
+++ b/crates/agent/src/registry/overlay.rs
@@ -7,7 +7,7 @@
 use crate::registry::view::RegistryView;
 
 /// Prefix of the keys of backends in the public state: `backend/<pool>/<backend id>`.
-const BACKEND_PREFIX: &str = "backend/";
+pub(crate) const BACKEND_PREFIX: &str = "backend/";
 
 /// States of backends that the registry gave while no control node was in touch.
 ///
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -49,6 +49,9 @@
 /// Period at which the agent reads the registry while it is out of touch.
 pub const REGISTRY_PERIOD: Duration = Duration::from_millis(500);
 
+/// Longest period at which the registry is read while it refuses, or does not answer.
+pub const REGISTRY_CEILING: Duration = Duration::from_secs(30);
+
 /// Time in touch after which what the registry said earlier is dropped: control has read it since.
 pub const REGISTRY_KEPT: Duration = Duration::from_secs(2);
 
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -250,6 +250,45 @@
     assert_eq!(fleet.proxy_backend(1, "backend/p/a"), Some(0));
 }
 
+#[test]
+fn an_agent_that_knows_no_backend_does_not_read_the_registry() {
+    let mut fleet = Fleet::new(&ADDRESSES);
+    for control in &mut fleet.controls {
+        control.silent = true;
+    }
+    fleet.run(10_000);
+    assert_eq!(fleet.registry_reads, 0);
+}
+
+#[test]
+fn a_registry_that_refuses_is_asked_ever_more_seldom() {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    for control in &mut fleet.controls {
+        control.silent = true;
+    }
+    let mut refused = 0;
+    for _ in 0..40 {
+        fleet.run(500);
+        while refused < fleet.registry_reads {
+            refused += 1;
+            fleet.give(AgentInput::RegistryFailed);
+        }
+    }
+    // Twenty seconds: pauses of 1, 2, 4, 8 and more, each by up to a half shorter.
+    assert!((3..=9).contains(&refused), "{refused} readings");
+    // It gives its list again: the next readings come quicker.
+    let before = fleet.registry_reads;
+    for _ in 0..60 {
+        fleet.run(1_000);
+        if fleet.registry_reads > before + 1 {
+            break;
+        }
+        let entries = vec![entry("a", BackendState::BackendActive)];
+        fleet.give(AgentInput::Registry(RegistryView { entries }));
+    }
+    assert!(fleet.registry_reads > before + 1);
+}
+
 #[test]
 fn an_expired_session_is_opened_anew_and_a_stopped_one_closed() {
     let mut fleet = Fleet::started(&ADDRESSES);
--- a/crates/control/src/daemon/registry_watch.rs
+++ b/crates/control/src/daemon/registry_watch.rs
@@ -4,30 +4,39 @@
 use std::time::Duration;
 
 use millford_registry::SharedRegistry;
-use tokio::time::MissedTickBehavior;
+use tokio::time::Instant;
 
 use super::REGISTRY;
 use super::event::{GatewayEvent, GatewayQueue};
 use super::shared::NodeShared;
 use crate::node_input::NodeInput;
 
-/// Period of the polls.
+/// Shortest period of the polls.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
 
+/// Longest period of the polls: with what the registry itself trails, a backend that leaves is known in time.
+const POLL_CEILING: Duration = Duration::from_millis(1000);
+
+/// Time for each call that a reading takes: a registry bounds the calls of all readers together, and the
+/// pages of its list grow with the fleet.
+const PERIOD_OF_CALL: Duration = Duration::from_millis(150);
+
 /// Reads the registry until the process ends, while this node leads a shard: only leaders compare
 /// the catalogue with it, and a registry may bound or price its readings. Failures are logged once
 /// each time they begin.
 pub async fn watch(registry: SharedRegistry, queue: GatewayQueue, shared: Arc<NodeShared>) {
-    let mut polls = tokio::time::interval(POLL_PERIOD);
-    polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut period = POLL_PERIOD;
+    let mut next_poll = Instant::now();
     let mut failing = false;
     loop {
-        polls.tick().await;
+        tokio::time::sleep_until(next_poll).await;
+        next_poll = Instant::now() + period;
         if shared.leads_services() == 0 {
             continue;
         }
         match registry.read().await {
             Ok(view) => {
+                period = poll_period(view.calls);
                 if std::mem::take(&mut failing) {
                     REGISTRY.info("The registry answers again.");
                 }
@@ -44,3 +53,9 @@
         }
     }
 }
+
+/// Time between two polls when a reading takes so many calls.
+#[must_use]
+pub fn poll_period(calls: u32) -> Duration {
+    (PERIOD_OF_CALL * calls).clamp(POLL_PERIOD, POLL_CEILING)
+}
--- /dev/null
+++ b/crates/control/tests/registry_watch.rs
@@ -0,0 +1,14 @@
+//! How often the registry is polled.
+
+use std::time::Duration;
+
+use millford_control::daemon::registry_watch::poll_period;
+
+#[test]
+fn a_list_of_many_pages_is_read_less_often_and_never_too_seldom() {
+    assert_eq!(poll_period(0), Duration::from_millis(500));
+    assert_eq!(poll_period(1), Duration::from_millis(500));
+    assert_eq!(poll_period(3), Duration::from_millis(500));
+    assert_eq!(poll_period(6), Duration::from_millis(900));
+    assert_eq!(poll_period(24), Duration::from_millis(1000));
+}
--- a/crates/control/tests/work.rs
+++ b/crates/control/tests/work.rs
@@ -38,7 +38,10 @@
 
 /// Lets every node read the registry and gives the change time to be committed.
 fn read_registry(cluster: &mut Cluster, backends: Vec<RegistryEntry>) {
-    let view = Arc::new(RegistryView { backends });
+    let view = Arc::new(RegistryView {
+        backends,
+        ..RegistryView::default()
+    });
     for address in ["node-1", "node-2", "node-3"] {
         cluster.input(address, NodeInput::Registry(view.clone()));
     }
--- a/crates/registry/src/http_registry.rs
+++ b/crates/registry/src/http_registry.rs
@@ -37,7 +37,8 @@
 
     async fn read_in_time(&self) -> Result<RegistryView, RegistryError> {
         let reading = tokio::time::timeout(READ_TIMEOUT, self.read_unbounded());
-        let view = reading.await.map_err(|_| RegistryError::Late)??;
+        let mut view = reading.await.map_err(|_| RegistryError::Late)??;
+        view.calls = 1;
         if view.backends.is_empty() {
             return Err(RegistryError::Empty);
         }
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -60,6 +60,9 @@
 pub struct RegistryView {
     /// The backends.
     pub backends: Vec<RegistryEntry>,
+    /// Calls that the reading took: a registry may give its list in pages.
+    #[serde(skip)]
+    pub calls: u32,
 }
 
 impl RegistryEntry {
--- a/crates/simulation/src/world/registry.rs
+++ b/crates/simulation/src/world/registry.rs
@@ -55,7 +55,10 @@
             return;
         }
         let backends = self.entries.values().cloned().collect();
-        self.view = Arc::new(RegistryView { backends });
+        self.view = Arc::new(RegistryView {
+            backends,
+            ..RegistryView::default()
+        });
     }
 
     /// The list as agents read it.
