Quotas: admissions without an owner's answer are a metric, by the reason

Change: the counter millford_proxy_quota_decided_alone with the reason (answer_lost, owners_gone) among the proxy's metrics; a test over 18 real nodes that a zone without owners asks those of the others and one bucket a zone holds. Decisions do not change.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -52,6 +52,12 @@
     pub fn new(settings: &ForwardSettings, state: Arc<ProxyState>, protocol: P) -> Self {
         state.board.follow_peers();
         let (ejections, _) = watch::channel(0);
+        let shared_quotas = SharedQuotas::default();
+        // Only a second node of the same process could have registered it already.
+        let _ = state
+            .metrics
+            .registry
+            .register(Box::new(shared_quotas.metric()));
         Self {
             protocol,
             name: settings.name.clone(),
@@ -61,7 +67,7 @@
             peers: PeerLink::new(&settings.name),
             load: SharedLoad::default(),
             quotas: TenantQuotas::default(),
-            shared_quotas: SharedQuotas::default(),
+            shared_quotas,
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
             // Settings with a wrong name are refused before a node is made of them.
             mechanisms: Mechanisms::all_but(&settings.leave_out).unwrap_or_default(),
--- a/crates/forward/src/quota/known_level.rs
+++ b/crates/forward/src/quota/known_level.rs
@@ -24,6 +24,17 @@
     OwnersGone,
 }
 
+impl Alone {
+    /// As metrics name it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Alone::AnswerLost => "answer_lost",
+            Alone::OwnersGone => "owners_gone",
+        }
+    }
+}
+
 impl FleetSize {
     /// The zone's part of the fleet.
     fn zone_share(self) -> f64 {
--- a/crates/forward/src/quota/shared_quotas.rs
+++ b/crates/forward/src/quota/shared_quotas.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use millford_api::config::{Tenant, TokenQuota};
 use millford_api::exchange::{ProxyNews, QuotaAnswer, QuotaQuestion};
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
 use millford_routing::RoutingTable;
+use prometheus::{IntCounterVec, Opts};
 
 use super::grant::Grant;
 use super::known_level::{Alone, FleetSize, KnownLevel};
@@ -54,14 +54,33 @@
 }
 
 /// Tenants that this node asks owners about.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SharedQuotas {
     asking: Mutex<BTreeMap<String, Asking>>,
-    decided_alone: AtomicU64,
+    decided_alone: IntCounterVec,
     unanswered: Mutex<BTreeMap<u64, Unanswered>>,
 }
 
+impl Default for SharedQuotas {
+    fn default() -> Self {
+        let help = "Admissions that were decided without an owner's answer, by the reason.";
+        let options = Opts::new("millford_proxy_quota_decided_alone", help);
+        let decided_alone = IntCounterVec::new(options, &["reason"]);
+        Self {
+            asking: Mutex::default(),
+            decided_alone: decided_alone.expect("the name and the label are valid"),
+            unanswered: Mutex::default(),
+        }
+    }
+}
+
 impl SharedQuotas {
+    /// The metric of what was decided alone.
+    #[must_use]
+    pub fn metric(&self) -> IntCounterVec {
+        self.decided_alone.clone()
+    }
+
     /// Admits a request of a tenant by an owner of its bucket, of `zone` where one answers, or says when to
     /// come back. Without any answer the node decides by what it was told last.
     ///
@@ -141,7 +160,9 @@
     /// Requests that this node decided on without an answer so far.
     #[must_use]
     pub fn decided_alone(&self) -> u64 {
-        self.decided_alone.load(Ordering::Relaxed)
+        let reasons = [Alone::AnswerLost, Alone::OwnersGone].map(Alone::name);
+        let counts = reasons.map(|reason| self.decided_alone.with_label_values(&[reason]).get());
+        counts.iter().sum()
     }
 
     /// Takes a datagram about quotas with owners. False: it is about something else.
@@ -223,7 +244,7 @@
         wanted: Wanted<'_>,
         why: Alone,
     ) -> Result<(), Duration> {
-        self.decided_alone.fetch_add(1, Ordering::Relaxed);
+        self.decided_alone.with_label_values(&[why.name()]).inc();
         self.change(now, wanted, |asking| {
             asking.known.admit_alone(now, why, wanted.tokens)?;
             asking.uncharged = asking.uncharged.saturating_add(tokens_of(wanted.tokens));
--- a/crates/forward/tests/owners.rs
+++ b/crates/forward/tests/owners.rs
@@ -289,3 +289,27 @@
     let admitted = admitted_in_turn(&left).await;
     assert_one_bucket_a_zone(admitted, &left);
 }
+
+#[tokio::test]
+async fn a_zone_without_owners_asks_those_of_the_other_zones() {
+    let mut setup = Setup::with(|_| {});
+    setup.quota = Some(slow_quota());
+    let nodes = large_fleet(&setup).await;
+    let (ring, _) = nodes[0].node.peers.ring(&nodes[0].node.state.table());
+    let zone = nodes[0].node.zone.clone();
+    let outside = ring.owners_of_tenant_outside(&zone, "tenant");
+    let zones: BTreeSet<&str> = outside.iter().map(|owner| owner.zone.as_str()).collect();
+    assert_eq!(outside.len(), zones.len(), "one of each other zone");
+    assert!(!zones.is_empty() && !zones.contains(zone.as_str()));
+    for owner in &outside {
+        let owners = ring.owners_of_tenant_in(&owner.zone, "tenant");
+        assert_eq!(owners[0].name, owner.name, "the first of its zone");
+    }
+    let gone = ring.owners_of_tenant_in(&zone, "tenant");
+    let is_gone = |node: &&TestNode| gone.iter().any(|owner| owner.name == node.node.name);
+    let (gone, left): (Vec<&TestNode>, Vec<&TestNode>) = nodes.iter().partition(is_gone);
+    assert_eq!(gone.len(), 2, "both owners of one zone");
+    gone.iter().for_each(|node| node.go_silent());
+    let admitted = admitted_in_turn(&left).await;
+    assert_one_bucket_a_zone(admitted, &left);
+}
