Agents: read the registry also while a single shard is not confirmed

A shard whose leader nobody hears, after failing disks or a cut between two control nodes, is told as stale within a second; until it has a leader nobody takes its services' backends off. Change: the agent reads while it is out of touch or any shard is not confirmed on its connection for half a second, at the pace that the registry bears, and drops what it read two seconds after everything is confirmed again. Test the_registry_is_read_while_one_shard_has_no_leader.

--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -18,7 +18,7 @@
 use crate::output::AgentOutput;
 use crate::proxy_link::ProxyLink;
 use crate::quota::QuotaDesk;
-use crate::registry::{RegistryOverlay, RegistryPace};
+use crate::registry::{Confirmation, RegistryOverlay, RegistryPace};
 use crate::session::Session;
 
 /// Key of the configuration's number in the public state of the configuration shard.
@@ -42,6 +42,7 @@
     /// First heartbeat that named the open session: answers to earlier ones say nothing about it.
     session_sequence: u64,
     registry_pace: RegistryPace,
+    confirmation: Confirmation,
     stopping: Option<Stopping>,
 }
 
@@ -72,6 +73,7 @@
             heartbeat_sequence: 0,
             session_sequence: 0,
             registry_pace: RegistryPace::new(&options.name, now),
+            confirmation: Confirmation::missing(now),
             stopping: None,
         }
     }
--- a/crates/agent/src/agent_core/proxy.rs
+++ b/crates/agent/src/agent_core/proxy.rs
@@ -117,7 +117,7 @@
         view: &RegistryView,
         out: &mut Vec<AgentOutput>,
     ) {
-        if self.link.out_of_touch_since().is_none() {
+        if self.confirmation.missing_for(now).is_none() {
             return;
         }
         self.registry_pace.succeeded(now);
--- a/crates/agent/src/agent_core/tick.rs
+++ b/crates/agent/src/agent_core/tick.rs
@@ -110,21 +110,23 @@
         self.send(frame::Body::Heartbeat(heartbeat), out);
     }
 
-    /// Out of touch with every control node the agent reads the registry itself; once control
-    /// has had time to read it again, what the agent read is dropped.
+    /// While control does not confirm every shard the agent reads the registry itself: it is out of touch, or
+    /// a shard has no leader that anybody hears, and nobody takes that shard's backends off. Once control
+    /// has had time to read the registry again, what the agent read is dropped.
     fn advance_registry(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
-        if let Some(since) = self.link.out_of_touch_since() {
+        let confirmed = self.in_touch() && self.feeds.complete_on_link();
+        self.confirmation.note(now, confirmed);
+        if let Some(lasting) = self.confirmation.missing_for(now) {
             // Without backends in its state an agent has nothing that a list could retire.
-            let lasting = now.since(since) >= REGISTRY_AFTER;
-            if lasting && self.registry_pace.is_due(now) && self.feeds.knows_backends() {
+            let is_due = lasting >= REGISTRY_AFTER && self.registry_pace.is_due(now);
+            if is_due && self.feeds.knows_backends() {
                 self.registry_pace.begin(now);
                 out.push(AgentOutput::ReadRegistry);
             }
             return;
         }
-        let in_touch = self.link.in_touch_since();
-        let settled = in_touch.is_some_and(|since| now.since(since) >= REGISTRY_KEPT);
-        if settled && self.feeds.complete_on_link() && !self.overlay.is_empty() {
+        let settled = self.confirmation.lasts_for(now) >= Some(REGISTRY_KEPT);
+        if settled && !self.overlay.is_empty() {
             let keys = self.overlay.clear();
             self.amend(&keys, out);
         }
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -250,6 +250,33 @@
     assert_eq!(fleet.proxy_backend(1, "backend/p/a"), Some(0));
 }
 
+#[test]
+fn the_registry_is_read_while_one_shard_has_no_leader() {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    fleet.run(3_000);
+    assert_eq!(fleet.registry_reads, 0);
+    for control in &mut fleet.controls {
+        control.stale_shards.insert(1);
+    }
+    let at = fleet.at();
+    fleet.control_sends(at, vec![ControlStandIn::stale(1)]);
+    fleet.run(2_000);
+    assert!(fleet.core.in_touch());
+    assert!(fleet.registry_reads >= 1);
+    let entries = vec![entry("a", BackendState::BackendDraining)];
+    fleet.give(AgentInput::Registry(RegistryView { entries }));
+    let draining = BackendState::BackendDraining as i32;
+    assert_eq!(fleet.proxy_backend(1, "backend/p/a"), Some(draining));
+    for control in &mut fleet.controls {
+        control.stale_shards.clear();
+    }
+    fleet.run(1_500);
+    // The new leader had no time to read the registry yet.
+    assert_eq!(fleet.proxy_backend(1, "backend/p/a"), Some(draining));
+    fleet.run(4_000);
+    assert_eq!(fleet.proxy_backend(1, "backend/p/a"), Some(0));
+}
+
 #[test]
 fn an_agent_that_knows_no_backend_does_not_read_the_registry() {
     let mut fleet = Fleet::new(&ADDRESSES);
--- a/crates/agent/tests/support/control_stand_in.rs
+++ b/crates/agent/tests/support/control_stand_in.rs
@@ -1,14 +1,14 @@
 //! Stand-in of a control node: the real feed publishers and quota ledgers, and simple answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millford_api::command::{
     ClaimResult, Command, CommandResult, OpenSessionResult, command, command_result,
 };
 use millford_api::config::Quota;
 use millford_api::internal::{
-    FeedMessage, Frame, Heartbeat, HeartbeatReply, QuotaRequest, ShardReply, ShardRequest, frame,
-    shard_reply, shard_request,
+    FeedMessage, FeedStale, Frame, Heartbeat, HeartbeatReply, QuotaRequest, ShardReply,
+    ShardRequest, feed_message, frame, shard_reply, shard_request,
 };
 use millford_api::state::{ControlMember, StateItem};
 use millford_control_state::quota::{QuotaLedger, QuotaOptions, QuotaOutput};
@@ -118,6 +118,8 @@
 pub struct ControlStandIn {
     pub address: String,
     pub silent: bool,
+    /// Shards whose leader the node does not hear.
+    pub stale_shards: BTreeSet<u32>,
     pub in_touch: bool,
     pub members: Vec<ControlMember>,
     pub publishers: BTreeMap<u32, FeedPublisher>,
@@ -134,6 +136,7 @@
         Self {
             address: address.to_owned(),
             silent: false,
+            stale_shards: BTreeSet::new(),
             in_touch: true,
             members: Vec::new(),
             publishers: publishers.collect(),
@@ -167,6 +170,9 @@
             frame::Body::Heartbeat(heartbeat) => vec![self.heartbeat(&heartbeat, shared)],
             frame::Body::Subscribe(subscribe) => {
                 self.subscriptions.push((subscribe.shard, subscribe.offset));
+                if self.stale_shards.contains(&subscribe.shard) {
+                    return vec![Self::stale(subscribe.shard)];
+                }
                 let publisher = self.publishers.get_mut(&subscribe.shard).expect("shard");
                 let messages: Vec<FeedMessage> = publisher.subscribe(SUBSCRIBER, &subscribe);
                 messages.into_iter().map(frame::Body::Feed).collect()
@@ -177,6 +183,14 @@
         }
     }
 
+    /// What a node says that cannot confirm a shard.
+    pub fn stale(shard: u32) -> frame::Body {
+        frame::Body::Feed(FeedMessage {
+            shard,
+            kind: Some(feed_message::Kind::Stale(FeedStale {})),
+        })
+    }
+
     fn heartbeat(&self, heartbeat: &Heartbeat, shared: &SharedShards) -> frame::Body {
         let known = shared.sessions.get(&heartbeat.member);
         frame::Body::HeartbeatReply(HeartbeatReply {
