--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chaos;
 pub mod checks;
 pub mod commands;
+pub mod days;
 pub mod demo;
 pub mod emulator;
 pub mod fleet;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use millford_lab::commands;
+use millford_lab::commands::days::DaysOptions;
 use millford_lab::fleet::FleetError;
 
 const USAGE: &str = "Usage: millford-lab COMMAND [options]
@@ -14,6 +15,7 @@
   bench        measurements: bench overhead
   scenarios    the whole fleet under simulated time, over many seeds
   experiment   routing and placement against what they replace
+  days         worth and ceiling of days played at the bench, from its entries
   explain      where worth was lost, from the decision records in logs
   scale        what a fleet of a given size costs, by hollow nodes
 
@@ -59,25 +61,41 @@
         "scenarios" => Some(millford_simulation::run(rest)),
         "experiment" => Some(millford_experiments::run(rest)),
         // The scale rig brings runtimes of its own, whose threads it tells apart.
+        "days" => Some(days(rest)),
         "explain" => Some(explain(rest)),
         "scale" => Some(millford_scale::run(rest)),
         _ => None,
     }
 }
 
+fn days(rest: &[String]) -> ExitCode {
+    let run = |options: &DaysOptions| commands::days::run(options).map(|table| print!("{table}"));
+    outcome("days", commands::days::parse(rest), run)
+}
+
 fn explain(rest: &[String]) -> ExitCode {
-    let options = match commands::explain::parse(rest) {
+    let options = commands::explain::parse(rest);
+    outcome("explain", options, commands::explain::run)
+}
+
+/// Runs a command whose line was read, and says what went wrong.
+fn outcome<O, E: std::fmt::Display>(
+    command: &str,
+    options: Result<Option<O>, String>,
+    run: impl Fn(&O) -> Result<(), E>,
+) -> ExitCode {
+    let options = match options {
         Ok(Some(options)) => options,
         Ok(None) => return ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("millford-lab explain: {fault}");
+            eprintln!("millford-lab {command}: {fault}");
             return ExitCode::from(USAGE_STATUS);
         }
     };
-    match commands::explain::run(&options) {
+    match run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("millford-lab explain: {error}");
+            eprintln!("millford-lab {command}: {error}");
             ExitCode::FAILURE
         }
     }
