Simulator: the checker of quotas takes out what an exact bucket admits near the limit too

Its bucket of arrivals did not take out calls that came with one to three tokens left, although an exact bucket admits them; so a tenant that had used its last tokens seemed to have two more, long after. An exact bucket had 1.46 and 1.16 tokens at those calls, within the two that lending may leave idle (the checker's own allowance, unchanged). Ruled out as the cause: requests given up in a queue (charged as an exact bucket charges them), returned admissions. Change: every call that the exact bucket has a token for is taken out of it; calls near the limit mark the tenant as before. The check now follows the exact bucket at every level; the planted refusals are still caught (planted_defects), and a test of the checker has tenants with tokens left, without, at their rate, and recovered.

--- a/crates/simulation/src/checkers/quota.rs
+++ b/crates/simulation/src/checkers/quota.rs
@@ -70,9 +70,12 @@
         self.arrived.advance(at);
         if self.arrived.level < 1.0 + NEAR_LIMIT {
             self.over_quota = Some(at);
-            return;
         }
-        self.arrived.level -= 1.0;
+        // Whatever an exact bucket would admit is taken out of it, also near the limit: else a tenant
+        // that uses its last tokens would seem to have them still.
+        if self.arrived.level >= 1.0 {
+            self.arrived.level -= 1.0;
+        }
     }
 
     fn conforms(&self, at: MonotonicTime) -> bool {
