Agent: calls of a proxy that is gone wait no longer

Cause of mix (calls refused although an exact bucket had 7 tokens), traced by the leader's account: a front machine's agent was stopped for 18 s while its proxy was killed and started. When it went on it asked the leader for the 27 calls of the dead proxy that waited in its queue; nine tokens were lent for nobody, and callers of other nodes were refused for the rest. Waiting calls were dropped only with the new proxy's first frame. Change: they are dropped with the connection of the proxy that asked, and with a new one.

--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -94,9 +94,13 @@
                     self.control_frame(now, *frame, &mut out);
                 }
             }
-            AgentInput::ProxyUp => self.proxy.reset(),
+            AgentInput::ProxyUp => {
+                self.proxy.reset();
+                self.quota.drop_waiting();
+            }
             AgentInput::ProxyDown => {
                 self.proxy.reset();
+                self.quota.drop_waiting();
                 self.claims.drop_all();
             }
             AgentInput::ProxyFrame(frame) => self.proxy_frame(now, *frame, &mut out),
--- a/crates/agent/src/quota/desk.rs
+++ b/crates/agent/src/quota/desk.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// The proxy that asked is gone: nobody waits for the answers, and tokens that are lent for them would be
+    /// missed by others. A proxy that comes back asks again.
+    pub fn drop_waiting(&mut self) {
+        self.slices.values_mut().for_each(TenantSlice::drop_waiting);
+    }
+
     /// A leader wants a tenant's idle slice back. A node that has not asked for the tenant within
     /// the last lease holds nothing and says nothing: recalls go to every node.
     pub fn recall(&mut self, recall: &QuotaRecall) {
--- a/crates/agent/src/quota/tenant_slice.rs
+++ b/crates/agent/src/quota/tenant_slice.rs
@@ -72,10 +72,15 @@
 
     /// A new connection of the proxy: its asks come again, and these streams are open.
     pub fn take_over(&mut self, streams: u32) {
-        self.waiters.clear();
+        self.drop_waiting();
         self.slots.take_over(streams);
     }
 
+    /// Nobody waits any longer.
+    pub fn drop_waiting(&mut self) {
+        self.waiters.clear();
+    }
+
     /// Tokens that may be spent now.
     #[must_use]
     pub fn tokens(&self, now: MonotonicTime) -> u32 {
--- a/crates/agent/tests/quota_and_claims.rs
+++ b/crates/agent/tests/quota_and_claims.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use millford_agent::AgentInput;
 use millford_api::command::{Claim, RunOutcome, SettleClaim};
 use millford_api::config::Quota;
 use millford_api::internal::{QuotaRecall, frame};
@@ -309,3 +310,32 @@
     recorded.dedup();
     assert_eq!(recorded.len(), 20);
 }
+
+/// Asks that wait in the queue of a stopped agent may be older than the proxy beside it.
+#[test]
+fn nothing_is_asked_for_calls_of_a_proxy_that_is_gone() {
+    let mut fleet = fleet_with(quota(10, 10, 0));
+    fleet.shared.lose_leaders();
+    for request_id in 1..=10 {
+        ask(&mut fleet, request_id, false, 5_000);
+    }
+    fleet.run(50);
+    fleet.give(AgentInput::ProxyDown);
+    let now = fleet.now;
+    fleet.shared.elect(now, 2);
+    fleet.run(3_000);
+    assert_eq!(fleet.core.counters().quota_granted, 0);
+    fleet.link_proxy();
+    for request_id in 11..=15 {
+        ask(&mut fleet, request_id, false, 500);
+    }
+    fleet.run(20);
+    let replies = replies(&mut fleet);
+    assert_eq!(replies.len(), 5);
+    assert!(
+        replies
+            .iter()
+            .all(|reply| reply.code == ResultCode::Ok.number()),
+        "{replies:?}"
+    );
+}
