Agent: a quota request that is sent again says what its calls have waited by now

Their requests were sent again unchanged, with the wait of the first sending (20 ms), so the leader credited 2 tokens for the outage in place of 13. Change: the wait grows by the request's age.

--- a/crates/agent/src/quota/request_book.rs
+++ b/crates/agent/src/quota/request_book.rs
@@ -17,6 +17,19 @@
     resend_at: MonotonicTime,
 }
 
+impl SentRequest {
+    /// The request as it reads when it is sent again.
+    fn aged(&self, now: MonotonicTime) -> QuotaRequest {
+        let age = now.since(self.sent_at).as_millis();
+        let age = u32::try_from(age).unwrap_or(u32::MAX);
+        let mut request = self.request.clone();
+        for ask in request.asks.iter_mut().filter(|ask| ask.waiting > 0) {
+            ask.oldest_wait_ms = ask.oldest_wait_ms.saturating_add(age);
+        }
+        request
+    }
+}
+
 /// Requests without an answer. They are sent again only with the same id, which the leader answers
 /// with the same grant: tokens given back in one are gone and must not be counted twice.
 #[derive(Clone, Debug, Default)]
@@ -62,13 +75,14 @@
         }
     }
 
-    /// Requests to send again now.
+    /// Requests to send again now, with what their calls have waited by now: a leader that hears of them
+    /// only now refuses nobody for what the rate gave meanwhile.
     pub fn due(&mut self, now: MonotonicTime) -> Vec<QuotaRequest> {
         let due = self.requests.values_mut();
         due.filter(|entry| entry.resend_at <= now)
             .map(|entry| {
                 entry.resend_at = now + QUOTA_RESEND;
-                entry.request.clone()
+                entry.aged(now)
             })
             .collect()
     }
