--- a/crates/replication/tests/outage_orders.rs
+++ b/crates/replication/tests/outage_orders.rs
@@ -70,12 +70,15 @@
 fn orders() -> Vec<Vec<Event>> {
     let mut orders = vec![Vec::new()];
     for _ in 0..EVENTS.len() {
-        orders = orders.iter().flat_map(longer_by_one).collect();
+        orders = orders
+            .iter()
+            .flat_map(|order| longer_by_one(order))
+            .collect();
     }
     orders
 }
 
-fn longer_by_one(order: &Vec<Event>) -> Vec<Vec<Event>> {
+fn longer_by_one(order: &[Event]) -> Vec<Vec<Event>> {
     let has = |event: Event| order.contains(&event);
     let may_follow = |event: &Event| match event {
         Event::Heal => has(Event::Cut),
@@ -84,7 +87,7 @@
     };
     let next = EVENTS.iter().filter(|event| !has(**event));
     let longer = next.filter(|event| may_follow(event)).map(|event| {
-        let mut longer = order.clone();
+        let mut longer = order.to_vec();
         longer.push(*event);
         longer
     });
