--- a/crates/lab/src/commands/days.rs
+++ b/crates/lab/src/commands/days.rs
@@ -4,6 +4,7 @@
 
 use getopts::Options;
 
+use super::file_arguments;
 use crate::days::{DayRow, DaysError, JournalEntry, day_row};
 
 const USAGE: &str = "Usage: millford-lab days [options] ENTRY...
@@ -26,23 +27,16 @@
 /// What is wrong with the command line.
 pub fn parse(arguments: &[String]) -> Result<Option<DaysOptions>, String> {
     let mut options = Options::new();
-    options.optflag("h", "help", "show this help");
     options.optopt(
         "",
         "below",
         "only days this far below their ceiling, or with a broken rule (0)",
         "WORTH",
     );
-    let matches = options
-        .parse(arguments)
-        .map_err(|error| error.to_string())?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
+    let matches = file_arguments::parse(options, USAGE, "entry", arguments)?;
+    let Some(matches) = matches else {
         return Ok(None);
-    }
-    if matches.free.is_empty() {
-        return Err("name at least one entry".to_owned());
-    }
+    };
     let below = matches.opt_get_default("below", 0.0);
     Ok(Some(DaysOptions {
         files: matches.free.iter().map(PathBuf::from).collect(),
--- a/crates/lab/src/commands/explain.rs
+++ b/crates/lab/src/commands/explain.rs
@@ -7,7 +7,7 @@
 use getopts::Options;
 use millford_decisions::{Account, DecisionRecord, DecisionsError, read_records};
 
-use super::loss_chart;
+use super::{file_arguments, loss_chart};
 
 /// Share of its worth that a late answer earns, where the command line does not say.
 const USUAL_LATE_SHARE: f64 = 0.3;
@@ -36,7 +36,6 @@
 /// What is wrong with the command line.
 pub fn parse(arguments: &[String]) -> Result<Option<ExplainOptions>, String> {
     let mut options = Options::new();
-    options.optflag("h", "help", "show this help");
     options.optopt(
         "",
         "late-share",
@@ -45,16 +44,10 @@
     );
     options.optopt("", "plot", "draw the losses over time as SVG", "FILE");
     options.optopt("", "from", "leave out what arrived earlier", "SECOND");
-    let matches = options
-        .parse(arguments)
-        .map_err(|error| error.to_string())?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
+    let matches = file_arguments::parse(options, USAGE, "log file", arguments)?;
+    let Some(matches) = matches else {
         return Ok(None);
-    }
-    if matches.free.is_empty() {
-        return Err("name at least one log file".to_owned());
-    }
+    };
     let late_share = matches.opt_get_default("late-share", USUAL_LATE_SHARE);
     let late_share = late_share.map_err(|_| "--late-share is no number".to_owned())?;
     if !(0.0..=1.0).contains(&late_share) {
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -3,5 +3,6 @@
 pub mod backend;
 pub mod days;
 pub mod explain;
+pub mod file_arguments;
 pub mod loss_chart;
 pub mod registry;
--- a/crates/replication/tests/group/machine.rs
+++ b/crates/replication/tests/group/machine.rs
@@ -1,6 +1,8 @@
 //! One machine: a disk, an identity, a replica while it runs, and the state it applied.
 
-use millford_api::replication::{LogEntry, VoterSet};
+use millford_api::replication::{
+    AppendReply, LogEntry, ReplicationMessage, VoterSet, replication_message::Body,
+};
 use millford_core::{MonotonicTime, NodeId, ShardId};
 use millford_replication::{Limits, OpenError, Ready, Replica, ReplicaOptions};
 use millford_storage::{ReplicaStorage, StorageError, StorageOptions};
@@ -8,7 +10,7 @@
 use super::history::{Digest, History, extend};
 use super::support::crash_disk::CrashDisk;
 
-pub const SHARD: ShardId = ShardId(3);
+const SHARD: ShardId = ShardId(3);
 /// Small, so that segments, chunks and windows end often.
 const STORAGE: StorageOptions = StorageOptions {
     segment_bytes: 600,
@@ -22,6 +24,17 @@
     promotion_lag: 2,
 };
 
+/// An answer to a leader, as one may wait while its process is stopped.
+pub fn waiting_reply(from: NodeId, to: NodeId, term: u64) -> ReplicationMessage {
+    ReplicationMessage {
+        shard: SHARD.0,
+        from: from.0,
+        to: to.0,
+        term,
+        body: Some(Body::AppendReply(AppendReply::default())),
+    }
+}
+
 /// A machine of the group.
 pub struct Machine {
     pub node: NodeId,
--- a/crates/replication/tests/outage_orders.rs
+++ b/crates/replication/tests/outage_orders.rs
@@ -6,10 +6,9 @@
 
 mod group;
 
-use group::machine::SHARD;
+use group::machine::waiting_reply;
 use group::network::Weather;
 use group::simulation::{Defect, Simulation};
-use millford_api::replication::{AppendReply, ReplicationMessage, replication_message::Body};
 use millford_core::{Duration, MonotonicTime, NodeId};
 
 /// The users' bound for the return of service.
@@ -173,14 +172,8 @@
         machine.frozen_until = MonotonicTime::ZERO;
         let replica = machine.replica.as_mut().expect("runs");
         if matches!(self.variant.first, First::Message) {
-            let waiting = ReplicationMessage {
-                shard: SHARD.0,
-                from: peer.0,
-                to: node.0,
-                term: replica.status().term,
-                body: Some(Body::AppendReply(AppendReply::default())),
-            };
-            replica.step(now, waiting);
+            let term = replica.status().term;
+            replica.step(now, waiting_reply(peer, node, term));
         }
         replica.forgive_stall(now, now.since(self.stopped_at));
         replica.tick(now);
--- a/crates/replication/tests/slow_elections.rs
+++ b/crates/replication/tests/slow_elections.rs
@@ -2,11 +2,10 @@
 
 mod group;
 
-use group::machine::SHARD;
+use group::machine::waiting_reply;
 use group::network::Weather;
 use group::simulation::{Defect, Simulation};
-use millford_api::replication::{AppendReply, ReplicationMessage, replication_message::Body};
-use millford_core::Duration;
+use millford_core::{Duration, NodeId};
 use millford_replication::Role;
 
 const SEEDS: u64 = 100;
@@ -54,14 +53,20 @@
     );
 }
 
+/// A group of three with a leader, and one of its followers.
+fn led_group(seed: u64) -> (Simulation, NodeId, NodeId) {
+    let mut simulation = Simulation::new(seed, 3, Weather::CALM, Defect::None);
+    simulation.run_for(SECOND * 3);
+    let leader = simulation.leaders()[0];
+    let mut nodes = simulation.machines.keys().copied();
+    let follower = nodes.find(|node| *node != leader).expect("three");
+    (simulation, leader, follower)
+}
+
 #[test]
 fn a_replica_that_ran_late_does_not_campaign_before_it_heard_its_queue() {
     for seed in 0..SEEDS {
-        let mut simulation = Simulation::new(seed, 3, Weather::CALM, Defect::None);
-        simulation.run_for(SECOND * 3);
-        let leader = simulation.leaders()[0];
-        let mut nodes = simulation.machines.keys().copied();
-        let follower = nodes.find(|node| *node != leader).expect("three");
+        let (mut simulation, leader, follower) = led_group(seed);
         let late = simulation.now + LATE;
         let replica = simulation.replica(follower).expect("runs");
         replica.forgive_stall(late, LATE);
@@ -78,21 +83,11 @@
 #[test]
 fn a_leader_that_was_stopped_and_steps_down_on_a_message_campaigns_in_time() {
     for seed in 0..SEEDS {
-        let mut simulation = Simulation::new(seed, 3, Weather::CALM, Defect::None);
-        simulation.run_for(SECOND * 3);
-        let leader = simulation.leaders()[0];
-        let mut nodes = simulation.machines.keys().copied();
-        let follower = nodes.find(|node| *node != leader).expect("three");
+        let (mut simulation, leader, follower) = led_group(seed);
         let late = simulation.now + STOPPED;
         let replica = simulation.replica(leader).expect("runs");
-        let waiting = ReplicationMessage {
-            shard: SHARD.0,
-            from: follower.0,
-            to: leader.0,
-            term: replica.status().term,
-            body: Some(Body::AppendReply(AppendReply::default())),
-        };
-        replica.step(late, waiting);
+        let term = replica.status().term;
+        replica.step(late, waiting_reply(follower, leader, term));
         assert_eq!(replica.status().role, Role::Follower, "seed {seed}");
         replica.forgive_stall(late, STOPPED);
         replica.tick(late);
