Control tests: ports that no outgoing connection takes

Traced: "127.0.0.1:45169: Address already in use". The test took a free port of the range that the system uses for outgoing connections and let it go before the daemon bound it; a dial of another daemon took it meanwhile. Now the ports lie below that range and none is given twice by a process.

--- a/crates/control/tests/support/daemons.rs
+++ b/crates/control/tests/support/daemons.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpListener;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use super::http::{self, Answer};
@@ -41,15 +42,30 @@
     nodes
 }
 
-/// Addresses on loopback that nobody listens on.
+/// Ports of one test process: below the range that the system takes for outgoing connections, which could take
+/// a port between its choice here and the daemon's start.
+const FIRST_PORT: u32 = 12_000;
+/// See [`FIRST_PORT`].
+const PORTS_OF_PROCESS: u32 = 32;
+/// Processes after which ports are used again. The laboratory takes its blocks above them.
+const PROCESSES: u32 = 90;
+
+/// Ports that this process has chosen so far.
+static CHOSEN: AtomicU32 = AtomicU32::new(0);
+
+/// Addresses on loopback that nobody listens on; none is given twice.
 pub fn free_addresses(count: usize) -> Vec<String> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr());
+    let first = FIRST_PORT + std::process::id() % PROCESSES * PORTS_OF_PROCESS;
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let number = CHOSEN.fetch_add(1, Ordering::Relaxed);
+        assert!(number < PORTS_OF_PROCESS, "this process needs more ports");
+        let address = format!("127.0.0.1:{}", first + number);
+        if TcpListener::bind(&address).is_ok() {
+            addresses.push(address);
+        }
+    }
     addresses
-        .map(|address| address.expect("an address").to_string())
-        .collect()
 }
 
 /// Waits for a condition, bounded.
