--- a/tools/landing.sh
+++ b/tools/landing.sh
@@ -40,8 +40,7 @@
         *) echo "line $number: unknown verb $verb"; exit 1 ;;
     esac
     echo "$(date +%T) $verb $first ${second:-}"
-    touch "$state/$name.begun"
-    if "$BENCH" "${arguments[@]}" --jobs "$jobs" --why "$why" >"$state/$name.out" 2>&1; then
+    if "$BENCH" "${arguments[@]}" --jobs "$jobs" --why "$why" </dev/null >"$state/$name.out" 2>&1; then
         touch "$state/$name.done"
     else
         failed=$((failed + 1))
