Review, case 3: a front machine that was out of touch never finds replaced control machines

The agent reads its seeds once, at its start, and ignores SIGHUP and changes of the settings file. If all control machines that it knows are replaced while it stands still, it serves by the old configuration for ever, although its settings file names the new ones. Found by reading; shown by a script.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in surplus keys; do
+for case in surplus keys seeds; do
     source=review/stand-ins/$case.rs
     rustc --edition 2024 -O -o "target/review/$case" "$source"
 done
