review: case 4, no key is checked once the last one is taken away

A configuration whose tenants hold no key any more turns the check of keys off: every request runs. Nothing is fixed.

--- /dev/null
+++ b/review/stand-in-2-cases.rs
@@ -0,0 +1,243 @@
+// The cases. Included by `stand-in-2.rs`.
+
+/// All keys of the only tenant are taken away, one after the other.
+fn no_keys(record: &Arc<Record>, trouble: bool) -> i32 {
+    let observed = Arc::new(Observed::default());
+    let list = Arc::new(List::default());
+    let services = vec!["skra".to_owned()];
+    for index in 1..=2 {
+        let runner = Runner::start("skra", &format!("i-skra-{index}"), &observed, record);
+        lock(&list.runners).push(runner);
+    }
+    let fleet = Fleet::start(&list);
+    fleet.put(record, 0, 3, &configuration(3, &services, &tenant(&[KEY_1, KEY_2])));
+    fleet.wait_ready();
+    sleep_ms(CONTACT_MS + CONFIG_APPLY_MS);
+    let mut number = 0;
+    let mut ask_with = |key: Option<&str>| {
+        number += 1;
+        let id = format!("q{number:04}");
+        (id.clone(), ask(&fleet, record, "/skra/1", &id, key))
+    };
+    // Before: the keys are checked.
+    for (key, wanted) in [(Some(KEY_1), 200), (Some(KEY_2), 200), (Some(KEY_NEVER), 401), (None, 401)] {
+        let (_, status) = ask_with(key);
+        if status != wanted {
+            record.say(&format!("before: key {key:?} got {status}, not {wanted}"));
+            return 2;
+        }
+    }
+    // Two keys are taken away, 1.5 s apart. Without the disruption, the same versions take none.
+    let left: [&[&str]; 2] = if trouble { [&[KEY_2], &[]] } else { [&[KEY_1, KEY_2], &[KEY_1, KEY_2]] };
+    fleet.put(record, 3, 5, &configuration(5, &services, &tenant(left[0])));
+    sleep_ms(1500);
+    fleet.put(record, 5, 8, &configuration(8, &services, &tenant(left[1])));
+    sleep_ms(CONTACT_MS + CONFIG_APPLY_MS);
+    record.line("from here on, every request is sent later than configApplyMs after the acknowledgement");
+    let mut forbidden = BTreeSet::new();
+    for _ in 0..20 {
+        for key in [Some(KEY_1), Some(KEY_2), Some(KEY_NEVER), None] {
+            let (id, status) = ask_with(key);
+            let known = !trouble && (key == Some(KEY_1) || key == Some(KEY_2));
+            if !known {
+                forbidden.insert(id);
+            } else if status != 200 {
+                record.say(&format!("a valid key got {status}"));
+                return 2;
+            }
+        }
+        sleep_ms(50);
+    }
+    let runs = lock(&observed.runs);
+    let ran: Vec<&Run> = runs.iter().filter(|run| forbidden.contains(&run.request_id)).collect();
+    for run in ran.iter().take(4) {
+        let at = run.at.duration_since(record.start).as_secs_f64();
+        record.say(&format!("{at:.3} {} ran {} with tenant {:?}", run.runner, run.request_id, run.tenant));
+    }
+    finish(record, ran.len(), "requests that ran without a key of the configuration in force")
+}
+
+/// A faulty runner sends surplus answers.
+fn surplus(record: &Arc<Record>, trouble: bool) -> i32 {
+    let observed = Arc::new(Observed::default());
+    let list = Arc::new(List::default());
+    let services = vec!["skra".to_owned()];
+    for index in 1..=4 {
+        let runner = Runner::start("skra", &format!("i-skra-{index}"), &observed, record);
+        lock(&list.runners).push(runner);
+    }
+    let fleet = Fleet::start(&list);
+    fleet.put(record, 0, 3, &configuration(3, &services, &tenant(&[KEY_1])));
+    fleet.wait_ready();
+    sleep_ms(CONTACT_MS);
+    if trouble {
+        // Two of four runners; 3 of 100 answers.
+        for runner in lock(&list.runners).iter().take(2) {
+            runner.surplus_every.store(34, Ordering::SeqCst);
+        }
+    }
+    let fleet = Arc::new(fleet);
+    // Eight clients ask one thing after the other for twenty seconds.
+    let clients: Vec<_> = (0..8)
+        .map(|client| {
+            let (fleet, record) = (fleet.clone(), record.clone());
+            thread::spawn(move || {
+                let until = Instant::now() + Duration::from_secs(20);
+                let mut number = 0;
+                while Instant::now() < until {
+                    number += 1;
+                    ask(&fleet, &record, "/skra/1", &format!("c{client}-{number:04}"), Some(KEY_1));
+                    sleep_ms(120);
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        let _ = client.join();
+    }
+    sleep_ms(500);
+    let mut runs_by_id: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for run in lock(&observed.runs).iter() {
+        runs_by_id.entry(run.request_id.clone()).or_default().push(run.runner.clone());
+    }
+    record.say(&format!(
+        "{} requests ran; {} surplus answers were sent",
+        runs_by_id.len(),
+        observed.surplus.load(Ordering::SeqCst)
+    ));
+    if trouble && observed.surplus.load(Ordering::SeqCst) == 0 {
+        return 2;
+    }
+    let twice: Vec<_> = runs_by_id.iter().filter(|(_, runners)| runners.len() > 1).collect();
+    for (id, runners) in twice.iter().take(5) {
+        record.say(&format!("{id} ran on {}", runners.join(" and on ")));
+    }
+    finish(record, twice.len(), "unsafe requests that ran more than once")
+}
+
+/// A machine of the core that once read the list of runners leads again later, with the old list.
+///
+/// The leaderships of shards move back by themselves, fifteen to twenty seconds after the last
+/// change; the disruption is long over by then. Which machine gets them depends on the elections, so
+/// machines freeze one after the other until one that has read the list is about to get one.
+fn stale_list(record: &Arc<Record>, trouble: bool) -> i32 {
+    const SERVICES: [&str; 6] = ["skra", "korta", "mynd", "safn", "blad", "saga"];
+    const FREEZE_MS: u64 = 2000;
+    const MOST_FREEZES: usize = 16;
+    let observed = Arc::new(Observed::default());
+    let list = Arc::new(List::default());
+    let services: Vec<String> = SERVICES.iter().map(|name| (*name).to_owned()).collect();
+    let start = |service: &str, index: u32| {
+        let runner = Runner::start(service, &format!("i-{service}-{index}"), &observed, record);
+        lock(&list.runners).push(runner.clone());
+        runner
+    };
+    let leaving: Vec<Arc<Runner>> = services.iter().map(|service| start(service, 1)).collect();
+    for service in &services {
+        start(service, 2);
+    }
+    let fleet = Arc::new(Fleet::start(&list));
+    fleet.put(record, 0, 3, &configuration(3, &services, &tenant(&[KEY_1])));
+    fleet.wait_ready();
+    sleep_ms(2000);
+    let running = Arc::new(AtomicBool::new(true));
+    let clients: Vec<_> = (0..6)
+        .map(|client: usize| {
+            let (fleet, record, running) = (fleet.clone(), record.clone(), running.clone());
+            let path = format!("/{}/1", services[client]);
+            thread::spawn(move || {
+                let mut number = 0;
+                while running.load(Ordering::SeqCst) {
+                    number += 1;
+                    ask(&fleet, &record, &path, &format!("c{client}-{number:04}"), Some(KEY_1));
+                    sleep_ms(20);
+                }
+            })
+        })
+        .collect();
+    let mut freezes = 0;
+    if trouble {
+        loop {
+            let leaders = fleet.leaders();
+            record.say(&format!("leaders of the shards: {leaders:?}"));
+            if old_reader_is_next(&leaders, &list, &fleet) {
+                break;
+            }
+            if freezes == MOST_FREEZES {
+                record.say("no machine that has read the list is about to lead again");
+                return 2;
+            }
+            freezes += 1;
+            let machine = machine_to_freeze(&leaders);
+            record.say(&format!("{} freezes for {FREEZE_MS} ms", fleet.core_names[machine]));
+            fleet.cores[machine].signal(SIGNAL_STOP);
+            sleep_ms(FREEZE_MS);
+            fleet.cores[machine].signal(SIGNAL_CONTINUE);
+            record.say("it wakes again");
+            sleep_ms(1500);
+        }
+    }
+    // Half of the runners of each service are replaced. A new one starts first, the old one drains
+    // and serves on for many seconds.
+    sleep_ms(5_000);
+    for service in &services {
+        start(service, 3);
+    }
+    record.say("new runners stand in the list");
+    sleep_ms(1000);
+    for runner in &leaving {
+        *lock(&runner.draining_since) = Some(Instant::now());
+    }
+    let drained_at = Instant::now();
+    record.say("the list shows the old runners as draining");
+    sleep_ms(13_500);
+    running.store(false, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    record.say(&format!("leaders of the shards: {:?}; {freezes} freezes", fleet.leaders()));
+    for (name, core) in fleet.core_names.iter().zip(&fleet.cores) {
+        for line in core.log_text().lines().filter(|line| line.contains(" leads shard ")) {
+            record.line(&format!("log of {name}: {line}"));
+        }
+    }
+    let runs = lock(&observed.runs).clone();
+    let draining = |run: &&Run| run.draining_since.is_some();
+    let age = |run: &Run| run.draining_since.map_or(0, |since| run.at.duration_since(since).as_millis());
+    let early = runs.iter().filter(draining).filter(|run| age(run) <= u128::from(DRAIN_MS));
+    record.say(&format!(
+        "{} requests in all; {} reached draining runners within drainMs, the last one {} ms after the list showed it",
+        runs.len(),
+        early.clone().count(),
+        early.map(age).max().unwrap_or(0),
+    ));
+    let late: Vec<&Run> = runs
+        .iter()
+        .filter(draining)
+        .filter(|run| run.at > drained_at && age(run) > u128::from(DRAIN_MS))
+        .collect();
+    for run in late.iter().take(6) {
+        record.say(&format!("{} ran {} {} ms after the list showed it as draining", run.runner, run.request_id, age(run)));
+    }
+    finish(record, late.len(), "requests that reached a draining runner later than drainMs")
+}
+
+/// The machine whose freeze most likely brings the leaderships into the wanted order.
+fn machine_to_freeze(leaders: &BTreeMap<u32, usize>) -> usize {
+    let leader = |shard: u32| leaders.get(&shard).copied().unwrap_or(0);
+    let leads_runners = leader(0) == leader(1) || leader(0) == leader(2);
+    if leader(1) != leader(2) && leads_runners { leader(0) } else { leader(1) }
+}
+
+/// Whether one machine leads both shards of runners, another one the shard of the configuration, and
+/// the third has read the list before. The third then gets a shard of runners.
+fn old_reader_is_next(leaders: &BTreeMap<u32, usize>, list: &List, fleet: &Fleet) -> bool {
+    let (Some(&zero), Some(&one), Some(&two)) = (leaders.get(&0), leaders.get(&1), leaders.get(&2)) else {
+        return false;
+    };
+    if one != two || zero == one {
+        return false;
+    }
+    let third = 3 - zero - one;
+    lock(&list.reads).contains_key(&fleet.core_names[third])
+}
