--- a/review/stand-in-2-cases.rs
+++ b/review/stand-in-2-cases.rs
@@ -121,7 +121,11 @@
 /// change; the disruption is long over by then. Which machine gets them depends on the elections, so
 /// machines freeze one after the other until one that has read the list is about to get one.
 fn stale_list(record: &Arc<Record>, trouble: bool) -> i32 {
-    const SERVICES: [&str; 6] = ["skra", "korta", "mynd", "safn", "blad", "saga"];
+    const SERVICES: [&str; 12] = [
+        "skra", "korta", "mynd", "safn", "blad", "saga", "bref", "kvaedi", "leikur", "ljod", "rit", "tal",
+    ];
+    const CLIENTS_PER_SERVICE: usize = 12;
+    const WORK_MS: u64 = 1000;
     const FREEZE_MS: u64 = 2000;
     const MOST_FREEZES: usize = 16;
     let observed = Arc::new(Observed::default());
@@ -129,6 +133,7 @@
     let services: Vec<String> = SERVICES.iter().map(|name| (*name).to_owned()).collect();
     let start = |service: &str, index: u32| {
         let runner = Runner::start(service, &format!("i-{service}-{index}"), &observed, record);
+        runner.work_ms.store(WORK_MS, Ordering::SeqCst);
         lock(&list.runners).push(runner.clone());
         runner
     };
@@ -141,11 +146,13 @@
     fleet.wait_ready();
     sleep_ms(2000);
     let running = Arc::new(AtomicBool::new(true));
-    let clients: Vec<_> = (0..6)
+    let clients: Vec<_> = (0..SERVICES.len() * CLIENTS_PER_SERVICE)
         .map(|client: usize| {
             let (fleet, record, running) = (fleet.clone(), record.clone(), running.clone());
-            let path = format!("/{}/1", services[client]);
+            let path = format!("/{}/1", services[client % SERVICES.len()]);
             thread::spawn(move || {
+                // Spreads the clients over the time that a request takes.
+                sleep_ms(WORK_MS * client as u64 / (SERVICES.len() * CLIENTS_PER_SERVICE) as u64);
                 let mut number = 0;
                 while running.load(Ordering::SeqCst) {
                     number += 1;
@@ -190,7 +197,14 @@
     }
     let drained_at = Instant::now();
     record.say("the list shows the old runners as draining");
-    sleep_ms(13_500);
+    // One after the other ends, 5.5 to 13.2 s after the list showed it as draining.
+    for (index, runner) in (0_u64..).zip(&leaving) {
+        let ends_at = drained_at + Duration::from_millis(5500 + 700 * index);
+        thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+        runner.end();
+        record.line(&format!("{} ends", runner.id));
+    }
+    sleep_ms(300);
     running.store(false, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
@@ -219,6 +233,8 @@
     for run in late.iter().take(6) {
         record.say(&format!("{} ran {} {} ms after the list showed it as draining", run.runner, run.request_id, age(run)));
     }
+    let lost = observed.lost.load(Ordering::SeqCst);
+    record.say(&format!("accepted requests that were lost because their runner ended: {lost}"));
     finish(record, late.len(), "requests that reached a draining runner later than drainMs")
 }
 
--- a/review/stand-in-2.rs
+++ b/review/stand-in-2.rs
@@ -24,6 +24,8 @@
 const CONFIG_APPLY_MS: u64 = 2000;
 const DRAIN_MS: u64 = 3000;
 const MAX_LAG_MS: u64 = 800;
+/// Deadline of a client, and the timeout of every route (as captionbatch).
+const BUDGET_MS: u64 = 4000;
 /// Zone of every machine.
 const ZONE: &str = "grandi";
 const SIGNAL_KILL: i32 = 9;
@@ -192,6 +194,11 @@
     draining_since: Mutex<Option<Instant>>,
     /// Whether the list shows the runner.
     listed: AtomicBool,
+    /// How long a request takes, in milliseconds.
+    work_ms: AtomicU64,
+    /// Open connections, which break when the runner ends.
+    open: Mutex<Vec<TcpStream>>,
+    ended: AtomicBool,
     /// One answer of this many is followed by a surplus answer; 0 for none.
     surplus_every: AtomicU64,
     answers: AtomicU64,
@@ -202,6 +209,8 @@
 struct Observed {
     runs: Mutex<Vec<Run>>,
     surplus: AtomicU64,
+    /// Requests that were running on a runner when it ended.
+    lost: AtomicU64,
 }
 
 impl Runner {
@@ -215,12 +224,21 @@
             address,
             draining_since: Mutex::new(None),
             listed: AtomicBool::new(true),
+            work_ms: AtomicU64::new(20),
+            open: Mutex::default(),
+            ended: AtomicBool::new(false),
             surplus_every: AtomicU64::new(0),
             answers: AtomicU64::new(0),
         });
         let (accepting, observed, record) = (runner.clone(), observed.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(open) = stream.try_clone() {
+                    lock(&accepting.open).push(open);
+                }
                 let (runner, observed, record) = (accepting.clone(), observed.clone(), record.clone());
                 thread::spawn(move || runner.serve(stream, &observed, &record));
             }
@@ -228,6 +246,17 @@
         runner
     }
 
+    /// Ends the runner: it leaves the list, its port refuses, and its connections break.
+    fn end(&self) {
+        self.listed.store(false, Ordering::SeqCst);
+        self.ended.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        let _ = TcpStream::connect(self.address);
+        for stream in lock(&self.open).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Serves one request after the other on a connection.
     fn serve(&self, mut stream: TcpStream, observed: &Observed, record: &Record) {
         let _ = stream.set_nodelay(true);
@@ -272,7 +301,12 @@
                 at: Instant::now(),
                 draining_since,
             });
-            sleep_ms(20);
+            sleep_ms(self.work_ms.load(Ordering::SeqCst));
+            if self.ended.load(Ordering::SeqCst) {
+                record.line(&format!("{} has ended, and {id} with it", self.id));
+                observed.lost.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
             let stamp = format!("Response-Stamp: {}.{id}", self.id);
             let leaving = if draining_since.is_some() { "Connection: close" } else { "Keep-Alive: timeout=10" };
             let text = answer_text(200, "OK", &id, &[&stamp, leaving], "done");
@@ -615,14 +649,14 @@
     let mut headers = vec![
         ("Host", "shop.example".to_owned()),
         ("Request-Id", id.to_owned()),
-        ("Time-Budget-Ms", "2000".to_owned()),
+        ("Time-Budget-Ms", BUDGET_MS.to_string()),
         ("Connection", "close".to_owned()),
     ];
     if let Some(key) = key {
         headers.push(("Authorization", format!("Token {key}")));
     }
     let text = request_text("POST", path, &headers, "some text");
-    let answer = call(fleet.front, &text, Duration::from_millis(2500));
+    let answer = call(fleet.front, &text, Duration::from_millis(BUDGET_MS + 500));
     let status = answer.as_ref().map_or(0, Message::status);
     let stamp = answer.as_ref().and_then(|answer| answer.header("response-stamp"));
     record.line(&format!(
@@ -639,7 +673,7 @@
         .iter()
         .map(|service| {
             format!(
-                r#"{{"name":"r-{service}","host":"shop.example","pathPrefix":"/{service}/","routeType":"unsafe","timeoutMs":2000,"targetMs":150,"priority":0,"service":"{service}","maxAttempts":1,"public":false,"sticky":false,"resumable":false}}"#
+                r#"{{"name":"r-{service}","host":"shop.example","pathPrefix":"/{service}/","routeType":"unsafe","timeoutMs":{BUDGET_MS},"targetMs":150,"priority":0,"service":"{service}","maxAttempts":1,"public":false,"sticky":false,"resumable":false}}"#
             )
         })
         .collect();
