--- a/review/stand-in-2-cases.rs
+++ b/review/stand-in-2-cases.rs
@@ -200,3 +200,39 @@
     let third = 3 - zero - one;
     lock(&list.reads).contains_key(&fleet.core_names[third])
 }
+
+/// One machine of the core is lost for good right after the first start of the whole system.
+fn first_start(record: &Arc<Record>, trouble: bool) -> i32 {
+    let observed = Arc::new(Observed::default());
+    let list = Arc::new(List::default());
+    let services = vec!["skra".to_owned()];
+    for index in 1..=2 {
+        let runner = Runner::start("skra", &format!("i-skra-{index}"), &observed, record);
+        lock(&list.runners).push(runner);
+    }
+    let fleet = Fleet::start_with(&list, |fleet| {
+        if trouble {
+            record.say("core-1 is killed and does not come back");
+            fleet.cores[0].signal(SIGNAL_KILL);
+        }
+    });
+    // For 60 s, the operator sends the first configuration, and clients ask once a second.
+    let until = Instant::now() + Duration::from_secs(60);
+    let first = configuration(3, &services, &tenant(&[KEY_1]));
+    let mut acknowledged = false;
+    let (mut asked, mut served) = (0, 0);
+    while Instant::now() < until && served < 5 {
+        acknowledged = acknowledged || fleet.try_put(record, 0, 3, &first, 1);
+        asked += 1;
+        served += u32::from(ask(&fleet, record, "/skra/1", &format!("q{asked:04}"), Some(KEY_1)) == 200);
+        sleep_ms(500);
+    }
+    let at = record.start.elapsed().as_secs();
+    record.say(&format!("{at} s after the start: acknowledged: {acknowledged}; {served} of {asked} requests served"));
+    for (name, core) in fleet.core_names.iter().zip(&fleet.cores) {
+        for line in core.log_text().lines() {
+            record.line(&format!("log of {name}: {line}"));
+        }
+    }
+    finish(record, usize::from(!acknowledged || served == 0), "systems that never served")
+}
--- a/review/stand-in-2.rs
+++ b/review/stand-in-2.rs
@@ -464,6 +464,12 @@
 
 impl Fleet {
     fn start(list: &Arc<List>) -> Self {
+        Self::start_with(list, |_| ())
+    }
+
+    /// As `start`. `after_first` is called 140 ms after the start of the first machine, before the
+    /// others start.
+    fn start_with(list: &Arc<List>, after_first: impl Fn(&mut Self)) -> Self {
         let folder = std::env::temp_dir().join(format!("millford-review-2-{}", std::process::id()));
         let _ = fs::create_dir_all(&folder);
         let first = free_ports();
@@ -478,10 +484,13 @@
             list: list.clone(),
             first_port: first,
         };
-        for _ in 0..FIRST_CORES {
+        for machine in 0..FIRST_CORES {
             fleet.add_core(true);
             // The machines start within 0.3 s of each other.
             sleep_ms(140);
+            if machine == 0 {
+                after_first(&mut fleet);
+            }
         }
         fleet.start_front(true);
         fleet
@@ -761,6 +770,7 @@
     let record = Record::create(Path::new(folder));
     let trouble = trouble != "0";
     let status = match case.as_str() {
+        "first-start" => first_start(&record, trouble),
         "planned" => planned(&record, trouble),
         "stale-list" => stale_list(&record, trouble),
         _ => cannot_run("unknown case"),
