Proxies and agents say which configuration and control node they follow

Cause: the logs of the incident cannot tell a proxy that serves on without its agent from one whose agent is not connected, or whose control node stands still; the gauge of the agent stayed at 1 after the agent had gone.

--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -116,6 +116,12 @@
         self.link.has_quorum_contact()
     }
 
+    /// Returns the address of the control node that the agent is linked to, if any.
+    #[must_use]
+    pub fn control_address(&self) -> Option<&str> {
+        self.link.connected_address()
+    }
+
     /// Returns whether every shard's state has been confirmed at least once since the agent
     /// started.
     #[must_use]
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -97,7 +97,7 @@
         }
         let after = AgentReport::of(&self.core);
         if before != after {
-            log_changes(&before, &after);
+            log_changes(&before, &after, self.core.control_address());
             self.components.report.set(after);
         }
     }
@@ -180,10 +180,13 @@
     }
 }
 
-fn log_changes(before: &AgentReport, after: &AgentReport) {
+fn log_changes(before: &AgentReport, after: &AgentReport, control_address: Option<&str>) {
     if before.connected != after.connected {
         if after.connected {
-            LINK_LOG.info("Connected to the control plane.");
+            let address = control_address.unwrap_or("unknown");
+            LINK_LOG.info(format_args!(
+                "Connected to the control plane through {address}."
+            ));
         } else {
             LINK_LOG.warn("Disconnected from the control plane.");
         }
--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -98,6 +98,15 @@
         self.connected_link() == Some(link)
     }
 
+    /// Returns the address of the control node, if a connection is established.
+    #[must_use]
+    pub fn connected_address(&self) -> Option<&str> {
+        match &self.state {
+            ConnectionState::Connected { address, .. } => Some(address),
+            _ => None,
+        }
+    }
+
     /// Returns whether the control node last reported contact with the quorum of the configuration
     /// shard.
     #[must_use]
--- a/crates/data-plane/src/agent_link/task.rs
+++ b/crates/data-plane/src/agent_link/task.rs
@@ -59,7 +59,10 @@
                     backoff.reset();
                     failure_logged = false;
                     let error = self.serve(reader, writer).await;
-                    LOG.warn(format!("Lost the connection to the agent: {error}."));
+                    let revision = self.handler.agent_lost();
+                    LOG.warn(format!(
+                        "Lost the connection to the agent: {error}. Configuration revision {revision} stays applied."
+                    ));
                 }
                 Err(error) if !failure_logged => {
                     LOG.warn(format!("Cannot connect to the agent, retrying: {error}."));
--- a/crates/data-plane/src/frame_handler.rs
+++ b/crates/data-plane/src/frame_handler.rs
@@ -124,6 +124,13 @@
         }
     }
 
+    /// Records that the connection to the agent is lost. Returns the configuration revision that stays applied until
+    /// the next connection.
+    pub fn agent_lost(&self) -> u64 {
+        self.state.metrics.agent_connected.set(0);
+        self.applied_revision
+    }
+
     fn apply_status(&mut self, status: AgentStatus) {
         self.is_complete |= status.complete;
         self.state
--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -114,7 +114,10 @@
     connections: &CallerConnections,
     longest: Duration,
 ) {
-    LOG.info("Draining: the node is no longer ready.");
+    LOG.info(format!(
+        "Draining: the node is no longer ready; configuration revision {} is applied.",
+        node.state.table().revision()
+    ));
     let begun = monotonic_now();
     node.drain(begun, longest);
     tokio::time::sleep(IDLE_CLOSE_DELAY.min(longest)).await;
@@ -128,7 +131,8 @@
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     LOG.info(format!(
-        "Draining has ended with {} open connections.",
-        connections.open()
+        "Draining has ended with {} open connections; configuration revision {} is applied.",
+        connections.open(),
+        node.state.table().revision()
     ));
 }
