An agent that is told to end serves its draining proxy until the proxy has ended

Cause: SIGTERM goes to both processes of a proxy node. The agent closed its session and exited within milliseconds; the proxy served on for up to 7.5 s with the last table that it had. The order of shutdown was nowhere stated. Change: a proxy that drains tells its agent (LocalFrame.draining, also on a new connection). An agent that was told to end goes on as before, with session and feeds, until its draining proxy has disconnected, at most drain_timeout_ms; if the proxy does not report within 1 s that it drains, only the agent is being replaced, and it ends. Both data planes. The regression test failed before and passes.

--- a/crates/agent/src/agent_core/control.rs
+++ b/crates/agent/src/agent_core/control.rs
@@ -12,6 +12,7 @@
 use crate::feeds::FeedEvent;
 use crate::input::ControlLinkId;
 use crate::output::AgentOutput;
+use crate::shutdown::Shutdown;
 
 impl AgentCore {
     pub(super) fn link_up(
@@ -165,7 +166,9 @@
     }
 
     fn is_close_reply(&self, reply: &ShardReply) -> bool {
-        let shutdown = self.shutdown;
-        shutdown.is_some_and(|shutdown| shutdown.request_id == reply.request_id)
+        matches!(
+            self.shutdown,
+            Some(Shutdown::ClosingSession { request_id, .. }) if request_id == reply.request_id
+        )
     }
 }
--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -11,7 +11,7 @@
 use millford_api::internal::{Frame, frame};
 use millford_api::local::{LocalFrame, local_frame};
 use millford_api::state::{StateValue, state_value};
-use millford_core::{MonotonicTime, ShardId};
+use millford_core::{Duration, MonotonicTime, ShardId};
 
 use crate::claims::{ClaimClient, ClaimResolver};
 use crate::counters::AgentCounters;
@@ -25,6 +25,7 @@
 use crate::quota::QuotaClient;
 use crate::registry::RegistryFallback;
 use crate::session::Session;
+use crate::shutdown::Shutdown;
 
 /// Key of the current configuration revision in the public state of the configuration shard.
 const CONFIG_HEAD_KEY: &str = "config/head";
@@ -47,13 +48,8 @@
     last_request_id: u64,
     /// Set once the process is shutting down.
     shutdown: Option<Shutdown>,
-}
-
-/// Pending request to close the session before the process exits.
-#[derive(Clone, Copy, Debug)]
-struct Shutdown {
-    request_id: u64,
-    deadline: MonotonicTime,
+    /// Longest time after the termination signal for which a draining proxy is served.
+    drain_timeout: Duration,
 }
 
 impl AgentCore {
@@ -75,6 +71,7 @@
             counters: AgentCounters::default(),
             last_request_id: 0,
             shutdown: None,
+            drain_timeout: options.drain_timeout,
         }
     }
 
@@ -103,7 +100,7 @@
             AgentInput::Registry(view) => self.registry_view(now, &view, &mut out),
             AgentInput::RegistryFailed => self.registry.record_failure(now),
             AgentInput::Tick => {}
-            AgentInput::Stop => self.shut_down(now, &mut out),
+            AgentInput::Stop => self.begin_shutdown(now),
         }
         self.advance(now, &mut out);
         out
--- a/crates/agent/src/agent_core/proxy.rs
+++ b/crates/agent/src/agent_core/proxy.rs
@@ -28,6 +28,7 @@
             Some(local_frame::Body::Applied(applied)) => {
                 self.proxy.record_applied(applied.revision);
             }
+            Some(local_frame::Body::Draining(_)) => self.proxy.record_draining(),
             Some(local_frame::Body::QuotaRequest(request)) => {
                 self.quota_request(now, &request, out);
             }
--- a/crates/agent/src/agent_core/tick.rs
+++ b/crates/agent/src/agent_core/tick.rs
@@ -5,10 +5,11 @@
 use millford_core::{MonotonicTime, ShardLayout};
 
 use super::proxy::send_quota_replies;
-use super::{AgentCore, Shutdown, send_proxy};
+use super::{AgentCore, send_proxy};
 use crate::link::LinkAction;
 use crate::output::AgentOutput;
 use crate::registry::FallbackAction;
+use crate::shutdown::{ProxyPhase, Shutdown};
 use crate::timing::{MAX_TICK_INTERVAL, MIN_TICK_INTERVAL, SHUTDOWN_TIMEOUT};
 
 impl AgentCore {
@@ -81,7 +82,7 @@
         let Some(layout) = self.feeds.layout() else {
             return;
         };
-        if self.shutdown.is_some() {
+        if matches!(self.shutdown, Some(Shutdown::ClosingSession { .. })) {
             return;
         }
         let last_id = &mut self.last_request_id;
@@ -140,13 +141,44 @@
         out.extend(frame.map(|frame| AgentOutput::SendProxy(Box::new(frame))));
     }
 
-    /// Starts the shutdown: requests that the session be closed, or stops immediately if no session
-    /// is open or no control node is connected.
-    pub(super) fn shut_down(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
+    /// Starts the shutdown. The proxy is served until it no longer needs the agent: a draining proxy still has to apply
+    /// every configuration and to withdraw from draining backends.
+    pub(super) fn begin_shutdown(&mut self, now: MonotonicTime) {
+        self.shutdown
+            .get_or_insert(Shutdown::ServingProxy { since: now });
+    }
+
+    fn advance_shutdown(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
+        match self.shutdown {
+            Some(Shutdown::ClosingSession { deadline, .. }) if deadline <= now => {
+                out.push(AgentOutput::Stopped);
+            }
+            Some(shutdown)
+                if shutdown.must_close_session(now, self.proxy_phase(), self.drain_timeout) =>
+            {
+                self.close_session(now, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn proxy_phase(&self) -> ProxyPhase {
+        if !self.proxy.handshake_done() {
+            ProxyPhase::Gone
+        } else if self.proxy.is_draining() {
+            ProxyPhase::Draining
+        } else {
+            ProxyPhase::Serving
+        }
+    }
+
+    /// Requests that the session be closed, or stops immediately if no session is open or no control node is
+    /// connected.
+    fn close_session(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
         let request_id = self.next_request_id();
         let layout = self.feeds.layout();
         let close = layout.and_then(|layout| self.session.close(layout, request_id));
-        self.shutdown = Some(Shutdown {
+        self.shutdown = Some(Shutdown::ClosingSession {
             request_id,
             deadline: now + SHUTDOWN_TIMEOUT,
         });
@@ -157,11 +189,4 @@
             _ => out.push(AgentOutput::Stopped),
         }
     }
-
-    fn advance_shutdown(&mut self, now: MonotonicTime, out: &mut Vec<AgentOutput>) {
-        let shutdown = self.shutdown;
-        if shutdown.is_some_and(|shutdown| shutdown.deadline <= now) {
-            out.push(AgentOutput::Stopped);
-        }
-    }
 }
--- a/crates/agent/src/daemon/agent_settings.rs
+++ b/crates/agent/src/daemon/agent_settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 /// Settings from the settings file and the command line.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AgentSettings {
     /// Name of the node, unique in the fleet.
@@ -27,12 +27,33 @@
     pub registry_address: String,
     /// Folder in which the list of control nodes is saved across restarts; empty to save nothing.
     pub data_folder: String,
+    /// Longest time after the termination signal for which a draining proxy is served, in milliseconds. It must cover
+    /// the drain time of the proxy.
+    pub drain_timeout_ms: u64,
     /// Lowest severity that is logged.
     pub log_level: String,
     /// Output format of the log.
     pub log_format: LogFormat,
 }
 
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            zone: String::new(),
+            local_address: String::new(),
+            http_address: String::new(),
+            exchange_address: String::new(),
+            seeds: Vec::new(),
+            registry_address: String::new(),
+            data_folder: String::new(),
+            drain_timeout_ms: 35_000,
+            log_level: String::new(),
+            log_format: LogFormat::default(),
+        }
+    }
+}
+
 impl Settings for AgentSettings {
     const KEYS: &'static [SettingsKey] = &[
         SettingsKey::text("name", "name of this node, unique in the fleet"),
@@ -61,6 +82,10 @@
             "data_folder",
             "folder in which the list of control nodes is saved across restarts",
         ),
+        SettingsKey::number(
+            "drain_timeout_ms",
+            "longest time for which a draining proxy is served after SIGTERM",
+        ),
         SettingsKey::LOG_LEVEL,
         SettingsKey::LOG_FORMAT,
     ];
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -70,7 +70,8 @@
         }
     }
 
-    /// Runs until the agent has been stopped and its session is closed or closing it timed out.
+    /// Runs until the agent has been stopped, its proxy no longer needs it, and its session is closed or closing it
+    /// timed out.
     ///
     /// State events take priority over traffic, so that the draining of a backend is never delayed
     /// by requests.
--- a/crates/agent/src/daemon/run.rs
+++ b/crates/agent/src/daemon/run.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use millford_core::Duration;
 use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::{self, LogOptions};
 use millford_settings::{DaemonCommand, PartLog};
@@ -122,7 +123,7 @@
     tokio::spawn(http_server::serve(http, report, meter));
     stop_on_signal(queues)?;
     println!("millford-agent ready local={local_address} http={http_address}");
-    // The driver ends when the session is closed or closing it timed out.
+    // The driver ends when the proxy no longer needs the agent and the session is closed or closing it timed out.
     let ended = driver.await;
     LOG.info("Stopped.");
     Ok(ended?)
@@ -170,6 +171,7 @@
         control_addresses: saved_addresses
             .chain(settings.seeds.iter().cloned())
             .collect(),
+        drain_timeout: Duration::from_millis(settings.drain_timeout_ms),
         random_seed: rand::random(),
     }
 }
@@ -191,7 +193,9 @@
                 ),
             }
         }
-        LOG.info("Received a termination signal; shutting down.");
+        LOG.info(
+            "Received a termination signal; shutting down once the proxy no longer needs the agent.",
+        );
         queues.send_state(AgentInput::Stop).await;
     });
     Ok(())
--- a/crates/agent/src/input.rs
+++ b/crates/agent/src/input.rs
@@ -46,6 +46,6 @@
     RegistryFailed,
     /// Time has passed. Sent no later than the time that [`crate::AgentCore::next_tick`] returns.
     Tick,
-    /// The process is shutting down; the agent closes its session.
+    /// The process is shutting down; the agent closes its session once its proxy no longer needs it.
     Stop,
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod registry;
 pub mod session;
 pub mod shard_command;
+pub mod shutdown;
 pub mod timing;
 
 pub use agent_core::AgentCore;
--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -1,5 +1,7 @@
 //! Options of an agent, set once at startup.
 
+use millford_core::Duration;
+
 /// Identity of an agent and its initial control endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct AgentOptions {
@@ -17,6 +19,8 @@
     /// Initial control endpoints (IP address and port): the configured seeds and the members saved
     /// by an earlier run.
     pub control_addresses: Vec<String>,
+    /// Longest time after the termination signal for which a draining proxy is served.
+    pub drain_timeout: Duration,
     /// Seed of the random order in which endpoints are tried.
     pub random_seed: u64,
 }
--- a/crates/agent/src/proxy_link.rs
+++ b/crates/agent/src/proxy_link.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ProxyLink {
     handshake_done: bool,
+    is_draining: bool,
     sent_positions: BTreeMap<ShardId, FeedPosition>,
     applied_revision: u64,
     status: Option<AgentStatus>,
@@ -25,6 +26,7 @@
     /// Resets the state for a connection that is new or closed, on which nothing has been sent.
     pub fn reset(&mut self) {
         self.handshake_done = false;
+        self.is_draining = false;
         self.sent_positions.clear();
         self.status = None;
     }
@@ -42,6 +44,17 @@
         self.handshake_done
     }
 
+    /// Records that the proxy is draining.
+    pub fn record_draining(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Returns whether the proxy has reported on this connection that it is draining.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
     /// Records a configuration revision that the proxy reports as applied.
     pub fn record_applied(&mut self, revision: u64) {
         self.applied_revision = self.applied_revision.max(revision);
--- a/crates/agent/src/timing.rs
+++ b/crates/agent/src/timing.rs
@@ -102,6 +102,10 @@
 /// Delay before the next request to open a session after one failed.
 pub const SESSION_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after the termination signal within which the proxy must report that it is draining too, for the agent to serve
+/// it until its end.
+pub const DRAIN_NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout for closing the session during shutdown.
 pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/agent/tests/support/fleet.rs
+++ b/crates/agent/tests/support/fleet.rs
@@ -93,13 +93,29 @@
     /// confirmed.
     pub(crate) fn started(addresses: &[&str]) -> Self {
         let mut fleet = Self::new(addresses);
-        fleet.connect_proxy();
-        fleet.run(500);
-        assert!(fleet.core.complete() && fleet.core.is_connected());
-        assert_ne!(fleet.core.session_epoch(), 0);
+        fleet.start();
         fleet
     }
 
+    /// Creates a fleet as [`Self::started`] does, whose agent serves a draining proxy for at most `drain_timeout`.
+    pub(crate) fn started_with_drain_timeout(addresses: &[&str], drain_timeout: Duration) -> Self {
+        let mut fleet = Self::new(addresses);
+        let options = AgentOptions {
+            drain_timeout,
+            ..options(addresses, 1)
+        };
+        fleet.core = AgentCore::new(&options, fleet.now);
+        fleet.start();
+        fleet
+    }
+
+    fn start(&mut self) {
+        self.connect_proxy();
+        self.run(500);
+        assert!(self.core.complete() && self.core.is_connected());
+        assert_ne!(self.core.session_epoch(), 0);
+    }
+
     /// Restarts the agent process. The proxy keeps running and has to be connected again.
     pub(crate) fn restart_agent(&mut self, addresses: &[&str]) {
         self.core = AgentCore::new(&options(addresses, 2), self.now);
--- a/crates/api/tests/wire/local.rs
+++ b/crates/api/tests/wire/local.rs
@@ -111,6 +111,18 @@
         local::LocalQuotaRelease::sample,
     );
     samples.add("millford.local.ProxyShown", local::ProxyApplied::sample);
+    samples.add("millford.local.LocalFrame.draining", |values| {
+        local::LocalFrame {
+            body: Some(local::local_frame::Body::Draining(values.next())),
+        }
+    });
+    samples.add("millford.local.ProxyDraining", local::ProxyDraining::sample);
+}
+
+impl Sample for local::ProxyDraining {
+    fn sample(_values: &mut Values) -> Self {
+        local::ProxyDraining {}
+    }
 }
 
 impl Sample for local::LocalFrame {
--- a/crates/data-plane/src/agent_link/link.rs
+++ b/crates/data-plane/src/agent_link/link.rs
@@ -5,7 +5,8 @@
 
 use millford_api::command::{Claim, ResolveClaim};
 use millford_api::local::{
-    LocalClaim, LocalFrame, LocalQuotaRelease, LocalQuotaRequest, LocalResolveClaim, local_frame,
+    LocalClaim, LocalFrame, LocalQuotaRelease, LocalQuotaRequest, LocalResolveClaim, ProxyDraining,
+    local_frame,
 };
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
@@ -103,6 +104,12 @@
         self.claim_resolutions.is_empty()
     }
 
+    /// Reports to the agent that the proxy is draining, so that an agent that was told to end serves the proxy until
+    /// its end. The state of the proxy must be draining already, since new connections report it by that.
+    pub fn report_draining(&self) {
+        self.send(local_frame::Body::Draining(ProxyDraining {}));
+    }
+
     /// Queues a frame that needs no reply. It is dropped if it is not sent before the connection to the
     /// agent fails.
     pub fn send(&self, body: local_frame::Body) {
--- a/crates/data-plane/src/agent_link/task.rs
+++ b/crates/data-plane/src/agent_link/task.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use futures::{FutureExt, SinkExt, StreamExt};
-use millford_api::local::{LocalFrame, ProxyHello, local_frame};
+use millford_api::local::{LocalFrame, ProxyDraining, ProxyHello, local_frame};
 use millford_core::Duration;
 use millford_core::backoff::Backoff;
 use millford_settings::PartLog;
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Sends the hello, the applied revision and the granted stream slots, and then again the requests
-    /// that await their replies.
+    /// Sends the hello, the applied revision, the granted stream slots and whether the proxy is draining, and then
+    /// again the requests that await their replies.
     async fn handshake(
         &mut self,
         writer: &mut FramedWriter<LocalFrame>,
@@ -113,6 +113,10 @@
         writer.feed(frame(hello)).await?;
         writer.feed(self.handler.applied_revision_frame()).await?;
         writer.feed(self.open_streams()).await?;
+        if self.handler.is_draining() {
+            let draining = local_frame::Body::Draining(ProxyDraining {});
+            writer.feed(frame(draining)).await?;
+        }
         for request in self.link.resend_all() {
             writer.feed(request).await?;
         }
--- a/crates/data-plane/src/frame_handler.rs
+++ b/crates/data-plane/src/frame_handler.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Returns whether the proxy is draining.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.state.is_draining()
+    }
+
     /// Records that the connection to the agent is lost. Returns the configuration revision that stays applied until
     /// the next connection.
     pub fn agent_lost(&self) -> u64 {
--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -7,7 +7,7 @@
 use millford_api::local::ProxyHello;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
-use millford_data_plane::agent_link::agent_link;
+use millford_data_plane::agent_link::{AgentLink, agent_link};
 use millford_data_plane::control_thread::spawn_control_thread;
 use millford_data_plane::limits::RequestLimits;
 use millford_data_plane::load_reporter;
@@ -48,19 +48,21 @@
         caller_address: settings.caller_address.clone(),
     };
     let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    let reports = agent.clone();
     spawn_control_thread(async move {
-        tokio::join!(task.run(), load_reporter::run(state, agent));
+        tokio::join!(task.run(), load_reporter::run(state, reports));
     })?;
     let traffic = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .into_diagnostic()?;
-    traffic.block_on(serve(settings, node))
+    traffic.block_on(serve(settings, node, agent))
 }
 
 async fn serve<P: ForwardProtocol>(
     settings: &ForwardSettings,
     node: Arc<ForwardNode<P>>,
+    agent: AgentLink,
 ) -> miette::Result<()> {
     let callers = bind(&settings.caller_address).await?;
     let readiness = bind(&settings.readiness_address).await?;
@@ -93,7 +95,7 @@
         }
     }
     let longest = Duration::from_millis(settings.drain_timeout_ms);
-    drain(&node, &connections, longest).await;
+    drain(&node, &agent, &connections, longest).await;
     Ok(())
 }
 
@@ -111,6 +113,7 @@
 /// waits until all connections are closed or `longest` has passed since the signal.
 async fn drain<P: ForwardProtocol>(
     node: &ForwardNode<P>,
+    agent: &AgentLink,
     connections: &CallerConnections,
     longest: Duration,
 ) {
@@ -120,6 +123,7 @@
     ));
     let begun = monotonic_now();
     node.drain(begun, longest);
+    agent.report_draining();
     tokio::time::sleep(IDLE_CLOSE_DELAY.min(longest)).await;
     connections.close_when_idle();
     loop {
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -107,6 +107,7 @@
 async fn drain(state: &ProxyState, agent: &AgentLink, timeout: Duration) {
     LOG.info("Draining: refusing new requests.");
     state.set_draining();
+    agent.report_draining();
     wait_while(timeout, || state.metrics.open_requests.get() > 0).await;
     state.set_stopping();
     wait_while(STOP_TIMEOUT, || state.metrics.open_requests.get() > 0).await;
--- a/crates/proxy/tests/process_lifecycle.rs
+++ b/crates/proxy/tests/process_lifecycle.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use millford_api::local::{ProxyDraining, local_frame};
 use millford_core::Duration;
 use support::fixture::{Fixture, KEY};
 use support::raw_backend::{exchange, get};
@@ -66,7 +67,7 @@
     let release = std::sync::Arc::new(release);
     let (backend, requests) = slow_backend(std::sync::Arc::clone(&release)).await;
     let items = Fixture::default().feed_items(&backend.to_string());
-    let (agent, _received) = stub_agent::start(items).await;
+    let (agent, received) = stub_agent::start(items).await;
     let mut running = start(agent);
     let address = running.address;
     wait_for_status(address, &get("/readyz", ""), "HTTP/1.1 200").await;
@@ -90,6 +91,12 @@
     assert!(answer.ends_with("{\"late\":true}"), "{answer}");
     let status = running.child.wait().expect("status");
     assert_eq!(status.code(), Some(0));
+    let draining = local_frame::Body::Draining(ProxyDraining {});
+    let received = received.lock().expect("received");
+    assert!(
+        received.contains(&draining),
+        "the agent is to serve the proxy until its end"
+    );
 }
 
 /// Starts a backend that answers a lookup only after `release` is notified. Returns its address and
