A control node that leads again waits for its next read of the registry

What callers saw: requests reached backends that had been draining for 4 to 6 s, and some ended with them (DRAIN, LOST). Cause: only leaders of data shards read the registry. The reconciler of a shard kept the list that its node had read when it led last, and compared the catalogue with it as soon as it led again, so that draining backends became active again and newer ones were removed until the next read. The other parts of the leader's state (sessions, quota, placement) are reset when leadership begins; this one was not. Change: the reconciler drops the list when its replica begins to lead.

--- a/crates/control/src/shard/catalogue_reconciler.rs
+++ b/crates/control/src/shard/catalogue_reconciler.rs
@@ -31,6 +31,7 @@
     layout: ShardLayout,
     /// The configuration's pools by name.
     pools: BTreeMap<String, Pool>,
+    /// The registry as read since this replica leads; `None` before the first read.
     registry: Option<Arc<RegistryView>>,
     due: bool,
 }
@@ -47,6 +48,13 @@
         }
     }
 
+    /// Drops the view of the registry when this replica begins to lead. The view dates from the last time that its node
+    /// led a shard, and another leader may have committed newer ones since; the catalogue stays as it is until the
+    /// next read.
+    pub(super) fn lead(&mut self) {
+        self.registry = None;
+    }
+
     /// Stores a new view of the registry and schedules a comparison.
     pub(super) fn set_registry(&mut self, view: Arc<RegistryView>) {
         self.registry = Some(view);
--- a/crates/control/src/shard/core.rs
+++ b/crates/control/src/shard/core.rs
@@ -267,7 +267,7 @@
         self.placement.lead(now);
         self.maintenance.lead(now);
         self.repair.lead(now);
-        self.catalogue.check_soon();
+        self.catalogue.lead();
     }
 
     /// Ends the leader's duties. Requesters of proposals and unconfirmed reads are refused with
--- a/crates/control/tests/services.rs
+++ b/crates/control/tests/services.rs
@@ -67,6 +67,57 @@
     TestAgent::connect(cluster, &format!("follower-{node}"), node, shard)
 }
 
+/// Passes the leadership of the service's shard on until another node leads it. Returns the new leader.
+fn pass_leadership_on(cluster: &mut Cluster) -> String {
+    let shard = layout().shard_of(&service_key("pool"));
+    let former = cluster.leader(shard).expect("a leader");
+    cluster.input(&former, NodeInput::Shutdown);
+    cluster.run_until(Duration::from_secs(5), "another leader", |cluster| {
+        let leader = cluster.leader(shard);
+        leader.is_some_and(|leader| leader != former)
+    });
+    cluster.run(Duration::from_millis(300));
+    cluster.leader(shard).expect("a leader")
+}
+
+/// Guards against a node that leads again and acts on the registry as it was when it led last: draining backends were
+/// active again.
+#[test]
+fn a_node_that_leads_again_does_not_apply_the_registry_that_it_read_before() {
+    use BackendState::{BackendActive, BackendDraining};
+    let mut cluster = cluster_with_leaders(3, 1);
+    accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+    let mut agent = follow_service(&mut cluster, "node-1");
+    read_registry(
+        &mut cluster,
+        vec![entry("m1", "active"), entry("m2", "active")],
+    );
+    let shard = layout().shard_of(&service_key("pool"));
+    let first = cluster.leader(shard).expect("a leader");
+    let second = pass_leadership_on(&mut cluster);
+    let drained = RegistryView {
+        backends: vec![entry("m1", "draining"), entry("m2", "active")],
+        ..RegistryView::default()
+    };
+    // Only the leader reads the registry.
+    cluster.input(&second, NodeInput::Registry(Arc::new(drained)));
+    cluster.run(Duration::from_millis(200));
+    for _ in 0..20 {
+        if pass_leadership_on(&mut cluster) == first {
+            break;
+        }
+    }
+    assert_eq!(
+        cluster.leader(shard),
+        Some(first),
+        "the first node leads again"
+    );
+    agent.receive(&mut cluster);
+    let expected = [("m1", BackendDraining), ("m2", BackendActive)];
+    let expected = expected.map(|(id, state)| (id.to_owned(), state));
+    assert_eq!(states(&agent), expected);
+}
+
 #[test]
 fn registry_changes_reach_agents_at_every_node_and_an_operator_can_drain() {
     use BackendState::{BackendActive, BackendDraining};
