An agent whose control nodes were all replaced reads the seeds again

Cause: the agent knew only the seeds of its start and the members of its last contact, and ignored SIGHUP and the changed settings file. Change: after a pass over all known control nodes has failed, and on SIGHUP, the agent reads the seeds of its settings again and tries addresses that are new to it first. Nothing else of the file is read while the process runs.

--- a/crates/agent/src/agent_core/mod.rs
+++ b/crates/agent/src/agent_core/mod.rs
@@ -99,6 +99,7 @@
             AgentInput::ProxyFrame(frame) => self.proxy_frame(now, *frame, &mut out),
             AgentInput::Registry(view) => self.registry_view(now, &view, &mut out),
             AgentInput::RegistryFailed => self.registry.record_failure(now),
+            AgentInput::Seeds(seeds) => self.link.update_seeds(now, seeds),
             AgentInput::Tick => {}
             AgentInput::Stop => self.begin_shutdown(now),
         }
--- a/crates/agent/src/agent_core/tick.rs
+++ b/crates/agent/src/agent_core/tick.rs
@@ -49,6 +49,9 @@
         for action in self.link.tick(now) {
             self.perform(action, out);
         }
+        if self.link.take_failed_pass() {
+            out.push(AgentOutput::ReadSeeds);
+        }
     }
 
     pub(super) fn perform(&mut self, action: LinkAction, out: &mut Vec<AgentOutput>) {
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -15,6 +15,7 @@
 use crate::daemon::proxy_sender::ProxySender;
 use crate::daemon::report::{AgentReport, SharedReport};
 use crate::daemon::saved_members::SavedMembers;
+use crate::daemon::seed_source::SharedSeedSource;
 use crate::daemon::traffic_meter::TrafficMeter;
 use crate::input::{AgentInput, ControlLinkId};
 use crate::options::AgentOptions;
@@ -36,6 +37,8 @@
     pub proxy_senders: mpsc::Receiver<Option<ProxySender>>,
     /// The service registry; `None` if none is configured.
     pub registry: Option<SharedRegistry>,
+    /// Reads the seeds of the settings again; `None` if they are fixed.
+    pub seeds: Option<SharedSeedSource>,
     /// Saves the control members; `None` if no data folder is configured.
     pub saved_members: Option<SavedMembers>,
     /// Counts the traffic with control nodes.
@@ -118,6 +121,7 @@
             }
             AgentOutput::SendProxy(frame) => self.send_proxy(*frame),
             AgentOutput::ReadRegistry => self.read_registry(),
+            AgentOutput::ReadSeeds => self.read_seeds(),
             AgentOutput::SaveMembers(members) => {
                 if let Some(saved) = &self.components.saved_members {
                     saved.save(members);
@@ -145,6 +149,14 @@
         }
     }
 
+    /// Starts a read of the seeds on a blocking thread.
+    fn read_seeds(&self) {
+        if let Some(source) = self.components.seeds.clone() {
+            let queues = self.components.queues.clone();
+            tokio::spawn(send_seeds(source, queues));
+        }
+    }
+
     /// Starts a read of the service registry unless one is in progress or no registry is
     /// configured.
     fn read_registry(&mut self) {
@@ -173,6 +185,14 @@
     }
 }
 
+/// Reads the seeds and passes them to the core.
+pub(super) async fn send_seeds(source: SharedSeedSource, queues: EventQueues) {
+    let read = tokio::task::spawn_blocking(move || source.read()).await;
+    if let Ok(Some(seeds)) = read {
+        queues.send_state(AgentInput::Seeds(seeds)).await;
+    }
+}
+
 impl Drop for Driver {
     fn drop(&mut self) {
         if let Some(task) = &self.registry_read {
--- a/crates/agent/src/daemon/run.rs
+++ b/crates/agent/src/daemon/run.rs
@@ -6,17 +6,18 @@
 use millford_core::Duration;
 use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::{self, LogOptions};
-use millford_settings::{DaemonCommand, PartLog};
+use millford_settings::{DaemonCommand, Invocation, PartLog};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{JoinError, JoinHandle};
 
 use crate::daemon::agent_settings::AgentSettings;
-use crate::daemon::driver::{Driver, DriverComponents};
+use crate::daemon::driver::{Driver, DriverComponents, send_seeds};
 use crate::daemon::event_queues::EventQueues;
 use crate::daemon::report::SharedReport;
 use crate::daemon::saved_members::SavedMembers;
+use crate::daemon::seed_source::SharedSeedSource;
 use crate::daemon::traffic_meter::TrafficMeter;
 use crate::daemon::{http_server, local_listener};
 use crate::input::AgentInput;
@@ -67,39 +68,64 @@
     Driver(#[from] JoinError),
 }
 
-/// Runs the agent until SIGTERM or SIGINT, with the service registry named in the settings, if any.
+/// What the agent reads from outside while it runs.
+#[derive(Clone, Default)]
+pub struct AgentAdapters {
+    /// The service registry; `None` disables reads of it.
+    pub registry: Option<SharedRegistry>,
+    /// The seeds of the settings as they are now; `None` if they are fixed.
+    pub seeds: Option<SharedSeedSource>,
+}
+
+impl AgentAdapters {
+    /// The default adapters: a registry over HTTP, if the settings have its address, and the seeds of the settings
+    /// file that the process was started with.
+    #[must_use]
+    pub fn of_process(settings: &AgentSettings) -> Self {
+        let address = settings.registry_address.as_str();
+        let registry = (!address.is_empty()).then(|| -> SharedRegistry {
+            let registry = HttpRegistry::new(address);
+            Arc::new(registry)
+        });
+        Self {
+            registry,
+            seeds: Some(Arc::new(seeds_of_process)),
+        }
+    }
+}
+
+/// Reads the seeds from the command line and the settings file of the process.
+fn seeds_of_process() -> Option<Vec<String>> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match COMMAND.parse::<AgentSettings>(&arguments) {
+        Ok(Invocation::Run(settings)) => Some(settings.seeds),
+        _ => None,
+    }
+}
+
+/// Runs the agent until SIGTERM or SIGINT, with the adapters of the process.
 ///
 /// # Errors
 /// The process could not start, or its driver failed.
 pub fn run(settings: AgentSettings) -> Result<(), StartError> {
-    let address = settings.registry_address.as_str();
-    let registry = (!address.is_empty()).then(|| -> SharedRegistry {
-        let registry = HttpRegistry::new(address);
-        Arc::new(registry)
-    });
-    run_with(settings, registry)
+    let adapters = AgentAdapters::of_process(&settings);
+    run_with(settings, adapters)
 }
 
-/// Runs the agent like [`run`], but with the given registry; `None` disables registry reads.
+/// Runs the agent like [`run`], but with the given adapters.
 ///
 /// # Errors
 /// The process could not start, or its driver failed.
-pub fn run_with(
-    settings: AgentSettings,
-    registry: Option<SharedRegistry>,
-) -> Result<(), StartError> {
+pub fn run_with(settings: AgentSettings, adapters: AgentAdapters) -> Result<(), StartError> {
     logging::init(LogOptions::new(&settings.log_level, settings.log_format))?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, registry))
+    runtime.block_on(serve(settings, adapters))
 }
 
-async fn serve(
-    settings: AgentSettings,
-    registry: Option<SharedRegistry>,
-) -> Result<(), StartError> {
+async fn serve(settings: AgentSettings, adapters: AgentAdapters) -> Result<(), StartError> {
     let local = bind(&settings.local_address).await?;
     let http = bind(&settings.http_address).await?;
     let local_address = local.local_addr()?;
@@ -114,14 +140,15 @@
         queues: queues.clone(),
         events,
         proxy_senders,
-        registry,
+        registry: adapters.registry,
+        seeds: adapters.seeds.clone(),
         saved_members,
         meter: Arc::clone(&meter),
         report: report.clone(),
     })?;
     tokio::spawn(local_listener::serve(local, queues.clone(), proxy_sender));
     tokio::spawn(http_server::serve(http, report, meter));
-    stop_on_signal(queues)?;
+    handle_signals(queues, adapters.seeds)?;
     println!("millford-agent ready local={local_address} http={http_address}");
     // The driver ends when the proxy no longer needs the agent and the session is closed or closing it timed out.
     let ended = driver.await;
@@ -176,21 +203,17 @@
     }
 }
 
-/// Spawns a task that stops the agent on SIGTERM or SIGINT and ignores SIGHUP.
-fn stop_on_signal(queues: EventQueues) -> Result<(), StartError> {
+/// Spawns a task that stops the agent on SIGTERM or SIGINT, and reads the seeds again on SIGHUP.
+fn handle_signals(queues: EventQueues, seeds: Option<SharedSeedSource>) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    // A changed settings file takes effect at the next start. Changes of the control members need
-    // no reload, since control nodes report them.
     let mut hang_up = signal(SignalKind::hangup())?;
     tokio::spawn(async move {
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hang_up.recv() => LOG.info(
-                    "Ignoring SIGHUP: settings are read at the next start."
-                ),
+                _ = hang_up.recv() => reload_seeds(seeds.as_ref(), &queues).await,
             }
         }
         LOG.info(
@@ -200,3 +223,10 @@
     });
     Ok(())
 }
+
+async fn reload_seeds(seeds: Option<&SharedSeedSource>, queues: &EventQueues) {
+    LOG.info("Received SIGHUP: reading the seeds; other settings are read at the next start.");
+    if let Some(source) = seeds {
+        send_seeds(Arc::clone(source), queues.clone()).await;
+    }
+}
--- a/crates/agent/src/input.rs
+++ b/crates/agent/src/input.rs
@@ -44,6 +44,8 @@
     Registry(RegistryView),
     /// A read of the service registry failed or timed out.
     RegistryFailed,
+    /// The seeds in the settings, read again while the process runs.
+    Seeds(Vec<String>),
     /// Time has passed. Sent no later than the time that [`crate::AgentCore::next_tick`] returns.
     Tick,
     /// The process is shutting down; the agent closes its session once its proxy no longer needs it.
--- a/crates/agent/src/link/control_link.rs
+++ b/crates/agent/src/link/control_link.rs
@@ -58,6 +58,8 @@
     backoff: Backoff,
     /// Time without a frame after which the control node is considered unresponsive.
     inactivity_timeout: Duration,
+    /// Whether a pass over all endpoints has failed since the last call of [`Self::take_failed_pass`].
+    failed_pass: bool,
     /// Whether a node in the current pass accepted the connection and then became unresponsive.
     timed_out_in_pass: bool,
     /// Time since which the control node has reported quorum contact; `None` while it does not.
@@ -77,6 +79,7 @@
             next_link: 1,
             backoff: Backoff::new(MIN_RECONNECT_BACKOFF, MAX_RECONNECT_BACKOFF),
             inactivity_timeout: CONTROL_INACTIVITY_TIMEOUT,
+            failed_pass: false,
             timed_out_in_pass: false,
             quorum_contact_since: None,
             startup_until: Some(now + STARTUP_PERIOD),
@@ -119,6 +122,22 @@
         self.endpoints.update_members(members)
     }
 
+    /// Replaces the seeds. While the link is disconnected, a changed list is tried at once.
+    pub fn update_seeds(&mut self, now: MonotonicTime, seeds: Vec<String>) {
+        let current = self.connected_address().map(str::to_owned);
+        let changed = self.endpoints.update_seeds(seeds, current.as_deref());
+        if let ConnectionState::Disconnected { retry_at } = &mut self.state
+            && changed
+        {
+            *retry_at = now;
+        }
+    }
+
+    /// Returns whether a pass over all endpoints has failed since the last call.
+    pub fn take_failed_pass(&mut self) -> bool {
+        std::mem::take(&mut self.failed_pass)
+    }
+
     /// Records that a connection was established. Returns `false` if it is not the one that the
     /// link was waiting for; the caller then has to close it.
     pub fn connection_established(
@@ -256,6 +275,7 @@
     fn disconnect(&mut self, now: MonotonicTime) {
         self.quorum_contact_since = None;
         let delay = if self.endpoints.is_pass_complete() {
+            self.failed_pass = true;
             self.extend_inactivity_timeout();
             self.next_backoff(now)
         } else {
--- a/crates/agent/src/link/endpoint_list.rs
+++ b/crates/agent/src/link/endpoint_list.rs
@@ -44,6 +44,20 @@
         true
     }
 
+    /// Replaces the seeds and starts a pass, with the addresses that were unknown before first and `current` last.
+    /// Returns whether the seeds changed. An empty list is ignored.
+    pub fn update_seeds(&mut self, seeds: Vec<String>, current: Option<&str>) -> bool {
+        if seeds.is_empty() || seeds == self.seeds {
+            return false;
+        }
+        let known: BTreeSet<String> = self.known_endpoints().into_iter().collect();
+        self.seeds = seeds;
+        self.start_pass(current);
+        let endpoints = self.untried.make_contiguous();
+        endpoints.sort_by_key(|endpoint| known.contains(endpoint));
+        true
+    }
+
     /// Returns the next endpoint of this pass, or `None` if every endpoint has been tried.
     pub fn next_endpoint(&mut self) -> Option<String> {
         self.untried.pop_front()
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -35,6 +35,9 @@
     /// Read the service registry and report [`crate::AgentInput::Registry`], or
     /// [`crate::AgentInput::RegistryFailed`].
     ReadRegistry,
+    /// Read the seeds of the settings again and report [`crate::AgentInput::Seeds`], if that is possible: no known
+    /// control node can be reached.
+    ReadSeeds,
     /// Persist the changed list of control members for the next start.
     SaveMembers(Vec<ControlMember>),
     /// The session is closed, or closing it timed out; the process may exit.
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -337,6 +337,48 @@
     );
 }
 
+/// Replaces every control node by one at another address, which the agent does not learn of from them.
+fn replace_every_control_node(fleet: &mut Fleet, successors: &[&str]) {
+    let nodes = successors
+        .iter()
+        .map(|address| FakeControlNode::new(address));
+    fleet.controls = nodes.collect();
+    if let Some(link) = fleet.link.take() {
+        fleet.handle(AgentInput::LinkDown { link: link.id });
+    }
+}
+
+/// Guards against an agent that was out of touch while all control nodes were replaced and never finds their
+/// successors, so that its proxy decides by an old configuration for ever (review/3).
+#[test]
+fn an_agent_whose_control_nodes_were_all_replaced_reads_the_seeds_again() {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    let successors = ["n1", "n2", "n3"];
+    replace_every_control_node(&mut fleet, &successors);
+    fleet.run(3_000);
+    assert!(!fleet.core.is_connected());
+    assert!(
+        fleet.seed_reads > 0,
+        "a pass over all known nodes has failed"
+    );
+    let seeds = successors.map(str::to_owned).to_vec();
+    fleet.handle(AgentInput::Seeds(seeds));
+    fleet.run(300);
+    assert!(fleet.core.is_connected());
+}
+
+#[test]
+fn seeds_are_not_read_while_a_control_node_answers_and_do_not_disturb_the_link() {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    let links = fleet.core.counters().links_up;
+    fleet.handle(AgentInput::Seeds(vec!["n1".to_owned()]));
+    fleet.handle(AgentInput::Seeds(Vec::new()));
+    fleet.run(3_000);
+    assert_eq!(fleet.seed_reads, 0);
+    assert_eq!(fleet.core.counters().links_up, links);
+    assert!(fleet.core.is_connected());
+}
+
 #[test]
 fn an_expired_session_is_reopened_and_a_shutdown_closes_it() {
     let mut fleet = Fleet::started(&ADDRESSES);
--- a/crates/agent/tests/support/fleet.rs
+++ b/crates/agent/tests/support/fleet.rs
@@ -49,6 +49,7 @@
     pub(crate) proxy_frames: Vec<(MonotonicTime, LocalFrame)>,
     pub(crate) connects: Vec<ConnectAttempt>,
     pub(crate) registry_reads: usize,
+    pub(crate) seed_reads: usize,
     pub(crate) saved_members: usize,
     pub(crate) stopped: bool,
     /// Whether connections to absent nodes time out, as with powered-off machines, instead of being
@@ -77,6 +78,7 @@
             proxy_frames: Vec::new(),
             connects: Vec::new(),
             registry_reads: 0,
+            seed_reads: 0,
             saved_members: 0,
             stopped: false,
             unreachable: false,
@@ -259,6 +261,7 @@
             AgentOutput::CloseControl { .. } => self.link = None,
             AgentOutput::SendProxy(frame) => self.deliver_to_proxy(*frame),
             AgentOutput::ReadRegistry => self.registry_reads += 1,
+            AgentOutput::ReadSeeds => self.seed_reads += 1,
             AgentOutput::SaveMembers(_) => self.saved_members += 1,
             AgentOutput::Stopped => self.stopped = true,
         }
--- a/crates/scale/src/hollow/hollow_node.rs
+++ b/crates/scale/src/hollow/hollow_node.rs
@@ -56,6 +56,7 @@
             events,
             proxy_senders,
             registry: None,
+            seeds: None,
             saved_members: None,
             meter: Arc::clone(&meter),
             report: report.clone(),
--- a/crates/simulation/src/world/agent_driver.rs
+++ b/crates/simulation/src/world/agent_driver.rs
@@ -179,7 +179,8 @@
                     agent.saved_addresses = addresses.collect();
                 }
             }
-            AgentOutput::Stopped => {}
+            // The seeds of a simulated fleet do not change, and its processes are not told to end.
+            AgentOutput::ReadSeeds | AgentOutput::Stopped => {}
         }
     }
 
