A refusal of another request is no refusal of this one

Cause: a surplus answer takes the slot of the next one on its connection. It was compared with the request's id only after its word that the request had not run was believed, so that the request went to a second backend. Change: the id is compared first; an answer of another request makes the outcome unknown, whatever it says.

--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -201,6 +201,12 @@
     let status = opened.response.status();
     let headers = opened.response.headers();
     let facts = &opened.facts;
+    // A backend that sends a surplus response on a connection causes it to be read as the response to the next
+    // request. Nothing that it says applies to this request, which may have run.
+    let is_foreign = facts.request_id.is_some() && facts.request_id != plan.facts.request_id;
+    if is_foreign {
+        return Err(AttemptFailure::Lost(ResultCode::AnswerMismatch));
+    }
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if is_misdirected {
         // The address now belongs to another backend: the intended one no longer exists.
@@ -215,11 +221,8 @@
         };
         return Err(AttemptFailure::NotRun { retry_after });
     }
-    // A backend that sends a surplus response on a connection causes it to be read as the response to the next
-    // request.
-    let is_foreign = facts.request_id.is_some() && facts.request_id != plan.facts.request_id;
     let is_altered = !facts.signed || headers.contains_key(CONTENT_ENCODING);
-    if is_foreign || (status.is_success() && is_altered) {
+    if status.is_success() && is_altered {
         return Err(AttemptFailure::Lost(ResultCode::AnswerMismatch));
     }
     if NOT_RUN_STATUSES.contains(&status) {
--- a/crates/forward/tests/forwarding.rs
+++ b/crates/forward/tests/forwarding.rs
@@ -77,6 +77,12 @@
     );
 }
 
+/// Makes a response the one to another request.
+fn of_another_request(response: String) -> String {
+    let head = "x-millford-request-id: id-of-another\r\ncontent-length";
+    response.replacen("content-length", head, 1)
+}
+
 #[tokio::test]
 async fn a_request_that_did_not_run_is_retried_on_another_backend() {
     let full = StubBackend::start(vec![Step::Respond(not_run(503))]).await;
@@ -108,6 +114,9 @@
         Step::Respond("HTTP/1.1 429 Busy\r\ncontent-length: 0\r\n\r\n".to_owned()),
         // The response to another request, and responses that are unsigned or encoded.
         Step::Respond(signed("other").replace("REQUEST-ID", "id-of-another")),
+        // Refusals of another request, which say nothing about this one (review/1).
+        Step::Respond(of_another_request(not_run(503))),
+        Step::Respond(of_another_request(not_run(421))),
         Step::Respond(signed("bare").replace("x-millford-signature: s\r\n", "")),
         Step::Respond(
             signed("packed").replace("content-length", "content-encoding: gzip\r\ncontent-length"),
