--- a/crates/forward/tests/forwarding.rs
+++ b/crates/forward/tests/forwarding.rs
@@ -231,6 +231,18 @@
     );
 }
 
+/// Guards against a node that lets every request in once the last key of the last tenant is taken away (review/2).
+#[tokio::test]
+async fn without_any_key_left_no_request_is_let_in() {
+    let backend = StubBackend::start(vec![Step::Respond(signed("done"))]).await;
+    let mut setup = Setup::with(|_| {});
+    setup.keys.clear();
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let reply = call(node.callers, &request("/jobs/", "", "")).await;
+    assert_eq!(reply.status, 401, "{}", reply.body);
+    assert_eq!(backend.received().len(), 0);
+}
+
 #[tokio::test]
 async fn a_node_without_a_configuration_responds_503() {
     let backend = StubBackend::start(vec![Step::Respond(signed(""))]).await;
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -27,6 +27,8 @@
 /// The configuration in a test's routing table.
 pub(crate) struct Setup {
     pub(crate) routes: Vec<ForwardRoute>,
+    /// Keys of the tenant.
+    pub(crate) keys: Vec<String>,
     /// Token quota of the tenant.
     pub(crate) quota: Option<TokenQuota>,
     pub(crate) limits: Option<HttpLimits>,
@@ -50,6 +52,7 @@
         change(&mut route);
         Self {
             routes: vec![route],
+            keys: vec![KEY.to_owned()],
             quota: None,
             limits: None,
         }
@@ -230,7 +233,7 @@
     }
     let tenant = Tenant {
         name: "tenant".to_owned(),
-        key_hashes: vec![hash_tenant_key(KEY)],
+        key_hashes: setup.keys.iter().map(|key| hash_tenant_key(key)).collect(),
         token_quota: setup.quota,
         ..Tenant::default()
     };
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -82,10 +82,11 @@
         &self.forward
     }
 
-    /// Returns whether the configuration lists any tenant with a key. Requests must then present one.
+    /// Returns whether the configuration lists any tenant. Requests must then present a key, also when no tenant holds
+    /// one any more.
     #[must_use]
     pub fn has_tenants(&self) -> bool {
-        !self.tenants_by_key_hash.is_empty()
+        !self.tenants_by_name.is_empty()
     }
 
     /// Returns the tenant of every valid key, in the order of the key hashes. A tenant with several keys
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -166,6 +166,20 @@
     assert_eq!(name("/catalogues"), Err(ResultCode::PathUnknown));
 }
 
+#[test]
+fn a_tenant_without_keys_is_still_a_tenant() {
+    let mut items = Items::new();
+    assert!(!items.table().has_tenants());
+    items.add(
+        "config/tenant/library",
+        Kind::Tenant(Tenant {
+            name: "library".to_owned(),
+            ..Tenant::default()
+        }),
+    );
+    assert!(items.table().has_tenants());
+}
+
 #[test]
 fn every_key_of_a_tenant_identifies_it() {
     let mut items = Items::new();
