An agent keeps the addresses of its start when it reads its seeds again

An agent with saved members and outdated seeds, started while no control node answered, would have dropped the saved members after its first failed pass and never found a control node again. Cause: the seeds that were read again replaced saved members and first seeds together. Change: the addresses known at the start stay known beside the seeds as last read. Measured: the new test failed before and passes; tests of the agent pass.

--- a/crates/agent/src/link/endpoint_list.rs
+++ b/crates/agent/src/link/endpoint_list.rs
@@ -12,6 +12,10 @@
 /// Endpoints are tried in passes: one pass visits each known endpoint once, in random order.
 #[derive(Clone, Debug)]
 pub struct EndpointList {
+    /// Addresses known at the start: the seeds of that time and the members saved by an earlier run. They stay known,
+    /// since the saved members may be newer than any seeds.
+    initial: Vec<String>,
+    /// Seeds as last read.
     seeds: Vec<String>,
     members: Vec<ControlMember>,
     /// Endpoints that have not been tried in the current pass, the next one first.
@@ -20,12 +24,13 @@
 }
 
 impl EndpointList {
-    /// Creates a list that contains only the seeds and starts its first pass. `random_seed`
+    /// Creates a list that contains only the `initial` addresses and starts its first pass. `random_seed`
     /// determines the order of all passes.
     #[must_use]
-    pub fn new(seeds: Vec<String>, random_seed: u64) -> Self {
+    pub fn new(initial: Vec<String>, random_seed: u64) -> Self {
         let mut endpoints = Self {
-            seeds,
+            seeds: initial.clone(),
+            initial,
             members: Vec::new(),
             untried: VecDeque::new(),
             random: SmallRng::seed_from_u64(random_seed),
@@ -91,8 +96,9 @@
     /// Returns all endpoints, sorted and without duplicates, so that the order after shuffling
     /// depends only on the random seed.
     fn known_endpoints(&self) -> Vec<String> {
-        let seeds = self.seeds.iter().map(String::as_str);
-        let known: BTreeSet<&str> = self.member_endpoints().chain(seeds).collect();
+        let others = self.seeds.iter().chain(&self.initial);
+        let others = others.map(String::as_str);
+        let known: BTreeSet<&str> = self.member_endpoints().chain(others).collect();
         known.into_iter().map(str::to_owned).collect()
     }
 }
--- a/crates/agent/tests/fail_over.rs
+++ b/crates/agent/tests/fail_over.rs
@@ -367,6 +367,22 @@
     assert!(fleet.core.is_connected());
 }
 
+#[test]
+fn addresses_of_the_start_stay_known_after_the_seeds_were_read_again() {
+    let mut fleet = Fleet::started(&ADDRESSES);
+    let nodes = std::mem::take(&mut fleet.controls);
+    if let Some(link) = fleet.link.take() {
+        fleet.handle(AgentInput::LinkDown { link: link.id });
+    }
+    fleet.restart_agent(&ADDRESSES);
+    fleet.handle(AgentInput::Seeds(vec!["gone".to_owned()]));
+    fleet.run(3_000);
+    assert!(!fleet.core.is_connected());
+    fleet.controls = nodes;
+    fleet.run(3_000);
+    assert!(fleet.core.is_connected());
+}
+
 #[test]
 fn seeds_are_not_read_while_a_control_node_answers_and_do_not_disturb_the_link() {
     let mut fleet = Fleet::started(&ADDRESSES);
