An empty list of tenants lets no request in

Cause: the document, the log, the public state and the routing table had a list of tenants only, in which an empty list cannot be told from an absent one; absent means that no key is needed. Change: the document has a field, and the public state an item, for a list that is present but empty. JSON of operators and of the platform sets it; `null` stays refused. Data stored by earlier releases is read as before, and the digest of a document without tenants stays the same, so that an order that is sent again during an upgrade is recognized. The chat proxy always required a key; a test now holds that. Tests: the soak has configurations without keys and without tenants, and requests with a key never held. The new tests of the routing table, the forwarding proxy, the control state and the platform's document need the new item and fail to compile before.

--- a/crates/api/tests/openapi.rs
+++ b/crates/api/tests/openapi.rs
@@ -38,7 +38,11 @@
     }
 
     fn add_documents(&mut self) {
-        self.add("Document", Document::default());
+        let document = Document {
+            empty_tenant_list: true,
+            ..Document::default()
+        };
+        self.add("Document", document);
         self.add("Route", Route::default());
         self.add("RouteMatch", RouteMatch::default());
         self.add("Hedge", Hedge::default());
--- a/crates/api/tests/wire/config.rs
+++ b/crates/api/tests/wire/config.rs
@@ -18,6 +18,16 @@
     samples.add("millford.config.Tenant", config::Tenant::sample);
     samples.add("millford.config.TokenQuota", config::TokenQuota::sample);
     samples.add("millford.config.Quota", config::Quota::sample);
+    samples.add(
+        "millford.config.EmptyTenantList",
+        config::EmptyTenantList::sample,
+    );
+    samples.add("millford.config.Document.empty_tenant_list", |_| {
+        config::Document {
+            empty_tenant_list: true,
+            ..config::Document::default()
+        }
+    });
 }
 
 impl Sample for config::Document {
@@ -28,10 +38,18 @@
             tenants: values.next(),
             forward_routes: values.next(),
             http_limits: values.next(),
+            // The committed sample has tenants, and its bytes must not change.
+            empty_tenant_list: false,
         }
     }
 }
 
+impl Sample for config::EmptyTenantList {
+    fn sample(_: &mut Values) -> Self {
+        config::EmptyTenantList {}
+    }
+}
+
 impl Sample for config::ForwardRoute {
     fn sample(values: &mut Values) -> Self {
         config::ForwardRoute {
--- a/crates/api/tests/wire/state.rs
+++ b/crates/api/tests/wire/state.rs
@@ -57,6 +57,11 @@
             kind: Some(state::state_value::Kind::ProxyMember(values.next())),
         }
     });
+    samples.add("millford.state.StateValue.empty_tenant_list", |values| {
+        state::StateValue {
+            kind: Some(state::state_value::Kind::EmptyTenantList(values.next())),
+        }
+    });
     samples.add("millford.state.ConfigHead", state::ConfigHead::sample);
     samples.add("millford.state.Backend", state::Backend::sample);
     samples.add("millford.state.Declaration", state::Declaration::sample);
--- a/crates/control-state/src/document/items.rs
+++ b/crates/control-state/src/document/items.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use millford_api::config::Document;
+use millford_api::config::{Document, EmptyTenantList};
 use millford_api::state::{StateValue, state_value::Kind};
 
 use super::canonical::normalized;
 use crate::keys;
 
 /// Returns the items of a document by key: one for each route, forwarding route, pool and tenant,
-/// and one for the HTTP limits if they are set.
+/// one for the HTTP limits if they are set, and one for a list of tenants that is present but empty.
 #[must_use]
 pub fn items(document: &Document) -> BTreeMap<String, Kind> {
     let document = normalized(document);
@@ -27,6 +27,10 @@
     if let Some(limits) = document.http_limits {
         items.insert(keys::HTTP_LIMITS.to_owned(), Kind::HttpLimits(limits));
     }
+    if document.empty_tenant_list {
+        let empty = Kind::EmptyTenantList(EmptyTenantList {});
+        items.insert(keys::EMPTY_TENANT_LIST.to_owned(), empty);
+    }
     for tenant in document.tenants {
         items.insert(keys::tenant(&tenant.name), Kind::Tenant(tenant));
     }
@@ -45,6 +49,7 @@
             Some(Kind::Tenant(tenant)) => document.tenants.push(tenant.clone()),
             Some(Kind::ForwardRoute(route)) => document.forward_routes.push(route.clone()),
             Some(Kind::HttpLimits(limits)) => document.http_limits = Some(*limits),
+            Some(Kind::EmptyTenantList(_)) => document.empty_tenant_list = true,
             _ => {}
         }
     }
--- a/crates/control-state/src/keys.rs
+++ b/crates/control-state/src/keys.rs
@@ -4,6 +4,8 @@
 pub const CONFIG_HEAD: &str = "config/head";
 /// Key of the HTTP limits that apply to callers' connections.
 pub const HTTP_LIMITS: &str = "config/limits";
+/// Key of the item that is present if the configuration lists tenants, but none.
+pub const EMPTY_TENANT_LIST: &str = "config/empty-tenant-list";
 /// Prefix of all configuration keys.
 pub const CONFIG_PREFIX: &str = "config/";
 /// Prefix of the control members' keys.
--- a/crates/control-state/tests/control_state/document_form.rs
+++ b/crates/control-state/tests/control_state/document_form.rs
@@ -64,6 +64,7 @@
             });
             document.tenants.push(any_tenant);
         }
+        document.empty_tenant_list = count == 0 && bool::arbitrary(generator);
         AnyDocument(document)
     }
 }
--- a/crates/control-state/tests/control_state/main.rs
+++ b/crates/control-state/tests/control_state/main.rs
@@ -6,6 +6,7 @@
 mod document_check;
 mod document_form;
 mod document_json;
+mod empty_tenant_list;
 mod fixtures;
 mod forward_documents;
 mod openapi_limits;
--- a/crates/forward/src/request/authorize.rs
+++ b/crates/forward/src/request/authorize.rs
@@ -9,7 +9,7 @@
 use crate::protocol::RequestFacts;
 use crate::request::refusal::Refusal;
 
-/// Returns the tenant that the request's key belongs to. Returns `None` if the configuration has no tenants, or
+/// Returns the tenant that the request's key belongs to. Returns `None` if the configuration has no list of tenants, or
 /// if the route is public and the request has no known key.
 ///
 /// The key is compared by its hash only, and is not used after this function.
@@ -21,7 +21,7 @@
     route: &ForwardRoute,
     facts: &RequestFacts,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
-    if !table.has_tenants() {
+    if !table.has_tenant_list() {
         return Ok(None);
     }
     let key = facts.tenant_key.as_deref();
--- a/crates/forward/tests/forwarding.rs
+++ b/crates/forward/tests/forwarding.rs
@@ -243,6 +243,23 @@
     assert_eq!(backend.received().len(), 0);
 }
 
+/// Guards against a node that lets every request in once the list of tenants is empty (review/2).
+#[tokio::test]
+async fn with_an_empty_list_of_tenants_no_request_is_let_in_but_on_public_routes() {
+    let backend = StubBackend::start(vec![Step::Respond(signed("done"))]).await;
+    let mut setup = Setup::with(|_| {});
+    setup.lists_tenant = false;
+    let node = TestNode::start(&setup, &[&backend]).await;
+    let reply = call(node.callers, &request("/jobs/", "", "")).await;
+    assert_eq!(reply.status, 401, "{}", reply.body);
+    assert_eq!(backend.received().len(), 0);
+
+    setup.routes[0].public = true;
+    let public = TestNode::start(&setup, &[&backend]).await;
+    let reply = call(public.callers, &request("/jobs/", "", "")).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+}
+
 #[tokio::test]
 async fn a_node_without_a_configuration_responds_503() {
     let backend = StubBackend::start(vec![Step::Respond(signed(""))]).await;
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use millford_api::config::{
-    ForwardRoute, HttpLimits, Pool, Selector, Tenant, TokenQuota, WeightedPool,
+    EmptyTenantList, ForwardRoute, HttpLimits, Pool, Selector, Tenant, TokenQuota, WeightedPool,
 };
 use millford_api::state::state_value::Kind;
 use millford_api::state::{Backend, ConfigHead, ProxyMember, StateValue};
@@ -27,6 +27,8 @@
 /// The configuration in a test's routing table.
 pub(crate) struct Setup {
     pub(crate) routes: Vec<ForwardRoute>,
+    /// Whether the configuration lists the tenant; otherwise its list of tenants is empty.
+    pub(crate) lists_tenant: bool,
     /// Keys of the tenant.
     pub(crate) keys: Vec<String>,
     /// Token quota of the tenant.
@@ -52,6 +54,7 @@
         change(&mut route);
         Self {
             routes: vec![route],
+            lists_tenant: true,
             keys: vec![KEY.to_owned()],
             quota: None,
             limits: None,
@@ -212,6 +215,20 @@
     }
 }
 
+fn tenant_item(setup: &Setup) -> (String, Kind) {
+    if !setup.lists_tenant {
+        let empty = Kind::EmptyTenantList(EmptyTenantList {});
+        return ("config/empty-tenant-list".to_owned(), empty);
+    }
+    let tenant = Tenant {
+        name: "tenant".to_owned(),
+        key_hashes: setup.keys.iter().map(|key| hash_tenant_key(key)).collect(),
+        token_quota: setup.quota,
+        ..Tenant::default()
+    };
+    ("config/tenant/tenant".to_owned(), Kind::Tenant(tenant))
+}
+
 /// Builds the routing table of a setup.
 pub(crate) fn table(
     setup: &Setup,
@@ -231,13 +248,7 @@
     if let Some(limits) = setup.limits {
         items.push(("config/limits".to_owned(), Kind::HttpLimits(limits)));
     }
-    let tenant = Tenant {
-        name: "tenant".to_owned(),
-        key_hashes: setup.keys.iter().map(|key| hash_tenant_key(key)).collect(),
-        token_quota: setup.quota,
-        ..Tenant::default()
-    };
-    items.push(("config/tenant/tenant".to_owned(), Kind::Tenant(tenant)));
+    items.push(tenant_item(setup));
     let pool = Pool {
         name: "pool".to_owned(),
         selector: Some(Selector::default()),
--- a/crates/proxy/tests/callers_interface.rs
+++ b/crates/proxy/tests/callers_interface.rs
@@ -95,6 +95,20 @@
     assert!(answer.starts_with("HTTP/1.1 405"), "{answer}");
 }
 
+/// Guards against a proxy that lets requests in once the list of tenants is empty (review/2).
+#[tokio::test]
+async fn with_an_empty_list_of_tenants_no_request_is_let_in() {
+    let address = start(Fixture::default().state_with_empty_tenant_list(), LIMITS).await;
+    for request in [
+        post(&authorization(), CHAT),
+        get("/v1/models", &authorization()),
+        get("/stations/7", ""),
+    ] {
+        let answer = exchange(address, &request).await;
+        assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_sends_its_headers_too_slowly_is_disconnected_and_others_are_served() {
     let limits = ConnectionLimits {
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -1,7 +1,9 @@
 //! A test configuration with one model, its backends and two tenants.
 
 use bytes::Bytes;
-use millford_api::config::{Hedge, Pool, Quota, Resume, Route, RouteMatch, Tenant};
+use millford_api::config::{
+    EmptyTenantList, Hedge, Pool, Quota, Resume, Route, RouteMatch, Tenant,
+};
 use millford_api::state::state_value::Kind;
 use millford_api::state::{Backend, BackendState, ConfigHead, Declaration, StateItem, StateValue};
 use millford_core::{MonotonicTime, hash_tenant_key};
@@ -82,9 +84,20 @@
         state
     }
 
+    /// Returns the state of a proxy whose configuration has an empty list of tenants.
+    pub(crate) fn state_with_empty_tenant_list(&self) -> ProxyState {
+        let mut items = self.items();
+        items.retain(|(key, _)| !key.starts_with("config/tenant/"));
+        let empty = Kind::EmptyTenantList(EmptyTenantList {});
+        items.push(item("config/empty-tenant-list", empty));
+        let state = ProxyState::new(RequestLimits::default());
+        state.set_table(table_of(&items));
+        state.set_ready();
+        state
+    }
+
     pub(crate) fn table(&self) -> RoutingTable {
-        let items = self.items();
-        RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
+        table_of(&self.items())
     }
 
     /// Returns the configuration as feed items, with every backend at this address.
@@ -152,6 +165,10 @@
     }
 }
 
+fn table_of(items: &[(String, StateValue)]) -> RoutingTable {
+    RoutingTable::build(items.iter().map(|(key, value)| (key.as_str(), value)))
+}
+
 fn item(key: &str, kind: Kind) -> (String, StateValue) {
     (key.to_owned(), StateValue { kind: Some(kind) })
 }
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -24,6 +24,8 @@
     pools: BTreeMap<String, Arc<ServingPool>>,
     tenants_by_key_hash: BTreeMap<String, Arc<Tenant>>,
     tenants_by_name: BTreeMap<String, Arc<Tenant>>,
+    /// Whether the configuration lists tenants, but none.
+    has_empty_tenant_list: bool,
     forward: ForwardTable,
 }
 
@@ -54,6 +56,7 @@
                 Some(Kind::ForwardRoute(route)) => table.forward.add_route(route),
                 Some(Kind::HttpLimits(limits)) => table.forward.set_limits(*limits),
                 Some(Kind::ProxyMember(member)) => table.forward.add_peer(member),
+                Some(Kind::EmptyTenantList(_)) => table.has_empty_tenant_list = true,
                 Some(Kind::ControlMember(_)) | None => {}
             }
         }
@@ -82,11 +85,11 @@
         &self.forward
     }
 
-    /// Returns whether the configuration lists any tenant. Requests must then present a key, also when no tenant holds
-    /// one any more.
+    /// Returns whether the configuration has a list of tenants. Requests must then present a key, also when the list is
+    /// empty or no tenant holds a key any more.
     #[must_use]
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants_by_name.is_empty()
+    pub fn has_tenant_list(&self) -> bool {
+        self.has_empty_tenant_list || !self.tenants_by_name.is_empty()
     }
 
     /// Returns the tenant of every valid key, in the order of the key hashes. A tenant with several keys
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use millford_api::config::{Pool, Route, RouteMatch, Tenant};
+use millford_api::config::{EmptyTenantList, Pool, Route, RouteMatch, Tenant};
 use millford_api::state::state_value::Kind;
 use millford_api::state::{
     Backend, BackendState, ConfigHead, Declaration, PoolPlacement, Replica, ReplicaState,
@@ -169,7 +169,7 @@
 #[test]
 fn a_tenant_without_keys_is_still_a_tenant() {
     let mut items = Items::new();
-    assert!(!items.table().has_tenants());
+    assert!(!items.table().has_tenant_list());
     items.add(
         "config/tenant/library",
         Kind::Tenant(Tenant {
@@ -177,7 +177,18 @@
             ..Tenant::default()
         }),
     );
-    assert!(items.table().has_tenants());
+    assert!(items.table().has_tenant_list());
+}
+
+/// Guards against a table that takes an emptied list of tenants for an absent one, so that any key is let in (review/2).
+#[test]
+fn an_empty_list_of_tenants_is_still_a_list() {
+    let mut items = Items::new();
+    items.add(
+        "config/empty-tenant-list",
+        Kind::EmptyTenantList(EmptyTenantList {}),
+    );
+    assert!(items.table().has_tenant_list());
 }
 
 #[test]
--- a/deploy/soak/src/checks/config.rs
+++ b/deploy/soak/src/checks/config.rs
@@ -8,7 +8,7 @@
 use crate::configuration::Generation;
 use crate::history::{Ending, History, Moment, Order, OrderState, Request, Target};
 
-/// Checks every request on the route of a generation.
+/// Checks every request whose answer tells which configurations can have decided it.
 #[must_use]
 pub fn check(history: &History) -> Vec<Violation> {
     let contact = Contact::new(history);
@@ -39,8 +39,7 @@
 /// What the answer to a probe tells about the configuration that decided it.
 #[derive(Clone, Copy, Debug)]
 struct Decision {
-    route: Generation,
-    key: Generation,
+    target: Target,
     outcome: Outcome,
 }
 
@@ -53,9 +52,7 @@
 
 impl Decision {
     fn of(request: &Request) -> Option<Self> {
-        let (Target::Probe { route, key }, Ending::Answered(status)) =
-            (request.target, request.ending)
-        else {
+        let Ending::Answered(status) = request.ending else {
             return None;
         };
         let outcome = match status {
@@ -65,17 +62,14 @@
             _ => return None,
         };
         Some(Self {
-            route,
-            key,
+            target: request.target,
             outcome,
         })
     }
 
     fn agrees_with(&self, generation: Generation) -> bool {
-        let (route, key) = (
-            generation.contains(self.route),
-            generation.contains(self.key),
-        );
+        let route = self.target.route_is_in(generation);
+        let key = self.target.key_is_in(generation);
         match self.outcome {
             Outcome::Run => route && key,
             Outcome::UnknownRoute => !route,
@@ -162,10 +156,7 @@
         Outcome::UnknownRoute => "knew no route for",
         Outcome::UnknownKey => "refused the key of",
     };
-    format!(
-        "{outcome} {} (route of {}, key of {})",
-        request.id, decision.route.0, decision.key.0
-    )
+    format!("{outcome} {} ({:?})", request.id, decision.target)
 }
 
 fn violation(request: &Request, text: String) -> Violation {
@@ -182,14 +173,16 @@
 
 impl ShownGenerations {
     fn record(&mut self, contact: &Contact<'_>, request: &Request) {
-        let Some(decision) =
-            Decision::of(request).filter(|decision| decision.outcome == Outcome::Run)
+        let Some(Decision {
+            target: Target::Probe { route, key },
+            outcome: Outcome::Run,
+        }) = Decision::of(request)
         else {
             return;
         };
         let life = contact.life(request.front, request.sent);
         let newest = self.0.entry((request.front, life)).or_insert(Generation(0));
-        *newest = (*newest).max(decision.route.max(decision.key));
+        *newest = (*newest).max(route.max(key));
     }
 
     fn newest(&self, contact: &Contact<'_>, request: &Request) -> Option<Generation> {
--- a/deploy/soak/src/checks/mod.rs
+++ b/deploy/soak/src/checks/mod.rs
@@ -7,6 +7,7 @@
 pub mod lost;
 pub mod order;
 pub mod recovery;
+pub mod route;
 
 use std::fmt;
 
@@ -17,6 +18,8 @@
 pub enum Rule {
     /// A configuration is in force in time, does not come back older, and is read back.
     Config,
+    /// A request with a key that no configuration ever held does not run.
+    Route,
     /// A draining backend gets no more requests.
     Drain,
     /// A request that must not run twice runs at most once.
@@ -54,6 +57,7 @@
 pub fn violations(history: &History) -> Vec<Violation> {
     let mut found = config::check(history);
     found.extend(order::check(history));
+    found.extend(route::check(history));
     found.extend(drain::check(history));
     found.extend(at_most_once::check(history));
     found.extend(lost::check(history));
--- a/deploy/soak/src/configuration.rs
+++ b/deploy/soak/src/configuration.rs
@@ -2,7 +2,7 @@
 //!
 //! Every configuration contains the same base route and, for itself and each of its predecessors within
 //! [`ITEM_LIFETIME`], a route and a key of its own. So a request on such a route with such a key shows which versions
-//! can have decided it.
+//! can have decided it. Some configurations hold no key at all, see [`TenantList`].
 
 use serde_json::{Value, json};
 
@@ -20,17 +20,36 @@
 pub const STREAM_PATH: &str = "/stream/";
 /// Path prefix of the route for requests that must not run twice, which every configuration contains.
 pub const UNSAFE_PATH: &str = "/unsafe/";
-/// Key that every configuration contains.
+/// Key that every configuration contains whose tenant has keys.
 pub const PERMANENT_KEY: &str = "permanent-key-0000";
+/// Key that no configuration contains.
+pub const NEVER_HELD_KEY: &str = "never-held-key-0000";
 /// Time limit of the routes of single generations, in milliseconds.
 pub const PROBE_TIMEOUT_MS: u64 = 1500;
 /// Time limit of the permanent routes, in milliseconds.
 pub const ROUTE_TIMEOUT_MS: u64 = 4000;
+/// One in so many generations has a tenant without keys, and another one an empty list of tenants.
+const EMPTIED_INTERVAL: u64 = 8;
+/// Remainder of the generations whose tenant has no key.
+const KEYLESS_REMAINDER: u64 = 5;
+/// Remainder of the generations whose list of tenants is empty.
+const EMPTY_LIST_REMAINDER: u64 = 0;
 /// Difference between the versions of two successive generations, which leaves room for a rival.
 const VERSION_STEP: u64 = 2;
 /// Connections that each backend accepts according to the configuration.
 const MAX_CONNECTIONS: u64 = 370;
 
+/// The tenants that a configuration lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TenantList {
+    /// A tenant with keys.
+    WithKeys,
+    /// A tenant whose keys were all taken away.
+    WithoutKeys,
+    /// No tenant.
+    Empty,
+}
+
 /// One of the two configurations that may be sent for a generation on the same base, of which one wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contender {
@@ -69,6 +88,28 @@
         added <= self && self.0 < added.0 + ITEM_LIFETIME
     }
 
+    /// The tenants of this generation's configuration.
+    #[must_use]
+    pub fn tenant_list(self) -> TenantList {
+        match self.0 % EMPTIED_INTERVAL {
+            EMPTY_LIST_REMAINDER => TenantList::Empty,
+            KEYLESS_REMAINDER => TenantList::WithoutKeys,
+            _ => TenantList::WithKeys,
+        }
+    }
+
+    /// Whether the key that `added` introduced is valid in the configuration of this generation.
+    #[must_use]
+    pub fn holds_key_of(self, added: Self) -> bool {
+        self.holds_permanent_key() && self.contains(added)
+    }
+
+    /// Whether [`PERMANENT_KEY`] is valid in the configuration of this generation.
+    #[must_use]
+    pub fn holds_permanent_key(self) -> bool {
+        self.tenant_list() == TenantList::WithKeys
+    }
+
     /// The generations whose routes and keys this one contains.
     pub fn contained(self) -> impl Iterator<Item = Self> {
         let first = self.0.saturating_sub(ITEM_LIFETIME - 1).max(1);
@@ -86,11 +127,9 @@
             let path = format!("/rival-{}/", self.0);
             routes.push(route("rival", &path, "safe", PROBE_TIMEOUT_MS));
         }
-        let mut keys = vec![PERMANENT_KEY.to_owned()];
         for generation in self.contained() {
             let name = format!("probe-{}", generation.0);
             routes.push(route(&name, &generation.path(), "safe", PROBE_TIMEOUT_MS));
-            keys.push(generation.key());
         }
         json!({
             "version": self.version(contender),
@@ -101,12 +140,25 @@
             "limits": {
                 "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
             },
-            "tenants": [{
-                "name": "member", "apiKeys": keys, "priority": 1, "unit": "tokens", "plainTokens": 1,
-                "ratePerS": 0, "burst": 0,
-            }],
+            "tenants": self.tenants(),
         })
     }
+
+    fn tenants(self) -> Value {
+        let keys = match self.tenant_list() {
+            TenantList::Empty => return json!([]),
+            TenantList::WithoutKeys => Vec::new(),
+            TenantList::WithKeys => {
+                let permanent = std::iter::once(PERMANENT_KEY.to_owned());
+                let generations = self.contained().map(Self::key);
+                permanent.chain(generations).collect()
+            }
+        };
+        json!([{
+            "name": "member", "apiKeys": keys, "priority": 1, "unit": "tokens", "plainTokens": 1,
+            "ratePerS": 0, "burst": 0,
+        }])
+    }
 }
 
 fn route(name: &str, path: &str, route_type: &str, timeout_ms: u64) -> Value {
--- a/deploy/soak/src/history.rs
+++ b/deploy/soak/src/history.rs
@@ -22,6 +22,29 @@
     Unsafe,
     /// The permanent route for streams.
     Stream,
+    /// A permanent route, with a key that no configuration contains.
+    NeverHeldKey,
+}
+
+impl Target {
+    /// Whether the configuration of a generation has the route.
+    #[must_use]
+    pub fn route_is_in(self, generation: Generation) -> bool {
+        match self {
+            Self::Probe { route, .. } => generation.contains(route),
+            Self::Unsafe | Self::Stream | Self::NeverHeldKey => true,
+        }
+    }
+
+    /// Whether the key is valid in the configuration of a generation.
+    #[must_use]
+    pub fn key_is_in(self, generation: Generation) -> bool {
+        match self {
+            Self::Probe { key, .. } => generation.holds_key_of(key),
+            Self::Unsafe | Self::Stream => generation.holds_permanent_key(),
+            Self::NeverHeldKey => false,
+        }
+    }
 }
 
 /// How a request ended for the client.
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::bounds::RECOVERY;
 use crate::checks::violations;
@@ -259,6 +259,7 @@
         }
         control?;
         let backends = backends.await.map_err(std::io::Error::other)??;
+        sleep_until(until).await;
         let calm_since = self.recorder.now();
         self.recorder.lock().calm_since = calm_since;
         sleep(RECOVERY + AFTER_RECOVERY).await;
--- a/deploy/soak/src/stand_ins/client.rs
+++ b/deploy/soak/src/stand_ins/client.rs
@@ -16,13 +16,15 @@
 use super::http::connect;
 use super::operator::NewestGeneration;
 use crate::configuration::{
-    Generation, HOST as ROUTE_HOST, ITEM_LIFETIME, PERMANENT_KEY, PROBE_TIMEOUT_MS,
+    Generation, HOST as ROUTE_HOST, ITEM_LIFETIME, NEVER_HELD_KEY, PERMANENT_KEY, PROBE_TIMEOUT_MS,
     ROUTE_TIMEOUT_MS, STREAM_PATH, UNSAFE_PATH,
 };
 use crate::history::{Ending, Recorder, Request, Target};
 
 /// Delay before a connection is tried again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// Share of the probes with a key that no configuration contains.
+const NEVER_HELD_SHARE: f64 = 0.15;
 /// Time after a request's own deadline at which the client gives up.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -80,6 +82,7 @@
         match kind {
             ClientKind::Unsafe => Target::Unsafe,
             ClientKind::Streams => Target::Stream,
+            ClientKind::Probes if random.random_bool(NEVER_HELD_SHARE) => Target::NeverHeldKey,
             ClientKind::Probes if random.random_bool(0.5) => Target::Probe {
                 route: drawn,
                 key: newest,
@@ -123,8 +126,9 @@
 fn build(target: Target, id: &str) -> (HttpRequest<Full<Bytes>>, Duration) {
     let (method, path, key, budget_ms) = match target {
         Target::Probe { route, key } => (Method::GET, route.path(), key.key(), PROBE_TIMEOUT_MS),
-        Target::Unsafe => permanent(UNSAFE_PATH),
-        Target::Stream => permanent(STREAM_PATH),
+        Target::Unsafe => permanent(UNSAFE_PATH, PERMANENT_KEY),
+        Target::Stream => permanent(STREAM_PATH, PERMANENT_KEY),
+        Target::NeverHeldKey => permanent(UNSAFE_PATH, NEVER_HELD_KEY),
     };
     let request = HttpRequest::builder()
         .method(method)
@@ -138,11 +142,11 @@
     (request, Duration::from_millis(budget_ms))
 }
 
-fn permanent(path: &str) -> (Method, String, String, u64) {
+fn permanent(path: &str, key: &str) -> (Method, String, String, u64) {
     (
         Method::POST,
         path.to_owned(),
-        PERMANENT_KEY.to_owned(),
+        key.to_owned(),
         ROUTE_TIMEOUT_MS,
     )
 }
--- a/deploy/soak/src/stand_ins/operator.rs
+++ b/deploy/soak/src/stand_ins/operator.rs
@@ -23,6 +23,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause before a call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Range of the pause after a configuration without keys, in milliseconds. It is longer than the time until a
+/// configuration is in force, so that requests are sent while no key is valid.
+const KEYLESS_PAUSE_MS: (u64, u64) = (2500, 5000);
 /// Base version of the first configuration.
 const NO_VERSION: u64 = 0;
 /// One in so many configurations has a rival on the same base.
@@ -81,9 +84,14 @@
         let mut generation = Generation(1);
         let mut base = generation.version(Contender::First);
         loop {
-            let pause = self.random.random_range(pause_ms.0..=pause_ms.1);
+            let (shortest, longest) = if generation.holds_permanent_key() {
+                pause_ms
+            } else {
+                KEYLESS_PAUSE_MS
+            };
+            let pause = self.random.random_range(shortest..=longest);
             sleep(Duration::from_millis(pause)).await;
-            generation = Generation(generation.0 + 1);
+            generation = self.next_generation(generation);
             let Some(version) = self.put_generation(generation, base).await else {
                 return;
             };
@@ -91,6 +99,16 @@
         }
     }
 
+    /// Returns the next generation to send. Once the disruptions are over it holds keys, so that service can return.
+    fn next_generation(&self, generation: Generation) -> Generation {
+        let next = Generation(generation.0 + 1);
+        let is_calm = !self.recorder.lock().calm_since.is_zero();
+        if is_calm && !next.holds_permanent_key() {
+            return Generation(next.0 + 1);
+        }
+        next
+    }
+
     /// Sends the configuration of a generation, at times beside a rival's. Returns the version that won.
     async fn put_generation(&mut self, generation: Generation, base: u64) -> Option<u64> {
         if !self.random.random_ratio(1, RACE_INTERVAL) {
--- a/deploy/soak/tests/checks.rs
+++ b/deploy/soak/tests/checks.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use millford_platform_soak::checks::{Rule, violations};
-use millford_platform_soak::configuration::{Contender, Generation};
+use millford_platform_soak::configuration::{Contender, Generation, TenantList};
 use millford_platform_soak::history::{
     BackendDrain, ConfigRead, Ending, History, MachineEvent, MachineId, Moment, Order, OrderState,
     Request, Run, Target,
@@ -290,3 +290,52 @@
     history.machines.push(ended);
     assert_eq!(broken(&history), [Rule::OwnEnd]);
 }
+
+#[test]
+fn a_run_with_a_key_that_was_never_held_breaks_route() {
+    let mut history = calm_history();
+    assert_eq!(broken(&history), []);
+    history.requests.push(Request {
+        target: Target::NeverHeldKey,
+        ..probe(40.0, 4, 4, Ending::Answered(401))
+    });
+    assert_eq!(broken(&history), [], "refused");
+    history.runs.push(Run {
+        request: "probe-40".to_owned(),
+        backend: "backend-0".to_owned(),
+        at: seconds(40.0),
+        broke_off: false,
+    });
+    assert_eq!(broken(&history), [Rule::Route]);
+}
+
+#[test]
+fn permanent_keys_are_judged_by_the_generations_without_keys() {
+    let permanent = |sent: f64, status: u16| Request {
+        target: Target::Stream,
+        ..probe(sent, 4, 4, Ending::Answered(status))
+    };
+    let mut history = calm_history();
+    history.requests.push(permanent(40.0, 401));
+    assert_eq!(
+        broken(&history),
+        [Rule::Config],
+        "generation 4 holds the key"
+    );
+
+    let mut history = calm_history();
+    let keyless = Generation(5);
+    assert_eq!(keyless.tenant_list(), TenantList::WithoutKeys);
+    history.orders.push(Order {
+        generation: keyless,
+        version: version(5),
+        base: version(4),
+        sent: seconds(40.5),
+        state: OrderState::Acknowledged(seconds(41.0)),
+    });
+    history.reads[0].version = Some(version(5));
+    history.requests.push(permanent(50.0, 401));
+    assert_eq!(broken(&history), [], "no key is valid");
+    history.requests.push(permanent(51.0, 200));
+    assert_eq!(broken(&history), [Rule::Config]);
+}
--- a/deploy/soak/tests/plan.rs
+++ b/deploy/soak/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Plans depend on their seed only, and configurations contain what they say.
 
-use millford_platform_soak::configuration::{Contender, Generation, ITEM_LIFETIME};
+use millford_platform_soak::configuration::{Contender, Generation, ITEM_LIFETIME, TenantList};
 use millford_platform_soak::plan::SoakPlan;
 
 #[test]
@@ -42,3 +42,17 @@
         "a route of its own"
     );
 }
+
+#[test]
+fn some_configurations_have_no_key_or_an_empty_list_of_tenants() {
+    let tenants = |generation: Generation| generation.document(Contender::First)["tenants"].clone();
+    assert_eq!(Generation(5).tenant_list(), TenantList::WithoutKeys);
+    assert_eq!(tenants(Generation(5))[0]["apiKeys"], serde_json::json!([]));
+    assert_eq!(Generation(8).tenant_list(), TenantList::Empty);
+    assert_eq!(tenants(Generation(8)), serde_json::json!([]));
+    let with_keys = Generation(9);
+    let keys = tenants(with_keys)[0]["apiKeys"].clone();
+    assert_eq!(keys.as_array().map(Vec::len), Some(4));
+    assert!(with_keys.holds_key_of(Generation(8)));
+    assert!(!Generation(8).holds_key_of(Generation(8)));
+}
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -33,6 +33,10 @@
         );
     }
     config.enum_attribute(".millford.state.StateValue.kind", "");
+    config.message_attribute(
+        ".millford.config.Document",
+        "#[serde(from = \"crate::json::document::DocumentForm\", into = \"crate::json::document::DocumentForm\")]",
+    );
     config.field_attribute(
         ".millford.config.Route.resume",
         "#[serde(with = \"crate::json::resume\")]",
