SIGHUP does not end the chat proxy, nor a daemon that is still starting

Cause: the chat proxy had no handler, and each daemon had a loop over signals of its own. Change: `ProcessSignals` in the settings crate is the one place that installs handlers; daemons use it before they bind or read anything. Measured: the new test ended with a signal instead of status 0 when the handler for SIGHUP was missing, and passes.

--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -12,9 +12,8 @@
 use millford_data_plane::limits::RequestLimits;
 use millford_data_plane::load_reporter;
 use millford_data_plane::proxy_state::ProxyState;
-use millford_settings::PartLog;
+use millford_settings::{PartLog, ProcessSignal, ProcessSignals};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
 use crate::backend::health_watch;
@@ -64,16 +63,14 @@
     node: Arc<ForwardNode<P>>,
     agent: AgentLink,
 ) -> miette::Result<()> {
+    let mut signals = ProcessSignals::install()
+        .into_diagnostic()
+        .wrap_err("failed to install the signal handlers")?;
     let callers = bind(&settings.caller_address).await?;
     let readiness = bind(&settings.readiness_address).await?;
     let exchange_socket = UdpSocket::bind(&settings.exchange_address)
         .await
         .map_err(|error| cannot_bind(&settings.exchange_address, &error))?;
-    let mut terminate = signal(SignalKind::terminate())
-        .into_diagnostic()
-        .wrap_err("failed to install the signal handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
-    let mut hang_up = signal(SignalKind::hangup()).into_diagnostic()?;
     let connections = CallerConnections::default();
     // The set aborts its tasks when it is dropped at the end of this function.
     let mut tasks = JoinSet::new();
@@ -87,12 +84,8 @@
     tasks.spawn(health_watch::run(Arc::clone(&node)));
     println!("millford-forward ready callers={}", settings.caller_address);
     LOG.info(format!("Serving callers at {}.", settings.caller_address));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hang_up.recv() => LOG.info("Ignoring SIGHUP: settings are read at the next start."),
-        }
+    while signals.next().await == ProcessSignal::HangUp {
+        LOG.info("Ignoring SIGHUP: settings are read at the next start.");
     }
     let longest = Duration::from_millis(settings.drain_timeout_ms);
     drain(&node, &agent, &connections, longest).await;
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -10,10 +10,9 @@
 use millford_data_plane::control_thread::spawn_control_thread;
 use millford_data_plane::load_reporter;
 use millford_data_plane::proxy_state::ProxyState;
-use millford_settings::PartLog;
+use millford_settings::{PartLog, ProcessSignal, ProcessSignals};
 use rand::Rng;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::daemon::backend_client::BackendClient;
 use crate::daemon::connections::serve_connections;
@@ -65,13 +64,12 @@
 }
 
 async fn serve(settings: &ProxySettings, environment: DaemonEnvironment) -> miette::Result<()> {
+    let mut signals = ProcessSignals::install()
+        .into_diagnostic()
+        .wrap_err("failed to install the signal handlers")?;
     let address: SocketAddr = settings.caller_address.parse().into_diagnostic()?;
     let listener = bind(address).await?;
     let bound = listener.local_addr().into_diagnostic()?;
-    let mut terminate = signal(SignalKind::terminate())
-        .into_diagnostic()
-        .wrap_err("failed to install the signal handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let limits = HttpLimits {
         max_body_bytes: settings.max_body_bytes,
         max_header_bytes: settings.max_header_bytes,
@@ -86,9 +84,8 @@
     ));
     println!("millford-proxy ready callers={bound}");
     LOG.info(format!("Serving callers at {bound}."));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    while signals.next().await == ProcessSignal::HangUp {
+        LOG.info("Ignoring SIGHUP: settings are read at the next start.");
     }
     let drain_timeout = Duration::from_millis(settings.drain_timeout_ms);
     drain(&state, &agent, drain_timeout).await;
--- a/crates/proxy/tests/process_lifecycle.rs
+++ b/crates/proxy/tests/process_lifecycle.rs
@@ -51,6 +51,29 @@
     RunningProxy { child, address }
 }
 
+fn send_signal(child: &Child, signal: &str) {
+    let pid = child.id().to_string();
+    let kill_status = Command::new("kill")
+        .args([signal, &pid])
+        .status()
+        .expect("kill");
+    assert!(kill_status.success());
+}
+
+/// Guards against a proxy that SIGHUP ends at once, with all open streams: it had no handler for the signal.
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_does_not_end_the_process() {
+    let (agent, _) = stub_agent::start(Fixture::default().feed_items("127.0.0.1:1")).await;
+    let mut running = start(agent);
+    let ready = get("/readyz", "");
+    wait_for_status(running.address, &ready, "HTTP/1.1 200").await;
+    send_signal(&running.child, "-HUP");
+    // The signals of a process are handled one after the other, so that SIGHUP has been handled once the proxy drains.
+    send_signal(&running.child, "-TERM");
+    let status = running.child.wait().expect("status");
+    assert_eq!(status.code(), Some(0), "ended by SIGTERM, not by SIGHUP");
+}
+
 async fn wait_for_status(address: SocketAddr, request: &[u8], status: &str) {
     for _ in 0..2_000 {
         if exchange(address, request).await.starts_with(status) {
@@ -77,12 +100,7 @@
     while requests.load(std::sync::atomic::Ordering::SeqCst) == 0 {
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
-    let pid = running.child.id().to_string();
-    let kill_status = Command::new("kill")
-        .args(["-TERM", &pid])
-        .status()
-        .expect("kill");
-    assert!(kill_status.success());
+    send_signal(&running.child, "-TERM");
     wait_for_status(address, &get("/readyz", ""), "HTTP/1.1 503").await;
     let refused = exchange(address, &get("/stations/1", &authorized)).await;
     assert!(refused.contains("\"code\":2006"), "{refused}");
