A control node reads its seeds again, on SIGHUP and without a signal

What callers would have seen: a control machine that stands still while the others are replaced as planned knows addresses only that are gone for ever, so that it never takes part again; the next loss then costs the quorum. The agent's `SeedSource` became `SettingsReader`, which both use. Every control machine must answer a read at the end.

--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -5,7 +5,7 @@
 use millford_api::local::LocalFrame;
 use millford_core::time::monotonic_now;
 use millford_registry::SharedRegistry;
-use millford_settings::PartLog;
+use millford_settings::{PartLog, SettingsReader};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -15,7 +15,6 @@
 use crate::daemon::proxy_sender::ProxySender;
 use crate::daemon::report::{AgentReport, SharedReport};
 use crate::daemon::saved_members::SavedMembers;
-use crate::daemon::seed_source::SharedSeedSource;
 use crate::daemon::traffic_meter::TrafficMeter;
 use crate::input::{AgentInput, ControlLinkId};
 use crate::options::AgentOptions;
@@ -38,7 +37,7 @@
     /// The service registry; `None` if none is configured.
     pub registry: Option<SharedRegistry>,
     /// Reads the seeds of the settings again; `None` if they are fixed.
-    pub seeds: Option<SharedSeedSource>,
+    pub seeds: Option<SettingsReader<Vec<String>>>,
     /// Saves the control members; `None` if no data folder is configured.
     pub saved_members: Option<SavedMembers>,
     /// Counts the traffic with control nodes.
@@ -151,9 +150,9 @@
 
     /// Starts a read of the seeds on a blocking thread.
     fn read_seeds(&self) {
-        if let Some(source) = self.components.seeds.clone() {
+        if let Some(reader) = self.components.seeds.clone() {
             let queues = self.components.queues.clone();
-            tokio::spawn(send_seeds(source, queues));
+            tokio::spawn(send_seeds(reader, queues));
         }
     }
 
@@ -186,8 +185,8 @@
 }
 
 /// Reads the seeds and passes them to the core.
-pub(super) async fn send_seeds(source: SharedSeedSource, queues: EventQueues) {
-    let read = tokio::task::spawn_blocking(move || source.read()).await;
+pub(super) async fn send_seeds(reader: SettingsReader<Vec<String>>, queues: EventQueues) {
+    let read = tokio::task::spawn_blocking(move || reader()).await;
     if let Ok(Some(seeds)) = read {
         queues.send_state(AgentInput::Seeds(seeds)).await;
     }
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -11,7 +11,6 @@
 pub mod report;
 pub mod run;
 pub mod saved_members;
-pub mod seed_source;
 pub mod traffic_meter;
 
 pub use agent_settings::AgentSettings;
@@ -20,5 +19,4 @@
 pub use proxy_sender::ProxySender;
 pub use report::AgentReport;
 pub use run::{AgentAdapters, run, run_with};
-pub use seed_source::{SeedSource, SharedSeedSource};
 pub use traffic_meter::TrafficMeter;
--- a/crates/agent/src/daemon/run.rs
+++ b/crates/agent/src/daemon/run.rs
@@ -6,9 +6,10 @@
 use millford_core::Duration;
 use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::{self, LogOptions};
-use millford_settings::{DaemonCommand, Invocation, PartLog};
+use millford_settings::{
+    DaemonCommand, Invocation, PartLog, ProcessSignal, ProcessSignals, SettingsReader,
+};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{JoinError, JoinHandle};
 
@@ -17,7 +18,6 @@
 use crate::daemon::event_queues::EventQueues;
 use crate::daemon::report::SharedReport;
 use crate::daemon::saved_members::SavedMembers;
-use crate::daemon::seed_source::SharedSeedSource;
 use crate::daemon::traffic_meter::TrafficMeter;
 use crate::daemon::{http_server, local_listener};
 use crate::input::AgentInput;
@@ -74,7 +74,7 @@
     /// The service registry; `None` disables reads of it.
     pub registry: Option<SharedRegistry>,
     /// The seeds of the settings as they are now; `None` if they are fixed.
-    pub seeds: Option<SharedSeedSource>,
+    pub seeds: Option<SettingsReader<Vec<String>>>,
 }
 
 impl AgentAdapters {
@@ -126,6 +126,7 @@
 }
 
 async fn serve(settings: AgentSettings, adapters: AgentAdapters) -> Result<(), StartError> {
+    let signals = ProcessSignals::install()?;
     let local = bind(&settings.local_address).await?;
     let http = bind(&settings.http_address).await?;
     let local_address = local.local_addr()?;
@@ -148,7 +149,7 @@
     })?;
     tokio::spawn(local_listener::serve(local, queues.clone(), proxy_sender));
     tokio::spawn(http_server::serve(http, report, meter));
-    handle_signals(queues, adapters.seeds)?;
+    tokio::spawn(handle_signals(signals, queues, adapters.seeds));
     println!("millford-agent ready local={local_address} http={http_address}");
     // The driver ends when the proxy no longer needs the agent and the session is closed or closing it timed out.
     let ended = driver.await;
@@ -203,30 +204,24 @@
     }
 }
 
-/// Spawns a task that stops the agent on SIGTERM or SIGINT, and reads the seeds again on SIGHUP.
-fn handle_signals(queues: EventQueues, seeds: Option<SharedSeedSource>) -> Result<(), StartError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hang_up.recv() => reload_seeds(seeds.as_ref(), &queues).await,
-            }
-        }
-        LOG.info(
-            "Received a termination signal; shutting down once the proxy no longer needs the agent.",
-        );
-        queues.send_state(AgentInput::Stop).await;
-    });
-    Ok(())
+/// Reads the seeds again on SIGHUP, and stops the agent on SIGTERM or SIGINT.
+async fn handle_signals(
+    mut signals: ProcessSignals,
+    queues: EventQueues,
+    seeds: Option<SettingsReader<Vec<String>>>,
+) {
+    while signals.next().await == ProcessSignal::HangUp {
+        reload_seeds(seeds.as_ref(), &queues).await;
+    }
+    LOG.info(
+        "Received a termination signal; shutting down once the proxy no longer needs the agent.",
+    );
+    queues.send_state(AgentInput::Stop).await;
 }
 
-async fn reload_seeds(seeds: Option<&SharedSeedSource>, queues: &EventQueues) {
+async fn reload_seeds(seeds: Option<&SettingsReader<Vec<String>>>, queues: &EventQueues) {
     LOG.info("Received SIGHUP: reading the seeds; other settings are read at the next start.");
-    if let Some(source) = seeds {
-        send_seeds(Arc::clone(source), queues.clone()).await;
+    if let Some(reader) = seeds {
+        send_seeds(Arc::clone(reader), queues.clone()).await;
     }
 }
--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod operator_http;
 pub mod registry_watch;
 pub mod run;
+mod seed_watch;
 pub mod settings;
 pub mod shard_thread;
 pub mod shared;
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -10,10 +10,11 @@
 use millford_core::ResultCode;
 use millford_registry::{HttpRegistry, SharedRegistry};
 use millford_settings::logging::parse_level;
-use millford_settings::{LogOptions, logging};
+use millford_settings::{
+    DaemonCommand, Invocation, LogOptions, ProcessSignal, ProcessSignals, SettingsReader, logging,
+};
 use millford_storage::{Disk, FileDisk, StorageError};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
 use super::CONTROL;
@@ -22,12 +23,20 @@
 use super::gateway_thread::GatewayThread;
 use super::operator_http::{self, OperatorPort};
 use super::registry_watch;
+use super::seed_watch::SeedWatch;
 use super::settings::ControlSettings;
 use super::shared::NodeShared;
 use crate::node::FolderOpener;
 use crate::node_input::NodeInput;
 use crate::options::ControlOptions;
 
+/// Command line of the program.
+pub const COMMAND: DaemonCommand = DaemonCommand {
+    program: "millford-control",
+    purpose: "Control node of a millford fleet.",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
 /// Longest time that a shutdown waits for leaderships to be transferred.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -74,11 +83,13 @@
     pub registry: Option<SharedRegistry>,
     /// The server of the operator interface.
     pub operators: OperatorServer,
+    /// The seeds of the settings as they are now; `None` if they are fixed.
+    pub seeds: Option<SettingsReader<Vec<String>>>,
 }
 
 impl ControlAdapters {
-    /// The default interfaces: a registry over HTTP, if the settings have its address, and the
-    /// operator interface over HTTP.
+    /// The default interfaces: a registry over HTTP, if the settings have its address, the
+    /// operator interface over HTTP, and the seeds of the settings file that the process was started with.
     #[must_use]
     pub fn of_settings(settings: &ControlSettings) -> Self {
         let address = settings.registry_address.as_str();
@@ -89,10 +100,20 @@
         Self {
             registry,
             operators: Box::new(|listener, port| operator_http::serve(listener, port).boxed()),
+            seeds: Some(Arc::new(seeds_of_process)),
         }
     }
 }
 
+/// Reads the seeds from the command line and the settings file of the process.
+fn seeds_of_process() -> Option<Vec<String>> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match COMMAND.parse::<ControlSettings>(&arguments) {
+        Ok(Invocation::Run(settings)) => Some(settings.seeds),
+        _ => None,
+    }
+}
+
 /// Runs the daemon until SIGTERM or SIGINT.
 #[must_use]
 pub fn run(settings: ControlSettings) -> ExitCode {
@@ -128,6 +149,7 @@
 }
 
 async fn serve(settings: ControlSettings, adapters: ControlAdapters) -> Result<(), StartError> {
+    let mut signals = ProcessSignals::install()?;
     let internal = bind(&settings.internal_address).await?;
     let operator = bind(&settings.operator_address).await?;
     let internal_address = local_address(&internal)?;
@@ -159,7 +181,8 @@
     let port = OperatorPort::new(queue.clone(), shared.clone(), &settings.operator_key_hash);
     tasks.spawn((adapters.operators)(operator, port));
     println!("millford-control ready internal={internal_address} operator={operator_address}");
-    wait_for_termination().await?;
+    let mut seeds = SeedWatch::new(adapters.seeds, settings.seeds, queue.clone());
+    wait_for_termination(&mut signals, &mut seeds).await;
     shut_down(&queue, &shared).await;
     Ok(())
 }
@@ -207,17 +230,18 @@
     }))
 }
 
-async fn wait_for_termination() -> Result<(), StartError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    // A changed settings file takes effect at the next start. There is no need to read it before:
-    // the members of the cluster are known from the cluster itself.
-    let mut hang_up = signal(SignalKind::hangup())?;
+/// Waits for SIGTERM or SIGINT. Meanwhile reads the seeds again, at intervals and on SIGHUP.
+async fn wait_for_termination(signals: &mut ProcessSignals, seeds: &mut SeedWatch) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => CONTROL.info("Ignoring SIGHUP: settings are read at the next start."),
+            signal = signals.next() => match signal {
+                ProcessSignal::Terminate => return,
+                ProcessSignal::HangUp => {
+                    CONTROL.info("Received SIGHUP: reading the seeds; other settings are read at the next start.");
+                    seeds.read().await;
+                }
+            },
+            () = seeds.due() => seeds.read().await,
         }
     }
 }
--- a/crates/control/src/gateway/core/handshakes.rs
+++ b/crates/control/src/gateway/core/handshakes.rs
@@ -128,6 +128,7 @@
             .map(|member| member.internal_address.clone())
             .collect();
         desired.extend(self.options.seeds.iter().cloned());
+        desired.extend(self.seeds.iter().cloned());
         desired.remove(&self.options.internal_address);
         desired
     }
--- a/crates/control/src/gateway/core/mod.rs
+++ b/crates/control/src/gateway/core/mod.rs
@@ -47,6 +47,8 @@
 /// The node-level half of a control node; the shards' cores are the other half.
 pub struct Gateway {
     options: ControlOptions,
+    /// Seeds as last read from the settings, beside those of the start.
+    seeds: Vec<String>,
     store: NodeStore,
     /// Present until the node belongs to a cluster.
     formation: Option<Formation>,
@@ -87,6 +89,7 @@
         let own_session = OwnSession::new(store.random_id());
         let mut gateway = Self {
             options,
+            seeds: Vec::new(),
             store,
             formation: None,
             decommission: None,
@@ -164,6 +167,7 @@
                 self.registry = Some(view.clone());
                 self.send_to_every_shard(&ShardInput::Registry(view));
             }
+            NodeInput::Seeds(seeds) => self.seeds = seeds,
             NodeInput::Tick => self.tick(now),
             NodeInput::Shutdown => self.send_to_every_shard(&ShardInput::Shutdown),
         }
--- a/crates/control/src/node_input.rs
+++ b/crates/control/src/node_input.rs
@@ -39,6 +39,8 @@
     },
     /// A new view of the service registry.
     Registry(Arc<RegistryView>),
+    /// Internal addresses of control nodes, as the settings name them now.
+    Seeds(Vec<String>),
     /// The periodic tick, every [`crate::timing::TICK`].
     Tick,
     /// The process shuts down, so that leaderships are to be transferred where possible.
--- a/deploy/soak/src/checks/recovery.rs
+++ b/deploy/soak/src/checks/recovery.rs
@@ -1,5 +1,7 @@
 //! Rule RECOVER and processes that end by themselves.
 
+use std::net::SocketAddr;
+
 use super::{Rule, Violation};
 use crate::bounds::RECOVERY;
 use crate::history::{Ending, History, MachineEvent};
@@ -11,6 +13,7 @@
 #[must_use]
 pub fn check(history: &History) -> Vec<Violation> {
     let mut found = own_ends(history);
+    found.extend(silent_control_machines(history));
     let fronts = history.requests.iter().map(|request| request.front).max();
     for front in 0..=fronts.unwrap_or(0) {
         found.extend(not_recovered(history, front));
@@ -29,6 +32,23 @@
     .collect()
 }
 
+/// Every control machine answers reads again, also one that was out of touch while all others were replaced.
+fn silent_control_machines(history: &History) -> Vec<Violation> {
+    let answers = |server: &SocketAddr| {
+        let mut reads = history.reads.iter();
+        reads.any(|read| read.server == *server && read.sent > history.calm_since)
+    };
+    let servers = history.control_servers.iter();
+    servers
+        .filter(|server| !answers(server))
+        .map(|server| Violation {
+            rule: Rule::Recover,
+            at: history.calm_since,
+            text: format!("the control machine at {server} answers no read"),
+        })
+        .collect()
+}
+
 fn not_recovered(history: &History, front: usize) -> Option<Violation> {
     let from = history.calm_since + RECOVERY;
     let requests = history.requests.iter();
--- a/deploy/soak/src/deployment/control_machines.rs
+++ b/deploy/soak/src/deployment/control_machines.rs
@@ -1,5 +1,6 @@
 //! The control machines: their processes and disks, and their replacement.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::process_group::ProcessGroup;
 use super::seed_list::SeedList;
 use super::settings_file::MachineSettings;
-use crate::bounds::GRACE;
+use crate::bounds::{CATCH_UP, GRACE, SEED_LAG};
 use crate::history::{MachineEvent, MachineId, Recorder};
 
 /// Zones of the control machines, one after the other.
@@ -141,6 +142,33 @@
         self.start(index, false)
     }
 
+    /// Stops a machine with SIGSTOP while each of the others is replaced as planned, one after the other. The machine's
+    /// settings file names the new seeds when it runs again.
+    ///
+    /// # Errors
+    /// A settings file cannot be written or a new machine cannot be started.
+    pub async fn freeze_while_others_are_replaced(
+        &mut self,
+        index: usize,
+        hangs_up: bool,
+    ) -> Result<(), ProcessError> {
+        self.machines.swap(0, index);
+        self.record(0, MachineEvent::Frozen);
+        self.signal(0, Signal::STOP);
+        // From the last on, since each successor takes the position of the machine that it replaces.
+        for other in (1..self.machines.len()).rev() {
+            self.replace_as_planned(other, CATCH_UP).await?;
+        }
+        sleep(SEED_LAG).await;
+        self.write_settings(0)?;
+        self.signal(0, Signal::CONT);
+        self.record(0, MachineEvent::Thawed);
+        if hangs_up {
+            self.hang_up(0);
+        }
+        Ok(())
+    }
+
     /// Stops a machine with SIGSTOP for this time.
     pub async fn freeze(&mut self, index: usize, duration: Duration) {
         self.record(index, MachineEvent::Frozen);
@@ -212,33 +240,48 @@
     }
 
     fn publish_seeds(&self) {
-        let addresses = self
-            .machines
-            .iter()
-            .map(|machine| self.network.operator(machine.number));
-        self.seeds.set(self.recorder.now(), addresses.collect());
+        self.seeds
+            .set(self.recorder.now(), self.operator_addresses());
+    }
+
+    /// Addresses at which the machines serve operators.
+    #[must_use]
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let machines = self.machines.iter();
+        machines
+            .map(|machine| self.network.operator(machine.number))
+            .collect()
     }
 
     fn start(&mut self, index: usize, bootstrap: bool) -> Result<(), ProcessError> {
-        let seeds = self.seeds.lagging(self.recorder.now());
         let machine = &mut self.machines[index];
         machine.settings.set_bootstrap(bootstrap);
-        machine.settings.set_seeds(seeds);
-        let path = self
-            .folder
-            .join(format!("{}.toml", machine.settings.name()));
-        let failed = |source| ProcessError {
-            program: path.clone(),
+        std::fs::create_dir_all(&machine.data).map_err(|source| ProcessError {
+            program: machine.data.clone(),
             source,
-        };
-        std::fs::create_dir_all(&machine.data).map_err(failed)?;
-        machine.settings.write(&path).map_err(failed)?;
+        })?;
+        let path = self.write_settings(index)?;
+        let machine = &mut self.machines[index];
         let name = machine.settings.name();
         machine.processes = ProcessGroup::start(&self.programs, name, &path, &self.folder)?;
         self.record(index, MachineEvent::Started);
         Ok(())
     }
 
+    /// Writes a machine's settings file with the current seeds. Returns its path.
+    fn write_settings(&mut self, index: usize) -> Result<PathBuf, ProcessError> {
+        let seeds = self.seeds.lagging(self.recorder.now());
+        let settings = &mut self.machines[index].settings;
+        settings.set_seeds(seeds);
+        let path = self.folder.join(format!("{}.toml", settings.name()));
+        let written = settings.write(&path);
+        written.map_err(|source| ProcessError {
+            program: path.clone(),
+            source,
+        })?;
+        Ok(path)
+    }
+
     async fn kill(&mut self, index: usize) {
         self.record(index, MachineEvent::Killed);
         self.machines[index].processes.kill().await;
--- a/deploy/soak/src/deployment/front_machine.rs
+++ b/deploy/soak/src/deployment/front_machine.rs
@@ -15,6 +15,9 @@
 use crate::history::{MachineEvent, MachineId, Recorder};
 use crate::plan::{DrainSignal, DrainSignalKind};
 
+/// Interval at which the settings file of a stopped machine is written anew.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A proxy machine.
 #[derive(Debug)]
 pub struct FrontMachine {
@@ -105,7 +108,7 @@
                 self.record(MachineEvent::HungUp);
                 self.processes.signal(Signal::HUP);
             }
-            DrainSignalKind::Freeze(duration) => self.freeze(duration).await,
+            DrainSignalKind::Freeze(duration) => self.stop_for(duration).await,
         }
     }
 
@@ -149,8 +152,25 @@
         Ok(())
     }
 
-    /// Stops every process with SIGSTOP for this time.
-    pub async fn freeze(&mut self, duration: Duration) {
+    /// Stops every process with SIGSTOP for this time, while the settings file is kept up to date.
+    ///
+    /// # Errors
+    /// The settings file cannot be written.
+    pub async fn freeze(&mut self, duration: Duration) -> Result<(), ProcessError> {
+        self.record(MachineEvent::Frozen);
+        self.processes.signal(Signal::STOP);
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.write_settings()?;
+            sleep(SETTINGS_INTERVAL.min(end - Instant::now())).await;
+        }
+        self.write_settings()?;
+        self.processes.signal(Signal::CONT);
+        self.record(MachineEvent::Thawed);
+        Ok(())
+    }
+
+    async fn stop_for(&mut self, duration: Duration) {
         self.record(MachineEvent::Frozen);
         self.processes.signal(Signal::STOP);
         sleep(duration).await;
--- a/deploy/soak/src/drivers/control_driver.rs
+++ b/deploy/soak/src/drivers/control_driver.rs
@@ -37,6 +37,11 @@
             ControlAction::ReplaceAsPlanned { delay } => {
                 control.replace_as_planned(index, delay).await?;
             }
+            ControlAction::FreezeWhileOthersAreReplaced { hangs_up } => {
+                control
+                    .freeze_while_others_are_replaced(index, hangs_up)
+                    .await?;
+            }
             ControlAction::HangUp => {
                 control.hang_up(index);
                 continue;
--- a/deploy/soak/src/drivers/front_driver.rs
+++ b/deploy/soak/src/drivers/front_driver.rs
@@ -21,11 +21,7 @@
 ) -> Result<FrontMachine, ProcessError> {
     for step in steps {
         let next = Instant::now() + step.pause;
-        while Instant::now() < next.min(until) {
-            front.record_own_ends();
-            front.write_settings()?;
-            sleep(UPKEEP_INTERVAL.min(next - Instant::now())).await;
-        }
+        keep_up(&mut front, next.min(until)).await?;
         if Instant::now() >= until {
             break;
         }
@@ -45,10 +41,25 @@
                 is_graceful,
                 down,
             } => front.restart_role(role, is_graceful, down).await?,
-            FrontAction::Freeze { duration } => front.freeze(duration).await,
+            FrontAction::Freeze { duration, hangs_up } => {
+                front.freeze(duration).await?;
+                if hangs_up {
+                    front.hang_up()?;
+                }
+            }
             FrontAction::HangUp => front.hang_up()?,
         }
     }
-    front.write_settings()?;
+    keep_up(&mut front, until).await?;
     Ok(front)
 }
+
+/// Writes the settings file anew and notices ended processes until `end`.
+async fn keep_up(front: &mut FrontMachine, end: Instant) -> Result<(), ProcessError> {
+    while Instant::now() < end {
+        front.record_own_ends();
+        front.write_settings()?;
+        sleep(UPKEEP_INTERVAL.min(end - Instant::now())).await;
+    }
+    front.write_settings()
+}
--- a/deploy/soak/src/history.rs
+++ b/deploy/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins saw during a run, in the order in which it was recorded.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -147,6 +148,8 @@
 /// A read of the configuration that was answered with 200.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigRead {
+    /// Address of the control machine that answered.
+    pub server: SocketAddr,
     /// When the read was sent.
     pub sent: Moment,
     /// Version in the answer; `None` if the answer is not the text of any order.
@@ -175,6 +178,8 @@
     pub orders: Vec<Order>,
     /// Reads of the configuration.
     pub reads: Vec<ConfigRead>,
+    /// Addresses at which the control machines serve operators once the disruptions are over.
+    pub control_servers: Vec<SocketAddr>,
     /// Backends that were drained.
     pub drains: Vec<BackendDrain>,
     /// When the disruptions ended and recovery began.
--- a/deploy/soak/src/plan/control_plan.rs
+++ b/deploy/soak/src/plan/control_plan.rs
@@ -44,6 +44,11 @@
         /// Time from the start of the successor to SIGTERM.
         delay: Duration,
     },
+    /// SIGSTOP to one machine while each of the others is replaced as planned; then SIGCONT.
+    FreezeWhileOthersAreReplaced {
+        /// Whether SIGHUP follows SIGCONT.
+        hangs_up: bool,
+    },
     /// SIGHUP to one machine.
     HangUp,
 }
@@ -65,7 +70,7 @@
     pub fn draw(random: &mut impl Rng, machines: usize) -> Self {
         let pause = millis(random, 0, 4000);
         let machine = random.random_range(0..machines.max(1));
-        let action = match random.random_range(0..12) {
+        let action = match random.random_range(0..13) {
             0..=1 => ControlAction::Kill {
                 down: millis(random, 50, 3500),
             },
@@ -87,6 +92,9 @@
             9..=10 => ControlAction::ReplaceAsPlanned {
                 delay: millis(random, 4100, 8000),
             },
+            11 => ControlAction::FreezeWhileOthersAreReplaced {
+                hangs_up: random.random_bool(0.5),
+            },
             _ => ControlAction::HangUp,
         };
         Self {
--- a/deploy/soak/src/plan/front_plan.rs
+++ b/deploy/soak/src/plan/front_plan.rs
@@ -30,10 +30,12 @@
         /// Time from the end to the start.
         down: Duration,
     },
-    /// SIGSTOP to all processes, and SIGCONT after this time.
+    /// SIGSTOP to all processes, and SIGCONT after this time. The settings file is kept up to date meanwhile.
     Freeze {
         /// Time from SIGSTOP to SIGCONT.
         duration: Duration,
+        /// Whether SIGHUP follows SIGCONT.
+        hangs_up: bool,
     },
     /// SIGHUP to all processes.
     HangUp,
@@ -101,6 +103,7 @@
             },
             8 => FrontAction::Freeze {
                 duration: millis(random, 200, 6000),
+                hangs_up: random.random_bool(0.5),
             },
             _ => FrontAction::HangUp,
         };
--- a/deploy/soak/src/plan/mod.rs
+++ b/deploy/soak/src/plan/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend_plan;
 pub mod control_plan;
 pub mod front_plan;
+pub mod turnover;
 
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 pub use backend_plan::BackendStep;
 pub use control_plan::{ControlAction, ControlStep};
 pub use front_plan::{DrainSignal, DrainSignalKind, FrontAction, FrontStep};
+pub use turnover::Turnover;
 
 /// Steps of each timeline; more than fit into a run, which ends the timelines by time.
 const STEPS: usize = 64;
@@ -42,11 +44,15 @@
         let control = control.collect();
         let mut random = timeline(seed, u64::MAX - 1);
         let backends = (0..STEPS).map(|_| BackendStep::draw(&mut random));
-        Self {
+        let mut plan = Self {
             fronts,
             control,
             backends: backends.collect(),
+        };
+        if let Some(turnover) = Turnover::draw(&mut timeline(seed, u64::MAX - 2)) {
+            turnover.begin(&mut plan, controls);
         }
+        plan
     }
 }
 
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -261,7 +261,11 @@
         let backends = backends.await.map_err(std::io::Error::other)??;
         sleep_until(until).await;
         let calm_since = self.recorder.now();
-        self.recorder.lock().calm_since = calm_since;
+        {
+            let mut history = self.recorder.lock();
+            history.calm_since = calm_since;
+            history.control_servers = self.control.operator_addresses();
+        }
         sleep(RECOVERY + AFTER_RECOVERY).await;
         self.background.abort_all();
         for front in &mut fronts {
--- a/deploy/soak/src/stand_ins/operator.rs
+++ b/deploy/soak/src/stand_ins/operator.rs
@@ -167,10 +167,11 @@
         if let Some((200, body)) = call(address, get_request()).await {
             let parsed: Result<VersionOnly, _> = serde_json::from_slice(&body);
             let version = parsed.ok().map(|parsed| parsed.version);
-            self.recorder
-                .lock()
-                .reads
-                .push(ConfigRead { sent, version });
+            self.recorder.lock().reads.push(ConfigRead {
+                server: address,
+                sent,
+                version,
+            });
         }
     }
 
--- a/deploy/soak/tests/checks.rs
+++ b/deploy/soak/tests/checks.rs
@@ -1,5 +1,6 @@
 //! Planted histories: each check finds the break that it is for, and accepts the same history without it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use millford_platform_soak::checks::{Rule, violations};
@@ -13,6 +14,10 @@
     Duration::from_secs_f64(seconds)
 }
 
+fn server(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 20, 2, number], 10_000))
+}
+
 fn version(generation: u64) -> u64 {
     Generation(generation).version(Contender::First)
 }
@@ -22,6 +27,7 @@
     let mut history = History {
         calm_since: seconds(60.0),
         reads: vec![ConfigRead {
+            server: server(1),
             sent: seconds(70.0),
             version: Some(version(4)),
         }],
@@ -339,3 +345,12 @@
     history.requests.push(permanent(51.0, 200));
     assert_eq!(broken(&history), [Rule::Config]);
 }
+
+#[test]
+fn a_control_machine_that_never_answers_a_read_again_breaks_recovery() {
+    let mut history = calm_history();
+    history.control_servers = vec![server(1)];
+    assert_eq!(broken(&history), []);
+    history.control_servers.push(server(2));
+    assert_eq!(broken(&history), [Rule::Recover]);
+}
