A removed control node asks whether its replicas are still needed

What callers would have seen: a control machine that stood still while the others were replaced as planned takes part again only half a minute after it runs; until then the loss of one more machine costs the quorum of every shard. Cause: a node whose identity was removed keeps its replicas until its groups have dropped them, as far as its own log shows, or until all voters that it knows are connected, or for 30 s. A node that was out of touch gets neither: its groups no longer send it anything, and the voters that it knows are gone. Change: it asks each shard's leader for its status, a read that the quorum confirms, and drops its replicas once no shard lists its identity. Requests of such a node go to other nodes in turn, since its own replica learns of no leader.

--- a/crates/control/src/gateway/core/formation.rs
+++ b/crates/control/src/gateway/core/formation.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use millford_api::internal::{FormCluster, HelloReply, frame};
+use millford_api::internal::{
+    FormCluster, HelloReply, ShardReply, ShardStatusRequest, frame, shard_reply, shard_request,
+};
 use millford_api::state::ControlMember;
 use millford_core::{MonotonicTime, NodeId, ShardId, ShardLayout};
 use millford_membership::{Formation, FormationDecision, replica_group};
@@ -15,8 +17,10 @@
 use crate::gateway::node_file::NodeFile;
 use crate::gateway::node_store::IdentityOrigin;
 use crate::gateway::own_session::OwnSession;
+use crate::gateway::pending_requests::{Origin, request_to};
 use crate::node_event::NodeEvent;
 use crate::shard::ShardInput;
+use crate::timing::STATUS_REQUEST_TIMEOUT;
 
 impl Gateway {
     /// Restores the node from its file, and starts the shards that the file lists.
@@ -206,15 +210,31 @@
 
     /// Starts over once no group needs a replica of this node any more.
     pub(super) fn tick_decommission(&mut self, now: MonotonicTime) {
-        let Some(decommission) = &self.decommission else {
+        let Some(decommission) = &mut self.decommission else {
             return;
         };
+        for shard in decommission.take_status_requests(now, &self.replicas) {
+            let status = shard_request::Kind::Status(ShardStatusRequest {});
+            let request = request_to(shard, status);
+            self.pending
+                .submit(now, Origin::Decommission, request, STATUS_REQUEST_TIMEOUT);
+        }
         let own = self.store.identity();
         if decommission.is_complete(now, own, &self.replicas, &self.links) {
             self.start_over(now);
         }
     }
 
+    /// Handles the status of a shard that may still need a replica of this removed identity.
+    pub(super) fn decommission_status_read(&mut self, reply: &ShardReply) {
+        let own = self.store.identity();
+        if let (Some(decommission), Some(shard_reply::Kind::Status(status))) =
+            (&mut self.decommission, &reply.kind)
+        {
+            decommission.record_status(own, status);
+        }
+    }
+
     /// Erases the shards and continues as a standby under a new identity, in the same cluster.
     pub(super) fn start_over(&mut self, now: MonotonicTime) {
         self.decommission = None;
--- a/crates/control/src/gateway/core/requests.rs
+++ b/crates/control/src/gateway/core/requests.rs
@@ -202,8 +202,9 @@
         if named.is_some() {
             return named;
         }
-        if self.replicas.holds(shard) {
-            // This node's replica will learn of the new leader; trying every node would only add load.
+        if self.replicas.holds(shard) && self.decommission.is_none() {
+            // This node's replica will learn of the new leader; trying every node would only add load. The replica of a
+            // removed identity may never learn of it.
             return None;
         }
         let nodes: Vec<NodeId> = self.links.nodes().collect();
@@ -228,6 +229,7 @@
                     self.member_list_read(now, state);
                 }
             }
+            Origin::Decommission => self.decommission_status_read(&reply),
             Origin::Read { read } => self.read_answered(&reply, read),
         }
     }
--- a/crates/control/src/gateway/pending_requests.rs
+++ b/crates/control/src/gateway/pending_requests.rs
@@ -30,6 +30,8 @@
     OwnSession,
     /// This node reads the list of control nodes.
     MemberList,
+    /// This node, whose identity the cluster removed, asks whether a shard still needs its replica.
+    Decommission,
     /// This node registers itself. The content of the reply is ignored: the node's copy of the list
     /// shows whether it succeeded.
     Registration,
--- a/crates/control/tests/repair.rs
+++ b/crates/control/tests/repair.rs
@@ -4,11 +4,14 @@
 
 use std::time::Duration;
 
-use millford_control::{NodeEvent, OperatorReply, OperatorRequest};
+use millford_control::{NodeEvent, NodeInput, OperatorReply, OperatorRequest};
 use millford_core::{ResultCode, ShardId};
 use support::Cluster;
 use support::orders::{accept, cluster_with_leaders, document, revision};
 
+/// Time after which a node that is back must be able to replace another one.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
 fn is_fully_replicated(cluster: &Cluster, addresses: &[&str]) -> bool {
     let mut expected: Vec<_> = addresses
         .iter()
@@ -208,3 +211,45 @@
         assert_eq!(revision(&mut cluster, survivor), 1, "{first} and {second}");
     }
 }
+
+/// Boots an empty node, stops `old` and waits until `voters` hold every shard.
+fn replace(cluster: &mut Cluster, old: &str, new: &str, voters: &[&str]) {
+    cluster.boot(new);
+    cluster.kill(old);
+    wait_until_fully_replicated(cluster, voters);
+}
+
+/// Guards against a node that never takes part again, because every address that it knows is gone, or does so only half
+/// a minute later, because it waits for the voters that it knows (review/3).
+#[test]
+fn a_node_out_of_touch_while_the_others_were_replaced_takes_part_again_once_it_reads_the_seeds() {
+    for seed in 1..=10 {
+        let mut cluster = cluster_with_leaders(3, seed);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        let former = cluster.identity("node-3");
+        cluster.partitioned.insert("node-3".to_owned());
+        cluster.boot("node-4");
+        wait_until_fully_replicated(&mut cluster, &["node-1", "node-2", "node-4"]);
+        replace(
+            &mut cluster,
+            "node-1",
+            "node-5",
+            &["node-2", "node-4", "node-5"],
+        );
+        replace(
+            &mut cluster,
+            "node-2",
+            "node-6",
+            &["node-4", "node-5", "node-6"],
+        );
+        cluster.partitioned.clear();
+        let seeds = ["node-4", "node-5", "node-6"].map(str::to_owned);
+        cluster.input("node-3", NodeInput::Seeds(seeds.to_vec()));
+        cluster.run_until(CATCH_UP, "a new identity", |cluster| {
+            cluster.identity("node-3") != former
+        });
+        cluster.kill("node-4");
+        wait_until_fully_replicated(&mut cluster, &["node-3", "node-5", "node-6"]);
+        assert_eq!(revision(&mut cluster, "node-3"), 1, "seed {seed}");
+    }
+}
