A registry that lists no backend any more is believed

What callers would have seen: when the last backends left the registry's list together, requests went on to their addresses for ever (DRAIN; an address may belong to another service by then). Cause: the guard against a registry that has just started and lists nothing yet had no end. A moment's empty list, failed reads and long pauses confirm nothing. An agent without contact to the control plane still keeps a pool of which the list has no backend.

--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use millford_core::ResultCode;
-use millford_registry::{HttpRegistry, SharedRegistry};
+use millford_registry::{ConfirmedEmptyList, HttpRegistry, SharedRegistry};
 use millford_settings::logging::parse_level;
 use millford_settings::{
     DaemonCommand, Invocation, LogOptions, ProcessSignal, ProcessSignals, SettingsReader, logging,
@@ -175,6 +175,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(listen(internal, queue.clone()));
     if let Some(registry) = adapters.registry {
+        let registry = ConfirmedEmptyList::wrap(registry);
         let watch = registry_watch::watch(registry, queue.clone(), shared.clone());
         tasks.spawn(watch);
     }
--- a/crates/registry/src/error.rs
+++ b/crates/registry/src/error.rs
@@ -6,7 +6,7 @@
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Error of a registry read. It never means that the backends are gone: the reader continues with
-/// the last view.
+/// the last view. A list that stays empty is no error, see [`crate::ConfirmedEmptyList`].
 #[derive(Debug, thiserror::Error)]
 pub enum RegistryError {
     /// The connection failed, or the response was incomplete or too large.
@@ -18,7 +18,7 @@
     /// The body of the response cannot be parsed.
     #[error("the registry's list is malformed: {0}")]
     Malformed(#[from] serde_json::Error),
-    /// The list contains no backend.
+    /// The list contains no backend; see [`crate::ConfirmedEmptyList`].
     #[error("the registry's list contains no backend")]
     Empty,
     /// The list has more pages than the client accepts.
