The soak's backend list is bound once, and goes on after a failed accept

No proxy knew a backend; alone and in all later runs (over 60) the test held. Traced by reading: the run drew its addresses, released that of the list and bound it again in a task whose error was dropped. In between a process that another run starts can still hold the first socket until its exec, and then the list is never served. Change: the listener that was drawn serves the list, and a failed accept is tried again.

--- a/deploy/soak/src/deployment/network.rs
+++ b/deploy/soak/src/deployment/network.rs
@@ -32,22 +32,26 @@
 }
 
 impl Network {
-    /// Draws a network whose ports are free.
+    /// Draws a network whose ports are free. Returns the bound listener of the backend list too: bound a second time, its
+    /// address could still be held by a process that another run of this program starts in that moment.
     ///
     /// # Errors
     /// No free ports were found.
-    pub fn draw(random: &mut impl Rng) -> io::Result<Self> {
+    pub fn draw(random: &mut impl Rng) -> io::Result<(Self, TcpListener)> {
         for _ in 0..PORT_ATTEMPTS {
             let network = Self {
                 subnet: random.random_range(20..250),
                 first_port: random.random_range(FIRST_PORTS),
             };
-            let addresses = [network.list(), network.caller(0), network.operator(0)];
-            if addresses
+            let Ok(list) = TcpListener::bind(network.list()) else {
+                continue;
+            };
+            let others = [network.caller(0), network.operator(0)];
+            if others
                 .iter()
                 .all(|address| TcpListener::bind(address).is_ok())
             {
-                return Ok(network);
+                return Ok((network, list));
             }
         }
         Err(io::ErrorKind::AddrInUse.into())
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -137,15 +138,15 @@
 impl Soak {
     async fn start(options: &SoakOptions, folder: &Path) -> Result<Self, SoakError> {
         let deploy = DeployFile::read(&options.deploy_file, &options.programs)?;
-        let network = Network::draw(&mut timeline(options.seed, NETWORK_TIMELINE))?;
+        let (network, listener) = Network::draw(&mut timeline(options.seed, NETWORK_TIMELINE))?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
         let recorder = Recorder::default();
         let seeds = SeedList::default();
         let list = BackendList::default();
         let mut background = JoinSet::new();
         let served = list.clone();
-        background.spawn(async move {
-            let _ = served.serve(network.list()).await;
-        });
+        background.spawn(async move { served.serve(listener).await });
         let control = ControlMachines::new(
             options.controls,
             deploy.control.clone(),
--- a/deploy/soak/src/stand_ins/backend_list.rs
+++ b/deploy/soak/src/stand_ins/backend_list.rs
@@ -1,6 +1,5 @@
 //! The platform's list of backends.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -73,18 +72,13 @@
     }
 
     /// Serves the list until the task is aborted.
-    ///
-    /// # Errors
-    /// The address cannot be bound.
-    pub async fn serve(&self, address: SocketAddr) -> io::Result<()> {
-        let listener = TcpListener::bind(address).await?;
+    pub async fn serve(&self, listener: TcpListener) {
         let list = self.clone();
         serve(listener, move |_| {
             let page = list.page();
             async move { page }
         })
         .await;
-        Ok(())
     }
 
     fn page(&self) -> Response<AnswerBody> {
--- a/deploy/soak/src/stand_ins/http.rs
+++ b/deploy/soak/src/stand_ins/http.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -13,6 +14,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Body of an answer of a stand-in.
 pub type AnswerBody = BoxBody<Bytes, Infallible>;
@@ -25,7 +30,11 @@
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     let mut connections = tokio::task::JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let answer = answer.clone();
         let service = service_fn(move |request| {
