A control node that shuts down is replaced by a standby at once

Cause: a successor stands by until a voter has been silent for 2 s; a voter that gets SIGTERM handed over its leaderships and not its place, so that the second one went before the first was replaced. Change: a node that shuts down says so in its hello, and waits 100 ms for it to arrive. Leaders treat such a voter as lost at once; without a standby nothing changes. `Departure` replaces `MemberStatus::removed`.

--- a/crates/api/tests/wire/internal.rs
+++ b/crates/api/tests/wire/internal.rs
@@ -301,6 +301,8 @@
             sender: values.next(),
             cluster_id: values.next(),
             known: values.next(),
+            // The bytes of the committed sample must not change.
+            leaving: false,
         }
     }
 }
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -37,6 +37,9 @@
     version: env!("CARGO_PKG_VERSION"),
 };
 
+/// Time for the announcement of the shutdown to reach the other control nodes.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(100);
+
 /// Longest time that a shutdown waits for leaderships to be transferred.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -249,12 +252,13 @@
     }
 }
 
-/// Transfers leaderships before the exit, so that the other nodes don't have to wait for an
-/// election timeout.
+/// Announces the shutdown and transfers leaderships before the exit, so that the other nodes don't have to wait for a
+/// standby to replace this node, or for an election timeout.
 async fn shut_down(queue: &GatewayQueue, shared: &NodeShared) {
     CONTROL.info("Shutting down: transferring leaderships.");
     let _ = queue.send(GatewayEvent::Input(NodeInput::Shutdown));
     let deadline = Instant::now() + LEADERSHIP_TRANSFER_TIMEOUT;
+    tokio::time::sleep(ANNOUNCEMENT_TIME).await;
     while shared.led_shards() > 0 && Instant::now() < deadline {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/control/src/gateway/core/handshakes.rs
+++ b/crates/control/src/gateway/core/handshakes.rs
@@ -33,6 +33,7 @@
             sender: Some(self.own_member()),
             cluster_id: self.store.file().cluster_id,
             known: self.directory.to_vec(),
+            leaving: self.leaving_members.contains(&self.store.identity()),
         };
         self.outbox.send(link, frame::Body::Hello(hello));
     }
@@ -45,6 +46,11 @@
         let identity = NodeId(sender.node_id);
         self.links.set_control(link, identity);
         self.learn_from(sender, hello.cluster_id, &hello.known);
+        if hello.leaving {
+            self.leaving_members.insert(identity);
+        } else {
+            self.leaving_members.remove(&identity);
+        }
         let unformed_founder = hello.cluster_id == 0 && self.store.is_founder(identity);
         if self.store.is_formed() && unformed_founder {
             // The node missed the formation. Its disk never held a vote, so it may still join as a
--- a/crates/control/src/gateway/core/membership.rs
+++ b/crates/control/src/gateway/core/membership.rs
@@ -10,7 +10,7 @@
 use crate::commands::command_of;
 use crate::gateway::member_list::MemberChange;
 use crate::gateway::pending_requests::{Origin, request_to};
-use crate::shard::{MemberStatus, MemberView, ShardInput};
+use crate::shard::{Departure, MemberStatus, MemberView, ShardInput};
 use crate::timing::{OPERATOR_REQUEST_TIMEOUT, REGISTRATION_PERIOD};
 
 impl Gateway {
@@ -129,6 +129,16 @@
         self.send_to_every_shard(&ShardInput::Members(view));
     }
 
+    fn departure_of(&self, node: NodeId) -> Departure {
+        if self.directory.is_removed(node) {
+            Departure::Removed
+        } else if self.leaving_members.contains(&node) {
+            Departure::Announced
+        } else {
+            Departure::None
+        }
+    }
+
     fn member_view(&self, now: MonotonicTime) -> MemberView {
         let listed = self.members.nodes();
         let known = self.directory.iter().map(|member| NodeId(member.node_id));
@@ -139,7 +149,7 @@
             let member = MemberStatus {
                 registered: self.members.lists(node),
                 connected: node == own || self.dialer.is_connected(now, node),
-                removed: self.directory.is_removed(node),
+                departure: self.departure_of(node),
             };
             view.members.insert(node, member);
         }
--- a/crates/control/src/gateway/core/mod.rs
+++ b/crates/control/src/gateway/core/mod.rs
@@ -12,7 +12,7 @@
 mod sessions;
 mod shard_outputs;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use millford_api::internal::frame;
@@ -55,6 +55,8 @@
     /// Present after the cluster removed this node's identity.
     decommission: Option<Decommission>,
     directory: MemberDirectory,
+    /// Control nodes that announced their shutdown and have not come back since.
+    leaving_members: BTreeSet<NodeId>,
     members: MemberList,
     /// The control nodes as last sent to the shards.
     view: MemberView,
@@ -94,6 +96,7 @@
             formation: None,
             decommission: None,
             directory: MemberDirectory::default(),
+            leaving_members: BTreeSet::new(),
             members: MemberList::default(),
             view: MemberView::default(),
             links: LinkTable::default(),
@@ -169,10 +172,19 @@
             }
             NodeInput::Seeds(seeds) => self.seeds = seeds,
             NodeInput::Tick => self.tick(now),
-            NodeInput::Shutdown => self.send_to_every_shard(&ShardInput::Shutdown),
+            NodeInput::Shutdown => self.leave(now),
         }
     }
 
+    /// Announces the shutdown to the other control nodes, and transfers leaderships.
+    fn leave(&mut self, now: MonotonicTime) {
+        self.leaving_members.insert(self.store.identity());
+        self.dialer.schedule_hellos(now);
+        self.tick_dialer(now);
+        self.push_member_view(now);
+        self.send_to_every_shard(&ShardInput::Shutdown);
+    }
+
     fn tick(&mut self, now: MonotonicTime) {
         self.replicas.tick(now);
         self.tick_dialer(now);
--- a/crates/control/src/shard/members.rs
+++ b/crates/control/src/shard/members.rs
@@ -4,6 +4,18 @@
 
 use millford_core::NodeId;
 
+/// Whether a control node leaves the cluster.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Departure {
+    /// It stays.
+    #[default]
+    None,
+    /// It announced that it shuts down, and has not come back since.
+    Announced,
+    /// The cluster has permanently removed its identity.
+    Removed,
+}
+
 /// Status of one control node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MemberStatus {
@@ -11,8 +23,14 @@
     pub registered: bool,
     /// Whether this node is connected to it.
     pub connected: bool,
-    /// Whether the cluster has permanently removed the node's identity.
-    pub removed: bool,
+    /// Whether the node leaves the cluster.
+    pub departure: Departure,
+}
+
+impl MemberStatus {
+    fn can_hold_replicas(self) -> bool {
+        self.registered && self.connected && self.departure == Departure::None
+    }
 }
 
 /// The status of every control node, this node included.
@@ -33,7 +51,7 @@
     pub fn candidates(&self) -> impl Iterator<Item = NodeId> {
         self.members
             .iter()
-            .filter(|(_, member)| member.registered && member.connected && !member.removed)
+            .filter(|(_, member)| member.can_hold_replicas())
             .map(|(node, _)| *node)
     }
 }
--- a/crates/control/src/shard/mod.rs
+++ b/crates/control/src/shard/mod.rs
@@ -44,7 +44,7 @@
 
 pub use core::ShardCore;
 pub use input::ShardInput;
-pub use members::{MemberStatus, MemberView};
+pub use members::{Departure, MemberStatus, MemberView};
 pub use options::ShardCoreOptions;
 pub use output::ShardOutput;
 pub use replica_status::ShardReplicaStatus;
--- a/crates/control/src/shard/repair.rs
+++ b/crates/control/src/shard/repair.rs
@@ -3,7 +3,7 @@
 use millford_core::{Duration, MonotonicTime, NodeId};
 use millford_replication::VoterChange;
 
-use super::members::MemberView;
+use super::members::{Departure, MemberView};
 
 /// One replica, as seen by the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,7 +125,7 @@
 
     fn is_lost(&self, now: MonotonicTime, replica: &ReplicaView, members: &MemberView) -> bool {
         let unresponsive = now.since(replica.last_contact) >= self.replace_after;
-        unresponsive || members.get(replica.node).removed
+        unresponsive || members.get(replica.node).departure != Departure::None
     }
 
     fn without_learner(
--- a/crates/control/tests/components.rs
+++ b/crates/control/tests/components.rs
@@ -12,7 +12,7 @@
 use millford_control::shard::maintenance::MaintenanceSchedule;
 use millford_control::shard::move_events::MoveEvents;
 use millford_control::shard::repair::{GroupView, RepairPolicy, RepairStep, ReplicaView};
-use millford_control::shard::{MemberStatus, MemberView};
+use millford_control::shard::{Departure, MemberStatus, MemberView};
 use millford_core::{MonotonicTime, NodeId, ResultCode, ShardId};
 use millford_placement::{Move, MoveReason, ReplicaKey};
 
@@ -39,7 +39,7 @@
         let member = MemberStatus {
             registered: true,
             connected: true,
-            removed: false,
+            departure: Departure::None,
         };
         view.members.insert(NodeId(*node), member);
     }
@@ -73,6 +73,34 @@
     assert_eq!(decide(&group, &view), Some(RepairStep::Promote(NodeId(4))));
 }
 
+/// Guards against a group that waits until a voter that shuts down is silent for long: a second planned replacement in the
+/// meantime costs the quorum for good (review/4).
+#[test]
+fn a_voter_that_shuts_down_is_replaced_at_once_if_there_is_a_standby() {
+    let mut group = GroupView {
+        voters: vec![
+            replica(1, 10_000, true),
+            replica(2, 9_900, true),
+            replica(3, 9_900, true),
+        ],
+        learners: Vec::new(),
+    };
+    let leaving = |standbys: &[u64], node: u64| {
+        let mut view = members(standbys);
+        view.members.entry(NodeId(node)).or_default().departure = Departure::Announced;
+        view
+    };
+    assert_eq!(decide(&group, &leaving(&[], 3)), None, "no standby");
+    assert_eq!(decide(&group, &leaving(&[4], 4)), None, "a standby leaves");
+    let view = leaving(&[4, 5], 3);
+    assert_eq!(
+        decide(&group, &view),
+        Some(RepairStep::AddLearner(NodeId(4)))
+    );
+    group.learners.push(replica(4, 10_000, true));
+    assert_eq!(decide(&group, &view), Some(RepairStep::Remove(NodeId(3))));
+}
+
 #[test]
 fn no_repair_without_a_standby_or_without_a_lost_voter() {
     let lost = GroupView {
--- a/crates/control/tests/repair.rs
+++ b/crates/control/tests/repair.rs
@@ -9,6 +9,10 @@
 use support::Cluster;
 use support::orders::{accept, cluster_with_leaders, document, revision};
 
+/// Time from a shutdown to the end of the process.
+const ANNOUNCEMENT: Duration = Duration::from_millis(100);
+/// Time from the end of one process to the shutdown of the next.
+const BETWEEN_SHUTDOWNS: Duration = Duration::from_millis(900);
 /// Time after which a node that is back must be able to replace another one.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
@@ -253,3 +257,25 @@
         assert_eq!(revision(&mut cluster, "node-3"), 1, "seed {seed}");
     }
 }
+
+/// Guards against a control plane that two planned replacements in quick succession end for good (review/4): a successor
+/// stood by until the voter that it succeeds had been silent for long.
+#[test]
+fn two_nodes_that_shut_down_one_after_the_other_are_replaced_by_standbys() {
+    for seed in 1..=10 {
+        let mut cluster = cluster_with_leaders(3, seed);
+        accept(&mut cluster, "node-1", 0, "one", document(&["a"]));
+        cluster.boot("node-4");
+        cluster.boot("node-5");
+        cluster.run(CATCH_UP);
+        for leaving in ["node-1", "node-2"] {
+            cluster.input(leaving, NodeInput::Shutdown);
+            cluster.run(ANNOUNCEMENT);
+            cluster.kill(leaving);
+            cluster.run(BETWEEN_SHUTDOWNS);
+        }
+        wait_until_fully_replicated(&mut cluster, &["node-3", "node-4", "node-5"]);
+        assert_eq!(revision(&mut cluster, "node-5"), 1, "seed {seed}");
+        accept(&mut cluster, "node-3", 1, "two", document(&["b"]));
+    }
+}
--- a/deploy/soak/src/deployment/control_machines.rs
+++ b/deploy/soak/src/deployment/control_machines.rs
@@ -142,6 +142,33 @@
         self.start(index, false)
     }
 
+    /// Starts two empty machines, each of which catches up, and then sends SIGTERM to the two oldest; `gap` is the time
+    /// from the end of the first to the signal to the second.
+    ///
+    /// # Errors
+    /// A new machine cannot be started.
+    pub async fn replace_two_as_planned(&mut self, gap: Duration) -> Result<(), ProcessError> {
+        for _ in 0..2 {
+            let successor = self.describe_next();
+            self.machines.push(successor);
+            self.publish_seeds();
+            self.start(self.machines.len() - 1, false)?;
+            sleep(CATCH_UP).await;
+        }
+        self.remove_oldest().await;
+        sleep(gap).await;
+        self.remove_oldest().await;
+        Ok(())
+    }
+
+    async fn remove_oldest(&mut self) {
+        let oldest = (0..self.machines.len()).min_by_key(|index| self.machines[*index].number);
+        let oldest = oldest.unwrap_or_default();
+        self.terminate(oldest).await;
+        self.machines.remove(oldest);
+        self.publish_seeds();
+    }
+
     /// Stops a machine with SIGSTOP while each of the others is replaced as planned, one after the other. The machine's
     /// settings file names the new seeds when it runs again.
     ///
--- a/deploy/soak/src/drivers/control_driver.rs
+++ b/deploy/soak/src/drivers/control_driver.rs
@@ -37,6 +37,9 @@
             ControlAction::ReplaceAsPlanned { delay } => {
                 control.replace_as_planned(index, delay).await?;
             }
+            ControlAction::ReplaceTwoAsPlanned { gap } => {
+                control.replace_two_as_planned(gap).await?;
+            }
             ControlAction::FreezeWhileOthersAreReplaced { hangs_up } => {
                 control
                     .freeze_while_others_are_replaced(index, hangs_up)
--- a/deploy/soak/src/plan/control_plan.rs
+++ b/deploy/soak/src/plan/control_plan.rs
@@ -44,6 +44,11 @@
         /// Time from the start of the successor to SIGTERM.
         delay: Duration,
     },
+    /// Two empty machines start, one after the other has caught up; then two others get SIGTERM for good.
+    ReplaceTwoAsPlanned {
+        /// Time from the end of the first to SIGTERM to the second.
+        gap: Duration,
+    },
     /// SIGSTOP to one machine while each of the others is replaced as planned; then SIGCONT.
     FreezeWhileOthersAreReplaced {
         /// Whether SIGHUP follows SIGCONT.
@@ -70,7 +75,7 @@
     pub fn draw(random: &mut impl Rng, machines: usize) -> Self {
         let pause = millis(random, 0, 4000);
         let machine = random.random_range(0..machines.max(1));
-        let action = match random.random_range(0..13) {
+        let action = match random.random_range(0..14) {
             0..=1 => ControlAction::Kill {
                 down: millis(random, 50, 3500),
             },
@@ -95,6 +100,9 @@
             11 => ControlAction::FreezeWhileOthersAreReplaced {
                 hangs_up: random.random_bool(0.5),
             },
+            12 => ControlAction::ReplaceTwoAsPlanned {
+                gap: millis(random, 300, 2000),
+            },
             _ => ControlAction::HangUp,
         };
         Self {
