The bytes that the forwarding proxy holds for its peers are counted by reader

Callers lost their requests when the process ran out of memory, and no log or metric said what it held. Cause of the blindness: buffers grow inside of each reader. Change: crates/bounded-io has a ledger of reservations with metrics by reader; event buffers and callers' bodies use it, without a limit for now.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -2,9 +2,11 @@
 
 use std::sync::{Arc, OnceLock};
 
+use millford_bounded_io::MemoryBudget;
 use millford_core::{Duration, MonotonicTime};
 use millford_data_plane::proxy_state::ProxyState;
 use millford_routing::{EjectionReason, PrefixIndex};
+use prometheus::core::Collector;
 use tokio::sync::watch;
 
 use crate::backend::ConnectionPools;
@@ -36,6 +38,8 @@
     pub quotas: TenantQuotas,
     /// Requests admissions from the owners of tenants' buckets.
     pub quota_client: QuotaClient,
+    /// Bytes that are held for callers and backends.
+    pub memory: Arc<MemoryBudget>,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
     /// The enabled mechanisms.
@@ -55,11 +59,13 @@
         state.load_table.follow_peers();
         let (ejections, _) = watch::channel(0);
         let quota_client = QuotaClient::default();
-        // This fails only if another node in the process has registered its metric with the same state.
-        let _ = state
-            .metrics
-            .registry
-            .register(Box::new(quota_client.metric()));
+        let memory = MemoryBudget::new("millford_proxy", usize::MAX);
+        let mut metrics: Vec<Box<dyn Collector>> = vec![Box::new(quota_client.metric())];
+        metrics.extend(memory.collectors());
+        for metric in metrics {
+            // This fails only if another node in the process has registered its metrics with the same state.
+            let _ = state.metrics.registry.register(metric);
+        }
         Self {
             protocol,
             name: settings.name.clone(),
@@ -70,6 +76,7 @@
             load: SharedLoad::default(),
             quotas: TenantQuotas::default(),
             quota_client,
+            memory,
             connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
             // Settings with an unknown name were rejected when they were checked.
             mechanisms: Mechanisms::all_but(&settings.disabled_mechanisms).unwrap_or_default(),
--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -185,7 +185,7 @@
     let built = Request::builder()
         .method(plan.method.clone())
         .uri(plan.uri.clone())
-        .body(Full::new(plan.body.clone()));
+        .body(Full::new(plan.body.bytes().clone()));
     let mut request = built.map_err(|_| AttemptFailure::NotSent)?;
     *request.headers_mut() = headers;
     debug_assert!(request.headers().contains_key(HOST));
--- a/crates/forward/src/request/event_splitter.rs
+++ b/crates/forward/src/request/event_splitter.rs
@@ -1,6 +1,9 @@
 //! Splits a stream of server-sent events into complete events.
 
+use std::sync::Arc;
+
 use bytes::{Buf, Bytes, BytesMut};
+use millford_bounded_io::{BufferError, BufferReservation, MemoryBudget, Reader};
 
 /// One event, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,17 +18,50 @@
 ///
 /// The connection to a backend may be lost in the middle of an event. If another backend resumes the stream, the
 /// incomplete event must not have been forwarded to the caller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    held: BufferReservation,
+    max_event_bytes: usize,
     /// Offset before which the buffer contains no end of an event.
     searched: usize,
 }
 
+impl Default for EventSplitter {
+    /// A splitter without a limit.
+    fn default() -> Self {
+        Self::new(&MemoryBudget::unlimited(), usize::MAX)
+    }
+}
+
 impl EventSplitter {
-    /// Appends received bytes to the buffer.
-    pub fn push(&mut self, bytes: &[u8]) {
+    /// Creates an empty buffer for events of at most `max_event_bytes`.
+    #[must_use]
+    pub fn new(budget: &Arc<MemoryBudget>, max_event_bytes: usize) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            held: BufferReservation::new(budget, Reader::Event),
+            max_event_bytes,
+            searched: 0,
+        }
+    }
+
+    /// Appends received bytes to the buffer, after [`Self::next_event`] has returned `None`.
+    ///
+    /// # Errors
+    /// Fails when the incomplete event is too large, or the budget of the process does not allow more.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), BufferError> {
+        if self.buffer.len() > self.max_event_bytes {
+            return Err(BufferError::TooLarge);
+        }
         self.buffer.extend_from_slice(bytes);
+        self.held.resize(self.buffer.capacity())?;
+        Ok(())
+    }
+
+    /// Completes once the buffer has had to give way to others.
+    pub async fn revoked(&self) {
+        self.held.revoked().await;
     }
 
     /// Removes and returns the next complete event, if there is one.
--- a/crates/forward/src/request/plan.rs
+++ b/crates/forward/src/request/plan.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use millford_api::config::{ForwardRoute, Tenant};
+use millford_bounded_io::HeldBytes;
 use millford_core::{Duration, MonotonicTime};
 
 use crate::protocol::RequestFacts;
@@ -36,7 +36,7 @@
     /// The caller's headers without the hop-by-hop headers.
     pub headers: HeaderMap,
     /// The complete body, forwarded unchanged.
-    pub body: Bytes,
+    pub body: HeldBytes,
     /// When the request's headers were read.
     pub arrived: MonotonicTime,
     /// When the response has to be complete.
--- a/crates/forward/src/request/read_body.rs
+++ b/crates/forward/src/request/read_body.rs
@@ -1,8 +1,10 @@
 //! Buffers a caller's complete request body, so that retries can send it again.
 
-use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
+
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use millford_bounded_io::{BoundedBuffer, HeldBytes, MemoryBudget, Reader};
 use millford_core::ResultCode;
 
 use crate::request::refusal::Refusal;
@@ -11,19 +13,21 @@
 ///
 /// # Errors
 /// Refuses a body that is larger than `max_bytes`, or that is truncated.
-pub async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Refusal> {
+pub async fn read_body(
+    memory: &Arc<MemoryBudget>,
+    mut body: Incoming,
+    max_bytes: u64,
+) -> Result<HeldBytes, Refusal> {
     let too_large = Refusal::new(ResultCode::BodyTooLarge).closing();
     let broken = Refusal::new(ResultCode::BodyIncomplete).closing();
-    let mut complete = BytesMut::new();
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let mut complete = BoundedBuffer::new(memory, Reader::CallerBody, max_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if (complete.len() + data.len()) as u64 > max_bytes {
-            return Err(too_large);
-        }
-        complete.extend_from_slice(&data);
+        complete.extend(&data).map_err(|_| too_large)?;
     }
-    Ok(complete.freeze())
+    Ok(complete.into_held())
 }
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use millford_bounded_io::HeldBytes;
 use millford_core::time::monotonic_now;
 use millford_decisions::Ending;
 use tokio::time::Sleep;
@@ -44,7 +45,7 @@
         remove_length(&mut head.headers);
     } else {
         // The request is not sent again: a long stream does not need to keep a long prompt in memory.
-        plan.body = Bytes::new();
+        plan.body = HeldBytes::default();
     }
     let ending = if head.status.is_success() {
         Ending::Complete
@@ -96,7 +97,7 @@
         let mut relay = Self {
             deadline: Box::pin(tokio::time::sleep(time_left)),
             backend,
-            splitter: is_resumable.then(EventSplitter::default),
+            splitter: is_resumable.then(|| EventSplitter::new(&node.memory, usize::MAX)),
             last_event: plan.facts.resume_after,
             resumed: false,
             complete: false,
@@ -151,7 +152,8 @@
                         }
                         return Ok(Some(bytes));
                     };
-                    splitter.push(&bytes);
+                    let pushed = splitter.push(&bytes);
+                    pushed.map_err(|_| TruncatedResponse::BackendLost)?;
                 }
                 BodyRead::End => self.handle_end_of_body().await?,
                 BodyRead::Lost => self.resume().await?,
--- a/crates/forward/tests/event_splitter.rs
+++ b/crates/forward/tests/event_splitter.rs
@@ -7,7 +7,7 @@
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for chunk in chunks {
-        splitter.push(chunk);
+        splitter.push(chunk).expect("there is no limit");
         while let Some(event) = splitter.next_event() {
             let text = String::from_utf8(event.bytes.to_vec()).unwrap();
             events.push((text, event.id));
