--- a/deploy/soak/src/bounds.rs
+++ b/deploy/soak/src/bounds.rs
@@ -1,4 +1,4 @@
-//! Time limits of the small deployments. The settings files contain them and the checks apply them.
+//! Limits of the small deployments. The settings files contain them and the checks apply them.
 
 use std::time::Duration;
 
@@ -24,3 +24,7 @@
 pub const SEED_LAG: Duration = Duration::from_secs(3);
 /// Time after which a call of the operator counts as failed (`ackMs`).
 pub const ACKNOWLEDGE: Duration = Duration::from_secs(4);
+/// Memory of each process, in MB (`memoryMb`).
+pub const MEMORY_MB: u64 = 260;
+/// Descriptors of each process (`maxFds`).
+pub const MAX_DESCRIPTORS: u64 = 4100;
--- a/deploy/soak/src/checks/mod.rs
+++ b/deploy/soak/src/checks/mod.rs
@@ -5,6 +5,7 @@
 pub mod contact;
 pub mod drain;
 pub mod lost;
+pub mod memory;
 pub mod order;
 pub mod recovery;
 pub mod route;
@@ -32,6 +33,8 @@
     Recover,
     /// Processes run until they are told to end.
     OwnEnd,
+    /// Processes stay below their memory limit.
+    Memory,
 }
 
 /// A break of a rule.
@@ -62,5 +65,6 @@
     found.extend(at_most_once::check(history));
     found.extend(lost::check(history));
     found.extend(recovery::check(history));
+    found.extend(memory::check(history));
     found
 }
--- a/deploy/soak/src/checks/recovery.rs
+++ b/deploy/soak/src/checks/recovery.rs
@@ -21,7 +21,9 @@
     found
 }
 
-fn own_ends(history: &History) -> Vec<Violation> {
+/// Checks that no process ended by itself.
+#[must_use]
+pub fn own_ends(history: &History) -> Vec<Violation> {
     let events = history.machines.iter();
     let ends = events.filter(|(_, _, event)| *event == MachineEvent::EndedByItself);
     ends.map(|(at, machine, _)| Violation {
--- a/deploy/soak/src/configuration.rs
+++ b/deploy/soak/src/configuration.rs
@@ -16,6 +16,16 @@
 pub const HOST: &str = "soak.example";
 /// Service of every route.
 pub const SERVICE: &str = "soak-backends";
+/// Service of the routes whose backends are faulty.
+pub const FAULTY_SERVICE: &str = "soak-faulty";
+/// Service of the route whose backends send long events.
+pub const LONG_EVENT_SERVICE: &str = "soak-long-events";
+/// Path prefix of the route to faulty backends whose requests may be repeated.
+pub const FAULTY_PATH: &str = "/faulty/";
+/// Path prefix of the route to faulty backends whose streams may be resumed.
+pub const FAULTY_STREAM_PATH: &str = "/faulty-stream/";
+/// Path prefix of the route for resumable streams of long events.
+pub const LONG_EVENT_PATH: &str = "/long-event/";
 /// Path prefix of the route for streams, which every configuration contains.
 pub const STREAM_PATH: &str = "/stream/";
 /// Path prefix of the route for requests that must not run twice, which every configuration contains.
@@ -36,6 +46,10 @@
 const EMPTY_LIST_REMAINDER: u64 = 0;
 /// Difference between the versions of two successive generations, which leaves room for a rival.
 const VERSION_STEP: u64 = 2;
+/// Largest request body that a configuration allows, in bytes.
+pub const MAX_BODY_BYTES: usize = 4_194_304;
+/// Backends that a repeatable request may go to.
+const MAX_ATTEMPTS: u64 = 3;
 /// Connections that each backend accepts according to the configuration.
 const MAX_CONNECTIONS: u64 = 370;
 
@@ -122,6 +136,14 @@
         let mut routes = vec![
             route("stream", STREAM_PATH, "stream", ROUTE_TIMEOUT_MS),
             route("unsafe", UNSAFE_PATH, "unsafe", ROUTE_TIMEOUT_MS),
+            repeatable_route("faulty", FAULTY_PATH, "safe", FAULTY_SERVICE),
+            repeatable_route(
+                "faulty-stream",
+                FAULTY_STREAM_PATH,
+                "stream",
+                FAULTY_SERVICE,
+            ),
+            repeatable_route("long-event", LONG_EVENT_PATH, "stream", LONG_EVENT_SERVICE),
         ];
         if contender == Contender::Rival {
             let path = format!("/rival-{}/", self.0);
@@ -134,11 +156,9 @@
         json!({
             "version": self.version(contender),
             "routes": routes,
-            "services": [{
-                "name": SERVICE, "healthPath": "/health", "maxConns": MAX_CONNECTIONS, "protocol": "h1", "tls": false,
-            }],
+            "services": [service(SERVICE), service(FAULTY_SERVICE), service(LONG_EVENT_SERVICE)],
             "limits": {
-                "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
+                "maxHeaderBytes": 16_384, "maxBodyBytes": MAX_BODY_BYTES, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
             },
             "tenants": self.tenants(),
         })
@@ -161,6 +181,21 @@
     }
 }
 
+fn service(name: &str) -> Value {
+    json!({
+        "name": name, "healthPath": "/health", "maxConns": MAX_CONNECTIONS, "protocol": "h1", "tls": false,
+    })
+}
+
+/// A route whose requests may go to several backends and whose streams may be resumed.
+fn repeatable_route(name: &str, path: &str, route_type: &str, service: &str) -> Value {
+    let mut route = route(name, path, route_type, ROUTE_TIMEOUT_MS);
+    route["service"] = json!(service);
+    route["maxAttempts"] = json!(MAX_ATTEMPTS);
+    route["resumable"] = json!(route_type == "stream");
+    route
+}
+
 fn route(name: &str, path: &str, route_type: &str, timeout_ms: u64) -> Value {
     json!({
         "name": name, "host": HOST, "pathPrefix": path, "routeType": route_type, "timeoutMs": timeout_ms,
--- a/deploy/soak/src/deployment/control_machines.rs
+++ b/deploy/soak/src/deployment/control_machines.rs
@@ -243,6 +243,19 @@
         self.signal(index, Signal::HUP);
     }
 
+    /// Kills all processes and forgets the machines.
+    pub fn stop(&mut self) {
+        self.machines.clear();
+    }
+
+    /// Records the memory of the processes.
+    pub fn record_memory(&self) {
+        for machine in &self.machines {
+            let id = MachineId::Control(machine.number);
+            self.recorder.memory(id, &machine.processes);
+        }
+    }
+
     /// Records processes that have ended although nothing was done to them.
     pub fn record_own_ends(&mut self) {
         for machine in &mut self.machines {
--- a/deploy/soak/src/deployment/front_machine.rs
+++ b/deploy/soak/src/deployment/front_machine.rs
@@ -189,6 +189,11 @@
         Ok(())
     }
 
+    /// Records the memory of the processes.
+    pub fn record_memory(&self) {
+        self.recorder.memory(self.id, &self.processes);
+    }
+
     /// Records processes that have ended although nothing was done to them.
     pub fn record_own_ends(&mut self) {
         if self.processes.any_ended() {
--- a/deploy/soak/src/deployment/process.rs
+++ b/deploy/soak/src/deployment/process.rs
@@ -14,6 +14,9 @@
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "MILLFORD_SETTINGS";
 
+/// Field of the operating system's status of a process with its largest resident memory.
+const PEAK_MEMORY_FIELD: &str = "VmHWM:";
+
 /// Reason why a process could not be started.
 #[derive(Debug, Error)]
 #[error("cannot start {program}: {source}")]
@@ -27,6 +30,7 @@
 /// A process that the soak started. Dropping the value kills it.
 #[derive(Debug)]
 pub struct MachineProcess {
+    role: String,
     child: Child,
 }
 
@@ -60,7 +64,10 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(failed)?;
-        Ok(Self { child })
+        Ok(Self {
+            role: role.role.clone(),
+            child,
+        })
     }
 
     /// Sends a signal to this process only. Does nothing if it has ended.
@@ -71,6 +78,23 @@
         }
     }
 
+    /// Name of the role that the process runs.
+    #[must_use]
+    pub fn role(&self) -> &str {
+        &self.role
+    }
+
+    /// Largest resident memory of the process so far, in bytes; `None` once it has exited.
+    #[must_use]
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix(PEAK_MEMORY_FIELD))?;
+        let kilobytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/deploy/soak/src/deployment/process_group.rs
+++ b/deploy/soak/src/deployment/process_group.rs
@@ -42,6 +42,12 @@
         &mut self.processes[role]
     }
 
+    /// The processes.
+    #[must_use]
+    pub fn processes(&self) -> &[MachineProcess] {
+        &self.processes
+    }
+
     /// Whether every process has exited.
     pub fn all_ended(&mut self) -> bool {
         self.processes.iter_mut().all(MachineProcess::has_ended)
--- a/deploy/soak/src/deployment/settings_file.rs
+++ b/deploy/soak/src/deployment/settings_file.rs
@@ -36,11 +36,20 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     data_dir: Option<PathBuf>,
     listen: BTreeMap<String, SocketAddr>,
+    limits: Limits,
     fault_tolerance: FaultTolerance,
     bounds: Bounds,
     cloud_api: CloudApi,
 }
 
+/// Resources of each process of a machine.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    memory_mb: u64,
+    max_fds: u64,
+}
+
 #[derive(Clone, Debug, Serialize)]
 struct FaultTolerance {
     machines: u32,
@@ -143,6 +152,10 @@
             in_fault_set: false,
             data_dir: None,
             listen: BTreeMap::new(),
+            limits: Limits {
+                memory_mb: bounds::MEMORY_MB,
+                max_fds: bounds::MAX_DESCRIPTORS,
+            },
             fault_tolerance: FaultTolerance {
                 machines: TOLERATED_MACHINES,
                 zones: 0,
--- a/deploy/soak/src/history.rs
+++ b/deploy/soak/src/history.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::configuration::Generation;
+use crate::deployment::ProcessGroup;
 
 /// Time since the start of the run.
 pub type Moment = Duration;
@@ -165,6 +166,19 @@
     pub since: Moment,
 }
 
+/// Largest resident memory of a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeakMemory {
+    /// The machine.
+    pub machine: MachineId,
+    /// Role of the process.
+    pub role: String,
+    /// When it was read.
+    pub at: Moment,
+    /// Resident memory, in bytes.
+    pub bytes: u64,
+}
+
 /// Everything that was recorded.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -182,6 +196,8 @@
     pub control_servers: Vec<SocketAddr>,
     /// Backends that were drained.
     pub drains: Vec<BackendDrain>,
+    /// Memory of the processes that ran when it was read.
+    pub memory: Vec<PeakMemory>,
     /// When the disruptions ended and recovery began.
     pub calm_since: Moment,
 }
@@ -258,4 +274,21 @@
         let now = self.now();
         self.lock().machines.push((now, machine, event));
     }
+
+    /// Records the largest memory that each process of a machine has had so far.
+    pub fn memory(&self, machine: MachineId, processes: &ProcessGroup) {
+        let at = self.now();
+        let mut history = self.lock();
+        for process in processes.processes() {
+            let Some(bytes) = process.peak_memory() else {
+                continue;
+            };
+            history.memory.push(PeakMemory {
+                machine,
+                role: process.role().to_owned(),
+                at,
+                bytes,
+            });
+        }
+    }
 }
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod drivers;
 pub mod history;
 pub mod options;
+pub mod peer_fault_run;
 pub mod plan;
 pub mod report;
 pub mod run;
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -122,21 +122,21 @@
 }
 
 /// A running deployment with its stand-ins.
-struct Soak {
-    recorder: Recorder,
-    network: Network,
+pub(crate) struct Soak {
+    pub(crate) recorder: Recorder,
+    pub(crate) network: Network,
     seeds: SeedList,
-    list: BackendList,
+    pub(crate) list: BackendList,
     backends: Vec<Backend>,
-    control: ControlMachines,
-    fronts: Vec<FrontMachine>,
+    pub(crate) control: ControlMachines,
+    pub(crate) fronts: Vec<FrontMachine>,
     newest: NewestGeneration,
     /// Tasks of the stand-ins, which end when the value is dropped.
-    background: JoinSet<()>,
+    pub(crate) background: JoinSet<()>,
 }
 
 impl Soak {
-    async fn start(options: &SoakOptions, folder: &Path) -> Result<Self, SoakError> {
+    pub(crate) async fn start(options: &SoakOptions, folder: &Path) -> Result<Self, SoakError> {
         let deploy = DeployFile::read(&options.deploy_file, &options.programs)?;
         let (network, listener) = Network::draw(&mut timeline(options.seed, NETWORK_TIMELINE))?;
         listener.set_nonblocking(true)?;
--- a/deploy/soak/src/stand_ins/backend_list.rs
+++ b/deploy/soak/src/stand_ins/backend_list.rs
@@ -44,11 +44,16 @@
 pub struct BackendList(Arc<Mutex<Vec<Entry>>>);
 
 impl BackendList {
-    /// Adds a ready backend.
+    /// Adds a ready backend of the service that all permanent routes have.
     pub fn add(&self, id: &str, address: SocketAddr) {
+        self.add_to(SERVICE, id, address);
+    }
+
+    /// Adds a ready backend of a service.
+    pub fn add_to(&self, service: &'static str, id: &str, address: SocketAddr) {
         self.lock().push(Entry {
             id: id.to_owned(),
-            service: SERVICE,
+            service,
             addr: address,
             zone: ZONE,
             version: "v1",
--- a/deploy/soak/src/stand_ins/mod.rs
+++ b/deploy/soak/src/stand_ins/mod.rs
@@ -5,8 +5,10 @@
 pub mod client;
 pub mod http;
 pub mod operator;
+pub mod scripted_backend;
 
 pub use backend::Backend;
 pub use backend_list::BackendList;
 pub use client::{ClientKind, Clients};
 pub use operator::Operator;
+pub use scripted_backend::{ScriptedAnswer, ScriptedBackend};
--- a/deploy/soak/tests/plan.rs
+++ b/deploy/soak/tests/plan.rs
@@ -35,10 +35,10 @@
         let document = newest.document(contender);
         document["routes"].as_array().expect("routes").len() as u64
     };
-    assert_eq!(routes(Contender::First), 2 + ITEM_LIFETIME);
+    assert_eq!(routes(Contender::First), 5 + ITEM_LIFETIME);
     assert_eq!(
         routes(Contender::Rival),
-        3 + ITEM_LIFETIME,
+        6 + ITEM_LIFETIME,
         "a route of its own"
     );
 }
