The forwarding proxy bounds what backends and callers may cost it

What callers saw: while a backend sent an event, a body, a head or interim answers without an end, or callers held back the last byte of their bodies, requests of all others on that machine went unanswered or ended with it.

Each connection: heads of 16 KB, bytes that complete nothing (interim answers, framing, trailers, surplus) of four heads, events of 4 MB, other answers of 16 MB, writes that wait for 15 s. The process: callers' bodies, answers that are kept, and connections, from memory_limit_mb. Over it: a head or an announced answer is a failed attempt that is retried where its route allows, an event is resumed elsewhere, else the answer ends truncated; a body of a caller waits for room, in turn, and stalled ones are refused as not run (503). A backend over a limit is left out for 10 s, doubled each time, logged and counted.

Why it works: buffers of unknown size belong to a source, and the source that holds most gives way, so that a lawful event of 3 MB passes beside forty endless ones; units of announced size are admitted whole, so that none waits half full.

Committed lists only gained lines.

--- a/crates/api/src/http_status.rs
+++ b/crates/api/src/http_status.rs
@@ -38,7 +38,8 @@
         | ResultCode::AnswerTruncated
         | ResultCode::StreamOutOfOrder
         | ResultCode::BackendError
-        | ResultCode::BackendSilent => 502,
+        | ResultCode::BackendSilent
+        | ResultCode::BackendOverLimit => 502,
         ResultCode::DeadlineBeforeSend
         | ResultCode::DeadlineAfterSend
         | ResultCode::OrderUncertain => 504,
--- a/crates/bounded-io/src/bounded_buffer.rs
+++ b/crates/bounded-io/src/bounded_buffer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::memory_budget::{BudgetError, MemoryBudget, Reader, Reservation};
+use crate::memory_budget::{BudgetError, MemoryBudget, Reader, Reservation, Source};
 
 /// Part of its length by which a full buffer grows at least, as a divisor: less than doubling, since the reservation
 /// covers what is allocated.
@@ -13,7 +13,7 @@
 /// Smallest allocation, in bytes.
 const MIN_ALLOCATION: usize = 1024;
 /// Largest buffer that counts as one of the fixed buffers of its connection and needs no reservation, in bytes.
-const FREE_BYTES: usize = 16 * 1024;
+pub(crate) const FREE_BYTES: usize = 16 * 1024;
 
 /// Why a buffer takes no more bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -41,6 +41,15 @@
     }
 }
 
+impl HeldBytes {
+    pub(crate) fn new(bytes: Bytes, reservation: Option<Reservation>) -> Self {
+        Self {
+            bytes,
+            _reservation: reservation.map(Arc::new),
+        }
+    }
+}
+
 impl From<Bytes> for HeldBytes {
     /// Wraps bytes that are not counted in any budget.
     fn from(bytes: Bytes) -> Self {
@@ -57,6 +66,7 @@
 pub struct BufferReservation {
     budget: Arc<MemoryBudget>,
     reader: Reader,
+    source: Source,
     reservation: Option<Reservation>,
     bytes: usize,
 }
@@ -64,10 +74,11 @@
 impl BufferReservation {
     /// Creates the reservation of an empty buffer.
     #[must_use]
-    pub fn new(budget: &Arc<MemoryBudget>, reader: Reader) -> Self {
+    pub fn new(budget: &Arc<MemoryBudget>, reader: Reader, source: Source) -> Self {
         Self {
             budget: Arc::clone(budget),
             reader,
+            source,
             reservation: None,
             bytes: 0,
         }
@@ -84,7 +95,7 @@
         }
         let reservation = self
             .reservation
-            .get_or_insert_with(|| self.budget.reserve(self.reader));
+            .get_or_insert_with(|| self.budget.reserve(self.reader, self.source.clone()));
         reservation.resize(reserved)?;
         self.bytes = reserved;
         Ok(())
@@ -127,11 +138,16 @@
 impl BoundedBuffer {
     /// Creates an empty buffer for at most `max_bytes`.
     #[must_use]
-    pub fn new(budget: &Arc<MemoryBudget>, reader: Reader, max_bytes: usize) -> Self {
+    pub fn new(
+        budget: &Arc<MemoryBudget>,
+        reader: Reader,
+        source: Source,
+        max_bytes: usize,
+    ) -> Self {
         Self {
             bytes: Vec::new(),
             max_bytes,
-            held: BufferReservation::new(budget, reader),
+            held: BufferReservation::new(budget, reader, source),
         }
     }
 
@@ -159,10 +175,7 @@
     /// Returns the complete unit, which no longer gives way.
     #[must_use]
     pub fn into_held(self) -> HeldBytes {
-        HeldBytes {
-            bytes: Bytes::from(self.bytes),
-            _reservation: self.held.into_complete().map(Arc::new),
-        }
+        HeldBytes::new(Bytes::from(self.bytes), self.held.into_complete())
     }
 
     fn allocate(&mut self, needed: usize) -> Result<(), BudgetError> {
--- a/crates/bounded-io/src/http_server.rs
+++ b/crates/bounded-io/src/http_server.rs
@@ -124,9 +124,15 @@
 }
 
 /// Answers one request with a refusal, whose connection is closed. The body of the request is not read.
-pub async fn refuse_connection(stream: TcpStream, refusal: fn() -> Response<Full<Bytes>>) {
-    let service =
-        service_fn(move |_: Request<Incoming>| async move { Ok::<_, Infallible>(refusal()) });
+pub async fn refuse_connection<B>(stream: TcpStream, refusal: impl Fn() -> Response<B>)
+where
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let service = service_fn(|_: Request<Incoming>| {
+        let response = refusal();
+        async move { Ok::<_, Infallible>(response) }
+    });
     let connection = http1::Builder::new()
         .keep_alive(false)
         .max_buf_size(REFUSED_HEAD_BYTES)
--- a/crates/bounded-io/src/lib.rs
+++ b/crates/bounded-io/src/lib.rs
@@ -3,6 +3,7 @@
 //! A peer decides how many bytes it sends, how it frames them and when it stops. Each reader has a bound for its
 //! connection, and all readers of a process share one [`MemoryBudget`].
 
+mod admitted_buffer;
 mod bounded_buffer;
 mod http_client;
 mod http_server;
@@ -12,11 +13,12 @@
 mod read_allowance;
 mod stalled_write;
 
+pub use admitted_buffer::AdmittedBuffer;
 pub use bounded_buffer::{BoundedBuffer, BufferError, BufferReservation, HeldBytes};
 pub use http_client::{BoundedHttpClient, ClientConnection, FetchError, open_http};
 pub use http_server::{ServerBounds, refuse_connection, serve_connections};
 pub use log_throttle::LogThrottle;
-pub use memory_budget::{BudgetError, MemoryBudget, Reader, Reservation};
+pub use memory_budget::{BudgetError, MemoryBudget, Reader, Reservation, Source};
 pub use memory_limit::MemoryLimit;
 pub use read_allowance::{AllowanceStream, ReadAllowance};
 pub use stalled_write::StalledWriteStream;
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -115,6 +115,8 @@
     RetryBudgetExhausted = 3014, "No further attempt is allowed now.";
     /// The backend sent no chunk of a stream for too long.
     BackendSilent = 3015, "The backend went silent in the middle of the stream.";
+    /// The backend sent a head, an event or a body that is larger than the limits allow.
+    BackendOverLimit = 3016, "The backend sent more than its limits allow.";
     /// The configuration document has faults; the response lists all of them.
     DocumentInvalid = 4001, "The configuration has faults.";
     /// Another configuration order was accepted on the same base revision.
--- a/crates/data-plane/src/proxy_metrics.rs
+++ b/crates/data-plane/src/proxy_metrics.rs
@@ -44,6 +44,8 @@
     pub agent_connected: IntGauge,
     /// Responses, or bytes of them, that were dropped, by cause.
     pub dropped_answers: IntCounterVec,
+    /// Units of backends and callers that were larger than a limit, by reader.
+    pub over_limit: IntCounterVec,
     /// Requests sampled for the decision log, by route and verdict.
     pub verdicts: IntCounterVec,
 }
@@ -110,6 +112,12 @@
                 "Responses, or bytes of them, that were dropped.",
                 &["cause"],
             ),
+            over_limit: counters(
+                &registry,
+                "over_limit_total",
+                "Units of backends or callers that were larger than a limit.",
+                &["reader"],
+            ),
             verdicts: counters(
                 &registry,
                 "sampled_verdicts_total",
--- a/crates/data-plane/src/proxy_state.rs
+++ b/crates/data-plane/src/proxy_state.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use millford_core::MonotonicTime;
 use millford_routing::{
     BackendHealth, CostEstimates, EjectionReason, FairQueues, LoadTable, RetryBudget, RoutingTable,
 };
@@ -76,6 +77,14 @@
         }
     }
 
+    /// Ejects a backend that sent more than a limit allows, and counts the ejection if it is new.
+    pub fn eject_over_limit(&self, backend_id: &str, now: MonotonicTime) {
+        if self.health.eject_over_limit(backend_id, now) {
+            let reason = EjectionReason::OverLimit.name();
+            self.metrics.ejections.with_label_values(&[reason]).inc();
+        }
+    }
+
     /// Returns whether a confirmed configuration is applied.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/forward/src/backend/connection.rs
+++ b/crates/forward/src/backend/connection.rs
@@ -6,12 +6,10 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use millford_bounded_io::{ClientConnection, ReadAllowance, open_http};
 use millford_core::Duration;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
 /// Idle time of a connection after which the operating system sends TCP keepalive probes.
 const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
@@ -23,22 +21,9 @@
 /// a busy backend still acknowledges them, so that this detects only an unreachable backend.
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Aborts the connection's task when dropped, which closes the connection.
-#[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// An open connection. Dropping it closes it.
 #[derive(Debug)]
-pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    _task: ConnectionTask,
-}
+pub struct Connection(ClientConnection);
 
 /// Why a request on a connection failed.
 #[derive(Debug)]
@@ -47,37 +32,42 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection was lost after part of the request may have been sent.
     Lost,
+    /// The backend sent more than the limit of a head, interim answers included.
+    OverLimit,
 }
 
 impl Connection {
-    /// Opens a connection to `address` (IP address and port) within `timeout`.
+    /// Opens a connection to `address` (IP address and port) within `timeout`. Answers with a head of more than
+    /// `max_head_bytes` fail.
     ///
     /// # Errors
     /// Fails if the address cannot be parsed, with the operating system's error, or with
     /// [`std::io::ErrorKind::TimedOut`].
-    pub async fn open(address: &str, timeout: Duration) -> std::io::Result<Self> {
+    pub async fn open(
+        address: &str,
+        timeout: Duration,
+        max_head_bytes: usize,
+    ) -> std::io::Result<Self> {
         let address: SocketAddr = address
             .parse()
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidInput))?;
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = connecting.await??;
         configure_socket(&stream)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
-        let task = tokio::spawn(async move {
-            // An error is also returned by the request that it affects.
-            let _ = connection.await;
-        });
-        Ok(Self {
-            sender,
-            _task: ConnectionTask(task),
-        })
+        let opened = open_http(stream, max_head_bytes).await;
+        Ok(Self(opened.map_err(std::io::Error::other)?))
+    }
+
+    /// Returns the allowance for bytes that complete nothing. It is to be renewed with each part of a body.
+    #[must_use]
+    pub fn allowance(&self) -> &ReadAllowance {
+        &self.0.allowance
     }
 
     /// Whether the connection can send a request now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.0.sender.is_ready()
     }
 
     /// Sends a request and reads the response headers.
@@ -88,12 +78,21 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        self.0.allowance.renew();
+        let response = self.0.sender.try_send_request(request).await;
+        self.0.allowance.renew();
+        response.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::Unsent(Box::new(request)),
+            None if self.is_over_limit(error.error()) => SendError::OverLimit,
             None => SendError::Lost,
         })
     }
+
+    /// Whether the connection failed because the backend sent too much: a head larger than the buffer, or too many bytes
+    /// that complete nothing.
+    fn is_over_limit(&self, error: &hyper::Error) -> bool {
+        error.is_parse_too_large() || self.0.allowance.is_exceeded()
+    }
 }
 
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/forward/src/backend/connection_pools.rs
+++ b/crates/forward/src/backend/connection_pools.rs
@@ -45,6 +45,7 @@
 pub struct ConnectionPools {
     pools: Mutex<BTreeMap<String, BackendPool>>,
     connect_timeout: Duration,
+    max_head_bytes: usize,
 }
 
 /// A connection in use. Dropping it closes it; [`Self::release`] returns it to its pool.
@@ -57,12 +58,14 @@
 }
 
 impl ConnectionPools {
-    /// Creates empty pools. Opening a connection takes at most `connect_timeout`.
+    /// Creates empty pools. Opening a connection takes at most `connect_timeout`, and heads of answers have at most
+    /// `max_head_bytes`.
     #[must_use]
-    pub fn new(connect_timeout: Duration) -> Self {
+    pub fn new(connect_timeout: Duration, max_head_bytes: usize) -> Self {
         Self {
             pools: Mutex::default(),
             connect_timeout,
+            max_head_bytes,
         }
     }
 
@@ -150,7 +153,7 @@
         address: &str,
     ) -> Result<PooledConnection, AcquireError> {
         let mut pooled = self.pooled(backend_id, None, false);
-        let opened = Connection::open(address, self.connect_timeout).await;
+        let opened = Connection::open(address, self.connect_timeout, self.max_head_bytes).await;
         let connection = opened.map_err(|error| match error.kind() {
             std::io::ErrorKind::TimedOut => AcquireError::TimedOut,
             _ => AcquireError::Refused,
--- a/crates/forward/src/backend/mod.rs
+++ b/crates/forward/src/backend/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod connection;
 pub mod connection_pools;
+pub mod excess;
 pub mod health_watch;
 
 pub use connection::Connection;
 pub use connection_pools::{AcquireError, ConnectionPools, PooledConnection};
+pub use excess::Excess;
--- a/crates/forward/src/daemon/callers.rs
+++ b/crates/forward/src/daemon/callers.rs
@@ -4,16 +4,20 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use http::Response;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use millford_core::Duration;
+use millford_bounded_io::{LogThrottle, StalledWriteStream, refuse_connection};
+use millford_core::{Duration, ResultCode};
 use millford_settings::PartLog;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
-use crate::node::ForwardNode;
+use crate::node::{DEFAULT_RETRY_AFTER, ForwardNode};
 use crate::protocol::ForwardProtocol;
+use crate::request::refusal::Refusal;
+use crate::request::response_body::ResponseBody;
 use crate::request::serve;
 
 const LOG: PartLog = PartLog::new("CALLERS");
@@ -26,11 +30,18 @@
 /// Size of the buffer for the request line and headers, in bytes: the default limit of headers plus room for the
 /// request line. Each open connection may allocate as much.
 const HEAD_BUFFER_BYTES: usize = 18 * 1024;
+/// Most connections above the limit that are answered with a refusal at the same time; further ones are closed without
+/// an answer.
+const MAX_REFUSALS: usize = 64;
+/// Longest time that a write waits for a caller to read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Counts the open connections of callers, and closes them during shutdown.
 #[derive(Clone, Debug)]
 pub struct CallerConnections {
     open: Arc<AtomicUsize>,
+    /// Connections above the limit that are answered with a refusal at the same time.
+    refusals: Arc<Semaphore>,
     closing: watch::Sender<bool>,
 }
 
@@ -39,6 +50,7 @@
         let (closing, _) = watch::channel(false);
         Self {
             open: Arc::default(),
+            refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
             closing,
         }
     }
@@ -78,8 +90,12 @@
     node: Arc<ForwardNode<P>>,
     connections: CallerConnections,
 ) {
+    let throttle = LogThrottle::default();
     loop {
         match listener.accept().await {
+            Ok((stream, _)) if connections.open() >= node.bounds.max_connections => {
+                refuse(stream, &node, &connections, &throttle);
+            }
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 let connection = serve_connection(stream, Arc::clone(&node), connections.clone());
@@ -93,6 +109,37 @@
     }
 }
 
+/// Answers one request on a connection above the limit with a refusal, unless as many are being refused already.
+fn refuse<P: ForwardProtocol>(
+    stream: TcpStream,
+    node: &Arc<ForwardNode<P>>,
+    connections: &CallerConnections,
+    throttle: &LogThrottle,
+) {
+    let over_limit = &node.state.metrics.over_limit;
+    over_limit.with_label_values(&["connections"]).inc();
+    if let Some(skipped) = throttle.permit() {
+        LOG.warn(format_args!(
+            "Refusing a connection: {} are open; {skipped} others were refused since the last line.",
+            connections.open()
+        ));
+    }
+    let Ok(permit) = Arc::clone(&connections.refusals).try_acquire_owned() else {
+        return;
+    };
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        refuse_connection(stream, move || connection_limit_response(&node)).await;
+        drop(permit);
+    });
+}
+
+fn connection_limit_response<P: ForwardProtocol>(node: &ForwardNode<P>) -> Response<ResponseBody> {
+    let refusal = Refusal::new(ResultCode::Overloaded);
+    let refusal = refusal.with_retry_after(DEFAULT_RETRY_AFTER).closing();
+    refusal.response(&node.protocol)
+}
+
 async fn serve_connection<P: ForwardProtocol>(
     stream: TcpStream,
     node: Arc<ForwardNode<P>>,
@@ -109,7 +156,10 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(HEAD_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(StalledWriteStream::new(stream, WRITE_TIMEOUT)),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
     let mut closing = connections.closing.subscribe();
     // An error means that the caller disconnected, was too slow or did not send valid HTTP.
--- a/crates/forward/src/daemon/readiness.rs
+++ b/crates/forward/src/daemon/readiness.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use millford_settings::metrics;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::service::TowerToHyperService;
+use millford_bounded_io::{ServerBounds, serve_connections};
+use millford_settings::{PartLog, metrics};
 use tokio::net::TcpListener;
 use warp::Filter;
 use warp::http::{Response, StatusCode};
@@ -11,12 +15,22 @@
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 
+const LOG: PartLog = PartLog::new("READINESS");
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves requests until the task is aborted.
 pub async fn serve_readiness<P: ForwardProtocol>(listener: TcpListener, node: Arc<ForwardNode<P>>) {
     let pages = warp::path::full().map(move |path: FullPath| respond(&node, path.as_str()));
-    warp::serve(pages).incoming(listener).run().await;
+    let service = TowerToHyperService::new(warp::service(pages));
+    serve_connections(listener, service, ServerBounds::default(), LOG, too_many).await;
+}
+
+/// Answer to a connection above the limit.
+fn too_many() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
 }
 
 fn respond<P: ForwardProtocol>(node: &ForwardNode<P>, path: &str) -> Response<String> {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -2,21 +2,25 @@
 
 use std::sync::{Arc, OnceLock};
 
-use millford_bounded_io::MemoryBudget;
+use millford_bounded_io::{LogThrottle, MemoryBudget, Reader};
+use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
 use millford_data_plane::proxy_state::ProxyState;
 use millford_routing::{EjectionReason, PrefixIndex};
+use millford_settings::PartLog;
 use prometheus::core::Collector;
 use tokio::sync::watch;
 
-use crate::backend::ConnectionPools;
+use crate::backend::{ConnectionPools, Excess};
 use crate::graceful_shutdown::GracefulShutdown;
 use crate::load::SharedLoad;
 use crate::mechanism::{Mechanism, Mechanisms};
 use crate::owners::PeerLink;
 use crate::protocol::ForwardProtocol;
 use crate::quota::{QuotaClient, TenantQuotas};
-use crate::settings::ForwardSettings;
+use crate::settings::{ForwardBounds, ForwardSettings};
+
+const LOG: PartLog = PartLog::new("HEALTH");
 
 /// The state that requests and background tasks share. Each field that changes has its own locks.
 pub struct ForwardNode<P> {
@@ -40,6 +44,10 @@
     pub quota_client: QuotaClient,
     /// Bytes that are held for callers and backends.
     pub memory: Arc<MemoryBudget>,
+    /// Bounds on what callers and backends may cost the process.
+    pub bounds: ForwardBounds,
+    /// Limits the log lines about backends over a limit.
+    over_limit_lines: LogThrottle,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
     /// The enabled mechanisms.
@@ -59,7 +67,14 @@
         state.load_table.follow_peers();
         let (ejections, _) = watch::channel(0);
         let quota_client = QuotaClient::default();
-        let memory = MemoryBudget::new("millford_proxy", usize::MAX);
+        let bounds = settings.bounds();
+        let memory = MemoryBudget::new(
+            "millford_proxy",
+            &[
+                (Reader::CallerBody, bounds.caller_body_bytes),
+                (Reader::Answer, bounds.answer_bytes),
+            ],
+        );
         let mut metrics: Vec<Box<dyn Collector>> = vec![Box::new(quota_client.metric())];
         metrics.extend(memory.collectors());
         for metric in metrics {
@@ -77,7 +92,12 @@
             quotas: TenantQuotas::default(),
             quota_client,
             memory,
-            connections: Arc::new(ConnectionPools::new(settings.connect_timeout())),
+            bounds,
+            over_limit_lines: LogThrottle::default(),
+            connections: Arc::new(ConnectionPools::new(
+                settings.connect_timeout(),
+                bounds.max_backend_head_bytes,
+            )),
             // Settings with an unknown name were rejected when they were checked.
             mechanisms: Mechanisms::all_but(&settings.disabled_mechanisms).unwrap_or_default(),
             decision_log_per_mille: settings.decision_log_per_mille,
@@ -113,6 +133,26 @@
         self.ejections.send_modify(|count| *count += 1);
     }
 
+    /// Records that a backend sent more than a limit allows: it is ejected for a time, and requests that wait for it and
+    /// may be retried elsewhere are woken.
+    pub fn record_excess(&self, backend_id: &str, excess: Excess) {
+        let name = excess.name();
+        let over_limit = &self.state.metrics.over_limit;
+        over_limit.with_label_values(&[name]).inc();
+        if let Some(skipped) = self.over_limit_lines.permit() {
+            LOG.warn(format_args!(
+                "Backend {backend_id} sent more than the limit of its {name} allows; {skipped} other excesses since the \
+                 last line."
+            ));
+        }
+        if !self.mechanisms.has(Mechanism::Ejection) {
+            return;
+        }
+        self.state.eject_over_limit(backend_id, monotonic_now());
+        self.connections.close_idle(backend_id);
+        self.ejections.send_modify(|count| *count += 1);
+    }
+
     /// Records that bytes were received from a backend.
     pub fn record_activity(&self, backend_id: &str, now: MonotonicTime) {
         self.state.health.record_activity(backend_id, now);
--- a/crates/forward/src/request/attempt.rs
+++ b/crates/forward/src/request/attempt.rs
@@ -4,12 +4,13 @@
 use http::header::{CONTENT_ENCODING, HOST};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use millford_core::MonotonicTime;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, ResultCode};
 use millford_routing::{EjectionReason, InFlightGuard};
 
+use crate::backend::Excess;
 use crate::backend::connection::SendError;
 use crate::backend::connection_pools::{AcquireError, PooledConnection};
 use crate::backend::health_watch::ejection_reason;
@@ -150,6 +151,10 @@
     match sent {
         Ok(response) => Ok(Some(response)),
         Err(SendError::Unsent(_)) => Ok(None),
+        Err(SendError::OverLimit) => {
+            node.record_excess(backend_id, Excess::Head);
+            Err(AttemptFailure::Lost(ResultCode::BackendOverLimit))
+        }
         Err(SendError::Lost) => {
             // A reused connection may simply have reached the backend's keep-alive timeout, which does not
             // indicate a failure of the backend.
@@ -225,6 +230,11 @@
     if status.is_success() && is_altered {
         return Err(AttemptFailure::Lost(ResultCode::AnswerMismatch));
     }
+    let announced = opened.response.body().size_hint().lower();
+    if !plan.route.stream && announced > node.bounds.max_answer_bytes {
+        node.record_excess(&opened.target.key.backend_id, Excess::Answer);
+        return Err(AttemptFailure::Lost(ResultCode::BackendOverLimit));
+    }
     if NOT_RUN_STATUSES.contains(&status) {
         return Err(AttemptFailure::Lost(ResultCode::BackendError));
     }
--- a/crates/forward/src/request/backend_stream.rs
+++ b/crates/forward/src/request/backend_stream.rs
@@ -12,11 +12,12 @@
 use millford_routing::InFlightGuard;
 use tokio::time::Sleep;
 
-use crate::backend::PooledConnection;
+use crate::backend::{Excess, PooledConnection};
 use crate::mechanism::Mechanism;
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
 use crate::request::attempt::OpenResponse;
+use crate::request::event_splitter::EventSplitter;
 
 /// The result of reading from the backend's body.
 #[derive(Debug)]
@@ -27,6 +28,8 @@
     End,
     /// The connection was lost, or the backend was ejected.
     Lost,
+    /// The backend sent more than a limit allows.
+    OverLimit(Excess),
     /// The deadline of the request passed.
     TimedOut,
 }
@@ -74,25 +77,31 @@
         self.body.is_end_stream()
     }
 
-    /// Reads the next bytes of the body until `deadline`. Trailers are skipped. The ejection of the backend ends
-    /// a resumable stream; any other response is still read, since the backend may yet complete it.
+    /// Reads the next bytes of the body until `deadline`. Trailers are skipped. A resumable stream, whose incomplete
+    /// event is in `resumable_events`, ends with the ejection of the backend, or when the event has to give way; any other
+    /// response is still read, since the backend may yet complete it.
     pub(super) async fn next<P: ForwardProtocol>(
         &mut self,
         node: &ForwardNode<P>,
         mut deadline: Pin<&mut Sleep>,
-        is_resumable: bool,
+        resumable_events: Option<&EventSplitter>,
     ) -> BodyRead {
         loop {
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
                 () = &mut deadline => return BodyRead::TimedOut,
-                () = node.until_ejected(&self.backend_id), if is_resumable => return BodyRead::Lost,
+                () = interrupted(node, &self.backend_id, resumable_events) => return BodyRead::Lost,
+                () = revoked(resumable_events) => return BodyRead::OverLimit(Excess::Event),
             };
             match frame {
                 None => return BodyRead::End,
+                Some(Err(error)) if self.has_framing_excess(&error) => {
+                    return BodyRead::OverLimit(Excess::Framing);
+                }
                 Some(Err(_)) => return BodyRead::Lost,
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.renew_allowance();
                         return BodyRead::Chunk(bytes);
                     }
                 }
@@ -100,6 +109,25 @@
         }
     }
 
+    fn renew_allowance(&mut self) {
+        let connection = self.pooled.as_mut().and_then(PooledConnection::connection);
+        if let Some(connection) = connection {
+            connection.allowance().renew();
+        }
+    }
+
+    /// Whether the body failed because of chunk sizes, chunk extensions or trailers that are too long.
+    fn has_framing_excess(&mut self, error: &hyper::Error) -> bool {
+        let connection = self.pooled.as_mut().and_then(PooledConnection::connection);
+        let is_exceeded = connection.is_some_and(|open| open.allowance().is_exceeded());
+        is_exceeded || is_library_limit(error)
+    }
+
+    /// The backend's id.
+    pub(super) fn backend_id(&self) -> &str {
+        &self.backend_id
+    }
+
     /// Records that a chunk was received. The first one ends the prefill, whose duration is added to the cost
     /// estimates.
     pub(super) fn record_chunk<P: ForwardProtocol>(&mut self, node: &ForwardNode<P>, model: &str) {
@@ -154,6 +182,34 @@
     }
 }
 
+/// Waits until a backend is ejected whose stream another one may resume.
+async fn interrupted<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    backend_id: &str,
+    resumable_events: Option<&EventSplitter>,
+) {
+    match resumable_events {
+        Some(_) => node.until_ejected(backend_id).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until an incomplete event has to give way to other buffers of the process.
+async fn revoked(resumable_events: Option<&EventSplitter>) {
+    match resumable_events {
+        Some(events) => events.revoked().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Whether the HTTP library gave up on a body because its own limits of trailers or chunk extensions were exceeded, which
+/// it reports as invalid data.
+fn is_library_limit(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::InvalidData)
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/forward/src/request/event_splitter.rs
+++ b/crates/forward/src/request/event_splitter.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Buf, Bytes, BytesMut};
-use millford_bounded_io::{BufferError, BufferReservation, MemoryBudget, Reader};
+use millford_bounded_io::{BufferError, BufferReservation, MemoryBudget, Reader, Source};
 
 /// One event, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,17 +30,17 @@
 impl Default for EventSplitter {
     /// A splitter without a limit.
     fn default() -> Self {
-        Self::new(&MemoryBudget::unlimited(), usize::MAX)
+        Self::new(&MemoryBudget::unlimited(), Source::Connection, usize::MAX)
     }
 }
 
 impl EventSplitter {
-    /// Creates an empty buffer for events of at most `max_event_bytes`.
+    /// Creates an empty buffer for events of at most `max_event_bytes` from `source`.
     #[must_use]
-    pub fn new(budget: &Arc<MemoryBudget>, max_event_bytes: usize) -> Self {
+    pub fn new(budget: &Arc<MemoryBudget>, source: Source, max_event_bytes: usize) -> Self {
         Self {
             buffer: BytesMut::new(),
-            held: BufferReservation::new(budget, Reader::Event),
+            held: BufferReservation::new(budget, Reader::Answer, source),
             max_event_bytes,
             searched: 0,
         }
@@ -80,12 +80,6 @@
         self.buffer.split_to(length).freeze()
     }
 
-    /// Discards the incomplete event of a stream whose backend was lost.
-    pub fn reset(&mut self) {
-        self.buffer.clear();
-        self.searched = 0;
-    }
-
     /// Returns the offset after the first event, which ends with a blank line; `None` if no event is complete.
     fn event_end(&mut self) -> Option<usize> {
         let from = self.searched.saturating_sub(LONGEST_BLANK_LINE);
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -3,6 +3,7 @@
 //! [`serve()`] handles a request from start to end and calls the steps in order; the other modules implement
 //! the steps.
 
+pub mod answer_limit;
 pub mod attempt;
 pub mod authorize;
 pub mod backend_stream;
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -8,14 +8,16 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use millford_bounded_io::HeldBytes;
+use millford_bounded_io::{HeldBytes, Source};
 use millford_core::time::monotonic_now;
 use millford_decisions::Ending;
 use tokio::time::Sleep;
 
+use crate::backend::Excess;
 use crate::mechanism::Mechanism;
 use crate::node::ForwardNode;
 use crate::protocol::ForwardProtocol;
+use crate::request::answer_limit::AnswerLimit;
 use crate::request::attempt::{AttemptFailure, OpenResponse};
 use crate::request::backend_stream::{BackendStream, BodyRead};
 use crate::request::choose::choose;
@@ -65,6 +67,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Present for streams that another backend may resume.
     splitter: Option<EventSplitter>,
+    /// Limit of an answer that is relayed as it arrives.
+    limit: AnswerLimit,
     /// Id of the last event that was forwarded, initially of the one that the caller resumes after.
     last_event: Option<u64>,
     /// Whether another backend has resumed the stream.
@@ -94,10 +98,12 @@
     ) -> Self {
         let time_left = plan.deadline.since(monotonic_now());
         let is_empty = backend.is_at_end();
+        let splitter = is_resumable.then(|| splitter_for(&node, &backend));
         let mut relay = Self {
             deadline: Box::pin(tokio::time::sleep(time_left)),
             backend,
-            splitter: is_resumable.then(|| EventSplitter::new(&node.memory, usize::MAX)),
+            splitter,
+            limit: AnswerLimit::of(&node.bounds, plan.route.stream),
             last_event: plan.facts.resume_after,
             resumed: false,
             complete: false,
@@ -139,24 +145,29 @@
             if self.complete {
                 return Ok(None);
             }
-            let is_resumable = self.splitter.is_some();
             let deadline = self.deadline.as_mut();
-            match self.backend.next(&self.node, deadline, is_resumable).await {
+            let read = self
+                .backend
+                .next(&self.node, deadline, self.splitter.as_ref());
+            match read.await {
                 BodyRead::Chunk(bytes) => {
                     self.backend
                         .record_chunk(&self.node, &self.plan.facts.model);
-                    let Some(splitter) = &mut self.splitter else {
+                    if let Err(excess) = self.accept(&bytes) {
+                        self.handle_excess(excess).await?;
+                        continue;
+                    }
+                    if self.splitter.is_none() {
                         // A body with a known length is not polled again after its last byte.
                         if self.backend.is_at_end() {
                             self.finish();
                         }
                         return Ok(Some(bytes));
-                    };
-                    let pushed = splitter.push(&bytes);
-                    pushed.map_err(|_| TruncatedResponse::BackendLost)?;
+                    }
                 }
                 BodyRead::End => self.handle_end_of_body().await?,
-                BodyRead::Lost => self.resume().await?,
+                BodyRead::Lost => self.resume(TruncatedResponse::BackendLost).await?,
+                BodyRead::OverLimit(excess) => self.handle_excess(excess).await?,
                 BodyRead::TimedOut => return Err(TruncatedResponse::TimedOut),
             }
         }
@@ -187,7 +198,7 @@
     async fn handle_end_of_body(&mut self) -> Result<(), TruncatedResponse> {
         let rest = self.splitter.as_mut().map(EventSplitter::take_remainder);
         if rest.is_some_and(|rest| !rest.is_empty()) {
-            return self.resume().await;
+            return self.resume(TruncatedResponse::BackendLost).await;
         }
         self.finish();
         Ok(())
@@ -200,28 +211,43 @@
         self.backend.release(&self.node);
     }
 
-    /// Resumes the stream on another backend after the last complete event, within the same response.
-    async fn resume(&mut self) -> Result<(), TruncatedResponse> {
-        let Some(splitter) = &mut self.splitter else {
-            return Err(TruncatedResponse::BackendLost);
-        };
-        splitter.reset();
+    /// Counts received bytes against the limits, and buffers those of a resumable stream.
+    fn accept(&mut self, bytes: &[u8]) -> Result<(), Excess> {
+        match &mut self.splitter {
+            Some(splitter) => splitter.push(bytes).map_err(|_| Excess::Event),
+            None => self.limit.record(bytes),
+        }
+    }
+
+    /// Holds an excess against the backend, and resumes the stream elsewhere where its route allows that.
+    async fn handle_excess(&mut self, excess: Excess) -> Result<(), TruncatedResponse> {
+        self.node.record_excess(self.backend.backend_id(), excess);
+        self.resume(TruncatedResponse::OverLimit).await
+    }
+
+    /// Resumes the stream on another backend after the last complete event, within the same response. `cause` ends the
+    /// response if that is not possible.
+    async fn resume(&mut self, cause: TruncatedResponse) -> Result<(), TruncatedResponse> {
+        if self.splitter.take().is_none() {
+            return Err(cause);
+        }
         if !self.node.mechanisms.has(Mechanism::Resumption) {
-            return Err(TruncatedResponse::BackendLost);
+            return Err(cause);
         }
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let history = &mut self.history;
             if history.runs >= self.plan.max_runs() || !self.node.state.budget.try_spend() {
-                return Err(TruncatedResponse::BackendLost);
+                return Err(cause);
             }
             let target = choose(&self.node, &self.plan, &history.tried).await;
-            let target = target.ok_or(TruncatedResponse::BackendLost)?;
+            let target = target.ok_or(cause)?;
             let last_event = self.last_event;
             match try_backend(&self.node, &self.plan, history, target, last_event).await {
                 Ok(opened) if opened.response.status().is_success() => {
                     history.runs += 1;
                     self.resumed = true;
                     (_, self.backend) = BackendStream::split(opened);
+                    self.splitter = Some(splitter_for(&self.node, &self.backend));
                     return Ok(());
                 }
                 Ok(_) | Err(AttemptFailure::Lost(_)) => history.runs += 1,
@@ -230,10 +256,19 @@
                 Err(AttemptFailure::TimedOut) => return Err(TruncatedResponse::TimedOut),
             }
         }
-        Err(TruncatedResponse::BackendLost)
+        Err(cause)
     }
 }
 
+/// Creates the buffer for the events of a resumable stream from this backend.
+fn splitter_for<P: ForwardProtocol>(
+    node: &ForwardNode<P>,
+    backend: &BackendStream,
+) -> EventSplitter {
+    let source = Source::Backend(Arc::from(backend.backend_id()));
+    EventSplitter::new(&node.memory, source, node.bounds.max_event_bytes)
+}
+
 /// Position of an event relative to the last one that was forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EventPosition {
--- a/crates/forward/src/request/response_body.rs
+++ b/crates/forward/src/request/response_body.rs
@@ -16,6 +16,9 @@
     /// The deadline of the request passed.
     #[error("the deadline of the request passed")]
     TimedOut,
+    /// The backend sent more than its limits allow, and no other backend could or may continue its response.
+    #[error("the backend sent more than its limits allow")]
+    OverLimit,
     /// The event ids of a resumed stream are not consecutive.
     #[error("the resumed stream skipped an event")]
     OutOfOrder,
--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -103,10 +103,11 @@
     let route = route.ok_or(Refusal::new(ResultCode::PathUnknown).closing())?;
     let facts = node.protocol.read_request(&head.headers);
     let tenant = authorize(&table, route, &facts).map_err(Refusal::closing)?;
-    let body = read_body(&node.memory, body, body_limit(&limits)).await?;
+    let deadline = Plan::deadline_of(arrived, route, &facts);
+    let body = read_body(&node.memory, body, body_limit(&limits), deadline).await?;
     remove_hop_by_hop(&mut head.headers);
     let plan = Plan {
-        deadline: Plan::deadline_of(arrived, route, &facts),
+        deadline,
         route: Arc::clone(route),
         pool: draw_pool(route),
         tenant,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of the forwarding proxy.
 
+use millford_bounded_io::MemoryLimit;
 use millford_core::Duration;
 use millford_settings::fault::{require_addresses, require_texts};
 use millford_settings::logging::{LogOptions, parse_level};
@@ -8,6 +9,26 @@
 
 use crate::mechanism::Mechanisms;
 
+/// Smallest limit for the head of an answer, in bytes: the smallest buffer of the HTTP library.
+const MIN_HEAD_BYTES: u64 = 8 * 1024;
+
+/// Bounds on what callers and backends may cost the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardBounds {
+    /// Most bytes of callers' bodies that are held.
+    pub caller_body_bytes: usize,
+    /// Most bytes of backends' answers that are held.
+    pub answer_bytes: usize,
+    /// Most connections of callers.
+    pub max_connections: usize,
+    /// Largest head of a backend's answer, in bytes.
+    pub max_backend_head_bytes: usize,
+    /// Largest event of a backend's stream, in bytes.
+    pub max_event_bytes: usize,
+    /// Largest answer of a backend that is not a stream, in bytes.
+    pub max_answer_bytes: u64,
+}
+
 /// The settings file of `millford-forward`.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -33,6 +54,17 @@
     pub drain_timeout_ms: u64,
     /// Longest time to open a connection to a backend, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// Memory that the process may use, in megabytes. Limits on what is held for callers and
+    /// backends follow from it.
+    pub memory_limit_mb: u64,
+    /// Most connections of callers that are served at the same time; 0 for as many as fit into half of the memory.
+    pub max_connections: u64,
+    /// Largest head of a backend's answer, in bytes; at least 8192.
+    pub max_backend_head_bytes: u64,
+    /// Largest event of a backend's stream, in bytes.
+    pub max_event_bytes: u64,
+    /// Largest answer of a backend that is not a stream, in bytes.
+    pub max_answer_bytes: u64,
     /// Sampling rate of decision records, in requests per thousand: 0 logs none, 1000 logs all.
     pub decision_log_per_mille: u32,
     /// Comma-separated names of the mechanisms to disable, for measurements of their effect.
@@ -53,6 +85,11 @@
             log_format: LogFormat::default(),
             drain_timeout_ms: 7500,
             connect_timeout_ms: 400,
+            memory_limit_mb: 1024,
+            max_connections: 0,
+            max_backend_head_bytes: 16 * 1024,
+            max_event_bytes: 4 * 1024 * 1024,
+            max_answer_bytes: 16 * 1024 * 1024,
             decision_log_per_mille: 0,
             disabled_mechanisms: String::new(),
         }
@@ -69,6 +106,24 @@
         }
     }
 
+    /// Returns the bounds on what callers and backends may cost the process.
+    #[must_use]
+    pub fn bounds(&self) -> ForwardBounds {
+        let memory = MemoryLimit::of_megabytes(self.memory_limit_mb);
+        let fitting = memory.max_connections();
+        ForwardBounds {
+            caller_body_bytes: memory.caller_body_bytes(),
+            answer_bytes: memory.buffer_bytes(),
+            max_connections: match self.max_connections {
+                0 => fitting,
+                limit => to_usize(limit).min(fitting),
+            },
+            max_backend_head_bytes: to_usize(self.max_backend_head_bytes),
+            max_event_bytes: to_usize(self.max_event_bytes),
+            max_answer_bytes: self.max_answer_bytes,
+        }
+    }
+
     /// Returns the longest time to open a connection to a backend.
     #[must_use]
     pub fn connect_timeout(&self) -> Duration {
@@ -91,6 +146,23 @@
             "connect_timeout_ms",
             "longest time to connect to a backend, in milliseconds",
         ),
+        SettingsKey::number(
+            "memory_limit_mb",
+            "memory that the process may use, in megabytes",
+        ),
+        SettingsKey::number(
+            "max_connections",
+            "most connections of callers, 0 for as many as the memory allows",
+        ),
+        SettingsKey::number(
+            "max_backend_head_bytes",
+            "largest head of a backend's answer",
+        ),
+        SettingsKey::number("max_event_bytes", "largest event of a backend's stream"),
+        SettingsKey::number(
+            "max_answer_bytes",
+            "largest answer of a backend that is not a stream",
+        ),
         SettingsKey::number(
             "decision_log_per_mille",
             "requests per thousand whose decisions are logged",
@@ -123,7 +195,14 @@
         if let Err(unknown) = Mechanisms::all_but(&self.disabled_mechanisms) {
             faults.push(SettingsFault::new("leave_out", unknown.to_string()));
         }
+        if self.max_backend_head_bytes < MIN_HEAD_BYTES {
+            let too_small = format!("The value must be at least {MIN_HEAD_BYTES}.");
+            faults.push(SettingsFault::new("max_backend_head_bytes", too_small));
+        }
         let positive = [
+            ("memory_limit_mb", self.memory_limit_mb),
+            ("max_event_bytes", self.max_event_bytes),
+            ("max_answer_bytes", self.max_answer_bytes),
             ("leave_timeout_ms", self.drain_timeout_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
         ];
@@ -135,3 +214,7 @@
         faults
     }
 }
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/crates/forward/tests/support/node.rs
+++ b/crates/forward/tests/support/node.rs
@@ -132,7 +132,8 @@
         Self::start_with(&settings_of(name), setup, backends).await
     }
 
-    async fn start_with(
+    /// Starts a node with these settings.
+    pub(crate) async fn start_with(
         settings: &ForwardSettings,
         setup: &Setup,
         backends: &[&StubBackend],
--- a/crates/proxy/tests/outside_names.rs
+++ b/crates/proxy/tests/outside_names.rs
@@ -54,7 +54,7 @@
 fn metrics_are_the_committed_ones() {
     let metrics = ProxyMetrics::default();
     let mut lines = Vec::new();
-    let listed: [&dyn Collector; 13] = [
+    let listed: [&dyn Collector; 14] = [
         &metrics.requests,
         &metrics.first_token_seconds,
         &metrics.inter_token_seconds,
@@ -68,6 +68,7 @@
         &metrics.agent_connected,
         &metrics.dropped_answers,
         &metrics.verdicts,
+        &metrics.over_limit,
     ];
     for metric in listed {
         describe(&mut lines, metric);
--- a/crates/routing/src/backend_health.rs
+++ b/crates/routing/src/backend_health.rs
@@ -20,6 +20,15 @@
 /// probed only once it is used.
 pub const MAX_WATCHED: usize = 64;
 
+/// Shortest time for which a backend that exceeded a limit is not readmitted. It doubles with each further excess.
+pub const MIN_HOLD: Duration = Duration::from_secs(10);
+
+/// Longest time for which a backend that exceeded a limit is not readmitted.
+pub const MAX_HOLD: Duration = Duration::from_mins(5);
+
+/// Time after which an excess no longer makes the next hold longer.
+const EXCESS_MEMORY: Duration = Duration::from_mins(15);
+
 /// Reason for the ejection of a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EjectionReason {
@@ -29,6 +38,8 @@
     ConnectionLost,
     /// Nothing was received on a stream, or for a probe, within the timeout.
     Unresponsive,
+    /// The backend sent more than a limit allows.
+    OverLimit,
 }
 
 impl EjectionReason {
@@ -40,6 +51,7 @@
             EjectionReason::ConnectFailed => "connect_failed",
             EjectionReason::ConnectionLost => "connection_lost",
             EjectionReason::Unresponsive => "silent",
+            EjectionReason::OverLimit => "over_limit",
         }
     }
 }
@@ -57,6 +69,35 @@
     unanswered_since: Option<MonotonicTime>,
     /// Whether the backend is probed even when it is not in use.
     watched: bool,
+    excess: Option<Excess>,
+}
+
+/// The excesses of a backend over its limits, of which the last was within [`EXCESS_MEMORY`] of the one before.
+#[derive(Clone, Copy, Debug)]
+struct Excess {
+    count: u32,
+    last: MonotonicTime,
+    /// Time until which successful probes do not readmit the backend.
+    held_until: MonotonicTime,
+}
+
+impl Excess {
+    fn after(previous: Option<Self>, now: MonotonicTime) -> Self {
+        let recent = previous.filter(|excess| now.since(excess.last) < EXCESS_MEMORY);
+        let before = recent.map_or(0, |excess| excess.count);
+        let hold = MIN_HOLD.saturating_mul(2_u32.saturating_pow(before));
+        Self {
+            count: before.saturating_add(1),
+            last: now,
+            held_until: now + hold.min(MAX_HOLD),
+        }
+    }
+}
+
+impl Health {
+    fn is_held(&self, now: MonotonicTime) -> bool {
+        self.excess.is_some_and(|excess| now < excess.held_until)
+    }
 }
 
 /// Health of the backends, by backend id.
@@ -97,6 +138,22 @@
         })
     }
 
+    /// Ejects a backend that exceeded a limit, for at least [`MIN_HOLD`]. Its probes succeed all the while, since they
+    /// show only that it is there. Returns whether it is newly ejected. Excesses of requests that were in flight when the
+    /// hold began count as one.
+    pub fn eject_over_limit(&self, id: &str, now: MonotonicTime) -> bool {
+        self.entry(id, |health| {
+            if health.is_held(now) {
+                return false;
+            }
+            let newly = health.ejected.is_none();
+            health.excess = Some(Excess::after(health.excess, now));
+            health.ejected = Some(EjectionReason::OverLimit);
+            health.consecutive_successes = 0;
+            newly
+        })
+    }
+
     /// Returns whether new work may be sent to the backend. A backend without a record is usable.
     #[must_use]
     pub fn is_usable(&self, id: &str) -> bool {
@@ -118,8 +175,9 @@
             health.last_active = Some(now);
             health.consecutive_failures = 0;
             health.consecutive_successes += 1;
-            let readmitted =
-                health.ejected.is_some() && health.consecutive_successes >= PROBES_TO_READMIT;
+            let readmitted = health.ejected.is_some()
+                && health.consecutive_successes >= PROBES_TO_READMIT
+                && !health.is_held(now);
             if readmitted {
                 health.ejected = None;
             }
