--- a/crates/agent/src/daemon/agent_settings.rs
+++ b/crates/agent/src/daemon/agent_settings.rs
@@ -30,6 +30,8 @@
     /// Longest time after the termination signal for which a draining proxy is served, in milliseconds. It must cover
     /// the drain time of the proxy.
     pub drain_timeout_ms: u64,
+    /// Memory that the process may use, in megabytes. Limits on received frames follow from it.
+    pub memory_limit_mb: u64,
     /// Lowest severity that is logged.
     pub log_level: String,
     /// Output format of the log.
@@ -48,6 +50,7 @@
             registry_address: String::new(),
             data_folder: String::new(),
             drain_timeout_ms: 35_000,
+            memory_limit_mb: 1024,
             log_level: String::new(),
             log_format: LogFormat::default(),
         }
@@ -86,6 +89,10 @@
             "drain_timeout_ms",
             "longest time for which a draining proxy is served after SIGTERM",
         ),
+        SettingsKey::number(
+            "memory_limit_mb",
+            "memory that the process may use, in megabytes",
+        ),
         SettingsKey::LOG_LEVEL,
         SettingsKey::LOG_FORMAT,
     ];
@@ -109,6 +116,10 @@
             require_addresses(&mut faults, &[("seeds", seed)]);
         }
         check_optional_address(&mut faults, "registry_address", &self.registry_address);
+        if self.memory_limit_mb == 0 {
+            let text = "The value must be above 0.";
+            faults.push(SettingsFault::new("memory_limit_mb", text));
+        }
         if parse_level(&self.log_level).is_none() {
             let text = format!("\"{}\" is not a log level.", self.log_level);
             faults.push(SettingsFault::new("log_level", text));
--- a/crates/agent/src/daemon/control_connection.rs
+++ b/crates/agent/src/daemon/control_connection.rs
@@ -5,7 +5,7 @@
 
 use futures::{SinkExt, StreamExt};
 use millford_api::internal::Frame;
-use millford_transport::{FramedReader, FramedWriter, TransportError};
+use millford_transport::{FrameLimits, FramedReader, FramedWriter, TransportError};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -38,11 +38,12 @@
         address: String,
         queues: EventQueues,
         meter: Arc<TrafficMeter>,
+        limits: FrameLimits,
     ) -> Self {
         let (sender, frames) = mpsc::channel(SEND_QUEUE_LENGTH);
         let task = tokio::spawn(async move {
             // The error is not needed: the agent fails over to the next endpoint in any case.
-            let _ = run(link, &address, &queues, frames, &meter).await;
+            let _ = run(link, &address, &queues, frames, &meter, &limits).await;
             queues.send_state(AgentInput::LinkDown { link }).await;
         });
         Self {
@@ -77,11 +78,12 @@
     queues: &EventQueues,
     frames: mpsc::Receiver<Frame>,
     meter: &TrafficMeter,
+    limits: &FrameLimits,
 ) -> Result<(), TransportError> {
     let address = address
         .parse()
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidInput))?;
-    let (reader, writer) = millford_transport::connect(address, CONNECT_TIMEOUT).await?;
+    let (reader, writer) = millford_transport::connect(address, CONNECT_TIMEOUT, limits).await?;
     queues.send_state(AgentInput::LinkUp { link }).await;
     tokio::select! {
         ended = read(link, reader, queues, meter) => ended,
@@ -100,7 +102,7 @@
         let Ok(next) = tokio::time::timeout(PROGRESS_CHECK_PERIOD, reader.next()).await else {
             // Receiving a large snapshot may take longer than the inactivity timeout. Progress is
             // reported because a failover would request the same snapshot again.
-            let previous = std::mem::replace(&mut buffered, reader.read_buffer().len());
+            let previous = std::mem::replace(&mut buffered, reader.buffered_bytes());
             if buffered > previous && !queues.send_state(AgentInput::LinkProgress { link }).await {
                 break;
             }
--- a/crates/agent/src/daemon/driver.rs
+++ b/crates/agent/src/daemon/driver.rs
@@ -6,6 +6,7 @@
 use millford_core::time::monotonic_now;
 use millford_registry::SharedRegistry;
 use millford_settings::{PartLog, SettingsReader};
+use millford_transport::FrameLimits;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -42,6 +43,8 @@
     pub saved_members: Option<SavedMembers>,
     /// Counts the traffic with control nodes.
     pub meter: Arc<TrafficMeter>,
+    /// Limits of the frames of control nodes.
+    pub frame_limits: FrameLimits,
     /// Publishes the agent's state to the HTTP server.
     pub report: SharedReport,
 }
@@ -134,7 +137,13 @@
         LINK_LOG.debug(format_args!("Connecting to control node {address}."));
         let queues = self.components.queues.clone();
         let meter = Arc::clone(&self.components.meter);
-        let connection = ControlConnection::open(link, address, queues, meter);
+        let connection = ControlConnection::open(
+            link,
+            address,
+            queues,
+            meter,
+            self.components.frame_limits.clone(),
+        );
         self.connection = Some(connection);
     }
 
--- a/crates/agent/src/daemon/http_server.rs
+++ b/crates/agent/src/daemon/http_server.rs
@@ -3,6 +3,11 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::service::TowerToHyperService;
+use millford_bounded_io::{MemoryBudget, ServerBounds, serve_connections};
+use millford_settings::PartLog;
 use millford_settings::metrics::CONTENT_TYPE;
 use tokio::net::TcpListener;
 use warp::Filter;
@@ -12,9 +17,16 @@
 use crate::daemon::report::SharedReport;
 use crate::daemon::traffic_meter::TrafficMeter;
 
+const LOG: PartLog = PartLog::new("HTTP");
+
 /// Serves `/healthz`, `/readyz` and `/metrics` until the process exits. `/readyz` answers 503 until
 /// every shard's state has been confirmed.
-pub async fn serve(listener: TcpListener, report: SharedReport, meter: Arc<TrafficMeter>) {
+pub async fn serve(
+    listener: TcpListener,
+    report: SharedReport,
+    meter: Arc<TrafficMeter>,
+    memory: Arc<MemoryBudget>,
+) {
     let ready_report = report.clone();
     let health = warp::path!("healthz").map(|| response(StatusCode::OK, "healthy\n"));
     let ready = warp::path!("readyz").map(move || {
@@ -25,7 +37,7 @@
         }
     });
     let scrape = warp::path!("metrics").map(move || {
-        let text = metrics::text(&report.get(), &meter);
+        let text = metrics::text(&report.get(), &meter, &memory);
         Response::builder()
             .header("content-type", CONTENT_TYPE)
             .body(text)
@@ -35,7 +47,15 @@
         let not_found = response(StatusCode::NOT_FOUND, "there is nothing at this path\n");
         Ok::<_, Infallible>(not_found)
     });
-    warp::serve(routes).incoming(listener).run().await;
+    let service = TowerToHyperService::new(warp::service(routes));
+    serve_connections(listener, service, ServerBounds::default(), LOG, too_many).await;
+}
+
+/// Answer to a connection above the limit.
+fn too_many() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
 }
 
 fn response(status: StatusCode, text: &str) -> warp::reply::WithStatus<String> {
--- a/crates/agent/src/daemon/local_listener.rs
+++ b/crates/agent/src/daemon/local_listener.rs
@@ -5,7 +5,7 @@
 use futures::{SinkExt, StreamExt};
 use millford_api::local::LocalFrame;
 use millford_settings::PartLog;
-use millford_transport::{FramedReader, FramedWriter, TransportError};
+use millford_transport::{FrameLimits, FramedReader, FramedWriter, TransportError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -24,6 +24,7 @@
     listener: TcpListener,
     queues: EventQueues,
     proxy_senders: mpsc::Sender<Option<ProxySender>>,
+    limits: FrameLimits,
 ) {
     let mut current: Option<tokio::task::JoinHandle<()>> = None;
     loop {
@@ -40,7 +41,12 @@
             // Waits for the task to end, so that no frame of the previous connection follows.
             let _ = previous.await;
         }
-        let connection = run(stream, queues.clone(), proxy_senders.clone());
+        let connection = run(
+            stream,
+            queues.clone(),
+            proxy_senders.clone(),
+            limits.clone(),
+        );
         current = Some(tokio::spawn(connection));
     }
 }
@@ -49,8 +55,10 @@
     stream: TcpStream,
     queues: EventQueues,
     proxy_senders: mpsc::Sender<Option<ProxySender>>,
+    limits: FrameLimits,
 ) {
-    let Ok((reader, writer)) = millford_transport::accept::<LocalFrame>(stream) else {
+    let accepted = millford_transport::accept::<LocalFrame>(stream, &limits);
+    let Ok((reader, writer)) = accepted else {
         return;
     };
     let (sender, frames) = ProxySender::new();
--- a/crates/agent/src/daemon/metrics.rs
+++ b/crates/agent/src/daemon/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the agent.
 
+use millford_bounded_io::MemoryBudget;
 use millford_settings::metrics::render;
 use prometheus::{IntGauge, Opts, Registry};
 
@@ -7,7 +8,7 @@
 use crate::daemon::traffic_meter::TrafficMeter;
 
 /// Prefix of all metric names.
-const NAMESPACE: &str = "millford_agent";
+pub const NAMESPACE: &str = "millford_agent";
 
 /// One metric with its value at the time of a scrape.
 struct Metric {
@@ -24,7 +25,7 @@
 
 /// Renders all metrics in the Prometheus text format.
 #[must_use]
-pub fn text(report: &AgentReport, meter: &TrafficMeter) -> String {
+pub fn text(report: &AgentReport, meter: &TrafficMeter, memory: &MemoryBudget) -> String {
     let registry = Registry::new();
     let metrics = status_metrics(report)
         .into_iter()
@@ -35,6 +36,10 @@
     for metric in metrics {
         register(&registry, &metric);
     }
+    for metric in memory.collectors() {
+        // Only a duplicate name could fail here; the other metrics are still rendered.
+        let _ = registry.register(metric);
+    }
     render(&registry)
 }
 
--- a/crates/agent/src/daemon/run.rs
+++ b/crates/agent/src/daemon/run.rs
@@ -3,12 +3,14 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use millford_bounded_io::MemoryLimit;
 use millford_core::Duration;
 use millford_registry::{HttpRegistry, RegistryAddress, SharedRegistry};
 use millford_settings::logging::{self, LogOptions};
 use millford_settings::{
     DaemonCommand, Invocation, PartLog, ProcessSignal, ProcessSignals, SettingsReader,
 };
+use millford_transport::FrameLimits;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{JoinError, JoinHandle};
@@ -19,7 +21,7 @@
 use crate::daemon::report::SharedReport;
 use crate::daemon::saved_members::SavedMembers;
 use crate::daemon::traffic_meter::TrafficMeter;
-use crate::daemon::{http_server, local_listener};
+use crate::daemon::{http_server, local_listener, metrics};
 use crate::input::AgentInput;
 use crate::options::AgentOptions;
 
@@ -138,6 +140,8 @@
     let (proxy_sender, proxy_senders) = mpsc::channel(PROXY_SENDER_QUEUE_LENGTH);
     let meter = Arc::new(TrafficMeter::default());
     let report = SharedReport::default();
+    let memory = MemoryLimit::of_megabytes(settings.memory_limit_mb);
+    let frame_limits = FrameLimits::of_memory(metrics::NAMESPACE, memory);
     let driver = start_driver(DriverComponents {
         options: agent_options(&settings, saved_members.as_ref(), local_address.to_string()),
         queues: queues.clone(),
@@ -147,10 +151,16 @@
         seeds: adapters.seeds.clone(),
         saved_members,
         meter: Arc::clone(&meter),
+        frame_limits: frame_limits.clone(),
         report: report.clone(),
     })?;
-    tokio::spawn(local_listener::serve(local, queues.clone(), proxy_sender));
-    tokio::spawn(http_server::serve(http, report, meter));
+    tokio::spawn(local_listener::serve(
+        local,
+        queues.clone(),
+        proxy_sender,
+        frame_limits.clone(),
+    ));
+    tokio::spawn(http_server::serve(http, report, meter, frame_limits.budget));
     tokio::spawn(handle_signals(signals, queues, adapters.seeds));
     println!("millford-agent ready local={local_address} http={http_address}");
     // The driver ends when the proxy no longer needs the agent and the session is closed or closing it timed out.
--- a/crates/agent/tests/outside_names.rs
+++ b/crates/agent/tests/outside_names.rs
@@ -10,6 +10,7 @@
 use daemon_flags::DaemonUnderTest;
 use millford_agent::daemon::metrics;
 use millford_agent::daemon::{AgentReport, TrafficMeter};
+use millford_bounded_io::MemoryBudget;
 
 const DATA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/outside");
 
@@ -37,7 +38,11 @@
 
 #[test]
 fn metrics_are_the_committed_ones() {
-    let text = metrics::text(&AgentReport::default(), &TrafficMeter::default());
+    let text = metrics::text(
+        &AgentReport::default(),
+        &TrafficMeter::default(),
+        &MemoryBudget::new(metrics::NAMESPACE, &[]),
+    );
     assert_committed(
         &format!("{DATA}/metrics.txt"),
         &daemon_flags::metrics(&text),
--- a/crates/bounded-io/src/http_client.rs
+++ b/crates/bounded-io/src/http_client.rs
@@ -68,6 +68,15 @@
     })
 }
 
+/// Whether the HTTP library gave up on a body because its own limits of trailers or chunk extensions were exceeded, which
+/// it reports as invalid data.
+#[must_use]
+pub fn is_framing_excess(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::InvalidData)
+}
+
 /// Why a page could not be fetched.
 #[derive(Debug, thiserror::Error)]
 pub enum FetchError {
--- a/crates/bounded-io/src/http_server.rs
+++ b/crates/bounded-io/src/http_server.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
@@ -56,12 +54,12 @@
 
 /// Accepts connections and serves each with a clone of `service`, until the future is dropped. A connection above the
 /// limit gets the answer `refusal`.
-pub async fn serve_connections<S, B>(
+pub async fn serve_connections<S, B, R>(
     listener: TcpListener,
     service: S,
     bounds: ServerBounds,
     log: PartLog,
-    refusal: fn() -> Response<Full<Bytes>>,
+    refusal: fn() -> Response<R>,
 ) where
     S: HttpService<Incoming, ResBody = B> + Clone + Send + 'static,
     S::Future: Send,
@@ -69,6 +67,9 @@
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    R: Body + Send + 'static,
+    R::Data: Send,
+    R::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let max_connections = bounds.max_connections.min(Semaphore::MAX_PERMITS);
     let permits = Arc::new(Semaphore::new(max_connections));
--- a/crates/bounded-io/src/memory_limit.rs
+++ b/crates/bounded-io/src/memory_limit.rs
@@ -14,6 +14,8 @@
 const CONNECTION_PARTS: usize = 8;
 /// Fixed buffers of one exchange, in bytes: those of both connections, a block between them and a small request body.
 const EXCHANGE_BYTES: usize = 80 * 1024;
+/// Part of the memory for operators' bodies that one body may take, as a divisor.
+const OPERATOR_BODY_DIVISOR: usize = 4;
 /// Part of the memory for frames that one frame may take, as a divisor, so that it does not displace all others.
 const FRAME_DIVISOR: usize = 2;
 
@@ -44,6 +46,13 @@
         self.parts(BUFFER_PARTS)
     }
 
+    /// Largest body of an operator's request: a quarter of what all of them may take, since a parsed body takes several
+    /// times its size.
+    #[must_use]
+    pub fn operator_body_bytes(self) -> usize {
+        self.buffer_bytes() / OPERATOR_BODY_DIVISOR
+    }
+
     /// Most bytes of frames that are held at a time: a quarter of the memory.
     #[must_use]
     pub fn frame_bytes(self) -> usize {
--- a/crates/control/src/daemon/connections.rs
+++ b/crates/control/src/daemon/connections.rs
@@ -7,12 +7,14 @@
 
 use futures::{SinkExt, StreamExt};
 use millford_api::internal::Frame;
-use millford_transport::{FramedReader, FramedWriter, accept, connect};
+use millford_bounded_io::LogThrottle;
+use millford_transport::{FramedReader, FramedWriter, TransportError, accept, connect};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use super::event::{GatewayEvent, GatewayQueue};
+use super::link_bounds::LinkBounds;
 use crate::link::{LinkId, PeerKind};
 use crate::node_input::NodeInput;
 
@@ -25,6 +27,9 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time from the opening of a link to its first frame.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Timeout for writing a batch of frames, after which the link is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -33,23 +38,29 @@
 pub struct Connector {
     runtime: Handle,
     queue: GatewayQueue,
+    bounds: LinkBounds,
 }
 
 impl Connector {
     /// Creates a connector that runs its connections on this runtime.
     #[must_use]
-    pub fn new(runtime: Handle, queue: GatewayQueue) -> Self {
-        Self { runtime, queue }
+    pub fn new(runtime: Handle, queue: GatewayQueue, bounds: LinkBounds) -> Self {
+        Self {
+            runtime,
+            queue,
+            bounds,
+        }
     }
 
     /// Opens a link. The gateway receives `LinkOpened`, or `LinkClosed` after a failure.
     pub fn connect(&self, link: LinkId, address: String) {
         let queue = self.queue.clone();
+        let bounds = self.bounds.clone();
         self.runtime.spawn(async move {
-            let opened = open(&address).await;
+            let opened = open(&address, &bounds).await;
             match opened {
                 Some((reader, writer)) => {
-                    serve(link, PeerKind::Outgoing, reader, writer, queue).await;
+                    serve(link, PeerKind::Outgoing, reader, writer, queue, bounds).await;
                 }
                 None => notify_closed(link, &queue),
             }
@@ -58,7 +69,8 @@
 }
 
 /// Accepts links until the process ends.
-pub async fn listen(listener: TcpListener, queue: GatewayQueue) {
+pub async fn listen(listener: TcpListener, queue: GatewayQueue, bounds: LinkBounds) {
+    let throttle = LogThrottle::default();
     let numbers = Arc::new(AtomicU64::new(1));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -66,23 +78,40 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let Ok((reader, writer)) = accept(stream) else {
+        let Ok(permit) = Arc::clone(&bounds.incoming).try_acquire_owned() else {
+            if let Some(skipped) = throttle.permit() {
+                super::LINK.warn(format_args!(
+                    "Closing a new link, because too many are open; {skipped} others were closed since the last line."
+                ));
+            }
+            continue;
+        };
+        let Ok((reader, writer)) = accept(stream, &bounds.frames) else {
             continue;
         };
         let link = LinkId(numbers.fetch_add(1, Ordering::Relaxed));
-        tokio::spawn(serve(
+        let served = serve(
             link,
             PeerKind::Incoming,
             reader,
             writer,
             queue.clone(),
-        ));
+            bounds.clone(),
+        );
+        tokio::spawn(async move {
+            served.await;
+            drop(permit);
+        });
     }
 }
 
-async fn open(address: &str) -> Option<(FramedReader<Frame>, FramedWriter<Frame>)> {
+async fn open(
+    address: &str,
+    bounds: &LinkBounds,
+) -> Option<(FramedReader<Frame>, FramedWriter<Frame>)> {
     let address: SocketAddr = address.parse().ok()?;
-    connect(address, CONNECT_TIMEOUT).await.ok()
+    let opened = connect(address, CONNECT_TIMEOUT, &bounds.frames).await;
+    opened.ok()
 }
 
 /// Runs one link until either side closes it.
@@ -92,6 +121,7 @@
     reader: FramedReader<Frame>,
     writer: FramedWriter<Frame>,
     queue: GatewayQueue,
+    bounds: LinkBounds,
 ) {
     let (sender, frames) = mpsc::channel(LINK_QUEUE_FRAMES);
     let opened = queue.send(GatewayEvent::Link {
@@ -103,18 +133,63 @@
         return;
     }
     tokio::select! {
-        () = read_all(link, reader, &queue) => {}
+        () = read_all(link, peer, reader, &queue, &bounds) => {}
         () = write_all(writer, frames) => {}
     }
     notify_closed(link, &queue);
 }
 
-async fn read_all(link: LinkId, mut reader: FramedReader<Frame>, queue: &GatewayQueue) {
-    while let Some(Ok(frame)) = reader.next().await {
-        let input = NodeInput::Frame { link, frame };
-        if queue.send(GatewayEvent::Input(input)).is_err() {
+async fn read_all(
+    link: LinkId,
+    peer: PeerKind,
+    mut reader: FramedReader<Frame>,
+    queue: &GatewayQueue,
+    bounds: &LinkBounds,
+) {
+    // A peer that opened a link begins with a frame; one that does not would hold the link for ever.
+    let first = match peer {
+        PeerKind::Incoming => {
+            match tokio::time::timeout(FIRST_FRAME_TIMEOUT, reader.next()).await {
+                Ok(first) => first,
+                Err(_) => return,
+            }
+        }
+        PeerKind::Outgoing => reader.next().await,
+    };
+    let mut next = first;
+    while let Some(received) = next {
+        let frame = match received {
+            Ok(frame) => frame,
+            Err(error) => {
+                log_excess(link, &error);
+                return;
+            }
+        };
+        let Some(permit) = bounds.queue_frame(&frame).await else {
+            return;
+        };
+        let frame = Box::new(frame);
+        let event = GatewayEvent::Frame {
+            link,
+            frame,
+            permit,
+        };
+        if queue.send(event).is_err() {
             return;
         }
+        next = reader.next().await;
+    }
+}
+
+/// Logs an error that shows that the peer sent too much; others are ordinary ends of links.
+fn log_excess(link: LinkId, error: &TransportError) {
+    let is_excess = match error {
+        TransportError::Budget(_) => true,
+        TransportError::Io(error) => error.kind() == std::io::ErrorKind::InvalidData,
+        TransportError::Decode(_) => false,
+    };
+    if is_excess {
+        super::LINK.warn(format_args!("Closing link {}: {error}.", link.0));
     }
 }
 
--- a/crates/control/src/daemon/event.rs
+++ b/crates/control/src/daemon/event.rs
@@ -5,7 +5,7 @@
 use millford_api::internal::Frame;
 use millford_core::ShardId;
 use millford_storage::StorageError;
-use tokio::sync::{mpsc as async_mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc as async_mpsc, oneshot};
 
 use crate::link::LinkId;
 use crate::node_input::NodeInput;
@@ -20,6 +20,15 @@
 pub enum GatewayEvent {
     /// An input of the node's logic.
     Input(NodeInput),
+    /// A received frame.
+    Frame {
+        /// Number of the link.
+        link: LinkId,
+        /// The frame.
+        frame: Box<Frame>,
+        /// Room in the queue, which is released when the frame is handled.
+        permit: OwnedSemaphorePermit,
+    },
     /// The send queue of an open link.
     Link {
         /// Number of the link.
--- a/crates/control/src/daemon/gateway_thread.rs
+++ b/crates/control/src/daemon/gateway_thread.rs
@@ -107,6 +107,15 @@
     fn handle_event(&mut self, event: GatewayEvent) {
         match event {
             GatewayEvent::Input(input) => self.handle_input(input),
+            GatewayEvent::Frame {
+                link,
+                frame,
+                permit,
+            } => {
+                let frame = *frame;
+                self.handle_input(NodeInput::Frame { link, frame });
+                drop(permit);
+            }
             GatewayEvent::Link { link, writer } => {
                 self.writers.insert(link, writer);
             }
--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod event_log;
 pub mod gateway_thread;
+pub mod link_bounds;
 pub mod operator_http;
 pub mod registry_watch;
 pub mod run;
@@ -18,7 +19,7 @@
 use millford_core::ResultCode;
 use millford_settings::PartLog;
 
-pub use operator_http::OperatorPort;
+pub use operator_http::{OperatorPort, read_operator_body, serve_operators};
 pub use run::{ControlAdapters, OperatorServer, run, run_with};
 pub use settings::ControlSettings;
 
@@ -28,6 +29,8 @@
 pub const SHARD: PartLog = PartLog::new("SHARD");
 /// Log target of cluster membership.
 pub const MEMBERS: PartLog = PartLog::new("MEMBERS");
+/// Log target of links to other processes.
+pub const LINK: PartLog = PartLog::new("LINK");
 /// Log target of placement.
 pub const PLACEMENT: PartLog = PartLog::new("PLACEMENT");
 /// Log target of the registry watch.
--- a/crates/control/src/daemon/operator_http/body.rs
+++ b/crates/control/src/daemon/operator_http/body.rs
@@ -1,39 +1,91 @@
 //! Reading and parsing of the bodies of operators' requests.
 
+use std::time::Duration;
+
 use bytes::Buf;
 use futures::{Stream, StreamExt};
+use millford_bounded_io::{BoundedBuffer, BufferError, HeldBytes, Reader, Source};
 use millford_control_state::document::Fault;
 use millford_core::ResultCode;
 use serde::de::DeserializeOwned;
 use warp::http::HeaderMap;
 use warp::http::header::CONTENT_TYPE;
 
+use super::port::OperatorPort;
+use crate::daemon::CONTROL;
 use crate::operator::OperatorFailure;
 
-/// Largest body, in bytes. A configuration document with all lists at their limits fits.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time for the complete body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads the complete body of a JSON request.
 pub(super) async fn read<B: Buf>(
+    port: &OperatorPort,
     headers: &HeaderMap,
     body: impl Stream<Item = Result<B, warp::Error>>,
-) -> Result<Vec<u8>, OperatorFailure> {
+) -> Result<HeldBytes, OperatorFailure> {
     check_content_type(headers)?;
+    read_operator_body(port, body).await
+}
+
+/// Reads the complete body of an operator's request.
+///
+/// # Errors
+/// Fails when the body is too large, is truncated or takes too long, or has to give way to others because the memory for
+/// bodies is used up.
+pub async fn read_operator_body<B: Buf>(
+    port: &OperatorPort,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<HeldBytes, OperatorFailure> {
+    let max_bytes = port.max_body_bytes();
+    let mut buffer = BoundedBuffer::new(
+        port.memory(),
+        Reader::OperatorBody,
+        Source::Connection,
+        max_bytes,
+    );
+    let reading = tokio::time::timeout(BODY_TIMEOUT, fill(&mut buffer, body));
+    let complete = reading
+        .await
+        .unwrap_or_else(|_| Err(OperatorFailure::new(ResultCode::BodyIncomplete)));
+    if let Err(failure) = complete {
+        CONTROL.warn(format_args!(
+            "An operator's request is refused: {}.",
+            failure.code
+        ));
+        return Err(failure);
+    }
+    Ok(buffer.into_held())
+}
+
+async fn fill<B: Buf>(
+    buffer: &mut BoundedBuffer,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<(), OperatorFailure> {
     let mut body = std::pin::pin!(body);
-    let mut bytes = Vec::new();
-    while let Some(part) = body.next().await {
+    loop {
+        let part = tokio::select! {
+            part = body.next() => part,
+            () = buffer.revoked() => return Err(OperatorFailure::new(ResultCode::Overloaded)),
+        };
+        let Some(part) = part else {
+            return Ok(());
+        };
         let mut part = part.map_err(|_| OperatorFailure::new(ResultCode::BodyIncomplete))?;
-        if bytes.len() + part.remaining() > MAX_BODY_BYTES {
-            return Err(OperatorFailure::new(ResultCode::BodyTooLarge));
-        }
         while part.has_remaining() {
             let chunk = part.chunk();
-            bytes.extend_from_slice(chunk);
             let length = chunk.len();
+            buffer.extend(chunk).map_err(failure_of)?;
             part.advance(length);
         }
     }
-    Ok(bytes)
+}
+
+fn failure_of(error: BufferError) -> OperatorFailure {
+    OperatorFailure::new(match error {
+        BufferError::TooLarge => ResultCode::BodyTooLarge,
+        BufferError::Budget(_) => ResultCode::Overloaded,
+    })
 }
 
 /// Parses a JSON body. A fault names the path of the field.
--- a/crates/control/src/daemon/operator_http/mod.rs
+++ b/crates/control/src/daemon/operator_http/mod.rs
@@ -8,14 +8,46 @@
 
 use std::convert::Infallible;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::service::TowerToHyperService;
+use millford_bounded_io::{ServerBounds, serve_connections};
 use tokio::net::TcpListener;
 use warp::Filter;
-use warp::http::{HeaderMap, Method};
+use warp::http::{HeaderMap, Method, Response, StatusCode};
 use warp::path::FullPath;
 
+use super::CONTROL;
+
+pub use body::read_operator_body;
 pub use credential::OperatorCredential;
 pub use port::OperatorPort;
 
+/// Serves a warp filter to operators, with bounds on their connections, until the process exits.
+pub async fn serve_operators<F>(listener: TcpListener, routes: F)
+where
+    F: Filter<Error = Infallible> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+    F::Future: Send,
+{
+    let service = TowerToHyperService::new(warp::service(routes));
+    serve_connections(
+        listener,
+        service,
+        ServerBounds::default(),
+        CONTROL,
+        too_many,
+    )
+    .await;
+}
+
+/// Answer to a connection above the limit.
+fn too_many() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
 /// Serves operators on this listener until the process exits.
 pub async fn serve(listener: TcpListener, port: OperatorPort) {
     let routes = warp::any()
@@ -30,5 +62,5 @@
             },
         )
         .recover(async |_rejection| Ok::<_, Infallible>(answer::path_unknown()));
-    warp::serve(routes).incoming(listener).run().await;
+    serve_operators(listener, routes).await;
 }
--- a/crates/control/src/daemon/operator_http/requests.rs
+++ b/crates/control/src/daemon/operator_http/requests.rs
@@ -30,7 +30,7 @@
     if !port.credential().admits(headers) {
         return answer::of_failure(&OperatorFailure::new(ResultCode::OperatorKeyWrong));
     }
-    match read_request(method, &segments, headers, body).await {
+    match read_request(port, method, &segments, headers, body).await {
         Ok(request) => answer::of_reply(&port.request(request).await),
         Err(failure) => answer::of_failure(&failure),
     }
@@ -66,6 +66,7 @@
 }
 
 async fn read_request<B: Buf>(
+    port: &OperatorPort,
     method: &Method,
     segments: &[&str],
     headers: &HeaderMap,
@@ -75,20 +76,24 @@
         (&Method::GET, ["v1", "config"]) => Ok(OperatorRequest::GetConfig),
         (&Method::GET, ["v1", "status"]) => Ok(OperatorRequest::Status),
         (&Method::PUT, ["v1", "config"]) => {
-            let json = body::read(headers, body).await?;
-            let order = document::parse_order(&json).map_err(OperatorFailure::of_faults)?;
+            let json = body::read(port, headers, body).await?;
+            let order = document::parse_order(json.bytes()).map_err(OperatorFailure::of_faults)?;
             Ok(OperatorRequest::PutConfig(order))
         }
-        (&Method::POST, ["v1", "plan"]) => read_plan(&body::read(headers, body).await?),
+        (&Method::POST, ["v1", "plan"]) => {
+            read_plan(body::read(port, headers, body).await?.bytes())
+        }
         (&Method::POST, ["v1", "services", pool, "backends", backend, "drain"]) => {
-            let order: DrainBody = body::parse(&body::read(headers, body).await?)?;
+            let order: DrainBody = body::parse(body::read(port, headers, body).await?.bytes())?;
             Ok(OperatorRequest::Drain {
                 pool: decode_segment(pool)?,
                 backend_id: decode_segment(backend)?,
                 drain: order.drain,
             })
         }
-        (&Method::POST, ["v1", "recovery"]) => read_recovery(&body::read(headers, body).await?),
+        (&Method::POST, ["v1", "recovery"]) => {
+            read_recovery(body::read(port, headers, body).await?.bytes())
+        }
         (
             _,
             ["v1", "config" | "status" | "plan" | "recovery"]
--- a/crates/control/src/daemon/run.rs
+++ b/crates/control/src/daemon/run.rs
@@ -7,6 +7,7 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use millford_bounded_io::MemoryLimit;
 use millford_core::ResultCode;
 use millford_registry::{ConfirmedEmptyList, HttpRegistry, RegistryAddress, SharedRegistry};
 use millford_settings::logging::parse_level;
@@ -21,6 +22,7 @@
 use super::connections::{Connector, listen};
 use super::event::{GatewayEvent, GatewayQueue};
 use super::gateway_thread::GatewayThread;
+use super::link_bounds::LinkBounds;
 use super::operator_http::{self, OperatorPort};
 use super::registry_watch;
 use super::seed_watch::SeedWatch;
@@ -161,7 +163,15 @@
     let operator_address = local_address(&operator)?;
     let shared = Arc::new(NodeShared::new()?);
     let (queue, events) = mpsc::channel();
-    let connector = Connector::new(tokio::runtime::Handle::current(), queue.clone());
+    let limit = MemoryLimit::of_megabytes(settings.memory_limit_mb);
+    let bounds = LinkBounds::of_memory(limit);
+    let memory = Arc::clone(&bounds.frames.budget);
+    shared.register(memory.collectors())?;
+    let connector = Connector::new(
+        tokio::runtime::Handle::current(),
+        queue.clone(),
+        bounds.clone(),
+    );
     let options = options_of(&settings, &internal_address, &operator_address);
     let folders = open_folders(&settings.data_folder)?;
     let thread = GatewayThread::open(
@@ -178,13 +188,19 @@
         .spawn(move || thread.run())?;
     // Aborted when this function returns, so that a node that has shut down serves no requests.
     let mut tasks = JoinSet::new();
-    tasks.spawn(listen(internal, queue.clone()));
+    tasks.spawn(listen(internal, queue.clone(), bounds));
     if let Some(registry) = adapters.registry {
         let registry = ConfirmedEmptyList::wrap(registry);
         let watch = registry_watch::watch(registry, queue.clone(), shared.clone());
         tasks.spawn(watch);
     }
-    let port = OperatorPort::new(queue.clone(), shared.clone(), &settings.operator_key_hash);
+    let port = OperatorPort::new(
+        queue.clone(),
+        shared.clone(),
+        &settings.operator_key_hash,
+        memory,
+        limit.operator_body_bytes(),
+    );
     tasks.spawn((adapters.operators)(operator, port));
     println!("millford-control ready internal={internal_address} operator={operator_address}");
     let mut seeds = SeedWatch::new(adapters.seeds, settings.seeds, queue.clone());
--- a/crates/control/src/daemon/settings.rs
+++ b/crates/control/src/daemon/settings.rs
@@ -41,6 +41,8 @@
     pub voters_per_shard: u32,
     /// Time without contact after which a voter is replaced, in milliseconds; at least 1000.
     pub replace_after_ms: u64,
+    /// Memory that the process may use, in megabytes. Limits on received frames and orders follow from it.
+    pub memory_limit_mb: u64,
     /// Least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: String,
     /// Format of a log line.
@@ -61,6 +63,7 @@
             data_shards: 6,
             voters_per_shard: VOTERS_PER_SHARD as u32,
             replace_after_ms: 5000,
+            memory_limit_mb: 1024,
             log_level: "info".to_owned(),
             log_format: LogFormat::Text,
         }
@@ -86,6 +89,10 @@
             "replace_after_ms",
             "silence after which a lost voter is replaced",
         ),
+        SettingsKey::number(
+            "memory_limit_mb",
+            "memory that the process may use, in megabytes",
+        ),
         SettingsKey::text("log_level", "error, warn, info, debug or trace"),
         SettingsKey::text("log_format", "text or json"),
     ];
@@ -125,6 +132,9 @@
             let text = "must be an odd number, at most 9";
             faults.push(SettingsFault::new("voters_per_shard", text));
         }
+        if self.memory_limit_mb == 0 {
+            faults.push(SettingsFault::new("memory_limit_mb", "must be above 0"));
+        }
         if self.replace_after_ms < 1000 {
             let text = "must be at least 1000, longer than an election";
             faults.push(SettingsFault::new("replace_after_ms", text));
--- a/crates/control/src/daemon/shared.rs
+++ b/crates/control/src/daemon/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use millford_core::ShardId;
+use prometheus::core::Collector;
 use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::gateway::Gateway;
@@ -47,6 +48,18 @@
         })
     }
 
+    /// Registers further metrics.
+    ///
+    /// # Errors
+    /// Fails when a metric has the name of another one.
+    pub fn register(
+        &self,
+        metrics: impl IntoIterator<Item = Box<dyn Collector>>,
+    ) -> Result<(), prometheus::Error> {
+        let mut metrics = metrics.into_iter();
+        metrics.try_for_each(|metric| self.registry.register(metric))
+    }
+
     /// Publishes the gateway's current state.
     pub fn publish(&self, gateway: &Gateway, links: usize) {
         let formed = gateway.cluster_id() != 0;
--- a/crates/data-plane/src/agent_link/task.rs
+++ b/crates/data-plane/src/agent_link/task.rs
@@ -7,7 +7,7 @@
 use millford_core::Duration;
 use millford_core::backoff::Backoff;
 use millford_settings::PartLog;
-use millford_transport::{FramedReader, FramedWriter, TransportError, connect};
+use millford_transport::{FrameLimits, FramedReader, FramedWriter, TransportError, connect};
 use tokio::sync::mpsc;
 
 use crate::agent_link::link::{AgentLink, frame};
@@ -29,6 +29,7 @@
     handler: FrameHandler,
     address: SocketAddr,
     hello: ProxyHello,
+    limits: FrameLimits,
 }
 
 impl AgentLinkTask {
@@ -38,6 +39,7 @@
         handler: FrameHandler,
         address: SocketAddr,
         hello: ProxyHello,
+        limits: FrameLimits,
     ) -> Self {
         Self {
             link,
@@ -45,6 +47,7 @@
             handler,
             address,
             hello,
+            limits,
         }
     }
 
@@ -53,7 +56,7 @@
         let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
         let mut failure_logged = false;
         loop {
-            match connect::<LocalFrame>(self.address, CONNECT_TIMEOUT).await {
+            match connect::<LocalFrame>(self.address, CONNECT_TIMEOUT, &self.limits).await {
                 Ok((reader, writer)) => {
                     LOG.info("Connected to the agent.");
                     backoff.reset();
--- a/crates/data-plane/src/limits.rs
+++ b/crates/data-plane/src/limits.rs
@@ -19,6 +19,12 @@
     pub withdraw_timeout: Duration,
     /// Largest response that is not streamed, in bytes.
     pub max_answer_bytes: usize,
+    /// Largest event of a backend's stream, in bytes.
+    pub max_event_bytes: usize,
+    /// Most bytes of callers' bodies that the process holds.
+    pub caller_body_bytes: usize,
+    /// Most bytes of backends' answers that the process holds.
+    pub answer_bytes: usize,
     /// Largest number of connection attempts for one request. A failed connection attempt sends no byte
     /// of the request.
     pub max_connects: u32,
@@ -34,6 +40,9 @@
             backend_check_interval: Duration::from_millis(100),
             withdraw_timeout: Duration::from_millis(300),
             max_answer_bytes: 16 * 1024 * 1024,
+            max_event_bytes: 4 * 1024 * 1024,
+            caller_body_bytes: usize::MAX,
+            answer_bytes: usize::MAX,
             max_connects: 4,
         }
     }
--- a/crates/data-plane/src/proxy_state.rs
+++ b/crates/data-plane/src/proxy_state.rs
@@ -4,14 +4,21 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use millford_bounded_io::{LogThrottle, MemoryBudget, Reader};
 use millford_core::MonotonicTime;
 use millford_routing::{
     BackendHealth, CostEstimates, EjectionReason, FairQueues, LoadTable, RetryBudget, RoutingTable,
 };
+use millford_settings::PartLog;
 
 use crate::limits::RequestLimits;
 use crate::proxy_metrics::ProxyMetrics;
 
+const LOG: PartLog = PartLog::new("HEALTH");
+
+/// Start of the names of the metrics of a proxy.
+const METRICS_NAMESPACE: &str = "millford_proxy";
+
 /// Routing table, load, cost estimates, retry budget and lifecycle state of one proxy. Each part has its
 /// own synchronization.
 #[derive(Debug)]
@@ -32,6 +39,10 @@
     pub queues: FairQueues,
     /// Limits and timeouts of the request path.
     pub limits: RequestLimits,
+    /// Bytes that are held for callers and backends.
+    pub memory: Arc<MemoryBudget>,
+    /// Limits the log lines about backends over a limit.
+    over_limit_lines: LogThrottle,
     /// Counters, gauges and histograms for a scrape.
     pub metrics: ProxyMetrics,
 }
@@ -40,6 +51,18 @@
     /// Creates an empty state, which is not ready until a confirmed configuration is applied.
     #[must_use]
     pub fn new(limits: RequestLimits) -> Self {
+        let metrics = ProxyMetrics::default();
+        let memory = MemoryBudget::new(
+            METRICS_NAMESPACE,
+            &[
+                (Reader::CallerBody, limits.caller_body_bytes),
+                (Reader::Answer, limits.answer_bytes),
+            ],
+        );
+        for metric in memory.collectors() {
+            // Registration fails only for a duplicate name, and the registry is new.
+            let _ = metrics.registry.register(metric);
+        }
         Self {
             table: ArcSwap::from_pointee(RoutingTable::default()),
             ready: AtomicBool::new(false),
@@ -51,7 +74,9 @@
             health: BackendHealth::default(),
             queues: FairQueues::default(),
             limits,
-            metrics: ProxyMetrics::default(),
+            memory,
+            over_limit_lines: LogThrottle::default(),
+            metrics,
         }
     }
 
@@ -77,6 +102,17 @@
         }
     }
 
+    /// Counts and logs that a backend sent more than a limit allows. `unit` names what was too large.
+    pub fn record_over_limit(&self, backend_id: &str, unit: &str) {
+        self.metrics.over_limit.with_label_values(&[unit]).inc();
+        if let Some(skipped) = self.over_limit_lines.permit() {
+            LOG.warn(format_args!(
+                "Backend {backend_id} sent more than the limit of its {unit} allows; {skipped} other excesses since the \
+                 last line."
+            ));
+        }
+    }
+
     /// Ejects a backend that sent more than a limit allows, and counts the ejection if it is new.
     pub fn eject_over_limit(&self, backend_id: &str, now: MonotonicTime) {
         if self.health.eject_over_limit(backend_id, now) {
--- a/crates/forward/src/daemon/run.rs
+++ b/crates/forward/src/daemon/run.rs
@@ -9,10 +9,10 @@
 use millford_core::{Duration, ResultCode};
 use millford_data_plane::agent_link::{AgentLink, agent_link};
 use millford_data_plane::control_thread::spawn_control_thread;
-use millford_data_plane::limits::RequestLimits;
 use millford_data_plane::load_reporter;
 use millford_data_plane::proxy_state::ProxyState;
 use millford_settings::{PartLog, ProcessSignal, ProcessSignals};
+use millford_transport::FrameLimits;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
@@ -40,13 +40,18 @@
 /// Fails if the daemon cannot start, for example because an address is in use.
 pub fn run<P: ForwardProtocol>(settings: &ForwardSettings, protocol: P) -> miette::Result<()> {
     let agent_address: SocketAddr = settings.agent_address.parse().into_diagnostic()?;
-    let state = Arc::new(ProxyState::new(RequestLimits::default()));
+    let state = Arc::new(ProxyState::new(settings.request_limits()));
     let node = Arc::new(ForwardNode::new(settings, Arc::clone(&state), protocol));
     let hello = ProxyHello {
         boot_id: rand::random(),
         caller_address: settings.caller_address.clone(),
     };
-    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    let (agent, task) = agent_link(
+        Arc::clone(&state),
+        agent_address,
+        hello,
+        FrameLimits::of_memory("millford_agent_link", settings.memory_limit()),
+    );
     let reports = agent.clone();
     spawn_control_thread(async move {
         tokio::join!(task.run(), load_reporter::run(state, reports));
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -2,13 +2,10 @@
 
 use std::sync::{Arc, OnceLock};
 
-use millford_bounded_io::{LogThrottle, MemoryBudget, Reader};
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
 use millford_data_plane::proxy_state::ProxyState;
 use millford_routing::{EjectionReason, PrefixIndex};
-use millford_settings::PartLog;
-use prometheus::core::Collector;
 use tokio::sync::watch;
 
 use crate::backend::{ConnectionPools, Excess};
@@ -20,8 +17,6 @@
 use crate::quota::{QuotaClient, TenantQuotas};
 use crate::settings::{ForwardBounds, ForwardSettings};
 
-const LOG: PartLog = PartLog::new("HEALTH");
-
 /// The state that requests and background tasks share. Each field that changes has its own locks.
 pub struct ForwardNode<P> {
     /// Reads and writes the deployment's headers.
@@ -42,12 +37,8 @@
     pub quotas: TenantQuotas,
     /// Requests admissions from the owners of tenants' buckets.
     pub quota_client: QuotaClient,
-    /// Bytes that are held for callers and backends.
-    pub memory: Arc<MemoryBudget>,
     /// Bounds on what callers and backends may cost the process.
     pub bounds: ForwardBounds,
-    /// Limits the log lines about backends over a limit.
-    over_limit_lines: LogThrottle,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
     /// The enabled mechanisms.
@@ -68,19 +59,11 @@
         let (ejections, _) = watch::channel(0);
         let quota_client = QuotaClient::default();
         let bounds = settings.bounds();
-        let memory = MemoryBudget::new(
-            "millford_proxy",
-            &[
-                (Reader::CallerBody, bounds.caller_body_bytes),
-                (Reader::Answer, bounds.answer_bytes),
-            ],
-        );
-        let mut metrics: Vec<Box<dyn Collector>> = vec![Box::new(quota_client.metric())];
-        metrics.extend(memory.collectors());
-        for metric in metrics {
-            // This fails only if another node in the process has registered its metrics with the same state.
-            let _ = state.metrics.registry.register(metric);
-        }
+        // This fails only if another node in the process has registered its metric with the same state.
+        let _ = state
+            .metrics
+            .registry
+            .register(Box::new(quota_client.metric()));
         Self {
             protocol,
             name: settings.name.clone(),
@@ -91,9 +74,7 @@
             load: SharedLoad::default(),
             quotas: TenantQuotas::default(),
             quota_client,
-            memory,
             bounds,
-            over_limit_lines: LogThrottle::default(),
             connections: Arc::new(ConnectionPools::new(
                 settings.connect_timeout(),
                 bounds.max_backend_head_bytes,
@@ -136,15 +117,7 @@
     /// Records that a backend sent more than a limit allows: it is ejected for a time, and requests that wait for it and
     /// may be retried elsewhere are woken.
     pub fn record_excess(&self, backend_id: &str, excess: Excess) {
-        let name = excess.name();
-        let over_limit = &self.state.metrics.over_limit;
-        over_limit.with_label_values(&[name]).inc();
-        if let Some(skipped) = self.over_limit_lines.permit() {
-            LOG.warn(format_args!(
-                "Backend {backend_id} sent more than the limit of its {name} allows; {skipped} other excesses since the \
-                 last line."
-            ));
-        }
+        self.state.record_over_limit(backend_id, excess.name());
         if !self.mechanisms.has(Mechanism::Ejection) {
             return;
         }
--- a/crates/forward/src/request/backend_stream.rs
+++ b/crates/forward/src/request/backend_stream.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use millford_api::internal::CostSample;
+use millford_bounded_io::is_framing_excess;
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
 use millford_routing::InFlightGuard;
@@ -120,7 +121,7 @@
     fn has_framing_excess(&mut self, error: &hyper::Error) -> bool {
         let connection = self.pooled.as_mut().and_then(PooledConnection::connection);
         let is_exceeded = connection.is_some_and(|open| open.allowance().is_exceeded());
-        is_exceeded || is_library_limit(error)
+        is_exceeded || is_framing_excess(error)
     }
 
     /// The backend's id.
@@ -202,14 +203,6 @@
     }
 }
 
-/// Whether the HTTP library gave up on a body because its own limits of trailers or chunk extensions were exceeded, which
-/// it reports as invalid data.
-fn is_library_limit(error: &hyper::Error) -> bool {
-    let source = std::error::Error::source(error);
-    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
-    io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::InvalidData)
-}
-
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/forward/src/request/relay.rs
+++ b/crates/forward/src/request/relay.rs
@@ -266,7 +266,7 @@
     backend: &BackendStream,
 ) -> EventSplitter {
     let source = Source::Backend(Arc::from(backend.backend_id()));
-    EventSplitter::new(&node.memory, source, node.bounds.max_event_bytes)
+    EventSplitter::new(&node.state.memory, source, node.bounds.max_event_bytes)
 }
 
 /// Position of an event relative to the last one that was forwarded.
--- a/crates/forward/src/request/serve.rs
+++ b/crates/forward/src/request/serve.rs
@@ -104,7 +104,7 @@
     let facts = node.protocol.read_request(&head.headers);
     let tenant = authorize(&table, route, &facts).map_err(Refusal::closing)?;
     let deadline = Plan::deadline_of(arrived, route, &facts);
-    let body = read_body(&node.memory, body, body_limit(&limits), deadline).await?;
+    let body = read_body(&node.state.memory, body, body_limit(&limits), deadline).await?;
     remove_hop_by_hop(&mut head.headers);
     let plan = Plan {
         deadline,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -2,6 +2,7 @@
 
 use millford_bounded_io::MemoryLimit;
 use millford_core::Duration;
+use millford_data_plane::limits::RequestLimits;
 use millford_settings::fault::{require_addresses, require_texts};
 use millford_settings::logging::{LogOptions, parse_level};
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
@@ -15,10 +16,6 @@
 /// Bounds on what callers and backends may cost the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ForwardBounds {
-    /// Most bytes of callers' bodies that are held.
-    pub caller_body_bytes: usize,
-    /// Most bytes of backends' answers that are held.
-    pub answer_bytes: usize,
     /// Most connections of callers.
     pub max_connections: usize,
     /// Largest head of a backend's answer, in bytes.
@@ -106,14 +103,29 @@
         }
     }
 
+    /// Returns the memory that the process may use.
+    #[must_use]
+    pub fn memory_limit(&self) -> MemoryLimit {
+        MemoryLimit::of_megabytes(self.memory_limit_mb)
+    }
+
+    /// Returns the limits of the state that both data planes have.
+    #[must_use]
+    pub fn request_limits(&self) -> RequestLimits {
+        let memory = self.memory_limit();
+        RequestLimits {
+            caller_body_bytes: memory.caller_body_bytes(),
+            answer_bytes: memory.buffer_bytes(),
+            ..RequestLimits::default()
+        }
+    }
+
     /// Returns the bounds on what callers and backends may cost the process.
     #[must_use]
     pub fn bounds(&self) -> ForwardBounds {
-        let memory = MemoryLimit::of_megabytes(self.memory_limit_mb);
+        let memory = self.memory_limit();
         let fitting = memory.max_connections();
         ForwardBounds {
-            caller_body_bytes: memory.caller_body_bytes(),
-            answer_bytes: memory.buffer_bytes(),
             max_connections: match self.max_connections {
                 0 => fitting,
                 limit => to_usize(limit).min(fitting),
--- a/crates/proxy/src/daemon/backend_client.rs
+++ b/crates/proxy/src/daemon/backend_client.rs
@@ -5,15 +5,13 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, Response, request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use millford_bounded_io::{ClientConnection, is_framing_excess, open_http};
 use millford_core::Duration;
 use millford_core::time::monotonic_now;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
 use crate::backend_protocol::{
     ADAPTER_HEADER, ATTEMPT_AGE_HEADER, ATTEMPT_HEADER, ATTEMPTS_PATH, DEADLINE_HEADER,
@@ -26,27 +24,16 @@
     WithdrawRequest,
 };
 
+/// Largest answer to a probe or a withdrawal, in bytes.
+const MAX_SMALL_ANSWER_BYTES: usize = 64 * 1024;
+
 /// Sends requests to backends, each on its own connection.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendClient {
     /// Longest time for opening a TCP connection.
     pub connect_timeout: Duration,
-}
-
-/// Task that drives a connection. Dropping it aborts the task, which closes the connection.
-#[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
-
-/// A connection on which one request can be sent.
-struct BackendConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    task: ConnectionTask,
-}
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    /// Largest head of an answer, in bytes.
+    pub max_head_bytes: usize,
 }
 
 /// An answer from a backend, with the connection that its body is read from.
@@ -54,7 +41,7 @@
 pub struct HttpAnswer {
     head: AnswerHead,
     body: Incoming,
-    _connection: ConnectionTask,
+    connection: ClientConnection,
 }
 
 #[derive(Deserialize)]
@@ -69,8 +56,9 @@
 
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, AnswerError> {
         while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|_| AnswerError::Disconnected)?;
+            let frame = frame.map_err(|error| self.answer_error(&error))?;
             if let Ok(data) = frame.into_data() {
+                self.connection.allowance.renew();
                 return Ok(Some(data));
             }
         }
@@ -78,6 +66,16 @@
     }
 }
 
+impl HttpAnswer {
+    fn answer_error(&self, error: &hyper::Error) -> AnswerError {
+        if self.connection.allowance.is_exceeded() || is_framing_excess(error) {
+            AnswerError::OverLimit
+        } else {
+            AnswerError::Disconnected
+        }
+    }
+}
+
 impl BackendClient {
     /// Sends one attempt and reads the head of its answer.
     ///
@@ -91,11 +89,18 @@
         // From here on a byte may be sent at any time.
         request.sent.set();
         let response = connection.sender.send_request(message).await;
-        let response = response.map_err(|_| DispatchError::Lost)?;
+        let response = response.map_err(|error| {
+            if error.is_parse_too_large() || connection.allowance.is_exceeded() {
+                DispatchError::OverLimit
+            } else {
+                DispatchError::Lost
+            }
+        })?;
+        connection.allowance.renew();
         Ok(HttpAnswer {
             head: answer_head(&response),
             body: response.into_body(),
-            _connection: connection.task,
+            connection,
         })
     }
 
@@ -134,19 +139,15 @@
         if !response.status().is_success() {
             return None;
         }
-        let body = response.into_body().collect().await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_SMALL_ANSWER_BYTES);
+        let body = body.collect().await.ok()?;
         Some(body.to_bytes())
     }
 
     /// Opens a connection. No byte is sent on it before a request is.
-    async fn open(&self, address: &str) -> Option<BackendConnection> {
+    async fn open(&self, address: &str) -> Option<ClientConnection> {
         let stream = self.connect(address).await?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let task = ConnectionTask(tokio::spawn(async move {
-            // The request that uses the connection fails with the same error.
-            let _ = connection.await;
-        }));
-        Some(BackendConnection { sender, task })
+        open_http(stream, self.max_head_bytes).await.ok()
     }
 
     async fn connect(&self, address: &str) -> Option<TcpStream> {
--- a/crates/proxy/src/daemon/body_reader.rs
+++ b/crates/proxy/src/daemon/body_reader.rs
@@ -1,9 +1,12 @@
 //! Reads the body of a caller's HTTP request within limits of size and time.
 
-use bytes::{Buf, Bytes, BytesMut};
+use std::sync::Arc;
+
+use bytes::Buf;
 use futures::{Stream, StreamExt};
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
+use millford_bounded_io::{AdmittedBuffer, BufferError, HeldBytes, MemoryBudget, Reader};
 use millford_core::{Duration, ResultCode};
 
 use crate::request::refusal::Refusal;
@@ -15,44 +18,59 @@
 /// is read.
 ///
 /// # Errors
-/// Refuses a body that is larger than `max_bytes`, and one that does not arrive completely in time.
+/// Refuses a body that is larger than `max_bytes`, one that does not arrive completely in time, and one that has to give
+/// way because the memory for bodies is used up.
 pub async fn read_body<B: Buf>(
+    memory: &Arc<MemoryBudget>,
     headers: &HeaderMap,
     body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
     max_bytes: u64,
-) -> Result<Bytes, Refusal> {
-    let too_large = || Refusal::not_run(ResultCode::BodyTooLarge);
+) -> Result<HeldBytes, Refusal> {
     let announced = headers.get(CONTENT_LENGTH);
     let announced = announced.and_then(|value| value.to_str().ok());
     let announced: Option<u64> = announced.and_then(|text| text.parse().ok());
     if announced.is_some_and(|length| length > max_bytes) {
-        return Err(too_large());
+        return Err(Refusal::not_run(ResultCode::BodyTooLarge));
     }
-    let reading = collect_body(body, max_bytes);
-    let incomplete = || Refusal::not_run(ResultCode::BodyIncomplete);
-    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyReadError::TooLarge)) => Err(too_large()),
-        Ok(Err(BodyReadError::Incomplete)) | Err(_) => Err(incomplete()),
+    let announced = announced.map(to_usize);
+    let buffer = AdmittedBuffer::new(memory, Reader::CallerBody, to_usize(max_bytes), announced);
+    match tokio::time::timeout(BODY_TIMEOUT, collect_body(buffer, body)).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::not_run(ResultCode::BodyIncomplete)),
     }
 }
 
-enum BodyReadError {
-    TooLarge,
-    Incomplete,
-}
-
 async fn collect_body<B: Buf>(
+    mut buffer: AdmittedBuffer,
     mut body: impl Stream<Item = Result<B, warp::Error>> + Unpin,
-    max_bytes: u64,
-) -> Result<Bytes, BodyReadError> {
-    let mut collected = BytesMut::new();
-    while let Some(part) = body.next().await {
-        let mut part = part.map_err(|_| BodyReadError::Incomplete)?;
-        if (collected.len() + part.remaining()) as u64 > max_bytes {
-            return Err(BodyReadError::TooLarge);
-        }
-        collected.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+) -> Result<HeldBytes, Refusal> {
+    loop {
+        let part = tokio::select! {
+            part = body.next() => part,
+            () = buffer.revoked() => return Err(no_memory()),
+        };
+        let Some(part) = part else {
+            return buffer.into_held().map_err(|_| no_memory());
+        };
+        let incomplete = |_| Refusal::not_run(ResultCode::BodyIncomplete);
+        let mut part = part.map_err(incomplete)?;
+        let bytes = part.copy_to_bytes(part.remaining());
+        buffer.extend(&bytes).await.map_err(refusal_of)?;
     }
-    Ok(collected.freeze())
+}
+
+fn refusal_of(error: BufferError) -> Refusal {
+    match error {
+        BufferError::TooLarge => Refusal::not_run(ResultCode::BodyTooLarge),
+        BufferError::Budget(_) => no_memory(),
+    }
+}
+
+fn no_memory() -> Refusal {
+    Refusal::not_run(ResultCode::Overloaded)
+        .with_detail("Too many large request bodies arrive at once.")
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
 }
--- a/crates/proxy/src/daemon/caller_channel.rs
+++ b/crates/proxy/src/daemon/caller_channel.rs
@@ -7,19 +7,25 @@
 
 use bytes::Bytes;
 use futures::Stream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::request::caller::{CallerDisconnected, CallerHead, CallerPresence, CallerSink};
 
 /// Most parts of a body that are buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 16;
+/// Most bytes that are buffered for a slow caller, unless a single part is larger.
+const BUFFERED_BYTES: usize = 64 * 1024;
+
+/// A part of a body, with its room among the buffered bytes.
+type BufferedChunk = (Bytes, OwnedSemaphorePermit);
 
 /// Sending end, which the request path writes to.
 #[derive(Debug)]
 pub struct ChannelSink {
     head: Option<oneshot::Sender<CallerHead>>,
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::Sender<BufferedChunk>,
+    room: Arc<Semaphore>,
     complete: Arc<AtomicBool>,
     disconnected: CancellationToken,
 }
@@ -41,7 +47,7 @@
 /// error. Dropping the body signals the caller's disconnect.
 #[derive(Debug)]
 pub struct CallerBody {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::Receiver<BufferedChunk>,
     complete: Arc<AtomicBool>,
     ended: bool,
     _disconnect_on_drop: DropGuard,
@@ -62,6 +68,7 @@
     let sink = ChannelSink {
         head: Some(head_sender),
         chunks: chunk_sender,
+        room: Arc::new(Semaphore::new(BUFFERED_BYTES)),
         complete: Arc::clone(&complete),
         disconnected: disconnected.clone(),
     };
@@ -93,10 +100,14 @@
     }
 
     async fn send(&mut self, bytes: Bytes) -> Result<(), CallerDisconnected> {
-        self.chunks
-            .send(bytes)
-            .await
-            .map_err(|_| CallerDisconnected)
+        let weight = u32::try_from(bytes.len().min(BUFFERED_BYTES)).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.room);
+        let room = tokio::select! {
+            room = room.acquire_many_owned(weight) => room.map_err(|_| CallerDisconnected)?,
+            () = self.disconnected.cancelled() => return Err(CallerDisconnected),
+        };
+        let sent = self.chunks.send((bytes, room)).await;
+        sent.map_err(|_| CallerDisconnected)
     }
 
     fn finish(&mut self) {
@@ -113,7 +124,7 @@
         }
         match self.chunks.poll_recv(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(bytes)) => Poll::Ready(Some(Ok(bytes))),
+            Poll::Ready(Some((bytes, _room))) => Poll::Ready(Some(Ok(bytes))),
             Poll::Ready(None) => {
                 self.ended = true;
                 // The error breaks the caller's connection, so that a truncated body cannot be
--- a/crates/proxy/src/daemon/run.rs
+++ b/crates/proxy/src/daemon/run.rs
@@ -11,6 +11,7 @@
 use millford_data_plane::load_reporter;
 use millford_data_plane::proxy_state::ProxyState;
 use millford_settings::{PartLog, ProcessSignal, ProcessSignals};
+use millford_transport::FrameLimits;
 use rand::Rng;
 use tokio::net::TcpListener;
 
@@ -39,12 +40,18 @@
     let state = Arc::new(ProxyState::new(settings.limits()));
     let backends = BackendClient {
         connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
+        max_head_bytes: usize::try_from(settings.max_backend_head_bytes).unwrap_or(usize::MAX),
     };
     let hello = ProxyHello {
         boot_id: rand::rng().random(),
         caller_address: settings.caller_address.clone(),
     };
-    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    let (agent, task) = agent_link(
+        Arc::clone(&state),
+        agent_address,
+        hello,
+        FrameLimits::of_memory("millford_agent_link", settings.memory_limit()),
+    );
     let (shared, reports) = (Arc::clone(&state), agent.clone());
     spawn_control_thread(async move {
         let probes = prober::run(Arc::clone(&shared), backends);
@@ -80,7 +87,7 @@
     tokio::spawn(serve_connections(
         listener,
         filter,
-        settings.connection_limits(),
+        settings.server_bounds(),
     ));
     println!("millford-proxy ready callers={bound}");
     LOG.info(format!("Serving callers at {bound}."));
--- a/crates/proxy/src/daemon/server.rs
+++ b/crates/proxy/src/daemon/server.rs
@@ -161,20 +161,23 @@
         Err(refusal) => return early_refusal(environment.as_ref(), &refusal),
     };
     let body = std::pin::pin!(body);
-    let body = match read_body(&headers, body, limits.max_body_bytes).await {
-        Ok(body) => body,
+    let memory = &environment.state().memory;
+    let held = match read_body(memory, &headers, body, limits.max_body_bytes).await {
+        Ok(held) => held,
         Err(refusal) => return early_refusal(environment.as_ref(), &refusal),
     };
     let request = CallerRequest {
         path_and_query: COMPLETIONS_PATH.to_owned(),
         headers: caller_headers,
-        body,
+        body: held.bytes().clone(),
         arrived,
     };
     let (mut sink, channel) = caller_channel();
     // The request has its own task, so that its claim is resolved even if the caller disconnects.
     tokio::spawn(async move {
         let record = serve_completion(environment.as_ref(), request, &mut sink).await;
+        // The body counts as held until the last attempt has ended.
+        drop(held);
         log_record(&record);
     });
     channel_response(channel).await
--- a/crates/proxy/src/daemon/settings.rs
+++ b/crates/proxy/src/daemon/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the proxy.
 
+use millford_bounded_io::{MemoryLimit, ServerBounds};
 use millford_core::Duration;
 use millford_data_plane::limits::RequestLimits;
 use millford_settings::fault::{require_addresses, require_texts};
@@ -7,7 +8,10 @@
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
-use crate::daemon::connections::ConnectionLimits;
+/// Smallest limit for the head of an answer, in bytes: the smallest buffer of the HTTP library.
+const MIN_HEAD_BYTES: u64 = 8 * 1024;
+/// Room for the request line and the separators of headers, in bytes.
+const REQUEST_LINE_BYTES: usize = 8 * 1024;
 
 /// Settings file of `millford-proxy`.
 #[derive(Clone, Debug, Deserialize)]
@@ -31,6 +35,15 @@
     pub max_header_bytes: u64,
     /// Most connections of callers that are served at the same time.
     pub max_connections: u64,
+    /// Memory that the process may use, in megabytes. Limits on what is held for callers and backends follow from it, and
+    /// fewer connections than `max_connections` if it is small.
+    pub memory_limit_mb: u64,
+    /// Largest head of a backend's answer, in bytes; at least 8192.
+    pub max_backend_head_bytes: u64,
+    /// Largest event of a backend's stream, in bytes.
+    pub max_event_bytes: u64,
+    /// Largest answer of a backend that is not a stream, in bytes.
+    pub max_answer_bytes: u64,
     /// Longest time to receive the complete headers of a request, in milliseconds. It also limits
     /// how long a keep-alive connection may be idle.
     pub header_timeout_ms: u64,
@@ -60,6 +73,10 @@
             max_body_bytes: 4 * 1024 * 1024,
             max_header_bytes: 16 * 1024,
             max_connections: 16_384,
+            memory_limit_mb: 2560,
+            max_backend_head_bytes: 16 * 1024,
+            max_event_bytes: to_u64(limits.max_event_bytes),
+            max_answer_bytes: to_u64(limits.max_answer_bytes),
             header_timeout_ms: 15_000,
             connect_timeout_ms: 300,
             first_token_limit_ms: to_millis(limits.first_token_limit),
@@ -76,16 +93,29 @@
         RequestLimits {
             first_token_limit: Duration::from_millis(self.first_token_limit_ms),
             stream_inactivity_timeout: Duration::from_millis(self.stream_inactivity_timeout_ms),
+            max_event_bytes: to_usize(self.max_event_bytes),
+            max_answer_bytes: to_usize(self.max_answer_bytes),
+            caller_body_bytes: self.memory_limit().caller_body_bytes(),
+            answer_bytes: self.memory_limit().buffer_bytes(),
             ..RequestLimits::default()
         }
     }
 
-    /// Returns the limits of the callers' connections.
+    /// Returns the memory that the process may use.
     #[must_use]
-    pub fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits {
-            max_connections: usize::try_from(self.max_connections).unwrap_or(usize::MAX),
+    pub fn memory_limit(&self) -> MemoryLimit {
+        MemoryLimit::of_megabytes(self.memory_limit_mb)
+    }
+
+    /// Returns the bounds of the callers' connections.
+    #[must_use]
+    pub fn server_bounds(&self) -> ServerBounds {
+        let fitting = self.memory_limit().max_connections();
+        ServerBounds {
+            max_connections: to_usize(self.max_connections).min(fitting),
             header_timeout: Duration::from_millis(self.header_timeout_ms),
+            max_head_bytes: to_usize(self.max_header_bytes).saturating_add(REQUEST_LINE_BYTES),
+            ..ServerBounds::default()
         }
     }
 
@@ -111,6 +141,19 @@
         SettingsKey::number("max_body_bytes", "largest request body"),
         SettingsKey::number("max_header_bytes", "largest sum of the request headers"),
         SettingsKey::number("max_connections", "most connections of callers"),
+        SettingsKey::number(
+            "memory_limit_mb",
+            "memory that the process may use, in megabytes",
+        ),
+        SettingsKey::number(
+            "max_backend_head_bytes",
+            "largest head of a backend's answer",
+        ),
+        SettingsKey::number("max_event_bytes", "largest event of a backend's stream"),
+        SettingsKey::number(
+            "max_answer_bytes",
+            "largest answer of a backend that is not a stream",
+        ),
         SettingsKey::number("header_timeout_ms", "longest time for a request's headers"),
         SettingsKey::number("connect_timeout_ms", "longest time to reach a backend"),
         SettingsKey::number("first_token_limit_ms", "estimated first token to admit"),
@@ -134,7 +177,14 @@
         if parse_level(&self.log_level).is_none() {
             faults.push(SettingsFault::new("log_level", "This is not a log level."));
         }
+        if self.max_backend_head_bytes < MIN_HEAD_BYTES {
+            let too_small = format!("The value must be at least {MIN_HEAD_BYTES}.");
+            faults.push(SettingsFault::new("max_backend_head_bytes", too_small));
+        }
         let positive = [
+            ("memory_limit_mb", self.memory_limit_mb),
+            ("max_event_bytes", self.max_event_bytes),
+            ("max_answer_bytes", self.max_answer_bytes),
             ("max_body_bytes", self.max_body_bytes),
             ("max_header_bytes", self.max_header_bytes),
             ("max_connections", self.max_connections),
@@ -155,3 +205,11 @@
 fn to_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+fn to_u64(number: usize) -> u64 {
+    u64::try_from(number).unwrap_or(u64::MAX)
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/crates/proxy/src/request/attempt.rs
+++ b/crates/proxy/src/request/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt to serve a request, from the connection to the first part of the answer.
 
-use bytes::Bytes;
+use std::sync::Arc;
+
+use millford_bounded_io::{BoundedBuffer, HeldBytes, Reader, Source};
 use millford_core::{MonotonicTime, ResultCode};
 use millford_routing::{EjectionReason, InFlightGuard};
 
@@ -13,6 +15,7 @@
 };
 use crate::request::plain_body::read_complete;
 use crate::request::plan::{RequestPlan, random_id};
+use crate::request::sse::SseDecoder;
 use crate::request::stream_watch::until_ejected;
 
 /// An attempt in progress. If it is dropped before it finished, it is withdrawn from the backend.
@@ -48,7 +51,7 @@
     /// A complete plain answer.
     Plain {
         /// The complete body.
-        body: Bytes,
+        body: HeldBytes,
         /// Content type of the body; empty if the backend sent none.
         content_type: String,
     },
@@ -168,6 +171,7 @@
         let answer = environment.dispatch(request).await;
         let mut answer = answer.map_err(|error| match error {
             DispatchError::NotConnected if !self.sent.is_set() => AttemptFailure::not_sent(),
+            DispatchError::OverLimit => AttemptFailure::unknown(ResultCode::BackendOverLimit),
             _ => AttemptFailure::unknown(ResultCode::BackendLost),
         })?;
         self.record_activity();
@@ -176,8 +180,7 @@
             return self.first_item(answer).await;
         }
         let content_type = answer.head().content_type.clone();
-        let max_bytes = environment.state().limits.max_answer_bytes;
-        let body = read_complete(&mut answer, max_bytes).await;
+        let body = read_complete(&mut answer, self.answer_buffer()).await;
         Ok(AnswerStart::Plain {
             body: body.map_err(AttemptFailure::unknown)?,
             content_type,
@@ -189,7 +192,7 @@
         answer: E::Answer,
     ) -> Result<AnswerStart<E::Answer>, AttemptFailure> {
         let sequence = self.resume_from.map_or(0, |resume| resume.0);
-        let mut reader = ChunkReader::new(answer, self.run.clone(), sequence);
+        let mut reader = ChunkReader::new(answer, self.decoder(), self.run.clone(), sequence);
         let first = reader.next().await.map_err(AttemptFailure::unknown)?;
         self.record_activity();
         if first == StreamItem::BackendError {
@@ -198,6 +201,24 @@
         Ok(AnswerStart::Stream { reader, first })
     }
 
+    /// Creates the buffer of a plain answer.
+    fn answer_buffer(&self) -> BoundedBuffer {
+        let state = self.environment.state();
+        let max_bytes = state.limits.max_answer_bytes;
+        BoundedBuffer::new(&state.memory, Reader::Answer, self.source(), max_bytes)
+    }
+
+    /// Creates the decoder of a streamed answer.
+    fn decoder(&self) -> SseDecoder {
+        let state = self.environment.state();
+        let max_event_bytes = state.limits.max_event_bytes;
+        SseDecoder::new(&state.memory, self.source(), max_event_bytes)
+    }
+
+    fn source(&self) -> Source {
+        Source::Backend(Arc::from(self.replica.key.backend_id.as_str()))
+    }
+
     fn backend_request(&self, plan: &RequestPlan) -> BackendRequest {
         BackendRequest {
             backend_id: self.replica.key.backend_id.clone(),
@@ -261,12 +282,23 @@
         let reason = match failure.code {
             ResultCode::ConnectFailed => EjectionReason::ConnectFailed,
             ResultCode::BackendLost => EjectionReason::ConnectionLost,
+            ResultCode::BackendOverLimit => {
+                record_over_limit(self.environment, &self.replica.key.backend_id);
+                return;
+            }
             _ => return,
         };
         state.eject(&self.replica.key.backend_id, reason);
     }
 }
 
+/// Holds against a backend that it sent more than a limit allows.
+pub fn record_over_limit<E: RequestEnvironment>(environment: &E, backend_id: &str) {
+    let state = environment.state();
+    state.record_over_limit(backend_id, "answer");
+    state.eject_over_limit(backend_id, environment.now());
+}
+
 impl<E: RequestEnvironment> Drop for Attempt<'_, E> {
     fn drop(&mut self) {
         if !self.finished && self.sent.is_set() {
--- a/crates/proxy/src/request/chunk_reader.rs
+++ b/crates/proxy/src/request/chunk_reader.rs
@@ -6,7 +6,7 @@
 use crate::request::chunk::Chunk;
 use crate::request::environment::BackendAnswer;
 use crate::request::message::AnswerError;
-use crate::request::sse::{SseDecoder, SseEvent};
+use crate::request::sse::{SseDecoder, SseError, SseEvent};
 
 /// Next item of a stream.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,12 +29,12 @@
 }
 
 impl<A: BackendAnswer> ChunkReader<A> {
-    /// Creates a reader that expects the chunks of `run` from number `next_sequence` on.
+    /// Creates a reader that expects the chunks of `run` from number `next_sequence` on, in events of the decoder.
     #[must_use]
-    pub fn new(answer: A, run: String, next_sequence: u64) -> Self {
+    pub fn new(answer: A, decoder: SseDecoder, run: String, next_sequence: u64) -> Self {
         Self {
             answer,
-            decoder: SseDecoder::default(),
+            decoder,
             run,
             next_sequence,
         }
@@ -60,15 +60,23 @@
     pub async fn next(&mut self) -> Result<StreamItem, ResultCode> {
         loop {
             let event = self.decoder.next_event();
-            let event = event.map_err(|_| ResultCode::StreamOutOfOrder)?;
+            let event = event.map_err(|error| match error {
+                SseError::NotUtf8(_) => ResultCode::StreamOutOfOrder,
+                SseError::OverLimit(_) => ResultCode::BackendOverLimit,
+            })?;
             if let Some(event) = event {
                 return self.accept(&event);
             }
-            match self.answer.next_bytes().await {
+            let read = tokio::select! {
+                read = self.answer.next_bytes() => read,
+                () = self.decoder.revoked() => Err(AnswerError::OverLimit),
+            };
+            match read {
                 Ok(Some(bytes)) => self.decoder.push(&bytes),
                 // `None`: the body is complete by its framing, but the end marker is missing.
                 Ok(None) | Err(AnswerError::Malformed) => return Err(ResultCode::AnswerTruncated),
                 Err(AnswerError::Disconnected) => return Err(ResultCode::BackendLost),
+                Err(AnswerError::OverLimit) => return Err(ResultCode::BackendOverLimit),
             }
         }
     }
--- a/crates/proxy/src/request/completion.rs
+++ b/crates/proxy/src/request/completion.rs
@@ -1,8 +1,8 @@
 //! Serves a completion request, from the caller's headers to the resolution of its claim.
 
-use bytes::Bytes;
 use millford_api::command::RunOutcome;
 use millford_api::config::Tenant;
+use millford_bounded_io::HeldBytes;
 use millford_core::RunState;
 use millford_routing::prefix::{prefix_hash, session_hash};
 
@@ -96,8 +96,8 @@
     let undelivered = match opened.answer {
         AnswerStart::Plain { body, content_type } => {
             claim.resolve(environment, RunOutcome::RunCompleted);
-            cost.add_plain(&body);
-            deliver_plain(attempt, body, &content_type, reply).await
+            cost.add_plain(body.bytes());
+            deliver_plain(attempt, &body, &content_type, reply).await
         }
         AnswerStart::Stream { reader, first } => {
             let relayed = relay_stream(environment, &plan, attempt, reader, first, reply).await;
@@ -118,12 +118,14 @@
 /// counts as complete in either case.
 async fn deliver_plain<E: RequestEnvironment, C: CallerSink>(
     mut attempt: Attempt<'_, E>,
-    body: Bytes,
+    body: &HeldBytes,
     content_type: &str,
     reply: &mut Reply<'_, E, C>,
 ) -> Option<Unserved> {
     attempt.finish();
-    let sent = reply.send_complete(body, content_type).await;
+    let sent = reply
+        .send_complete(body.bytes().clone(), content_type)
+        .await;
     sent.err()
         .map(|_| Unserved::CallerDisconnected(RunState::MayHaveRun))
 }
--- a/crates/proxy/src/request/lookup.rs
+++ b/crates/proxy/src/request/lookup.rs
@@ -86,6 +86,9 @@
     let AnswerStart::Plain { body, content_type } = opened.answer else {
         return Err(Refusal::may_have_run(ResultCode::BackendError).into());
     };
-    let sent = scope.reply.send_complete(body, &content_type).await;
+    let sent = scope
+        .reply
+        .send_complete(body.bytes().clone(), &content_type)
+        .await;
     sent.map_err(|_| Unserved::CallerDisconnected(RunState::MayHaveRun))
 }
--- a/crates/proxy/src/request/message.rs
+++ b/crates/proxy/src/request/message.rs
@@ -76,6 +76,9 @@
     /// The connection failed before the answer head, or the bytes received were not valid HTTP.
     #[error("the connection to the backend failed before the answer head")]
     Lost,
+    /// The backend sent more than the limit of a head, interim answers included.
+    #[error("the head of the backend's answer is over its limit")]
+    OverLimit,
 }
 
 /// How a body is delimited.
@@ -117,6 +120,9 @@
     /// The bytes are not a valid HTTP body.
     #[error("the body from the backend is not valid HTTP")]
     Malformed,
+    /// Chunk sizes, chunk extensions or trailers are too long.
+    #[error("the framing of the body from the backend is over its limit")]
+    OverLimit,
 }
 
 /// Request to a backend to withdraw an attempt.
--- a/crates/proxy/src/request/relay.rs
+++ b/crates/proxy/src/request/relay.rs
@@ -5,7 +5,7 @@
 use millford_data_plane::proxy_metrics::ProxyMetrics;
 use millford_routing::EjectionReason;
 
-use crate::request::attempt::{AnswerStart, Attempt};
+use crate::request::attempt::{AnswerStart, Attempt, record_over_limit};
 use crate::request::caller::{CallerPresence, CallerSink};
 use crate::request::chunk::{Chunk, Usage};
 use crate::request::chunk_reader::{ChunkReader, StreamItem};
@@ -223,6 +223,7 @@
             .pool(&key.pool)
             .is_some_and(|pool| pool.backend_is_active(&key.backend_id));
         match code {
+            ResultCode::BackendOverLimit => record_over_limit(self.environment, &key.backend_id),
             ResultCode::BackendSilent => {
                 state.eject(&key.backend_id, EjectionReason::Unresponsive);
             }
--- a/crates/proxy/tests/callers_interface.rs
+++ b/crates/proxy/tests/callers_interface.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use millford_bounded_io::ServerBounds;
 use millford_core::Duration;
 use millford_data_plane::limits::RequestLimits;
 use millford_data_plane::proxy_state::ProxyState;
-use millford_proxy::daemon::connections::{ConnectionLimits, serve_connections};
+use millford_proxy::daemon::connections::serve_connections;
 use millford_proxy::daemon::server::{HttpLimits, service};
 use support::environment::ScriptedEnvironment;
 use support::fixture::{Fixture, KEY};
@@ -19,12 +20,14 @@
 
 const CHAT: &str = r#"{"model":"saga","messages":[{"role":"user","content":"One."}]}"#;
 const TIMEOUT: Duration = Duration::from_secs(20);
-const LIMITS: ConnectionLimits = ConnectionLimits {
+const LIMITS: ServerBounds = ServerBounds {
     max_connections: 1000,
     header_timeout: TIMEOUT,
+    write_timeout: TIMEOUT,
+    max_head_bytes: 16 * 1024,
 };
 
-async fn start(state: ProxyState, limits: ConnectionLimits) -> SocketAddr {
+async fn start(state: ProxyState, limits: ServerBounds) -> SocketAddr {
     let environment = ScriptedEnvironment::new(state, 7);
     let http_limits = HttpLimits {
         max_body_bytes: 4 * 1024,
@@ -111,7 +114,7 @@
 
 #[tokio::test]
 async fn a_caller_that_sends_its_headers_too_slowly_is_disconnected_and_others_are_served() {
-    let limits = ConnectionLimits {
+    let limits = ServerBounds {
         header_timeout: Duration::from_millis(100),
         ..LIMITS
     };
@@ -130,7 +133,7 @@
 
 #[tokio::test]
 async fn connections_above_the_limit_are_refused_until_one_is_free() {
-    let limits = ConnectionLimits {
+    let limits = ServerBounds {
         max_connections: 2,
         ..LIMITS
     };
--- a/crates/proxy/tests/daemon_path.rs
+++ b/crates/proxy/tests/daemon_path.rs
@@ -13,6 +13,7 @@
 use millford_proxy::daemon::backend_client::BackendClient;
 use millford_proxy::daemon::environment::DaemonEnvironment;
 use millford_proxy::daemon::server::{HttpLimits, service};
+use millford_transport::FrameLimits;
 use support::fixture::{Fixture, KEY};
 use support::raw_backend::{Answer, RawRequest, Requests, exchange, get, post};
 use support::{raw_backend, stub_agent};
@@ -36,12 +37,18 @@
     let (agent_address, agent_received) = stub_agent::start(items).await;
     let state = Arc::new(ProxyState::new(RequestLimits::default()));
     let hello = ProxyHello::default();
-    let (agent, task) = agent_link(Arc::clone(&state), agent_address, hello);
+    let (agent, task) = agent_link(
+        Arc::clone(&state),
+        agent_address,
+        hello,
+        FrameLimits::default(),
+    );
     tokio::spawn(task.run());
     let environment = DaemonEnvironment {
         proxy_state: Arc::clone(&state),
         agent: agent.clone(),
         backends: BackendClient {
+            max_head_bytes: 16 * 1024,
             connect_timeout: Duration::from_millis(300),
         },
     };
--- a/crates/proxy/tests/support/stub_agent.rs
+++ b/crates/proxy/tests/support/stub_agent.rs
@@ -11,7 +11,7 @@
     ProxyApplied, local_frame,
 };
 use millford_api::state::StateItem;
-use millford_transport::accept;
+use millford_transport::{FrameLimits, accept};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Frames that the stub received from the proxy.
@@ -37,7 +37,8 @@
 }
 
 async fn serve(stream: TcpStream, items: Vec<StateItem>, received: Received) {
-    let (mut reader, mut writer) = accept::<LocalFrame>(stream).expect("socket");
+    let (mut reader, mut writer) =
+        accept::<LocalFrame>(stream, &FrameLimits::default()).expect("socket");
     while let Some(Ok(frame)) = reader.next().await {
         let body = frame.body.expect("body");
         if body == disconnect_frame() {
--- a/crates/registry/src/http_registry.rs
+++ b/crates/registry/src/http_registry.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::StatusCode;
+use millford_bounded_io::BoundedHttpClient;
 
 use crate::error::RegistryError;
 use crate::registry_address::RegistryAddress;
 use crate::service_registry::{ReadFuture, ServiceRegistry};
 use crate::view::RegistryView;
 
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// Largest list that is accepted, in bytes.
 const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
 
@@ -23,7 +22,7 @@
 /// HTTP client of one registry.
 pub struct HttpRegistry {
     address: RegistryAddress,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: BoundedHttpClient,
 }
 
 impl HttpRegistry {
@@ -32,7 +31,7 @@
     pub fn new(address: RegistryAddress) -> Self {
         Self {
             address,
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: BoundedHttpClient::new(MAX_HEAD_BYTES, MAX_LIST_BYTES, READ_TIMEOUT),
         }
     }
 
@@ -48,18 +47,12 @@
 
     async fn read_list(&self) -> Result<RegistryView, RegistryError> {
         let address = self.address.get().await;
-        let request = Request::get(format!("http://{address}/v1/backends"))
-            .body(Empty::new())
-            .map_err(RegistryError::unreachable)?;
-        let response = self.client.request(request).await;
-        let response = response.map_err(RegistryError::unreachable)?;
-        if response.status() != StatusCode::OK {
-            return Err(RegistryError::Status(response.status()));
+        let fetched = self.client.get(&address, "/v1/backends").await;
+        let (status, body) = fetched.map_err(RegistryError::unreachable)?;
+        if status != StatusCode::OK {
+            return Err(RegistryError::Status(status));
         }
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect();
-        let body = body.await;
-        let body = body.map_err(RegistryError::unreachable)?;
-        Ok(serde_json::from_slice(&body.to_bytes())?)
+        Ok(serde_json::from_slice(&body)?)
     }
 }
 
--- a/crates/scale/src/exchange/traffic.rs
+++ b/crates/scale/src/exchange/traffic.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use millford_bounded_io::HeldBytes;
 use millford_core::time::monotonic_now;
 use millford_forward::RequestFacts;
 use millford_forward::request::choose::{choose, shareable_blocks};
@@ -84,7 +84,7 @@
         method: Method::POST,
         uri: Uri::from_static("/"),
         headers: HeaderMap::new(),
-        body: Bytes::new(),
+        body: HeldBytes::default(),
         arrived,
         deadline: arrived + DEADLINE,
     })
--- a/crates/scale/src/hollow/hollow_node.rs
+++ b/crates/scale/src/hollow/hollow_node.rs
@@ -7,6 +7,7 @@
 use millford_agent::daemon::{
     AgentReport, Driver, DriverComponents, EventQueues, ProxySender, TrafficMeter,
 };
+use millford_transport::FrameLimits;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -59,6 +60,7 @@
             seeds: None,
             saved_members: None,
             meter: Arc::clone(&meter),
+            frame_limits: FrameLimits::default(),
             report: report.clone(),
         };
         let agent = runtimes.agents.spawn(async move {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod codec;
 mod connection;
+mod frame_limits;
 
 pub use codec::{MAX_FRAME_BYTES, MessageCodec, TransportError};
 pub use connection::{FramedReader, FramedWriter, accept, connect};
+pub use frame_limits::FrameLimits;
