--- a/crates/lab/src/chaos/backend_faults.rs
+++ b/crates/lab/src/chaos/backend_faults.rs
@@ -11,7 +11,7 @@
 use super::fault_kind::FaultKind;
 use crate::caller::http_client::send_json;
 use crate::checks::history::DrainSeen;
-use crate::emulator::faults::FaultSwitches;
+use crate::emulator::faults::{EndlessPart, FaultSwitches};
 use crate::emulator::options::BackendKind;
 use crate::fleet::FleetError;
 use crate::protocol::machine_micros;
@@ -183,6 +183,14 @@
             truncate_after: Some(TRUNCATE_AFTER_CHUNKS),
             ..none
         },
+        FaultKind::BackendEndlessHead => FaultSwitches {
+            endless: Some(EndlessPart::Interim),
+            ..none
+        },
+        FaultKind::BackendEndlessBody => FaultSwitches {
+            endless: Some(EndlessPart::Body),
+            ..none
+        },
         _ => none,
     }
 }
--- a/crates/lab/src/chaos/driver.rs
+++ b/crates/lab/src/chaos/driver.rs
@@ -196,7 +196,9 @@
             | FaultKind::BackendLate
             | FaultKind::BackendCrossed
             | FaultKind::BackendStray
-            | FaultKind::BackendTruncation => self.inject_backend_misbehavior(kind).await,
+            | FaultKind::BackendTruncation
+            | FaultKind::BackendEndlessHead
+            | FaultKind::BackendEndlessBody => self.inject_backend_misbehavior(kind).await,
             FaultKind::AgentKill
             | FaultKind::ProxyKill
             | FaultKind::ProxyNodeKillHalf
--- a/crates/lab/src/chaos/fault_kind.rs
+++ b/crates/lab/src/chaos/fault_kind.rs
@@ -45,6 +45,10 @@
     BackendStray = "backend-stray";
     /// A backend truncates its responses.
     BackendTruncation = "backend-cut";
+    /// A backend sends interim responses without an end.
+    BackendEndlessHead = "backend-endless-head";
+    /// A backend sends events and bodies without an end.
+    BackendEndlessBody = "backend-endless-body";
     /// An operator drains a backend and readmits it later.
     OperatorDrain = "operator-drain";
     /// The platform's registry lists a backend as draining and later as active again.
--- a/crates/lab/src/emulator/completion.rs
+++ b/crates/lab/src/emulator/completion.rs
@@ -6,7 +6,9 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use tokio::time::sleep;
 
+use super::endless::endless_body;
 use super::execution::Execution;
+use super::faults::EndlessPart;
 use super::http::{EmulatorBody, header_text, refusal, set_attempt};
 use super::prompt::Prompt;
 use super::response_writer::{ResponseWriter, Stage};
@@ -78,6 +80,7 @@
     };
     work.wait_for(1).await;
     let crossed = state.faults.borrow().crossed;
+    let has_endless_body = state.faults.borrow().endless == Some(EndlessPart::Body);
     let answer = if crossed {
         AnswerText::new(CROSSED, CROSSED)
     } else {
@@ -101,6 +104,10 @@
     } else {
         writer.plain().await
     };
+    if has_endless_body {
+        *response.body_mut() = endless_body();
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     set_attempt(response.headers_mut(), echoed);
     if let Some(resume_from) = resume_from {
         response
--- a/crates/lab/src/emulator/faults.rs
+++ b/crates/lab/src/emulator/faults.rs
@@ -2,6 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Part of a response that has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndlessPart {
+    /// A header line.
+    Head,
+    /// Interim responses, `100 Continue`.
+    Interim,
+    /// An event of a stream, or the body of a response that is not streamed.
+    Body,
+}
+
 /// Active faults of a backend. By default none is active.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -23,6 +35,8 @@
     pub crossed: bool,
     /// Sends bytes that belong to no response after each response.
     pub stray_bytes: bool,
+    /// What the backend sends without an end, if anything.
+    pub endless: Option<EndlessPart>,
     /// Number of chunks after which streams fail without an end marker. If set, a response that is not
     /// streamed is truncated to half its length.
     #[serde(rename = "cut_after")]
@@ -38,6 +52,7 @@
             late_ms: 0,
             crossed: false,
             stray_bytes: false,
+            endless: None,
             truncate_after: None,
         }
     }
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempts;
 pub mod completion;
+mod endless;
 pub mod engine;
 pub mod execution;
 pub mod execution_log;
--- a/crates/lab/src/emulator/server.rs
+++ b/crates/lab/src/emulator/server.rs
@@ -16,7 +16,8 @@
 use tokio::task::JoinHandle;
 
 use super::completion::complete;
-use super::faults::FaultSwitches;
+use super::endless::{begins_with_work, send_endless_head};
+use super::faults::{EndlessPart, FaultSwitches};
 use super::http::{EmulatorBody, json_response};
 use super::lookup::look_up;
 use super::options::BackendOptions;
@@ -92,6 +93,14 @@
 
 async fn serve(stream: TcpStream, state: Arc<BackendState>) {
     let _ = stream.set_nodelay(true);
+    let endless = state.faults.borrow().endless;
+    if let Some(part @ (EndlessPart::Head | EndlessPart::Interim)) = endless
+        && begins_with_work(&stream).await
+    {
+        // An error means that the client closed the connection.
+        let _ = send_endless_head(stream, part).await;
+        return;
+    }
     let stray = StraySwitch::default();
     let io = TokioIo::new(SharedStream::new(stream, stray.clone()));
     let service = service_fn(move |request| respond(request, Arc::clone(&state), stray.clone()));
--- a/crates/lab/tests/emulator_protocol.rs
+++ b/crates/lab/tests/emulator_protocol.rs
@@ -12,12 +12,13 @@
 use millford_lab::caller::sse::SseReader;
 use millford_lab::emulator::execution::{Execution, ExecutionEnd};
 use millford_lab::emulator::execution_log::read_execution_log;
-use millford_lab::emulator::faults::FaultSwitches;
+use millford_lab::emulator::faults::{EndlessPart, FaultSwitches};
 use millford_lab::emulator::{BackendKind, BackendOptions, BackendServer};
 use millford_lab::fleet::SitePlan;
 use millford_lab::fleet::site::LARGE_MODEL;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -368,3 +369,45 @@
     assert_eq!(runs, executions(server.address()).await);
     assert_eq!((runs[0].marker.as_str(), runs.len()), ("m9", 1));
 }
+
+/// Reads until at least this many bytes have come, and returns the first of them as text.
+async fn first_bytes(address: SocketAddr, attempt: &str, stream: bool, least: usize) -> String {
+    let body = body("m1", 2, stream).to_string();
+    let length = body.len();
+    let mut connection = TcpStream::connect(address).await.expect("a connection");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-millford-attempt: {attempt}\r\n\
+         x-millford-run: run-1\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    let sent = connection.write_all(request.as_bytes()).await;
+    sent.expect("the request is sent");
+    let mut received = vec![0; least];
+    let read = timeout(TIMEOUT, connection.read_exact(&mut received)).await;
+    read.expect("in time").expect("the response goes on");
+    String::from_utf8_lossy(&received[..200]).into_owned()
+}
+
+#[tokio::test]
+async fn endless_responses_go_on() {
+    let server = backend().await;
+    let cases = [
+        (EndlessPart::Head, "HTTP/1.1 200 OK\r\nx-endless: xxx"),
+        (
+            EndlessPart::Interim,
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100",
+        ),
+        (EndlessPart::Body, "HTTP/1.1 200 OK\r\n"),
+    ];
+    for (part, expected) in cases {
+        let faults = FaultSwitches {
+            endless: Some(part),
+            ..FaultSwitches::default()
+        };
+        set_faults(server.address(), &faults).await;
+        for stream in [true, false] {
+            let attempt = format!("{part:?}-{stream}");
+            let start = first_bytes(server.address(), &attempt, stream, 4 << 20).await;
+            assert!(start.starts_with(expected), "{part:?}: {start}");
+        }
+    }
+}
--- a/crates/simulation/src/scenario/answer_fault.rs
+++ b/crates/simulation/src/scenario/answer_fault.rs
@@ -15,17 +15,20 @@
     Lost,
     /// A chunk of a stream is repeated or left out.
     Skipped,
+    /// An event of a stream, or a plain answer, is larger than any limit.
+    Endless,
 }
 
 impl AnswerFault {
     /// Every answer fault, for random draws.
-    pub const ALL: [AnswerFault; 6] = [
+    pub const ALL: [AnswerFault; 7] = [
         AnswerFault::Late,
         AnswerFault::Crossed,
         AnswerFault::Stray,
         AnswerFault::Truncated,
         AnswerFault::Lost,
         AnswerFault::Skipped,
+        AnswerFault::Endless,
     ];
 
     /// Returns the answer fault that a keyword of the scenario files stands for.
@@ -38,6 +41,7 @@
             "cut" => AnswerFault::Truncated,
             "lost" => AnswerFault::Lost,
             "skipped" => AnswerFault::Skipped,
+            "endless" => AnswerFault::Endless,
             _ => return None,
         })
     }
--- a/crates/simulation/src/world/answer_driver.rs
+++ b/crates/simulation/src/world/answer_driver.rs
@@ -7,10 +7,15 @@
 use crate::network::{HttpPacket, LinkNumber, ProcessId};
 use crate::scenario::AnswerFault;
 use crate::world::backend::{Answering, chunk_text};
+use crate::world::proxy::MAX_ANSWER_BYTES;
 use crate::world::simulation::Simulation;
 
 const OK: u16 = 200;
 
+/// Size of an event or answer that is larger than any limit, in bytes. The backend goes on until the proxy closes the
+/// connection; the proxy does so at its limit, so that the simulation need not send more.
+const ENDLESS_BYTES: usize = 2 * MAX_ANSWER_BYTES;
+
 /// Whether a stream continues.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum StreamProgress {
@@ -54,6 +59,10 @@
         let head = head_of(&answering, "application/json", framing);
         self.send_from_backend(number, link, HttpPacket::Head(Box::new(head)));
         let mut bytes = Bytes::from(body);
+        if work.fault == Some(AnswerFault::Endless) {
+            self.send_from_backend(number, link, HttpPacket::Body(endless_bytes()));
+            return;
+        }
         if truncated {
             bytes.truncate(bytes.len() / 2);
         }
@@ -132,6 +141,10 @@
                 }
                 work.fault = None;
             }
+            Some(AnswerFault::Endless) => {
+                self.send_from_backend(number, link, HttpPacket::Body(endless_bytes()));
+                work.fault = None;
+            }
             Some(AnswerFault::Skipped) => {
                 // The last chunk is never left out: without it, the end marker would hide the gap.
                 if self.random.random_bool(0.5) && work.next + 1 < work.total {
@@ -168,6 +181,13 @@
     }
 }
 
+/// Returns the start of an event, or of a plain answer, that has no end.
+fn endless_bytes() -> Bytes {
+    let mut bytes = b"data: ".to_vec();
+    bytes.resize(ENDLESS_BYTES, b'x');
+    Bytes::from(bytes)
+}
+
 fn head_of(work: &Answering, content_type: &str, framing: Framing) -> AnswerHead {
     AnswerHead {
         status: OK,
--- a/crates/simulation/src/world/proxy/mod.rs
+++ b/crates/simulation/src/world/proxy/mod.rs
@@ -17,5 +17,5 @@
 pub use environment::SimulatedEnvironment;
 pub use executor::Executor;
 pub use port::{ProxyPort, SharedPort, lock};
-pub use proxy_process::{AgentLink, ProxyProcess, RunningProxy};
+pub use proxy_process::{AgentLink, MAX_ANSWER_BYTES, ProxyProcess, RunningProxy};
 pub use sink::CallerPipe;
--- a/crates/simulation/src/world/proxy/proxy_process.rs
+++ b/crates/simulation/src/world/proxy/proxy_process.rs
@@ -19,6 +19,11 @@
 use crate::world::proxy::executor::Executor;
 use crate::world::proxy::port::{ProxyPort, SharedPort, lock};
 
+/// Largest event of a stream, in bytes; far above those of sound backends.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Largest plain answer, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 128 * 1024;
+
 /// Connection of a proxy to its agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AgentLink {
@@ -149,7 +154,11 @@
     /// Creates the running part of a proxy that starts at local time `now`.
     #[must_use]
     pub fn new(now: MonotonicTime, random: ChaCha8Rng, agent_client: AgentClient) -> Self {
-        let state = Arc::new(ProxyState::new(RequestLimits::default()));
+        let state = Arc::new(ProxyState::new(RequestLimits {
+            max_event_bytes: MAX_EVENT_BYTES,
+            max_answer_bytes: MAX_ANSWER_BYTES,
+            ..RequestLimits::default()
+        }));
         Self {
             handler: FrameHandler::new(Arc::clone(&state)),
             state,
