The soak has backends that send without an end; what peers and callers name is limited

Cause: the soak's backends were sound while they ran, and it did not look at the memory of processes. Found while looking for the same class elsewhere: maps whose keys senders choose (peers of the exchange, their loads, blocks of prompts) grew without a limit until they expired, the sequence numbers for ever.

Change: half of the soak's plans have two such backends in a service of their own and clients that ask them all the time; every process that runs at the end must have stayed below its memory (rule MEMORY, with a planted test). Further loads and blocks are left out until others expire: a choice without them is slower, never wrong.

--- a/crates/bounded-io/src/http_client.rs
+++ b/crates/bounded-io/src/http_client.rs
@@ -154,9 +154,12 @@
     ) -> Result<(StatusCode, Bytes), FetchError> {
         let allowance = connection.allowance.clone();
         allowance.renew();
-        let failed = |error| match allowance.is_exceeded() {
-            true => FetchError::OverLimit,
-            false => FetchError::Http(error),
+        let failed = |error| {
+            if allowance.is_exceeded() || is_framing_excess(&error) || error.is_parse_too_large() {
+                FetchError::OverLimit
+            } else {
+                FetchError::Http(error)
+            }
         };
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(failed)?;
--- a/crates/forward/src/load/owned_loads.rs
+++ b/crates/forward/src/load/owned_loads.rs
@@ -11,6 +11,10 @@
 /// Age at which a node's published load expires; by then three republications were missed.
 pub const WORK_EXPIRY: Duration = Duration::from_secs(3);
 
+/// Most pairs of a backend and a node whose load is kept, since peers name both; several times those that a node of the
+/// planned fleet owns.
+pub const MAX_PAIRS: usize = 65_536;
+
 /// The load on one backend that one node last published.
 #[derive(Clone, Debug)]
 struct MemberWork {
@@ -44,6 +48,8 @@
 pub struct OwnedLoads {
     /// The load that each node published, by backend id and node name.
     backends: BTreeMap<String, BTreeMap<String, MemberWork>>,
+    /// Number of pairs of a backend and a node.
+    pairs: usize,
 }
 
 impl OwnedLoads {
@@ -56,19 +62,22 @@
         update: &InFlightUpdate,
     ) {
         for work in &update.backends {
-            let members = self.backends.entry(work.backend_id.clone()).or_default();
-            let known = members.get(member);
+            let members = self.backends.get(&work.backend_id);
+            let known = members.and_then(|members| members.get(member));
             let outdated = known
                 .is_some_and(|known| known.boot_id == boot_id && update.sequence <= known.sequence);
-            if outdated {
+            let is_new = known.is_none();
+            if outdated || (is_new && self.pairs >= MAX_PAIRS) {
                 continue;
             }
+            self.pairs += usize::from(is_new);
             let newest = MemberWork {
                 boot_id,
                 sequence: update.sequence,
                 received_at: now,
                 replicas: work.replicas.clone(),
             };
+            let members = self.backends.entry(work.backend_id.clone()).or_default();
             members.insert(member.to_owned(), newest);
         }
     }
@@ -99,6 +108,7 @@
             members.retain(|_, work| now.since(work.received_at) < WORK_EXPIRY);
             !members.is_empty()
         });
+        self.pairs = self.backends.values().map(BTreeMap::len).sum();
     }
 }
 
--- a/crates/forward/tests/answer_limits.rs
+++ b/crates/forward/tests/answer_limits.rs
@@ -80,9 +80,10 @@
 #[tokio::test]
 async fn long_streams_of_events_within_the_limit_are_forwarded_whole() {
     let data = "x".repeat(MAX_EVENT_BYTES as usize - 100);
-    let events: String = (0..20)
+    let events: Vec<String> = (0..20)
         .map(|id| format!("id: {id}\ndata: {data}\n\n"))
         .collect();
+    let events = events.concat();
     let text = format!("{}{}{LAST_CHUNK}", stream_start(0..0), chunk(&events));
     let backend = StubBackend::start(vec![Step::Respond(text)]).await;
     for setup in [resumable(), Setup::with(|route| route.stream = true)] {
--- a/crates/forward/tests/owned_loads.rs
+++ b/crates/forward/tests/owned_loads.rs
@@ -7,6 +7,7 @@
 use millford_api::state::ProxyMember;
 use millford_core::{Duration, MonotonicTime};
 use millford_forward::load::OwnedLoads;
+use millford_forward::load::owned_loads::{MAX_PAIRS, WORK_EXPIRY};
 use millford_forward::owners::{OwnerReply, OwnerRing, PendingRequests, RoundTrip};
 use quickcheck::quickcheck;
 
@@ -272,3 +273,32 @@
         "the timeout is limited"
     );
 }
+
+#[test]
+fn pairs_over_the_limit_are_not_kept_until_others_expire() {
+    let mut loads = OwnedLoads::default();
+    let now = MonotonicTime::from_millis(1_000);
+    let update = |count: usize, first: usize| InFlightUpdate {
+        sequence: 1,
+        backends: (first..first + count)
+            .map(|number| BackendInFlight {
+                backend_id: format!("backend-{number}"),
+                replicas: vec![ReplicaInFlight {
+                    decode_streams: 1,
+                    ..ReplicaInFlight::default()
+                }],
+            })
+            .collect(),
+    };
+    let is_kept = |loads: &OwnedLoads, at, number: usize| {
+        let others = loads.others(at, &format!("backend-{number}"), "self");
+        !others.replicas.is_empty()
+    };
+    loads.apply(now, "peer", 1, &update(MAX_PAIRS + 1, 0));
+    assert!(is_kept(&loads, now, MAX_PAIRS - 1));
+    assert!(!is_kept(&loads, now, MAX_PAIRS));
+    let later = now + WORK_EXPIRY;
+    loads.expire(later);
+    loads.apply(later, "peer", 1, &update(1, MAX_PAIRS));
+    assert!(is_kept(&loads, later, MAX_PAIRS));
+}
--- a/crates/lab/src/emulator/endless.rs
+++ b/crates/lab/src/emulator/endless.rs
@@ -33,7 +33,9 @@
 /// The client closed the connection.
 pub(super) async fn send_endless_head(mut stream: TcpStream, part: EndlessPart) -> io::Result<()> {
     let mut request = vec![0; REQUEST_BYTES];
-    stream.read(&mut request).await?;
+    if stream.read(&mut request).await? == 0 {
+        return Ok(());
+    }
     let (first, unit) = match part {
         EndlessPart::Interim => ("", "HTTP/1.1 100 Continue\r\n\r\n"),
         EndlessPart::Head | EndlessPart::Body => ("HTTP/1.1 200 OK\r\nx-endless: ", "x"),
--- a/crates/routing/src/prefix_index.rs
+++ b/crates/routing/src/prefix_index.rs
@@ -17,6 +17,10 @@
 /// Shortest time between two announcements of the same block on the same backend to the other nodes.
 const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Most blocks in one shard of the index, which callers and other nodes name; several times what a node of the planned
+/// fleet keeps. Further blocks are not recorded until others expire, so that prompts of them go to any backend.
+pub const MAX_BLOCKS_PER_SHARD: usize = 8192;
+
 /// One block of a prompt. Its id depends on its position, so equal ids mean equal prefixes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PrefixBlock {
@@ -100,7 +104,9 @@
     /// Records a block location that another node announced.
     pub fn record_remote_use(&self, now: MonotonicTime, location: &CachedBlock) {
         let mut shard = self.shard_of(location.block);
-        let uses = shard.entry(location.block).or_default();
+        let Some(uses) = uses_of(&mut shard, location.block) else {
+            return;
+        };
         let block_use = uses.entry(location.backend_id.clone()).or_insert(BlockUse {
             last_used: now,
             last_announced: Some(now),
@@ -160,7 +166,9 @@
         announcement: Announcement,
     ) {
         let mut shard = self.shard_of(block.id);
-        let uses = shard.entry(block.id).or_default();
+        let Some(uses) = uses_of(&mut shard, block.id) else {
+            return;
+        };
         let block_use = uses.entry(backend_id.to_owned()).or_insert(BlockUse {
             last_used: now,
             last_announced: None,
@@ -189,3 +197,11 @@
         lock(&self.shards[slot])
     }
 }
+
+/// Returns the uses of a block, or `None` if it is new and the shard is full.
+fn uses_of(shard: &mut HashMap<u64, UsesByBackend>, block: u64) -> Option<&mut UsesByBackend> {
+    if shard.len() >= MAX_BLOCKS_PER_SHARD {
+        return shard.get_mut(&block);
+    }
+    Some(shard.entry(block).or_default())
+}
--- a/crates/routing/tests/excesses.rs
+++ b/crates/routing/tests/excesses.rs
@@ -1,9 +1,13 @@
-//! Backends that exceed a limit are left out for a time that grows.
+//! Backends that exceed a limit are left out for a time that grows, and callers cannot make the index of blocks grow without
+//! a limit.
 
 use millford_core::{Duration, MonotonicTime};
 use millford_routing::backend_health::{MAX_HOLD, MIN_HOLD, PROBES_TO_READMIT};
-use millford_routing::{BackendHealth, EjectionReason};
+use millford_routing::prefix_index::MAX_BLOCKS_PER_SHARD;
+use millford_routing::{BackendHealth, EjectionReason, PrefixBlock, PrefixIndex};
 
+/// Distance of the ids of blocks of one shard: the number of shards is a power of two up to this one.
+const STRIDE: u64 = 1024;
 const ID: &str = "backend";
 
 fn start() -> MonotonicTime {
@@ -67,3 +71,25 @@
     health.eject_over_limit(ID, much_later);
     assert!(readmitted(&health, much_later + MIN_HOLD));
 }
+
+#[test]
+fn blocks_over_the_limit_of_the_index_are_not_recorded_until_others_expire() {
+    let index = PrefixIndex::default();
+    let block = |number: usize| PrefixBlock {
+        id: number as u64 * STRIDE,
+        tokens: 1,
+    };
+    let is_recorded = |at, number| {
+        let found = index.most_recent_backends(at, block(number).id, &[], 1);
+        !found.is_empty()
+    };
+    for number in 0..=MAX_BLOCKS_PER_SHARD {
+        index.record_dispatch(start(), ID, &[block(number)], 1);
+    }
+    assert!(is_recorded(start(), MAX_BLOCKS_PER_SHARD - 1));
+    assert!(!is_recorded(start(), MAX_BLOCKS_PER_SHARD));
+    let later = start() + Duration::from_hours(1);
+    index.expire(later);
+    index.record_dispatch(later, ID, &[block(MAX_BLOCKS_PER_SHARD)], 1);
+    assert!(is_recorded(later, MAX_BLOCKS_PER_SHARD));
+}
--- a/deploy/soak/src/peer_fault_run.rs
+++ b/deploy/soak/src/peer_fault_run.rs
@@ -8,21 +8,21 @@
 use http::Request;
 use http::header::{AUTHORIZATION, HOST};
 use http_body_util::{BodyExt, Full};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::checks::{Violation, memory, recovery};
 use crate::configuration::{
-    FAULTY_PATH, FAULTY_SERVICE, FAULTY_STREAM_PATH, HOST as ROUTE_HOST, LONG_EVENT_PATH,
-    LONG_EVENT_SERVICE, MAX_BODY_BYTES, PERMANENT_KEY, ROUTE_TIMEOUT_MS, UNSAFE_PATH,
+    FAULTY_SERVICE, HOST as ROUTE_HOST, LONG_EVENT_PATH, LONG_EVENT_SERVICE, MAX_BODY_BYTES,
+    PERMANENT_KEY, ROUTE_TIMEOUT_MS, UNSAFE_PATH,
 };
 use crate::history::History;
 use crate::options::SoakOptions;
 use crate::run::{Soak, SoakError};
 use crate::stand_ins::http::connect;
-use crate::stand_ins::{ScriptedAnswer, ScriptedBackend};
+use crate::stand_ins::{ScriptedAnswer, ScriptedBackend, ask_faulty};
 
 /// Size of the long events that a sound backend sends, in bytes.
 const LONG_EVENT_BYTES: usize = 3 * 1024 * 1024;
@@ -248,10 +248,7 @@
         PeerFault::Answers {
             answer, clients, ..
         } => {
-            let path = match answer {
-                ScriptedAnswer::EndlessEvent => FAULTY_STREAM_PATH,
-                _ => FAULTY_PATH,
-            };
+            let path = answer.path();
             for number in 0..clients {
                 peers.spawn(ask_faulty(caller, path, number));
             }
@@ -336,27 +333,6 @@
     }
 }
 
-/// Asks the faulty backends again and again, and reads and drops what comes.
-async fn ask_faulty(address: SocketAddr, path: &str, number: usize) {
-    for attempt in 0.. {
-        let _ = ask_faulty_once(address, path, &format!("{number}-{attempt}")).await;
-        sleep(RECONNECT_DELAY).await;
-    }
-}
-
-async fn ask_faulty_once(address: SocketAddr, path: &str, id: &str) -> std::io::Result<()> {
-    let mut stream = TcpStream::connect(address).await?;
-    let head = format!(
-        "POST {path}item HTTP/1.1\r\nhost: {ROUTE_HOST}\r\nrequest-id: faulty-{id}\r\n\
-         time-budget-ms: {ROUTE_TIMEOUT_MS}\r\nauthorization: Token {PERMANENT_KEY}\r\ncontent-length: 1\r\n\
-         connection: close\r\n\r\nx"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    let mut block = vec![0; BLOCK_BYTES];
-    while stream.read(&mut block).await? > 0 {}
-    Ok(())
-}
-
 /// Sends requests at an interval until `until`. Returns how many were sent and how many were served.
 async fn other_clients(proxy: SocketAddr, operator: SocketAddr, until: Instant) -> (usize, usize) {
     let mut requests = JoinSet::new();
--- a/deploy/soak/src/plan/mod.rs
+++ b/deploy/soak/src/plan/mod.rs
@@ -16,9 +16,14 @@
 pub use front_plan::{DrainSignal, DrainSignalKind, FrontAction, FrontStep};
 pub use turnover::Turnover;
 
+use crate::stand_ins::ScriptedAnswer;
+
 /// Steps of each timeline; more than fit into a run, which ends the timelines by time.
 const STEPS: usize = 64;
 
+/// Number of faulty backends of a plan that has some.
+const FAULTY_BACKENDS: usize = 2;
+
 /// Disruptions of one run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SoakPlan {
@@ -28,6 +33,8 @@
     pub control: Vec<ControlStep>,
     /// Steps of the backends.
     pub backends: Vec<BackendStep>,
+    /// Answers of the faulty backends, which run all the time in a service of their own.
+    pub faulty: Vec<ScriptedAnswer>,
 }
 
 impl SoakPlan {
@@ -48,6 +55,7 @@
             fronts,
             control,
             backends: backends.collect(),
+            faulty: draw_faulty(&mut timeline(seed, u64::MAX - 3)),
         };
         if let Some(turnover) = Turnover::draw(&mut timeline(seed, u64::MAX - 2)) {
             turnover.begin(&mut plan, controls);
@@ -56,6 +64,15 @@
     }
 }
 
+/// Draws the answers of faulty backends; half of the plans have some.
+fn draw_faulty(random: &mut impl Rng) -> Vec<ScriptedAnswer> {
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let draw = |_| ScriptedAnswer::ENDLESS[random.random_range(0..ScriptedAnswer::ENDLESS.len())];
+    (0..FAULTY_BACKENDS).map(draw).collect()
+}
+
 /// Generator of one timeline.
 #[must_use]
 pub fn timeline(seed: u64, number: u64) -> ChaCha8Rng {
--- a/deploy/soak/src/report.rs
+++ b/deploy/soak/src/report.rs
@@ -44,6 +44,12 @@
             .count()
     }
 
+    /// Most memory of a process that ran at the end, in MB.
+    fn most_memory_mb(&self) -> u64 {
+        let peaks = self.history.memory.iter().map(|peak| peak.bytes);
+        peaks.max().unwrap_or(0) / (1024 * 1024)
+    }
+
     fn events(&self, kind: MachineEvent) -> usize {
         let events = self.history.machines.iter();
         events.filter(|(_, _, event)| *event == kind).count()
@@ -56,7 +62,7 @@
         write!(
             formatter,
             "seed {}: {verdict}; {} requests, {} answered, {} runs, {} configurations acknowledged; \
-             {} SIGTERM, {} SIGKILL, {} stops, {} starts",
+             {} SIGTERM, {} SIGKILL, {} stops, {} starts; at most {} MB",
             self.seed,
             self.history.requests.len(),
             self.answered(),
@@ -66,6 +72,7 @@
             self.events(MachineEvent::Killed),
             self.events(MachineEvent::Frozen),
             self.events(MachineEvent::Started),
+            self.most_memory_mb(),
         )?;
         let mut by_rule: BTreeMap<Rule, Vec<&Violation>> = BTreeMap::new();
         for violation in &self.violations {
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -10,6 +10,7 @@
 
 use crate::bounds::RECOVERY;
 use crate::checks::violations;
+use crate::configuration::FAULTY_SERVICE;
 use crate::deployment::deploy_file::DeployFileError;
 use crate::deployment::settings_file::MachineSettings;
 use crate::deployment::{
@@ -22,7 +23,10 @@
 use crate::report::SoakReport;
 use crate::stand_ins::http::connect;
 use crate::stand_ins::operator::NewestGeneration;
-use crate::stand_ins::{Backend, BackendList, ClientKind, Clients, Operator};
+use crate::stand_ins::{
+    Backend, BackendList, ClientKind, Clients, Operator, ScriptedAnswer, ScriptedBackend,
+    ask_faulty,
+};
 
 /// File in a kept folder with the events of machines and orders.
 const TIMELINE_FILE: &str = "timeline.txt";
@@ -40,6 +44,8 @@
 const REQUESTS_PER_SECOND: u64 = 300;
 /// Shortest pause between two requests of one client, in milliseconds.
 const MIN_PAUSE_MS: u64 = 20;
+/// Clients of each faulty backend at each proxy machine.
+const FAULTY_CLIENTS: usize = 2;
 /// Zones of the proxy machines, one after the other.
 const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-d"];
 /// Streams of random numbers of the tasks beside the plan, counted from the last.
@@ -231,6 +237,7 @@
     /// Plays the plan, then the recovery.
     async fn play(mut self, options: &SoakOptions, plan: SoakPlan) -> Result<(), SoakError> {
         self.start_clients(options);
+        let faulty = self.start_faulty(options, &plan.faulty).await?;
         let mut changes = self.operator(options.seed, OPERATOR_TIMELINE);
         self.background
             .spawn(async move { changes.change(CHANGE_PAUSE_MS).await });
@@ -270,13 +277,41 @@
         sleep(RECOVERY + AFTER_RECOVERY).await;
         self.background.abort_all();
         for front in &mut fronts {
+            front.record_memory();
             front.record_own_ends();
         }
+        self.control.record_memory();
         self.control.record_own_ends();
         drop(backends);
+        drop(faulty);
         Ok(())
     }
 
+    /// Starts the faulty backends and their clients.
+    async fn start_faulty(
+        &mut self,
+        options: &SoakOptions,
+        answers: &[ScriptedAnswer],
+    ) -> Result<Vec<ScriptedBackend>, SoakError> {
+        let mut started = Vec::new();
+        for (number, answer) in answers.iter().enumerate() {
+            let host = self.network.backend(0);
+            let id = format!("faulty-{number}");
+            let backend = ScriptedBackend::start(id, host, *answer).await?;
+            self.list
+                .add_to(FAULTY_SERVICE, &backend.id, backend.address);
+            started.push(backend);
+            for front in 0..options.fronts {
+                let address = self.network.caller(front);
+                for client in 0..FAULTY_CLIENTS {
+                    self.background
+                        .spawn(ask_faulty(address, answer.path(), client));
+                }
+            }
+        }
+        Ok(started)
+    }
+
     fn start_clients(&mut self, options: &SoakOptions) {
         let clients = options.fronts * CLIENT_KINDS.len();
         let pause = (1000 * clients as u64 / REQUESTS_PER_SECOND).max(MIN_PAUSE_MS);
--- a/deploy/soak/src/stand_ins/scripted_backend.rs
+++ b/deploy/soak/src/stand_ins/scripted_backend.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::configuration::{FAULTY_PATH, FAULTY_STREAM_PATH};
+
 /// Size of the blocks in which endless answers are written, in bytes.
 const BLOCK_BYTES: usize = 64 * 1024;
 /// Largest request head that is read, in bytes.
@@ -43,6 +45,15 @@
         Self::EndlessTrailers,
         Self::EndlessSurplus,
     ];
+
+    /// Path of the route on which clients ask for this answer.
+    #[must_use]
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::EndlessEvent => FAULTY_STREAM_PATH,
+            _ => FAULTY_PATH,
+        }
+    }
 }
 
 /// A running backend. Dropping it breaks its connections.
--- a/deploy/soak/tests/checks.rs
+++ b/deploy/soak/tests/checks.rs
@@ -7,7 +7,7 @@
 use millford_platform_soak::configuration::{Contender, Generation, TenantList};
 use millford_platform_soak::history::{
     BackendDrain, ConfigRead, Ending, History, MachineEvent, MachineId, Moment, Order, OrderState,
-    Request, Run, Target,
+    PeakMemory, Request, Run, Target,
 };
 
 fn seconds(seconds: f64) -> Moment {
@@ -354,3 +354,20 @@
     history.control_servers.push(server(2));
     assert_eq!(broken(&history), [Rule::Recover]);
 }
+
+#[test]
+fn a_process_over_its_memory_breaks_the_rule_and_one_at_its_limit_does_not() {
+    let with_memory = |megabytes: u64| {
+        let mut history = calm_history();
+        history.memory.push(PeakMemory {
+            machine: MachineId::Front(0),
+            role: "forward".to_owned(),
+            at: seconds(70.0),
+            bytes: megabytes * 1024 * 1024,
+        });
+        let found = violations(&history);
+        found.into_iter().any(|found| found.rule == Rule::Memory)
+    };
+    assert!(!with_memory(260));
+    assert!(with_memory(261));
+}
