--- a/crates/agent/src/daemon/http_server.rs
+++ b/crates/agent/src/daemon/http_server.rs
@@ -3,10 +3,8 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper_util::service::TowerToHyperService;
-use millford_bounded_io::{MemoryBudget, ServerBounds, serve_connections};
+use millford_bounded_io::{MemoryBudget, ServerBounds, serve_connections, unavailable};
 use millford_settings::PartLog;
 use millford_settings::metrics::CONTENT_TYPE;
 use tokio::net::TcpListener;
@@ -48,14 +46,7 @@
         Ok::<_, Infallible>(not_found)
     });
     let service = TowerToHyperService::new(warp::service(routes));
-    serve_connections(listener, service, ServerBounds::default(), LOG, too_many).await;
-}
-
-/// Answer to a connection above the limit.
-fn too_many() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
+    serve_connections(listener, service, ServerBounds::default(), LOG, unavailable).await;
 }
 
 fn response(status: StatusCode, text: &str) -> warp::reply::WithStatus<String> {
--- a/crates/bounded-io/src/http_client.rs
+++ b/crates/bounded-io/src/http_client.rs
@@ -15,8 +15,8 @@
 
 use crate::read_allowance::{AllowanceStream, ReadAllowance};
 
-/// Smallest buffer that the HTTP library supports, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Smallest limit for the head of an answer, in bytes: the smallest buffer that the HTTP library supports.
+pub const MIN_HEAD_BYTES: u64 = 8 * 1024;
 /// Bytes that a peer may send without completing anything, in multiples of the largest head: interim answers before the
 /// head, and what the library reads ahead.
 const ALLOWANCE_HEADS: usize = 4;
@@ -50,7 +50,7 @@
     stream: TcpStream,
     max_head_bytes: usize,
 ) -> Result<ClientConnection, hyper::Error> {
-    let buffer_bytes = max_head_bytes.max(MIN_BUFFER_BYTES);
+    let buffer_bytes = max_head_bytes.max(MIN_HEAD_BYTES as usize);
     let allowance = ReadAllowance::new(buffer_bytes.saturating_mul(ALLOWANCE_HEADS));
     let stream = AllowanceStream::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
--- a/crates/bounded-io/src/http_server.rs
+++ b/crates/bounded-io/src/http_server.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
@@ -140,3 +142,11 @@
         .serve_connection(TokioIo::new(stream), service);
     let _ = tokio::time::timeout(REFUSAL_TIMEOUT, connection).await;
 }
+
+/// Builds an empty answer with status 503, for connections above a limit whose peers need no explanation.
+#[must_use]
+pub fn unavailable() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
--- a/crates/bounded-io/src/lib.rs
+++ b/crates/bounded-io/src/lib.rs
@@ -16,9 +16,9 @@
 pub use admitted_buffer::AdmittedBuffer;
 pub use bounded_buffer::{BoundedBuffer, BufferError, BufferReservation, HeldBytes};
 pub use http_client::{
-    BoundedHttpClient, ClientConnection, FetchError, is_framing_excess, open_http,
+    BoundedHttpClient, ClientConnection, FetchError, MIN_HEAD_BYTES, is_framing_excess, open_http,
 };
-pub use http_server::{ServerBounds, refuse_connection, serve_connections};
+pub use http_server::{ServerBounds, refuse_connection, serve_connections, unavailable};
 pub use log_throttle::LogThrottle;
 pub use memory_budget::{BudgetError, MemoryBudget, Reader, Reservation, Source};
 pub use memory_limit::MemoryLimit;
--- a/crates/bounded-io/tests/connections.rs
+++ b/crates/bounded-io/tests/connections.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use millford_bounded_io::{
     BoundedHttpClient, FetchError, ServerBounds, StalledWriteStream, open_http, serve_connections,
+    unavailable,
 };
 use millford_settings::PartLog;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -109,12 +110,6 @@
     assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
 }
 
-fn refusal() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-}
-
 async fn status(address: SocketAddr) -> (StatusCode, TcpStream) {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -138,7 +133,13 @@
         Ok::<_, Infallible>(Response::new(Full::<Bytes>::from("page")))
     });
     let log = PartLog::new("TEST");
-    tokio::spawn(serve_connections(listener, service, bounds, log, refusal));
+    tokio::spawn(serve_connections(
+        listener,
+        service,
+        bounds,
+        log,
+        unavailable,
+    ));
     let (first, _open) = status(address).await;
     assert_eq!(first, StatusCode::OK);
     let (second, _) = status(address).await;
--- a/crates/control/src/daemon/operator_http/mod.rs
+++ b/crates/control/src/daemon/operator_http/mod.rs
@@ -8,13 +8,11 @@
 
 use std::convert::Infallible;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper_util::service::TowerToHyperService;
-use millford_bounded_io::{ServerBounds, serve_connections};
+use millford_bounded_io::{ServerBounds, serve_connections, unavailable};
 use tokio::net::TcpListener;
 use warp::Filter;
-use warp::http::{HeaderMap, Method, Response, StatusCode};
+use warp::http::{HeaderMap, Method};
 use warp::path::FullPath;
 
 use super::CONTROL;
@@ -36,18 +34,11 @@
         service,
         ServerBounds::default(),
         CONTROL,
-        too_many,
+        unavailable,
     )
     .await;
 }
 
-/// Answer to a connection above the limit.
-fn too_many() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-}
-
 /// Serves operators on this listener until the process exits.
 pub async fn serve(listener: TcpListener, port: OperatorPort) {
     let routes = warp::any()
--- a/crates/forward/src/daemon/readiness.rs
+++ b/crates/forward/src/daemon/readiness.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper_util::service::TowerToHyperService;
-use millford_bounded_io::{ServerBounds, serve_connections};
+use millford_bounded_io::{ServerBounds, serve_connections, unavailable};
 use millford_settings::{PartLog, metrics};
 use tokio::net::TcpListener;
 use warp::Filter;
@@ -23,14 +21,7 @@
 pub async fn serve_readiness<P: ForwardProtocol>(listener: TcpListener, node: Arc<ForwardNode<P>>) {
     let pages = warp::path::full().map(move |path: FullPath| respond(&node, path.as_str()));
     let service = TowerToHyperService::new(warp::service(pages));
-    serve_connections(listener, service, ServerBounds::default(), LOG, too_many).await;
-}
-
-/// Answer to a connection above the limit.
-fn too_many() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
+    serve_connections(listener, service, ServerBounds::default(), LOG, unavailable).await;
 }
 
 fn respond<P: ForwardProtocol>(node: &ForwardNode<P>, path: &str) -> Response<String> {
--- a/crates/forward/src/request/read_body.rs
+++ b/crates/forward/src/request/read_body.rs
@@ -30,11 +30,11 @@
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
-            () = complete.revoked() => return Err(no_memory()),
-            () = &mut deadline => return Err(refused(ResultCode::BodyIncomplete)),
+            () = complete.revoked() => return Err(not_read()),
+            () = &mut deadline => return Err(not_read()),
         };
         let Some(frame) = frame else {
-            return complete.into_held().map_err(|_| no_memory());
+            return complete.into_held().map_err(|_| not_read());
         };
         let frame = frame.map_err(|_| refused(ResultCode::BodyIncomplete))?;
         let Ok(data) = frame.into_data() else {
@@ -42,7 +42,7 @@
         };
         tokio::select! {
             extended = complete.extend(&data) => extended.map_err(refusal_of)?,
-            () = &mut deadline => return Err(no_memory()),
+            () = &mut deadline => return Err(not_read()),
         }
     }
 }
@@ -50,12 +50,12 @@
 fn refusal_of(error: BufferError) -> Refusal {
     match error {
         BufferError::TooLarge => refused(ResultCode::BodyTooLarge),
-        BufferError::Budget(_) => no_memory(),
+        BufferError::Budget(_) => not_read(),
     }
 }
 
-/// The request has not run and may be sent again.
-fn no_memory() -> Refusal {
+/// Refuses a request whose body was not read in time, or could not be held. It has not run and may be sent again.
+fn not_read() -> Refusal {
     refused(ResultCode::Overloaded).with_retry_after(DEFAULT_RETRY_AFTER)
 }
 
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -1,18 +1,15 @@
 //! The settings of the forwarding proxy.
 
-use millford_bounded_io::MemoryLimit;
+use millford_bounded_io::{MIN_HEAD_BYTES, MemoryLimit};
 use millford_core::Duration;
 use millford_data_plane::limits::RequestLimits;
-use millford_settings::fault::{require_addresses, require_texts};
+use millford_settings::fault::{require_addresses, require_at_least, require_texts};
 use millford_settings::logging::{LogOptions, parse_level};
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
 use crate::mechanism::Mechanisms;
 
-/// Smallest limit for the head of an answer, in bytes: the smallest buffer of the HTTP library.
-const MIN_HEAD_BYTES: u64 = 8 * 1024;
-
 /// Bounds on what callers and backends may cost the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ForwardBounds {
@@ -207,10 +204,8 @@
         if let Err(unknown) = Mechanisms::all_but(&self.disabled_mechanisms) {
             faults.push(SettingsFault::new("leave_out", unknown.to_string()));
         }
-        if self.max_backend_head_bytes < MIN_HEAD_BYTES {
-            let too_small = format!("The value must be at least {MIN_HEAD_BYTES}.");
-            faults.push(SettingsFault::new("max_backend_head_bytes", too_small));
-        }
+        let head_bytes = ("max_backend_head_bytes", self.max_backend_head_bytes);
+        require_at_least(&mut faults, head_bytes, MIN_HEAD_BYTES);
         let positive = [
             ("memory_limit_mb", self.memory_limit_mb),
             ("max_event_bytes", self.max_event_bytes),
--- a/crates/proxy/src/daemon/settings.rs
+++ b/crates/proxy/src/daemon/settings.rs
@@ -1,15 +1,13 @@
 //! Settings of the proxy.
 
-use millford_bounded_io::{MemoryLimit, ServerBounds};
+use millford_bounded_io::{MIN_HEAD_BYTES, MemoryLimit, ServerBounds};
 use millford_core::Duration;
 use millford_data_plane::limits::RequestLimits;
-use millford_settings::fault::{require_addresses, require_texts};
+use millford_settings::fault::{require_addresses, require_at_least, require_texts};
 use millford_settings::logging::{LogOptions, parse_level};
 use millford_settings::{LogFormat, Settings, SettingsFault, SettingsKey};
 use serde::Deserialize;
 
-/// Smallest limit for the head of an answer, in bytes: the smallest buffer of the HTTP library.
-const MIN_HEAD_BYTES: u64 = 8 * 1024;
 /// Room for the request line and the separators of headers, in bytes.
 const REQUEST_LINE_BYTES: usize = 8 * 1024;
 
@@ -177,10 +175,8 @@
         if parse_level(&self.log_level).is_none() {
             faults.push(SettingsFault::new("log_level", "This is not a log level."));
         }
-        if self.max_backend_head_bytes < MIN_HEAD_BYTES {
-            let too_small = format!("The value must be at least {MIN_HEAD_BYTES}.");
-            faults.push(SettingsFault::new("max_backend_head_bytes", too_small));
-        }
+        let head_bytes = ("max_backend_head_bytes", self.max_backend_head_bytes);
+        require_at_least(&mut faults, head_bytes, MIN_HEAD_BYTES);
         let positive = [
             ("memory_limit_mb", self.memory_limit_mb),
             ("max_event_bytes", self.max_event_bytes),
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// Adds a fault for a number, given with its key, that is below `least`.
+pub fn require_at_least(
+    faults: &mut Vec<SettingsFault>,
+    (key, value): (&'static str, u64),
+    least: u64,
+) {
+    if value < least {
+        let text = format!("The value must be at least {least}.");
+        faults.push(SettingsFault::new(key, text));
+    }
+}
+
 /// Adds a fault for a value that is neither empty nor an IP address with a port.
 pub fn check_optional_address(faults: &mut Vec<SettingsFault>, key: &'static str, value: &str) {
     if !value.is_empty() {
