Backends that send large bodies take turns

Cause: the runtime gives each stream the same share, a part of 16 KB a round, so the number of streams of a faulty backend decides how long a sound one takes.

The reports of the harness say how requests ended that were not served.

--- a/crates/forward/src/backend/health_watch.rs
+++ b/crates/forward/src/backend/health_watch.rs
@@ -41,6 +41,7 @@
             next_sweep = now + SWEEP_INTERVAL;
             let known = |id: &str| table.pools().any(|pool| pool.backend(id).is_some());
             node.connections.close_expired(now, known);
+            node.bulk_turns.retain(known);
             last_probes.retain(|id, _| known(id));
         }
         for backend in table.pools().flat_map(|pool| pool.backends()) {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -8,7 +8,7 @@
 use millford_routing::{EjectionReason, PrefixIndex};
 use tokio::sync::watch;
 
-use crate::backend::{ConnectionPools, Excess};
+use crate::backend::{BulkTurns, ConnectionPools, Excess};
 use crate::graceful_shutdown::GracefulShutdown;
 use crate::load::SharedLoad;
 use crate::mechanism::{Mechanism, Mechanisms};
@@ -39,6 +39,8 @@
     pub quota_client: QuotaClient,
     /// Bounds on what callers and backends may cost the process.
     pub bounds: ForwardBounds,
+    /// Turns of the backends that send large bodies.
+    pub bulk_turns: BulkTurns,
     /// Connections to backends.
     pub connections: Arc<ConnectionPools>,
     /// The enabled mechanisms.
@@ -75,6 +77,7 @@
             quotas: TenantQuotas::default(),
             quota_client,
             bounds,
+            bulk_turns: BulkTurns::default(),
             connections: Arc::new(ConnectionPools::new(
                 settings.connect_timeout(),
                 bounds.max_backend_head_bytes,
--- a/crates/forward/src/request/backend_stream.rs
+++ b/crates/forward/src/request/backend_stream.rs
@@ -103,7 +103,11 @@
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         self.renew_allowance();
-                        return BodyRead::Chunk(bytes);
+                        let turn = node.bulk_turns.take(&self.backend_id, bytes.len());
+                        return tokio::select! {
+                            () = turn => BodyRead::Chunk(bytes),
+                            () = &mut deadline => BodyRead::TimedOut,
+                        };
                     }
                 }
             }
--- a/deploy/soak/src/peer_fault_run.rs
+++ b/deploy/soak/src/peer_fault_run.rs
@@ -78,6 +78,32 @@
     },
 }
 
+/// A request of the other clients that was not served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unserved {
+    /// Number of the request, which decides what it asks for.
+    pub number: usize,
+    /// How it ended.
+    pub ending: UnservedEnding,
+    /// Time from its start to its end.
+    pub after: Duration,
+}
+
+/// How a request ended that was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnservedEnding {
+    /// No connection was opened.
+    NotConnected,
+    /// The connection ended before the answer was complete.
+    Broken,
+    /// The answer had another status than success.
+    Status(u16),
+    /// The answer was shorter than it should be.
+    Short,
+    /// The client gave up.
+    TimedOut,
+}
+
 /// What was seen during a run.
 #[derive(Clone, Debug)]
 pub struct PeerFaultReport {
@@ -87,6 +113,8 @@
     pub others: usize,
     /// Requests of the other clients that were answered whole, with success.
     pub served: usize,
+    /// Why the others were not served.
+    pub unserved: Vec<Unserved>,
     /// Time from the start of the fault until a process had ended or was over its memory, if one was.
     pub ended_after: Option<Duration>,
     /// Everything that was recorded.
@@ -120,6 +148,9 @@
             let megabytes = peak.bytes / (1024 * 1024);
             write!(formatter, "; most memory {megabytes} MB ({})", peak.role)?;
         }
+        for unserved in &self.unserved {
+            write!(formatter, "\n  {unserved:?}")?;
+        }
         for metric in &self.metrics {
             write!(formatter, "\n  {metric}")?;
         }
@@ -170,7 +201,8 @@
         metrics = scraped.unwrap_or(metrics);
         sleep(WATCH_INTERVAL).await;
     }
-    let (others, served) = others.await.map_err(std::io::Error::other)?;
+    let (others, unserved) = others.await.map_err(std::io::Error::other)?;
+    let served = others - unserved.len();
     record_memory(&soak);
     drop(peers);
     let history = std::mem::take(&mut *soak.recorder.lock());
@@ -180,6 +212,7 @@
         fault,
         others,
         served,
+        unserved,
         ended_after,
         history,
         metrics,
@@ -199,7 +232,7 @@
     let request = Request::get("/metrics").header(HOST, "platform");
     let request = request.body(Full::default()).ok()?;
     let answer = timeout(SCRAPE_TIMEOUT, whole_answer(readiness, request)).await;
-    let text = String::from_utf8(answer.ok()??.to_vec()).ok()?;
+    let text = String::from_utf8(answer.ok()?.ok()?.to_vec()).ok()?;
     let lines = text.lines().filter(|line| {
         let mut prefixes = SCRAPED_METRICS.iter();
         prefixes.any(|prefix| line.starts_with(prefix))
@@ -333,21 +366,37 @@
     }
 }
 
-/// Sends requests at an interval until `until`. Returns how many were sent and how many were served.
-async fn other_clients(proxy: SocketAddr, operator: SocketAddr, until: Instant) -> (usize, usize) {
+/// Sends requests at an interval until `until`. Returns how many were sent, and those that were not served.
+async fn other_clients(
+    proxy: SocketAddr,
+    operator: SocketAddr,
+    until: Instant,
+) -> (usize, Vec<Unserved>) {
     let mut requests = JoinSet::new();
     let mut number = 0;
     while Instant::now() < until {
-        requests.spawn(other_request(proxy, operator, number));
+        requests.spawn(async move {
+            let begun = Instant::now();
+            let served = other_request(proxy, operator, number).await;
+            served.err().map(|ending| Unserved {
+                number,
+                ending,
+                after: begun.elapsed(),
+            })
+        });
         number += 1;
         sleep(OTHERS_INTERVAL).await;
     }
-    let served = requests.join_all().await;
-    (number, served.into_iter().filter(|served| *served).count())
+    let unserved = requests.join_all().await;
+    (number, unserved.into_iter().flatten().collect())
 }
 
-/// Sends one request on a new connection. Returns whether it was answered whole, with success.
-async fn other_request(proxy: SocketAddr, operator: SocketAddr, number: usize) -> bool {
+/// Sends one request on a new connection. Fails unless it is answered whole, with success.
+async fn other_request(
+    proxy: SocketAddr,
+    operator: SocketAddr,
+    number: usize,
+) -> Result<(), UnservedEnding> {
     let (address, request, least_bytes) = match number % LARGE_INTERVAL {
         0 => (proxy, proxied(UNSAFE_PATH, number, MAX_BODY_BYTES), 1),
         1 => (proxy, proxied(LONG_EVENT_PATH, number, 1), LONG_EVENT_BYTES),
@@ -355,7 +404,11 @@
         _ => (proxy, proxied(UNSAFE_PATH, number, 1), 1),
     };
     let answered = timeout(PATIENCE, whole_answer(address, request)).await;
-    matches!(answered, Ok(Some(body)) if body.len() >= least_bytes)
+    let body = answered.unwrap_or(Err(UnservedEnding::TimedOut))?;
+    if body.len() < least_bytes {
+        return Err(UnservedEnding::Short);
+    }
+    Ok(())
 }
 
 fn proxied(path: &str, number: usize, body_bytes: usize) -> Request<Full<Bytes>> {
@@ -376,12 +429,18 @@
 }
 
 /// Returns the whole body of a successful answer.
-async fn whole_answer(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Bytes> {
-    let mut connection = connect(address).await.ok()?;
-    let response = connection.send_request(request).await.ok()?;
+async fn whole_answer(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Bytes, UnservedEnding> {
+    let connected = connect(address).await;
+    let mut connection = connected.map_err(|_| UnservedEnding::NotConnected)?;
+    let response = connection.send_request(request).await;
+    let response = response.map_err(|_| UnservedEnding::Broken)?;
     if !response.status().is_success() {
-        return None;
+        return Err(UnservedEnding::Status(response.status().as_u16()));
     }
-    let body = response.into_body().collect().await.ok()?;
-    Some(body.to_bytes())
+    let body = response.into_body().collect().await;
+    let body = body.map_err(|_| UnservedEnding::Broken)?;
+    Ok(body.to_bytes())
 }
--- a/deploy/soak/src/stand_ins/faulty_client.rs
+++ b/deploy/soak/src/stand_ins/faulty_client.rs
@@ -9,8 +9,8 @@
 
 use crate::configuration::{HOST, PERMANENT_KEY, ROUTE_TIMEOUT_MS};
 
-/// Pause of a client whose connection ended.
-const RECONNECT_DELAY: Duration = Duration::from_millis(20);
+/// Pause of a client before it asks again.
+const PAUSE: Duration = Duration::from_millis(20);
 /// Size of the blocks that are read, in bytes.
 const BLOCK_BYTES: usize = 64 * 1024;
 
@@ -18,7 +18,7 @@
 pub async fn ask_faulty(address: SocketAddr, path: &str, number: usize) {
     for attempt in 0.. {
         let _ = ask_faulty_once(address, path, &format!("{number}-{attempt}")).await;
-        sleep(RECONNECT_DELAY).await;
+        sleep(PAUSE).await;
     }
 }
 
