A refused order's rest is read and dropped for a moment

Cause, by reading and by the trace of the test: the server closes a connection with 1 MB unread.

Change: up to 4 MB of a refused body are read and dropped for up to 1 s before the refusal.

--- a/crates/control/src/daemon/operator_http/body.rs
+++ b/crates/control/src/daemon/operator_http/body.rs
@@ -1,5 +1,6 @@
 //! Reading and parsing of the bodies of operators' requests.
 
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -15,6 +16,12 @@
 use crate::daemon::CONTROL;
 use crate::operator::OperatorFailure;
 
+/// Most bytes of a refused body that are read and dropped.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest time for which a refused body is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Longest time for the complete body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -44,7 +51,8 @@
         Source::Connection,
         max_bytes,
     );
-    let reading = tokio::time::timeout(BODY_TIMEOUT, fill(&mut buffer, body));
+    let mut body = std::pin::pin!(body);
+    let reading = tokio::time::timeout(BODY_TIMEOUT, fill(&mut buffer, body.as_mut()));
     let complete = reading
         .await
         .unwrap_or_else(|_| Err(OperatorFailure::new(ResultCode::BodyIncomplete)));
@@ -53,6 +61,8 @@
             "An operator's request is refused: {}.",
             failure.code
         ));
+        drop(buffer);
+        discard(body).await;
         return Err(failure);
     }
     Ok(buffer.into_held())
@@ -60,9 +70,8 @@
 
 async fn fill<B: Buf>(
     buffer: &mut BoundedBuffer,
-    body: impl Stream<Item = Result<B, warp::Error>>,
+    mut body: Pin<&mut impl Stream<Item = Result<B, warp::Error>>>,
 ) -> Result<(), OperatorFailure> {
-    let mut body = std::pin::pin!(body);
     loop {
         let part = tokio::select! {
             part = body.next() => part,
@@ -81,6 +90,20 @@
     }
 }
 
+/// Reads and drops some of the rest of a refused body. An operator that is still sending when the connection is closed may
+/// see its reset instead of the refusal.
+async fn discard<B: Buf>(mut body: Pin<&mut impl Stream<Item = Result<B, warp::Error>>>) {
+    let reading = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while left > 0
+            && let Some(Ok(part)) = body.next().await
+        {
+            left = left.saturating_sub(part.remaining());
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 fn failure_of(error: BufferError) -> OperatorFailure {
     OperatorFailure::new(match error {
         BufferError::TooLarge => ResultCode::BodyTooLarge,
