--- a/crates/forward/src/backend/connection.rs
+++ b/crates/forward/src/backend/connection.rs
@@ -21,6 +21,9 @@
 /// a busy backend still acknowledges them, so that this detects only an unreachable backend.
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Bytes that the operating system holds of a backend before they are read; a few parts of a body.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open connection. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection(ClientConnection);
@@ -98,6 +101,9 @@
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    // Without it the operating system holds megabytes of each backend that sends faster than its answer is relayed. The
+    // connection works without it too.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE_TIME)
         .with_interval(KEEPALIVE_PROBE_INTERVAL)
