Reading of the change: a dead conversion, a second lookup, a derived count

What was found in the change since, with no effect on what anyone sees: a conversion into HeldBytes that nothing calls and two impl blocks of that type; the connection of a stream's body looked up in two ways; the number of served requests kept beside the list of unserved ones, from which it follows.

Change: one of each. Behaviour, bounds and assertions are as before.

--- a/crates/bounded-io/src/bounded_buffer.rs
+++ b/crates/bounded-io/src/bounded_buffer.rs
@@ -39,9 +39,7 @@
     pub fn bytes(&self) -> &Bytes {
         &self.bytes
     }
-}
 
-impl HeldBytes {
     pub(crate) fn new(bytes: Bytes, reservation: Option<Reservation>) -> Self {
         Self {
             bytes,
@@ -50,16 +48,6 @@
     }
 }
 
-impl From<Bytes> for HeldBytes {
-    /// Wraps bytes that are not counted in any budget.
-    fn from(bytes: Bytes) -> Self {
-        Self {
-            bytes,
-            _reservation: None,
-        }
-    }
-}
-
 /// The reservation of a buffer that may stay small. It begins once the buffer is larger than the fixed buffers of its
 /// connection, so that small units cost nothing.
 #[derive(Debug)]
--- a/crates/forward/src/request/backend_stream.rs
+++ b/crates/forward/src/request/backend_stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use millford_api::internal::CostSample;
-use millford_bounded_io::is_framing_excess;
+use millford_bounded_io::{ReadAllowance, is_framing_excess};
 use millford_core::time::monotonic_now;
 use millford_core::{Duration, MonotonicTime};
 use millford_routing::InFlightGuard;
@@ -102,7 +102,9 @@
                 Some(Err(_)) => return BodyRead::Lost,
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        self.renew_allowance();
+                        if let Some(allowance) = self.allowance() {
+                            allowance.renew();
+                        }
                         let turn = node.bulk_turns.take(&self.backend_id, bytes.len());
                         return tokio::select! {
                             () = turn => BodyRead::Chunk(bytes),
@@ -114,17 +116,15 @@
         }
     }
 
-    fn renew_allowance(&mut self) {
-        let connection = self.pooled.as_mut().and_then(PooledConnection::connection);
-        if let Some(connection) = connection {
-            connection.allowance().renew();
-        }
+    /// The allowance of the connection; `None` once it is released.
+    fn allowance(&mut self) -> Option<&ReadAllowance> {
+        let connection = self.pooled.as_mut()?.connection()?;
+        Some(connection.allowance())
     }
 
     /// Whether the body failed because of chunk sizes, chunk extensions or trailers that are too long.
     fn has_framing_excess(&mut self, error: &hyper::Error) -> bool {
-        let connection = self.pooled.as_mut().and_then(PooledConnection::connection);
-        let is_exceeded = connection.is_some_and(|open| open.allowance().is_exceeded());
+        let is_exceeded = self.allowance().is_some_and(ReadAllowance::is_exceeded);
         is_exceeded || is_framing_excess(error)
     }
 
--- a/deploy/soak/src/peer_fault_run.rs
+++ b/deploy/soak/src/peer_fault_run.rs
@@ -111,8 +111,6 @@
     pub fault: PeerFault,
     /// Requests that the other clients sent.
     pub others: usize,
-    /// Requests of the other clients that were answered whole, with success.
-    pub served: usize,
     /// Why the others were not served.
     pub unserved: Vec<Unserved>,
     /// Time from the start of the fault until a process had ended or was over its memory, if one was.
@@ -129,7 +127,7 @@
     /// Whether every process went on within its memory and all other clients were served.
     #[must_use]
     pub fn held(&self) -> bool {
-        self.violations.is_empty() && self.served == self.others && self.others > 0
+        self.violations.is_empty() && self.unserved.is_empty() && self.others > 0
     }
 }
 
@@ -138,7 +136,9 @@
         write!(
             formatter,
             "{:?}: {} of {} other requests served",
-            self.fault, self.served, self.others
+            self.fault,
+            self.others - self.unserved.len(),
+            self.others
         )?;
         if let Some(after) = self.ended_after {
             write!(formatter, "; a rule broke after {after:.2?}")?;
@@ -202,7 +202,6 @@
         sleep(WATCH_INTERVAL).await;
     }
     let (others, unserved) = others.await.map_err(std::io::Error::other)?;
-    let served = others - unserved.len();
     record_memory(&soak);
     drop(peers);
     let history = std::mem::take(&mut *soak.recorder.lock());
@@ -211,7 +210,6 @@
     Ok(PeerFaultReport {
         fault,
         others,
-        served,
         unserved,
         ended_after,
         history,
